--- /dev/null
+++ b/src/bin/sardineseam/app.rs
@@ -0,0 +1,128 @@
+//! Runs one command.
+
+use std::path::Path;
+
+use rand::Rng;
+use sardineseam::{
+    Applied, Error, HostEntry, Identity, IssuedToken, PoolView, Result, Role, Sheet, SheetSummary, StatusView, Wave,
+    WithdrawnTokens, APPLY_ID_HEADER,
+};
+
+use crate::args::{ListAction, Sardineseam, SardineseamCmd, SheetCmd, TokenCmd};
+use crate::client::Client;
+use crate::output::Output;
+
+const APPLY_TRIES: u32 = 3;
+const NOT_FOUND: u16 = 404;
+/// The daemon does not know whether the platform accepted the sheet.
+const UNSETTLED: u16 = 504;
+
+/// Runs the command that the arguments name.
+pub(crate) fn run(args: Sardineseam) -> Result<()> {
+    let client = Client::new(args.admin);
+    let output = Output::new(args.json);
+    match args.subcommand {
+        SardineseamCmd::Sheet(sheet) => match sheet.subcommand {
+            SheetCmd::Check(check) => check_sheet(&output, &check.file),
+            SheetCmd::Apply(apply) => apply_sheet(&client, &output, &apply.file, apply.base_version),
+            SheetCmd::Show(_) => show_sheet(&client, &output),
+        },
+        SardineseamCmd::Status(_) => {
+            let status: StatusView = client.get("/v1/status")?.json()?;
+            output.status(&status)
+        }
+        SardineseamCmd::Pool(pool) => {
+            let ListAction::List = pool.action;
+            let pools: Vec<PoolView> = client.get("/v1/pools")?.json()?;
+            output.pools(&pools)
+        }
+        SardineseamCmd::Host(host) => {
+            let ListAction::List = host.action;
+            let hosts: Vec<HostEntry> = client.get("/v1/hosts")?.json()?;
+            output.hosts(&hosts)
+        }
+        SardineseamCmd::Wave(wave) => {
+            let ListAction::List = wave.action;
+            let waves: Vec<Wave> = client.get("/v1/waves")?.json()?;
+            output.waves(&waves)
+        }
+        SardineseamCmd::Token(token) => match token.subcommand {
+            TokenCmd::Issue(issue) => issue_token(&client, &output, &issue.team, &issue.role),
+            TokenCmd::Withdraw(withdraw) => {
+                let withdrawn: WithdrawnTokens = client.delete(&format!("/v1/tokens/{}", withdraw.team))?.json()?;
+                output.withdrawn(&withdrawn)
+            }
+        },
+    }
+}
+
+fn read_file(file: &Path) -> Result<Vec<u8>> {
+    std::fs::read(file).map_err(Error::io(format!("read {}", file.display())))
+}
+
+fn check_sheet(output: &Output, file: &Path) -> Result<()> {
+    match Sheet::read(&read_file(file)?) {
+        Ok(sheet) => output.summary(&SheetSummary { pools: sheet.pools.len(), waves: sheet.waves.len() }),
+        Err(rejected) => {
+            output.problems(&rejected)?;
+            Err(rejected.into())
+        }
+    }
+}
+
+fn apply_sheet(client: &Client, output: &Output, file: &Path, base_version: Option<u64>) -> Result<()> {
+    let body = read_file(file)?;
+    Sheet::read(&body)?;
+    let base_version = match base_version {
+        Some(base_version) => base_version,
+        None => version_in_force(client)?,
+    };
+    let headers = [
+        ("If-Match", base_version.to_string()),
+        (APPLY_ID_HEADER, format!("{:032x}", rand::rng().random::<u128>())),
+        ("Content-Type", "text/csv".to_owned()),
+    ];
+    let mut tries = 1;
+    loop {
+        // A later try carries the same id, so that an apply whose answer was lost is found and not repeated.
+        let answer = client.put("/v1/sheet", &headers, &body);
+        let unsettled = match &answer {
+            Ok(answer) => answer.status == UNSETTLED,
+            Err(_) => true,
+        };
+        if !unsettled || tries >= APPLY_TRIES {
+            let applied: Applied = answer?.json()?;
+            return output.applied(&applied);
+        }
+        tries += 1;
+    }
+}
+
+fn version_in_force(client: &Client) -> Result<u64> {
+    let answer = client.get("/v1/sheet")?;
+    if answer.status == NOT_FOUND {
+        return Ok(0);
+    }
+    Ok(answer.done()?.version.unwrap_or(0))
+}
+
+fn show_sheet(client: &Client, output: &Output) -> Result<()> {
+    let answer = client.get("/v1/sheet")?.done()?;
+    output.sheet(answer.version.unwrap_or(0), &answer.body)
+}
+
+fn issue_token(client: &Client, output: &Output, team: &str, role: &str) -> Result<()> {
+    let role = match role {
+        "viewer" => Role::Viewer,
+        "operator" => Role::Operator,
+        "admin" => Role::Admin,
+        other => {
+            let fix = "must be viewer, operator or admin".to_owned();
+            return Err(Error::Setting { name: "role", value: other.to_owned(), fix });
+        }
+    };
+    let identity = Identity { team: team.into(), role };
+    let body = serde_json::to_vec(&identity).unwrap_or_default();
+    let issued: IssuedToken = client.post("/v1/tokens", &body)?.json()?;
+    output.issued(&issued)
+}
--- /dev/null
+++ b/src/bin/sardineseam/output.rs
@@ -0,0 +1,171 @@
+//! Prints answers for people, or as JSON for programs.
+
+use std::io::Write;
+
+use sardineseam::{
+    Applied, Error, HostEntry, IssuedToken, PoolView, Result, Sheet, SheetRejected, SheetSummary, StatusView, Wave,
+    WithdrawnTokens,
+};
+use serde::Serialize;
+
+/// Form of what a command prints.
+pub(crate) struct Output {
+    json: bool,
+}
+
+/// The sheet in force, as JSON shows it.
+#[derive(Debug, Serialize)]
+struct ShownSheet<'a> {
+    version: u64,
+    #[serde(flatten)]
+    sheet: &'a Sheet,
+}
+
+impl Output {
+    pub(crate) fn new(json: bool) -> Output {
+        Output { json }
+    }
+
+    /// Prints `value` as JSON, or else the lines that `text` makes.
+    fn print<T: Serialize + ?Sized>(&self, value: &T, text: impl FnOnce() -> String) -> Result<()> {
+        let shown = if self.json {
+            let json = serde_json::to_string_pretty(value).map_err(std::io::Error::other);
+            json.map_err(Error::io("encode the output"))?
+        } else {
+            text()
+        };
+        write(shown.trim_end().as_bytes(), b"\n")
+    }
+
+    pub(crate) fn status(&self, status: &StatusView) -> Result<()> {
+        self.print(status, || {
+            let peers: Vec<&str> = status.peers.iter().map(|peer| &*peer.name).collect();
+            let mut lines = table(&[
+                ["daemon".into(), status.name.to_string()],
+                ["zone".into(), status.zone.to_string()],
+                ["ready".into(), yes_no(status.ready)],
+                ["sheet version".into(), status.sheet_version.to_string()],
+                ["platform reachable".into(), yes_no(status.platform_reachable)],
+                ["lease held".into(), yes_no(status.leased)],
+                ["requests in progress".into(), status.requests.to_string()],
+                ["peers".into(), peers.join(" ")],
+            ]);
+            if status.announced_version > status.sheet_version {
+                lines.push_str(&format!("version {} is being fetched\n", status.announced_version));
+            }
+            lines
+        })
+    }
+
+    pub(crate) fn pools(&self, pools: &[PoolView]) -> Result<()> {
+        self.print(pools, || {
+            let mut rows =
+                vec![["POOL", "SERVICE", "HOSTS", "LIVE", "BUDGET", "SPARE", "RUNNING", "QUEUED"].map(str::to_owned)];
+            for view in pools {
+                rows.push([
+                    view.pool.name.to_string(),
+                    view.pool.service.to_string(),
+                    view.pool.host_count.to_string(),
+                    view.live_hosts.to_string(),
+                    view.pool.max_unavailable_hosts.to_string(),
+                    yes_no(view.pool.spare),
+                    view.in_flight.to_string(),
+                    view.queued.to_string(),
+                ]);
+            }
+            table(&rows)
+        })
+    }
+
+    pub(crate) fn hosts(&self, hosts: &[HostEntry]) -> Result<()> {
+        self.print(hosts, || {
+            let mut rows = vec![["HOST", "POOL", "ZONE", "STATE", "ADDRESS"].map(str::to_owned)];
+            for host in hosts {
+                rows.push([
+                    host.name.to_string(),
+                    host.pool.to_string(),
+                    host.zone.to_string(),
+                    format!("{:?}", host.state).to_lowercase(),
+                    host.address.to_string(),
+                ]);
+            }
+            table(&rows)
+        })
+    }
+
+    pub(crate) fn waves(&self, waves: &[Wave]) -> Result<()> {
+        self.print(waves, || {
+            let mut rows = vec![["WAVE", "POOL", "OPENS", "CLOSES", "CONCURRENT"].map(str::to_owned)];
+            for wave in waves {
+                rows.push([
+                    wave.name.to_string(),
+                    wave.pool.to_string(),
+                    time(wave.opens_at_s),
+                    time(wave.closes_at_s),
+                    wave.max_concurrent_hosts.to_string(),
+                ]);
+            }
+            table(&rows)
+        })
+    }
+
+    pub(crate) fn applied(&self, applied: &Applied) -> Result<()> {
+        let record = &applied.accepted;
+        self.print(applied, || format!("accepted as version {}", record.reference.version))
+    }
+
+    pub(crate) fn summary(&self, summary: &SheetSummary) -> Result<()> {
+        self.print(summary, || format!("no problems: {} pools, {} waves", summary.pools, summary.waves))
+    }
+
+    /// People get the problems with the error message; programs get them here.
+    pub(crate) fn problems(&self, rejected: &SheetRejected) -> Result<()> {
+        if self.json {
+            return self.print(rejected, String::new);
+        }
+        Ok(())
+    }
+
+    pub(crate) fn sheet(&self, version: u64, body: &[u8]) -> Result<()> {
+        if self.json {
+            let sheet = Sheet::read(body)?;
+            return self.print(&ShownSheet { version, sheet: &sheet }, String::new);
+        }
+        write(body, b"")
+    }
+
+    pub(crate) fn issued(&self, issued: &IssuedToken) -> Result<()> {
+        self.print(issued, || issued.token.clone())
+    }
+
+    pub(crate) fn withdrawn(&self, withdrawn: &WithdrawnTokens) -> Result<()> {
+        self.print(withdrawn, || format!("withdrawn: {}", withdrawn.count))
+    }
+}
+
+fn write(text: &[u8], end: &[u8]) -> Result<()> {
+    let mut out = std::io::stdout().lock();
+    out.write_all(text).and_then(|()| out.write_all(end)).map_err(Error::io("write to standard output"))
+}
+
+fn yes_no(value: bool) -> String {
+    if value { "yes" } else { "no" }.to_owned()
+}
+
+fn time(at_s: i64) -> String {
+    jiff::Timestamp::from_second(at_s).map_or_else(|_| at_s.to_string(), |time| time.to_string())
+}
+
+/// Columns as wide as their longest cell.
+fn table<const WIDTH: usize>(rows: &[[String; WIDTH]]) -> String {
+    let mut text = String::new();
+    for row in rows {
+        for (column, cell) in row.iter().enumerate() {
+            let width = rows.iter().map(|other| other[column].chars().count()).max().unwrap_or(0);
+            text.push_str(&format!("{cell:width$}  "));
+        }
+        text.truncate(text.trim_end().len());
+        text.push('\n');
+    }
+    text
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,139 @@
+//! State that the parts of a daemon share, all on one thread.
+
+mod events;
+mod run;
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use rand::Rng;
+
+use crate::clock::{Clock, US_PER_MS};
+use crate::dispatch::{DispatchSettings, Dispatcher};
+use crate::endpoint_client::EndpointClient;
+use crate::entry::RequestTable;
+use crate::fleet::Fleet;
+use crate::held_body::ByteBudget;
+use crate::http_server::ServerControl;
+use crate::peer_client::PeerClient;
+use crate::peer_message::PoolLoad;
+use crate::platform_pool::PlatformPool;
+use crate::reactor::{Listener, Signal};
+use crate::roster::{DaemonInfo, Roster};
+use crate::settings::Settings;
+use crate::sheet_state::SheetState;
+use crate::trace::SpanExporter;
+
+pub use run::{populate, run, BoundDaemon};
+
+/// Sockets taken before the daemon starts, so that a taken port is reported at once.
+pub(crate) struct Listeners {
+    pub(crate) callers: Option<Listener>,
+    pub(crate) peers: Option<Listener>,
+    pub(crate) admin: Option<std::net::TcpListener>,
+}
+
+/// Traffic with peers and platform, in messages.
+#[derive(Debug, Default)]
+pub(crate) struct LinkState {
+    /// Time of the platform's last answer, 0 if none yet.
+    pub(crate) platform_ok_us: Cell<u64>,
+    /// Whether the last call to the platform was answered.
+    pub(crate) platform_reachable: Cell<bool>,
+}
+
+/// See the module.
+pub(crate) struct Daemon {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) platform: PlatformPool,
+    pub(crate) dispatcher: RefCell<Dispatcher>,
+    pub(crate) fleet: RefCell<Fleet>,
+    pub(crate) sheet: RefCell<SheetState>,
+    pub(crate) roster: RefCell<Roster>,
+    pub(crate) requests: RequestTable,
+    /// Memory for bodies of requests and answers.
+    pub(crate) held_bytes: ByteBudget,
+    pub(crate) endpoints: EndpointClient,
+    pub(crate) peers: PeerClient,
+    pub(crate) peer_load: RefCell<std::collections::BTreeMap<Arc<str>, Vec<PoolLoad>>>,
+    pub(crate) spans: SpanExporter,
+    pub(crate) links: LinkState,
+    /// Callers' server and, with it, the peers' server.
+    pub(crate) control: Rc<ServerControl>,
+    pub(crate) peer_control: Rc<ServerControl>,
+    /// There is news for peers.
+    pub(crate) news: Signal,
+    pub(crate) news_count: Cell<u64>,
+    /// Requests began to wait in a queue.
+    pub(crate) waiting: Signal,
+    /// A newer sheet was heard of.
+    pub(crate) sheet_wanted: Signal,
+    pub(crate) listeners: RefCell<Listeners>,
+    pub(crate) admin_server: RefCell<Option<crate::api_server::ApiServer>>,
+}
+
+impl Daemon {
+    pub(crate) fn new(
+        settings: Settings,
+        peer_address: SocketAddr,
+        platform: PlatformPool,
+        listeners: Listeners,
+    ) -> Daemon {
+        let incarnation = rand::rng().random::<u32>().into();
+        let own = DaemonInfo {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            incarnation,
+            peer_address: settings.peer_advertise.unwrap_or(peer_address),
+        };
+        let dispatch = DispatchSettings {
+            slots: settings.endpoint_slots,
+            endpoint_connections: settings.endpoint_connections,
+            max_queued: settings.max_queued,
+            max_queue_wait_us: settings.max_queue_wait_ms * US_PER_MS,
+            ..DispatchSettings::default()
+        };
+        Daemon {
+            clock: Clock::new(),
+            dispatcher: RefCell::new(Dispatcher::new(dispatch, &settings.name, &settings.zone, incarnation)),
+            fleet: RefCell::new(Fleet::new()),
+            sheet: RefCell::new(SheetState::new()),
+            roster: RefCell::new(Roster::new(own)),
+            requests: RequestTable::new(incarnation),
+            held_bytes: ByteBudget::new(settings.max_held_bytes),
+            endpoints: EndpointClient::default(),
+            peers: PeerClient::default(),
+            peer_load: RefCell::default(),
+            spans: SpanExporter::start(settings.otlp_url.as_deref(), &settings.name),
+            links: LinkState::default(),
+            control: Rc::default(),
+            peer_control: Rc::default(),
+            news: Signal::default(),
+            news_count: Cell::new(0),
+            waiting: Signal::default(),
+            sheet_wanted: Signal::default(),
+            listeners: RefCell::new(listeners),
+            admin_server: RefCell::new(None),
+            settings,
+            platform,
+        }
+    }
+
+    pub(crate) fn now_us(&self) -> u64 {
+        self.clock.now_us()
+    }
+
+    /// Whether callers should be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.sheet.borrow().in_force().is_some() && !self.control.is_stopping()
+    }
+
+    /// Makes the gossip task tell peers at once.
+    pub(crate) fn tell_peers(&self) {
+        self.news_count.set(self.news_count.get() + 1);
+        self.news.notify();
+    }
+}
--- /dev/null
+++ b/src/entry/attempt.rs
@@ -0,0 +1,133 @@
+//! One try of a request at one endpoint.
+
+use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, EXPECT, HOST};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+
+use super::plan::Plan;
+use super::request_table::AttemptOrder;
+use crate::clock::US_PER_MS;
+use crate::daemon::Daemon;
+use crate::dispatch::{AttemptEnd, LoadReport};
+use crate::endpoint_client::{Call, CallEnd};
+use crate::fleet::Departure;
+use crate::held_body::HeldBody;
+use crate::trace::{unix_now_ns, Span, SpanKind, TraceContext};
+use crate::wire::{self, Outcome};
+
+/// What came of a try.
+pub(super) struct Attempt {
+    pub(super) end: AttemptEnd,
+    pub(super) answer: Option<Response<HeldBody>>,
+    pub(super) failure: Option<String>,
+}
+
+/// Sends the request and judges what comes back.
+pub(super) async fn run(
+    daemon: &Daemon,
+    plan: &Plan,
+    order: &AttemptOrder,
+    body: Bytes,
+    request_name: &str,
+    parent: &TraceContext,
+) -> Attempt {
+    let start_ns = unix_now_ns();
+    let context = parent.child();
+    let call = Call {
+        address: order.endpoint.address,
+        request: outgoing(daemon, plan, order, body, request_name, &context),
+        request_id: request_name,
+        deadline: daemon.clock.instant(order.deadline_us),
+        idempotent: plan.idempotent,
+        max_answer_bytes: daemon.settings.max_answer_bytes,
+        held_bytes: &daemon.held_bytes,
+    };
+    let attempt = judge(daemon, order, daemon.endpoints.send(call).await);
+    metrics::counter!("attempts_total", "end" => end_name(attempt.end)).increment(1);
+    if daemon.spans.is_enabled() {
+        daemon.spans.export(Span {
+            context,
+            parent_span_id: Some(parent.span_id.clone()),
+            name: "attempt",
+            kind: SpanKind::Client,
+            start_ns,
+            end_ns: unix_now_ns(),
+            attributes: vec![("host", order.endpoint.name.to_string()), ("end", end_name(attempt.end).to_owned())],
+        });
+    }
+    attempt
+}
+
+fn outgoing(
+    daemon: &Daemon,
+    plan: &Plan,
+    order: &AttemptOrder,
+    body: Bytes,
+    request_name: &str,
+    context: &TraceContext,
+) -> Request<Full<Bytes>> {
+    let mut headers = plan.headers.clone();
+    // The body is held whole, so its length is known and no 100-continue is needed.
+    headers.remove(EXPECT);
+    headers.remove(CONTENT_LENGTH);
+    let left_ms = order.deadline_us.saturating_sub(daemon.now_us()) / US_PER_MS;
+    headers.insert(wire::DEADLINE_MS, HeaderValue::from(left_ms));
+    set_text(&mut headers, HOST.as_str(), &order.endpoint.address.to_string());
+    set_text(&mut headers, wire::REQUEST_ID, request_name);
+    set_text(&mut headers, wire::TRACEPARENT, &context.header());
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = plan.method.clone();
+    *request.uri_mut() = Uri::from(plan.path.clone());
+    *request.headers_mut() = headers;
+    request
+}
+
+fn set_text(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+fn judge(daemon: &Daemon, order: &AttemptOrder, end: CallEnd) -> Attempt {
+    let answer = match end {
+        CallEnd::Answered(answer) => answer,
+        CallEnd::NotSent(reason) => {
+            return Attempt { end: AttemptEnd::NotSent, answer: None, failure: Some(reason) };
+        }
+        CallEnd::Lost { fresh_connection, reason } => {
+            let end = AttemptEnd::Lost { fresh_connection };
+            return Attempt { end, answer: None, failure: Some(reason) };
+        }
+    };
+    let load = load_of(&answer);
+    if text(&answer, wire::STATE) == Some(wire::LEAVING) {
+        daemon.depart(&Departure { host: order.endpoint.name.clone(), epoch: order.endpoint.epoch });
+    }
+    let refused = answer.status() == StatusCode::SERVICE_UNAVAILABLE
+        && text(&answer, wire::OUTCOME) == Some(Outcome::NotRun.name());
+    if refused {
+        let failure = Some(format!("{} refused before starting", order.endpoint.name));
+        return Attempt { end: AttemptEnd::Refused { load }, answer: None, failure };
+    }
+    let failed = answer.status().is_server_error();
+    Attempt { end: AttemptEnd::Answered { failed, load }, answer: Some(answer), failure: None }
+}
+
+fn load_of(answer: &Response<HeldBody>) -> Option<LoadReport> {
+    wire::parse_load(text(answer, wire::LOAD)?)
+}
+
+fn text<'a>(answer: &'a Response<HeldBody>, name: &str) -> Option<&'a str> {
+    answer.headers().get(name)?.to_str().ok()
+}
+
+fn end_name(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Answered { failed: false, .. } => "answered",
+        AttemptEnd::Answered { failed: true, .. } => "failed",
+        AttemptEnd::Refused { .. } => "refused",
+        AttemptEnd::NotSent => "not_sent",
+        AttemptEnd::Lost { .. } => "lost",
+    }
+}
--- /dev/null
+++ b/src/entry/plan.rs
@@ -0,0 +1,132 @@
+//! What a caller asks for, read from the request's head.
+
+use std::sync::Arc;
+
+use http::request::Parts;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderName, Method};
+
+use super::reply::Refused;
+use crate::clock::US_PER_MS;
+use crate::sheet::Sheet;
+use crate::trace::TraceContext;
+use crate::wire;
+
+const MAX_DEADLINE_MS: u64 = 600_000;
+const MAX_CALLER_CHARS: usize = 64;
+const MAX_KEY_CHARS: usize = 255;
+const ANONYMOUS: &str = "anonymous";
+
+/// A request whose head is in order.
+#[derive(Debug)]
+pub(super) struct Plan {
+    pub(super) pool: Arc<str>,
+    pub(super) caller: Arc<str>,
+    pub(super) method: Method,
+    /// Path and query that the endpoint sees.
+    pub(super) path: PathAndQuery,
+    pub(super) headers: HeaderMap,
+    pub(super) idempotent: bool,
+    pub(super) deadline_us: u64,
+}
+
+impl Plan {
+    /// Checks a request's head against the sheet in force.
+    pub(super) fn new(head: &Parts, sheet: &Sheet, now_us: u64, default_deadline_ms: u64) -> Result<Plan, Refused> {
+        if head.method == Method::CONNECT {
+            return Err(Refused::Method);
+        }
+        let (service, path) = split_path(head)?;
+        let pool = sheet.pool_of_service(service).ok_or_else(|| Refused::UnknownService {
+            service: service.chars().take(MAX_CALLER_CHARS).collect(),
+            known: sheet.pools.iter().map(|pool| pool.service.to_string()).collect(),
+        })?;
+        let deadline_ms = deadline_ms(&head.headers, default_deadline_ms)?;
+        let has_key = check_key(&head.headers)?;
+        Ok(Plan {
+            pool: pool.name.clone(),
+            caller: caller(&head.headers),
+            method: head.method.clone(),
+            path,
+            headers: end_to_end(&head.headers),
+            idempotent: head.method.is_idempotent() && !has_key,
+            deadline_us: now_us + deadline_ms * US_PER_MS,
+        })
+    }
+}
+
+/// The first segment names the service; the rest is the endpoint's.
+fn split_path(head: &Parts) -> Result<(&str, PathAndQuery), Refused> {
+    let path = head.uri.path().trim_start_matches('/');
+    let (service, rest) = path.split_once('/').unwrap_or((path, ""));
+    let query = head.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+    let rest = PathAndQuery::try_from(format!("/{rest}{query}")).map_err(|_| Refused::Path)?;
+    Ok((service, rest))
+}
+
+fn deadline_ms(headers: &HeaderMap, default_ms: u64) -> Result<u64, Refused> {
+    let Some(value) = headers.get(wire::DEADLINE_MS) else { return Ok(default_ms) };
+    let parsed = value.to_str().ok().and_then(|text| text.trim().parse::<u64>().ok());
+    match parsed {
+        Some(deadline_ms) if (1..=MAX_DEADLINE_MS).contains(&deadline_ms) => Ok(deadline_ms),
+        _ => Err(Refused::Header {
+            name: wire::DEADLINE_MS,
+            fix: format!("must be a whole number of milliseconds from 1 to {MAX_DEADLINE_MS}"),
+        }),
+    }
+}
+
+/// Whether the request carries a key; a malformed one is refused.
+fn check_key(headers: &HeaderMap) -> Result<bool, Refused> {
+    let Some(value) = headers.get(wire::IDEMPOTENCY_KEY) else { return Ok(false) };
+    let well_formed = value.to_str().is_ok_and(|key| !key.trim().is_empty() && key.len() <= MAX_KEY_CHARS);
+    if well_formed && headers.get_all(wire::IDEMPOTENCY_KEY).iter().count() == 1 {
+        return Ok(true);
+    }
+    let fix = format!("must be sent once, with 1 to {MAX_KEY_CHARS} visible characters");
+    Err(Refused::Header { name: wire::IDEMPOTENCY_KEY, fix })
+}
+
+fn caller(headers: &HeaderMap) -> Arc<str> {
+    let named = headers.get(wire::CALLER).or_else(|| headers.get("x-forwarded-for"));
+    let Some(Ok(text)) = named.map(|value| value.to_str()) else { return ANONYMOUS.into() };
+    let first = text.split(',').next().unwrap_or("").trim();
+    let shortened: String = first.chars().take(MAX_CALLER_CHARS).collect();
+    if shortened.is_empty() {
+        return ANONYMOUS.into();
+    }
+    shortened.into()
+}
+
+/// Trace context that the caller sent, if it is well-formed.
+pub(super) fn trace_parent(headers: &HeaderMap) -> Option<TraceContext> {
+    TraceContext::parse(headers.get(wire::TRACEPARENT)?.to_str().ok()?)
+}
+
+/// Headers without those that belong to one connection.
+pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    for value in headers.get_all(http::header::CONNECTION) {
+        for name in value.to_str().unwrap_or("").split(',') {
+            if let Ok(name) = name.trim().parse::<HeaderName>() {
+                kept.remove(name);
+            }
+        }
+    }
+    for name in HOP_BY_HOP {
+        kept.remove(name);
+    }
+    kept
+}
+
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
--- /dev/null
+++ b/src/held_body.rs
@@ -0,0 +1,99 @@
+//! Bodies held whole in memory, under a bound for each and a budget for all.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// Why a body could not be held.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum BodyError {
+    #[error("the body is larger than {max_bytes} bytes")]
+    TooLarge { max_bytes: usize },
+    #[error("too many bodies are in progress")]
+    NoMemory,
+    #[error("the body ended early: {0}")]
+    Broken(#[from] hyper::Error),
+}
+
+/// Memory for all bodies of a daemon.
+#[derive(Debug, Clone)]
+pub(crate) struct ByteBudget {
+    used_bytes: Rc<Cell<usize>>,
+    max_bytes: usize,
+}
+
+impl ByteBudget {
+    pub(crate) fn new(max_bytes: usize) -> ByteBudget {
+        ByteBudget { used_bytes: Rc::default(), max_bytes }
+    }
+
+    pub(crate) fn used_bytes(&self) -> usize {
+        self.used_bytes.get()
+    }
+}
+
+/// Part of the budget, given back when dropped.
+#[derive(Debug)]
+pub(crate) struct HeldBytes {
+    budget: ByteBudget,
+    count: usize,
+}
+
+impl HeldBytes {
+    pub(crate) fn none(budget: &ByteBudget) -> HeldBytes {
+        HeldBytes { budget: budget.clone(), count: 0 }
+    }
+
+    /// Takes `more` bytes; `false` if the budget does not allow it.
+    pub(crate) fn grow(&mut self, more: usize) -> bool {
+        let used_bytes = self.budget.used_bytes.get() + more;
+        if used_bytes > self.budget.max_bytes {
+            return false;
+        }
+        self.budget.used_bytes.set(used_bytes);
+        self.count += more;
+        true
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.budget.used_bytes.set(self.budget.used_bytes.get() - self.count);
+    }
+}
+
+/// A whole body.
+#[derive(Debug)]
+pub(crate) struct HeldBody {
+    pub(crate) bytes: Bytes,
+    pub(crate) held: HeldBytes,
+}
+
+/// Reads a body whole.
+pub(crate) async fn collect(mut body: Incoming, max_bytes: usize, budget: &ByteBudget) -> Result<HeldBody, BodyError> {
+    let mut held = HeldBytes::none(budget);
+    let mut first = Bytes::new();
+    let mut rest = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        if held.count + data.len() > max_bytes {
+            return Err(BodyError::TooLarge { max_bytes });
+        }
+        if !held.grow(data.len()) {
+            return Err(BodyError::NoMemory);
+        }
+        if first.is_empty() {
+            first = data;
+            continue;
+        }
+        if rest.is_empty() {
+            rest.extend_from_slice(&first);
+        }
+        rest.extend_from_slice(&data);
+    }
+    let bytes = if rest.is_empty() { first } else { rest.freeze() };
+    Ok(HeldBody { bytes, held })
+}
--- /dev/null
+++ b/src/peer_client.rs
@@ -0,0 +1,115 @@
+//! Calls to other daemons: one h2 connection to each, kept while it answers in time.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::channel::oneshot;
+use futures::future::select;
+use h2::client::SendRequest;
+use h2::RecvStream;
+use hyper::Request;
+
+use crate::endpoint_client::before;
+use crate::peer_message::{decode, encode, MessageError, PeerReply, PeerRequest, MAX_MESSAGE_BYTES};
+use crate::reactor::{connect, spawn};
+
+const CALL_TIMEOUT_MS: u64 = 1_000;
+const WINDOW_BYTES: u32 = 1 << 20;
+
+/// Why a peer gave no answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum PeerError {
+    #[error("no answer in time")]
+    Timeout,
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    #[error(transparent)]
+    H2(#[from] h2::Error),
+    #[error(transparent)]
+    Message(#[from] MessageError),
+    #[error("the message is larger than {MAX_MESSAGE_BYTES} bytes")]
+    TooLarge,
+}
+
+struct Link {
+    sender: SendRequest<Bytes>,
+    /// Dropping it closes the connection.
+    _close: oneshot::Sender<()>,
+}
+
+/// Connections to peers.
+#[derive(Default)]
+pub(crate) struct PeerClient {
+    links: RefCell<HashMap<SocketAddr, Link>>,
+}
+
+impl PeerClient {
+    /// Sends one message and waits for the answer. A connection that fails or stays silent is closed.
+    pub(crate) async fn call(&self, peer: SocketAddr, request: &PeerRequest) -> Result<PeerReply, PeerError> {
+        let deadline = Instant::now() + Duration::from_millis(CALL_TIMEOUT_MS);
+        let result = before(deadline, self.exchange(peer, request)).await.unwrap_or(Err(PeerError::Timeout));
+        if result.is_err() {
+            self.links.borrow_mut().remove(&peer);
+        }
+        result
+    }
+
+    async fn exchange(&self, peer: SocketAddr, request: &PeerRequest) -> Result<PeerReply, PeerError> {
+        let message = encode(request)?;
+        let sender = self.sender(peer).await?;
+        let mut sender = sender.ready().await?;
+        let head = Request::post("http://peer/").body(()).unwrap_or_default();
+        let (answer, mut stream) = sender.send_request(head, false)?;
+        stream.send_data(message.into(), true)?;
+        let body = answer.await?.into_body();
+        Ok(decode(&read_message(body).await?)?)
+    }
+
+    async fn sender(&self, peer: SocketAddr) -> Result<SendRequest<Bytes>, PeerError> {
+        if let Some(link) = self.links.borrow().get(&peer) {
+            return Ok(link.sender.clone());
+        }
+        let io = connect(peer).await?;
+        let (sender, driver) = h2::client::Builder::new()
+            .initial_window_size(WINDOW_BYTES)
+            .initial_connection_window_size(WINDOW_BYTES)
+            .handshake(io)
+            .await?;
+        let (close, closed) = oneshot::channel();
+        spawn(async move {
+            // Errors reach the calls in progress.
+            let _ = select(pin!(driver), pin!(closed)).await;
+        });
+        let link = Link { sender: sender.clone(), _close: close };
+        self.links.borrow_mut().insert(peer, link);
+        Ok(sender)
+    }
+
+    /// Closes connections to daemons that are no longer called.
+    pub(crate) fn keep_only(&self, peers: &[SocketAddr]) {
+        self.links.borrow_mut().retain(|peer, _| peers.contains(peer));
+    }
+
+    /// Open connections.
+    pub(crate) fn link_count(&self) -> usize {
+        self.links.borrow().len()
+    }
+}
+
+/// Reads a whole message.
+pub(crate) async fn read_message(mut body: RecvStream) -> Result<Vec<u8>, PeerError> {
+    let mut message = Vec::new();
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk?;
+        body.flow_control().release_capacity(chunk.len())?;
+        if message.len() + chunk.len() > MAX_MESSAGE_BYTES {
+            return Err(PeerError::TooLarge);
+        }
+        message.extend_from_slice(&chunk);
+    }
+    Ok(message)
+}
--- /dev/null
+++ b/src/peer_server.rs
@@ -0,0 +1,122 @@
+//! Answers other daemons.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::future::{select, Either};
+use h2::server::SendResponse;
+use h2::RecvStream;
+use http::{Request, Response, StatusCode};
+
+use crate::daemon::Daemon;
+use crate::endpoint_client::before;
+use crate::error::{Error, Result};
+use crate::kernel::{Plugin, Stage};
+use crate::peer_client::{read_message, PeerError};
+use crate::peer_message::{decode, encode, PeerReply, PeerRequest};
+use crate::reactor::{sleep_until, spawn, Listener, TcpIo};
+
+/// A connection without messages for this long is closed.
+const IDLE_TIMEOUT_MS: u64 = 30_000;
+const MESSAGE_TIMEOUT_MS: u64 = 2_000;
+const ACCEPT_RETRY_MS: u64 = 50;
+const MAX_CONNECTIONS: usize = 512;
+const MAX_CONCURRENT_STREAMS: u32 = 16;
+const MAX_HEADER_LIST_BYTES: u32 = 4_096;
+const WINDOW_BYTES: u32 = 1 << 20;
+
+inventory::submit! {
+    Plugin { name: "peer_server", stage: Stage::Service, start }
+}
+
+fn start(daemon: &Rc<Daemon>) -> Result<()> {
+    let listener = daemon.listeners.borrow_mut().peers.take();
+    let listener = listener.ok_or_else(|| Error::io("serve peers")(std::io::Error::other("no listener was bound")))?;
+    spawn(accept(daemon.clone(), listener));
+    Ok(())
+}
+
+async fn accept(daemon: Rc<Daemon>, listener: Listener) {
+    let connections = Rc::new(());
+    loop {
+        match listener.accept().await {
+            Ok(io) if Rc::strong_count(&connections) <= MAX_CONNECTIONS => {
+                let count = connections.clone();
+                let daemon = daemon.clone();
+                spawn(async move {
+                    if let Err(error) = serve_connection(&daemon, io).await {
+                        metrics::counter!("peer_connection_errors_total").increment(1);
+                        log::debug!("peer connection: {error}");
+                    }
+                    drop(count);
+                });
+            }
+            Ok(_) => metrics::counter!("peer_connections_refused_total").increment(1),
+            Err(_) => {
+                metrics::counter!("accept_errors_total").increment(1);
+                sleep_until(Instant::now() + Duration::from_millis(ACCEPT_RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(daemon: &Rc<Daemon>, io: TcpIo) -> std::result::Result<(), PeerError> {
+    let deadline = Instant::now() + Duration::from_millis(MESSAGE_TIMEOUT_MS);
+    let handshake = h2::server::Builder::new()
+        .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
+        .max_header_list_size(MAX_HEADER_LIST_BYTES)
+        .initial_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .handshake::<_, Bytes>(io);
+    let mut connection = before(deadline, handshake).await.ok_or(PeerError::Timeout)??;
+    loop {
+        let idle_deadline = Instant::now() + Duration::from_millis(IDLE_TIMEOUT_MS);
+        let accepted = Box::pin(before(idle_deadline, connection.accept()));
+        let stopped = Box::pin(daemon.peer_control.stopping());
+        let accepted = match select(accepted, stopped).await {
+            Either::Left((accepted, _)) => accepted,
+            Either::Right(_) => None,
+        };
+        let Some(Some(stream)) = accepted else { return Ok(()) };
+        let (request, respond) = stream?;
+        let daemon = daemon.clone();
+        spawn(async move {
+            if let Err(error) = serve_stream(&daemon, request, respond).await {
+                metrics::counter!("peer_message_errors_total").increment(1);
+                log::debug!("peer message: {error}");
+            }
+        });
+    }
+}
+
+async fn serve_stream(
+    daemon: &Daemon,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+) -> std::result::Result<(), PeerError> {
+    let deadline = Instant::now() + Duration::from_millis(MESSAGE_TIMEOUT_MS);
+    let message = before(deadline, read_message(request.into_body())).await.unwrap_or(Err(PeerError::Timeout));
+    let reply = match message.and_then(|message| Ok(decode(&message)?)) {
+        Ok(request) => answer(daemon, request),
+        Err(error) => {
+            let mut refusal = Response::new(());
+            *refusal.status_mut() = StatusCode::BAD_REQUEST;
+            respond.send_response(refusal, true)?;
+            return Err(error);
+        }
+    };
+    let mut stream = respond.send_response(Response::new(()), false)?;
+    stream.send_data(encode(&reply)?.into(), true)?;
+    Ok(())
+}
+
+fn answer(daemon: &Daemon, request: PeerRequest) -> PeerReply {
+    match request {
+        PeerRequest::Gossip(gossip) => {
+            daemon.hear(gossip);
+            PeerReply::Gossip(daemon.gossip())
+        }
+        PeerRequest::Snapshot => PeerReply::Snapshot(daemon.snapshot()),
+    }
+}
--- /dev/null
+++ b/src/platform_client.rs
@@ -0,0 +1,123 @@
+//! Access to the platform over HTTP.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use ureq::http::Response;
+use ureq::{Agent, Body};
+
+use crate::platform::{HostChanges, Platform, PlatformError};
+use crate::standin::ZONE_HEADER;
+use crate::table::{Commit, Row, Transaction};
+
+const CONNECT_TIMEOUT_MS: u64 = 500;
+const CALL_TIMEOUT_MS: u64 = 2_000;
+const MAX_ANSWER_BYTES: u64 = 32 << 20;
+
+/// Platform client for one zone.
+#[derive(Debug, Clone)]
+pub struct HttpPlatform {
+    agent: Agent,
+    base_url: Arc<str>,
+    zone: Arc<str>,
+}
+
+impl HttpPlatform {
+    /// Client for the platform at `base_url`, such as `http://127.0.0.1:7000`.
+    pub fn new(base_url: &str, zone: &str) -> HttpPlatform {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_connect(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)))
+            .timeout_global(Some(Duration::from_millis(CALL_TIMEOUT_MS)))
+            .build();
+        let base_url = base_url.trim_end_matches('/').into();
+        HttpPlatform { agent: config.into(), base_url, zone: zone.into() }
+    }
+
+    fn get(&self, operation: &'static str, path: &str) -> Result<Option<Response<Body>>, PlatformError> {
+        let request = self.agent.get(format!("{}{path}", self.base_url)).header(ZONE_HEADER, &*self.zone);
+        check(operation, request.call())
+    }
+}
+
+/// `None` stands for 404.
+fn check(
+    operation: &'static str,
+    answer: Result<Response<Body>, ureq::Error>,
+) -> Result<Option<Response<Body>>, PlatformError> {
+    let answer = answer.map_err(|error| transport_error(operation, &error))?;
+    match answer.status().as_u16() {
+        200 => Ok(Some(answer)),
+        404 => Ok(None),
+        503 => Err(PlatformError::Unavailable { operation, reason: "HTTP status 503".to_owned() }),
+        status if status >= 500 => {
+            Err(PlatformError::AnswerLost { operation, reason: format!("HTTP status {status}") })
+        }
+        status => Err(PlatformError::Protocol { operation, reason: format!("HTTP status {status}") }),
+    }
+}
+
+/// Only a connection that was never made proves that the call had no effect.
+fn transport_error(operation: &'static str, error: &ureq::Error) -> PlatformError {
+    let reason = error.to_string();
+    let never_connected = match error {
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => true,
+        ureq::Error::Io(io) => io.kind() == std::io::ErrorKind::ConnectionRefused,
+        ureq::Error::Timeout(ureq::Timeout::Connect) => true,
+        _ => false,
+    };
+    if never_connected {
+        return PlatformError::Unavailable { operation, reason };
+    }
+    PlatformError::AnswerLost { operation, reason }
+}
+
+fn bytes(operation: &'static str, mut answer: Response<Body>) -> Result<Vec<u8>, PlatformError> {
+    let body = answer.body_mut().with_config().limit(MAX_ANSWER_BYTES).read_to_vec();
+    body.map_err(|error| PlatformError::AnswerLost { operation, reason: error.to_string() })
+}
+
+fn json<T: DeserializeOwned>(operation: &'static str, answer: Option<Response<Body>>) -> Result<T, PlatformError> {
+    let protocol = |reason: String| PlatformError::Protocol { operation, reason };
+    let answer = answer.ok_or_else(|| protocol("HTTP status 404".to_owned()))?;
+    serde_json::from_slice(&bytes(operation, answer)?).map_err(|error| protocol(error.to_string()))
+}
+
+impl Platform for HttpPlatform {
+    fn read(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        match self.get("read", &format!("/table/{key}"))? {
+            Some(answer) => json("read", Some(answer)).map(Some),
+            None => Ok(None),
+        }
+    }
+
+    fn scan(&self, prefix: &str) -> Result<Vec<Row>, PlatformError> {
+        json("scan", self.get("scan", &format!("/table?prefix={prefix}"))?)
+    }
+
+    fn commit(&self, transaction: &Transaction) -> Result<Commit, PlatformError> {
+        let operation = "commit";
+        let body = serde_json::to_vec(transaction)
+            .map_err(|error| PlatformError::Protocol { operation, reason: error.to_string() })?;
+        let request = self.agent.post(format!("{}/table", self.base_url)).header(ZONE_HEADER, &*self.zone);
+        json(operation, check(operation, request.send(&body[..]))?)
+    }
+
+    fn put_object(&self, key: &str, body: &[u8]) -> Result<(), PlatformError> {
+        let operation = "put_object";
+        let request = self.agent.put(format!("{}/objects/{key}", self.base_url)).header(ZONE_HEADER, &*self.zone);
+        json(operation, check(operation, request.send(body))?)
+    }
+
+    fn get_object(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        match self.get("get_object", &format!("/objects/{key}"))? {
+            Some(answer) => bytes("get_object", answer).map(Some),
+            None => Ok(None),
+        }
+    }
+
+    fn hosts(&self, cursor: u64) -> Result<HostChanges, PlatformError> {
+        json("hosts", self.get("hosts", &format!("/hosts?cursor={cursor}"))?)
+    }
+}
--- /dev/null
+++ b/src/reactor/net.rs
@@ -0,0 +1,216 @@
+//! TCP sockets of the event loop, as hyper and h2 want them.
+
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context as TaskContext, Poll, Waker};
+
+use mio::net::{TcpListener, TcpStream};
+use mio::Interest;
+use stakker::Fwd;
+use stakker_mio::{MioSource, Ready};
+
+use super::context;
+
+const IO_PRIORITY: u32 = 5;
+/// Largest piece read at once.
+const READ_CHUNK_BYTES: usize = 16 * 1024;
+
+/// Futures waiting for a socket.
+#[derive(Debug, Default)]
+struct SocketWakers {
+    read: RefCell<Option<Waker>>,
+    write: RefCell<Option<Waker>>,
+}
+
+impl SocketWakers {
+    fn notify(&self, ready: Ready) {
+        let ended = ready.is_error();
+        if ready.is_readable() || ready.is_read_closed() || ended {
+            wake(&self.read);
+        }
+        if ready.is_writable() || ready.is_write_closed() || ended {
+            wake(&self.write);
+        }
+    }
+}
+
+fn wake(slot: &RefCell<Option<Waker>>) {
+    let waker = slot.borrow_mut().take();
+    if let Some(waker) = waker {
+        waker.wake();
+    }
+}
+
+/// Runs a non-blocking operation and keeps the waker if it would block.
+fn attempt<T>(
+    cx: &TaskContext<'_>,
+    slot: &RefCell<Option<Waker>>,
+    mut operation: impl FnMut() -> io::Result<T>,
+) -> Poll<io::Result<T>> {
+    loop {
+        match operation() {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                *slot.borrow_mut() = Some(cx.waker().clone());
+                return Poll::Pending;
+            }
+            result => return Poll::Ready(result),
+        }
+    }
+}
+
+fn register<S: mio::event::Source>(source: S, interest: Interest) -> io::Result<(MioSource<S>, Rc<SocketWakers>)> {
+    let context = context().ok_or_else(|| io::Error::other("no event loop on this thread"))?;
+    let wakers = Rc::new(SocketWakers::default());
+    let notified = wakers.clone();
+    let fwd = Fwd::new(move |ready| notified.notify(ready));
+    let source = context.miopoll.add(source, interest, IO_PRIORITY, fwd)?;
+    Ok((source, wakers))
+}
+
+/// A listening socket.
+pub(crate) struct Listener {
+    source: MioSource<TcpListener>,
+    wakers: Rc<SocketWakers>,
+}
+
+impl Listener {
+    /// Takes over a bound listener.
+    pub(crate) fn new(listener: std::net::TcpListener) -> io::Result<Listener> {
+        listener.set_nonblocking(true)?;
+        let (source, wakers) = register(TcpListener::from_std(listener), Interest::READABLE)?;
+        Ok(Listener { source, wakers })
+    }
+
+    /// Waits for the next connection.
+    pub(crate) async fn accept(&self) -> io::Result<TcpIo> {
+        let (stream, _) = poll_fn(|cx| attempt(cx, &self.wakers.read, || self.source.accept())).await?;
+        TcpIo::new(stream)
+    }
+}
+
+/// Opens a connection.
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpIo> {
+    let io = TcpIo::new(TcpStream::connect(address)?)?;
+    let connected = |cx: &mut TaskContext<'_>| {
+        attempt(cx, &io.wakers.write, || {
+            if let Some(error) = io.source.take_error()? {
+                return Err(error);
+            }
+            match io.source.peer_addr() {
+                Err(error) if error.kind() == io::ErrorKind::NotConnected => Err(io::ErrorKind::WouldBlock.into()),
+                result => result.map(|_| ()),
+            }
+        })
+    };
+    poll_fn(connected).await?;
+    Ok(io)
+}
+
+/// A connected socket.
+pub(crate) struct TcpIo {
+    source: MioSource<TcpStream>,
+    wakers: Rc<SocketWakers>,
+    sent_bytes: Rc<Cell<u64>>,
+}
+
+impl TcpIo {
+    fn new(stream: TcpStream) -> io::Result<TcpIo> {
+        // Refused only by a socket that is broken already, which the first read reports.
+        let _ = stream.set_nodelay(true);
+        let (source, wakers) = register(stream, Interest::READABLE | Interest::WRITABLE)?;
+        Ok(TcpIo { source, wakers, sent_bytes: Rc::default() })
+    }
+
+    /// Bytes handed to the operating system so far.
+    pub(crate) fn sent_bytes(&self) -> Rc<Cell<u64>> {
+        self.sent_bytes.clone()
+    }
+
+    fn read_into(&self, cx: &TaskContext<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
+        attempt(cx, &self.wakers.read, || (&*self.source).read(buffer))
+    }
+
+    fn write_from(&self, cx: &TaskContext<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let result = attempt(cx, &self.wakers.write, || (&*self.source).write(bytes));
+        if let Poll::Ready(Ok(count)) = &result {
+            self.sent_bytes.set(self.sent_bytes.get() + *count as u64);
+        }
+        result
+    }
+
+    fn shut_down(&self) -> Poll<io::Result<()>> {
+        match self.source.shutdown(Shutdown::Write) {
+            Err(error) if error.kind() == io::ErrorKind::NotConnected => Poll::Ready(Ok(())),
+            result => Poll::Ready(result),
+        }
+    }
+}
+
+impl hyper::rt::Read for TcpIo {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+        mut cursor: hyper::rt::ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut chunk = [0_u8; READ_CHUNK_BYTES];
+        let length = cursor.remaining().min(chunk.len());
+        match self.read_into(cx, &mut chunk[..length]) {
+            Poll::Ready(Ok(count)) => {
+                cursor.put_slice(&chunk[..count]);
+                Poll::Ready(Ok(()))
+            }
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl hyper::rt::Write for TcpIo {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut TaskContext<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.write_from(cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        self.shut_down()
+    }
+}
+
+impl tokio::io::AsyncRead for TcpIo {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+        buffer: &mut tokio::io::ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        match self.read_into(cx, buffer.initialize_unfilled()) {
+            Poll::Ready(Ok(count)) => {
+                buffer.advance(count);
+                Poll::Ready(Ok(()))
+            }
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl tokio::io::AsyncWrite for TcpIo {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut TaskContext<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.write_from(cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        self.shut_down()
+    }
+}
--- /dev/null
+++ b/src/standin/server.rs
@@ -0,0 +1,159 @@
+//! The stand-in's HTTP interface.
+//!
+//! | request | answer |
+//! |---|---|
+//! | `GET /table/KEY`, `GET /table?prefix=P` | row, rows |
+//! | `POST /table` with a [`Transaction`] | [`crate::table::Commit`] |
+//! | `PUT`, `GET /objects/KEY` | object |
+//! | `GET /hosts?cursor=N` | [`crate::platform::HostChanges`] |
+//! | `PUT /hosts/NAME` with a [`HostUpdate`], `DELETE /hosts/NAME` | the host |
+//! | `GET /tasks`, `POST /tasks/ID` with a [`TaskUpdate`] | tasks, task |
+//! | `PUT /faults` with a [`FaultChange`], `GET /faults` | [`super::Faults`] |
+//! | `GET /stats` | [`super::StoreStats`] |
+//!
+//! Callers name their zone in the header `Sardineseam-Zone`. A call that a fault keeps from taking
+//! effect gets 503; one whose answer is lost after the effect gets 500.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+use serde::de::DeserializeOwned;
+use tiny_http::Method;
+
+use super::{FaultChange, HostUpdate, StandIn, TaskUpdate};
+use crate::api_server::{ApiReply, ApiRequest, ApiServer};
+use crate::error::Result;
+use crate::platform::PlatformError;
+use crate::table::Transaction;
+
+/// Names the caller's availability zone.
+pub(crate) const ZONE_HEADER: &str = "Sardineseam-Zone";
+const MAX_BODY_BYTES: usize = 16 << 20;
+const OBJECT_TYPE: &str = "application/octet-stream";
+
+/// A stand-in that listens.
+#[derive(Debug)]
+pub struct StandInServer {
+    server: ApiServer,
+}
+
+impl StandInServer {
+    /// Serves `standin` on `listener` with `worker_count` threads.
+    ///
+    /// # Errors
+    /// Fails if the listener cannot be used.
+    pub fn start(standin: Arc<StandIn>, listener: TcpListener, worker_count: usize) -> Result<StandInServer> {
+        let server =
+            ApiServer::start(listener, worker_count, MAX_BODY_BYTES, move |request| answer(&standin, request))?;
+        Ok(StandInServer { server })
+    }
+
+    /// Address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+}
+
+fn answer(standin: &StandIn, request: &ApiRequest) -> ApiReply {
+    let path = request.path.trim_start_matches('/');
+    let (collection, item) = path.split_once('/').unwrap_or((path, ""));
+    let reply = match (&request.method, collection) {
+        (Method::Get, "faults") => Ok(ApiReply::json(200, &standin.faults())),
+        (Method::Put, "faults") => change_faults(standin, request),
+        (Method::Get, "stats") => Ok(ApiReply::json(200, &standin.store().stats())),
+        (Method::Put | Method::Delete, "hosts") => change_host(standin, request, item),
+        (Method::Get, "hosts") => list_hosts(standin, request),
+        (Method::Get, "tasks") => {
+            let now_us = standin.now_us();
+            Ok(ApiReply::json(200, &standin.store().tasks.list(now_us)))
+        }
+        (Method::Post, "tasks") => update_task(standin, request, item),
+        (Method::Get, "table") => read_table(standin, request, item),
+        (Method::Post, "table") => commit(standin, request),
+        (Method::Get | Method::Put, "objects") => object(standin, request, item),
+        _ => Err(ApiReply::error(404, &format!("no such resource: {} {}", request.method, request.path))),
+    };
+    reply.unwrap_or_else(|refusal| refusal)
+}
+
+type Answer = std::result::Result<ApiReply, ApiReply>;
+
+fn zone_of(request: &ApiRequest) -> &str {
+    request.header(ZONE_HEADER).unwrap_or("")
+}
+
+fn parse<T: DeserializeOwned>(request: &ApiRequest) -> std::result::Result<T, ApiReply> {
+    serde_json::from_slice(&request.body).map_err(|error| ApiReply::error(400, &format!("body: {error}")))
+}
+
+fn fault_reply(error: &PlatformError) -> ApiReply {
+    let status = if matches!(error, PlatformError::Unavailable { .. }) { 503 } else { 500 };
+    ApiReply::error(status, &error.to_string())
+}
+
+fn change_faults(standin: &StandIn, request: &ApiRequest) -> Answer {
+    let change: FaultChange = parse(request)?;
+    Ok(ApiReply::json(200, &standin.change_faults(&change)))
+}
+
+fn change_host(standin: &StandIn, request: &ApiRequest, name: &str) -> Answer {
+    if name.is_empty() {
+        return Err(ApiReply::error(404, "name the host: /hosts/NAME"));
+    }
+    let now_us = standin.now_us();
+    if request.method == Method::Delete {
+        let removed = standin.store().remove_host(now_us, name);
+        return if removed { Ok(ApiReply::json(200, &())) } else { Err(ApiReply::error(404, "no such host")) };
+    }
+    let update: HostUpdate = parse(request)?;
+    Ok(ApiReply::json(200, &standin.store().put_host(now_us, name, &update)))
+}
+
+fn list_hosts(standin: &StandIn, request: &ApiRequest) -> Answer {
+    let cursor = request.parameter("cursor").unwrap_or("0");
+    let cursor = cursor.parse::<u64>().map_err(|_| ApiReply::error(400, "cursor must be a whole number"))?;
+    let lag_ms = standin.faults().list_lag_ms;
+    let changes = standin.call(zone_of(request), "hosts", |store, now_us| store.hosts(now_us, lag_ms, cursor));
+    Ok(ApiReply::json(200, &changes.map_err(|error| fault_reply(&error))?))
+}
+
+fn update_task(standin: &StandIn, request: &ApiRequest, id: &str) -> Answer {
+    let update: TaskUpdate = parse(request)?;
+    let task = standin.call(zone_of(request), "task", |store, now_us| store.tasks.update(now_us, id, &update));
+    match task.map_err(|error| fault_reply(&error))? {
+        Some(task) => Ok(ApiReply::json(200, &task)),
+        None => Err(ApiReply::error(404, "no such task; start it first")),
+    }
+}
+
+fn read_table(standin: &StandIn, request: &ApiRequest, key: &str) -> Answer {
+    let zone = zone_of(request);
+    if let Some(prefix) = request.parameter("prefix") {
+        let rows = standin.call(zone, "scan", |store, _| store.scan(prefix));
+        return Ok(ApiReply::json(200, &rows.map_err(|error| fault_reply(&error))?));
+    }
+    let row = standin.call(zone, "read", |store, _| store.read(key));
+    match row.map_err(|error| fault_reply(&error))? {
+        Some(row) => Ok(ApiReply::json(200, &row)),
+        None => Err(ApiReply::error(404, "no such row")),
+    }
+}
+
+fn commit(standin: &StandIn, request: &ApiRequest) -> Answer {
+    let transaction: Transaction = parse(request)?;
+    let commit = standin.call(zone_of(request), "commit", |store, _| store.commit(&transaction));
+    Ok(ApiReply::json(200, &commit.map_err(|error| fault_reply(&error))?))
+}
+
+fn object(standin: &StandIn, request: &ApiRequest, key: &str) -> Answer {
+    let zone = zone_of(request);
+    if request.method == Method::Put {
+        let stored = standin.call(zone, "put_object", |store, _| store.put_object(key, &request.body));
+        return Ok(ApiReply::json(200, &stored.map_err(|error| fault_reply(&error))?));
+    }
+    let object = standin.call(zone, "get_object", |store, _| store.get_object(key));
+    match object.map_err(|error| fault_reply(&error))? {
+        Some(body) => Ok(ApiReply::bytes(OBJECT_TYPE, body)),
+        None => Err(ApiReply::error(404, "no such object")),
+    }
+}
--- /dev/null
+++ b/src/standin/store.rs
@@ -0,0 +1,186 @@
+//! The stand-in's table, object store and host list, free of I/O and clocks.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::US_PER_MS;
+use crate::platform::{HostChanges, HostEntry, HostState};
+use crate::standin::tasks::Tasks;
+use crate::table::{Commit, Row, Transaction, ABSENT};
+
+/// What an operator of the stand-in says of a host.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostUpdate {
+    /// Where its endpoint listens.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Pool it belongs to.
+    pub pool: Arc<str>,
+    /// Whether it takes work.
+    pub state: HostState,
+}
+
+/// Calls served so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct StoreStats {
+    /// Rows and scans read.
+    pub reads: u64,
+    /// Transactions committed.
+    pub writes: u64,
+    /// Transactions refused by a condition.
+    pub conflicts: u64,
+    /// Objects fetched or stored.
+    pub objects: u64,
+    /// Host list calls.
+    pub lists: u64,
+}
+
+#[derive(Debug)]
+struct StoredRow {
+    version: u64,
+    value: Arc<str>,
+}
+
+#[derive(Debug)]
+struct HostChange {
+    at_us: u64,
+    entry: HostEntry,
+}
+
+/// State of the stand-in.
+#[derive(Debug, Default)]
+pub struct Store {
+    rows: BTreeMap<Arc<str>, StoredRow>,
+    last_version: u64,
+    objects: HashMap<Arc<str>, Vec<u8>>,
+    hosts: HashMap<Arc<str>, HostEntry>,
+    /// Every change of the host list; a cursor is a length of this log.
+    host_log: Vec<HostChange>,
+    stats: StoreStats,
+    /// Leased tasks on workers.
+    pub tasks: Tasks,
+}
+
+impl Store {
+    /// Reads one row.
+    pub fn read(&mut self, key: &str) -> Option<Row> {
+        self.stats.reads += 1;
+        let (key, row) = self.rows.get_key_value(key)?;
+        Some(Row { key: key.clone(), version: row.version, value: row.value.clone() })
+    }
+
+    /// Reads the rows whose keys start with `prefix`.
+    pub fn scan(&mut self, prefix: &str) -> Vec<Row> {
+        self.stats.reads += 1;
+        let mut found = Vec::new();
+        for (key, row) in self.rows.range(Arc::<str>::from(prefix)..) {
+            if !key.starts_with(prefix) {
+                break;
+            }
+            found.push(Row { key: key.clone(), version: row.version, value: row.value.clone() });
+        }
+        found
+    }
+
+    /// Applies a transaction if every condition holds.
+    pub fn commit(&mut self, transaction: &Transaction) -> Commit {
+        for condition in &transaction.conditions {
+            let version = self.rows.get(&condition.key).map_or(ABSENT, |row| row.version);
+            if version != condition.version {
+                self.stats.conflicts += 1;
+                return Commit::Conflict { key: condition.key.clone(), version };
+            }
+        }
+        self.stats.writes += 1;
+        self.last_version += 1;
+        for write in &transaction.writes {
+            match &write.value {
+                Some(value) => {
+                    let row = StoredRow { version: self.last_version, value: value.clone() };
+                    self.rows.insert(write.key.clone(), row);
+                }
+                None => {
+                    self.rows.remove(&write.key);
+                }
+            }
+        }
+        Commit::Committed { version: self.last_version }
+    }
+
+    /// Stores an object.
+    pub fn put_object(&mut self, key: &str, body: &[u8]) {
+        self.stats.objects += 1;
+        self.objects.insert(key.into(), body.to_vec());
+    }
+
+    /// Fetches an object.
+    pub fn get_object(&mut self, key: &str) -> Option<Vec<u8>> {
+        self.stats.objects += 1;
+        self.objects.get(key).cloned()
+    }
+
+    /// Lists what changed after `cursor`, as of `lag_ms` before `now_us`.
+    pub fn hosts(&mut self, now_us: u64, lag_ms: u64, cursor: u64) -> HostChanges {
+        self.stats.lists += 1;
+        let visible_until_us = now_us.saturating_sub(lag_ms * US_PER_MS);
+        let first = usize::try_from(cursor).unwrap_or(usize::MAX).min(self.host_log.len());
+        let mut latest: BTreeMap<Arc<str>, HostEntry> = BTreeMap::new();
+        let mut next = first;
+        for change in &self.host_log[first..] {
+            if change.at_us > visible_until_us {
+                break;
+            }
+            next += 1;
+            latest.insert(change.entry.name.clone(), change.entry.clone());
+        }
+        HostChanges { cursor: next as u64, hosts: latest.into_values().collect() }
+    }
+
+    /// Adds or changes a host. The epoch grows when it becomes live again, moves or changes its address.
+    pub fn put_host(&mut self, now_us: u64, name: &str, update: &HostUpdate) -> HostEntry {
+        let epoch = match self.hosts.get(name) {
+            None => 1,
+            Some(old) if starts_anew(old, update) => old.epoch + 1,
+            Some(old) => old.epoch,
+        };
+        let entry = HostEntry {
+            name: name.into(),
+            address: update.address,
+            zone: update.zone.clone(),
+            pool: update.pool.clone(),
+            state: update.state,
+            epoch,
+        };
+        self.hosts.insert(entry.name.clone(), entry.clone());
+        self.host_log.push(HostChange { at_us: now_us, entry: entry.clone() });
+        entry
+    }
+
+    /// Takes a host off the list; `false` if there is none of this name.
+    pub fn remove_host(&mut self, now_us: u64, name: &str) -> bool {
+        let Some(old) = self.hosts.get_mut(name) else { return false };
+        old.state = HostState::Gone;
+        self.host_log.push(HostChange { at_us: now_us, entry: old.clone() });
+        true
+    }
+
+    /// The host as it really is, without lag.
+    pub fn host(&self, name: &str) -> Option<&HostEntry> {
+        self.hosts.get(name)
+    }
+
+    /// Calls served so far.
+    pub fn stats(&self) -> StoreStats {
+        self.stats
+    }
+}
+
+fn starts_anew(old: &HostEntry, update: &HostUpdate) -> bool {
+    let returns = old.state != HostState::Live && update.state == HostState::Live;
+    returns || old.address != update.address || old.pool != update.pool
+}
--- /dev/null
+++ b/src/view.rs
@@ -0,0 +1,137 @@
+//! What operators see of a daemon.
+
+use std::rc::Rc;
+use std::sync::mpsc::SyncSender;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::daemon::Daemon;
+use crate::platform::HostEntry;
+use crate::roster::DaemonInfo;
+use crate::sheet::{Pool, Wave};
+use crate::sheet_state::{AcceptedSheet, SheetRef};
+
+/// Question of an administration thread to the daemon's thread.
+#[derive(Debug)]
+pub(crate) enum AdminCall {
+    Status(SyncSender<StatusView>),
+    Pools(SyncSender<Vec<PoolView>>),
+    Hosts(SyncSender<Vec<HostEntry>>),
+    Waves(SyncSender<Vec<Wave>>),
+    Sheet(SyncSender<Option<Arc<AcceptedSheet>>>),
+    /// A sheet was accepted through this daemon.
+    Accepted(SheetRef),
+}
+
+/// State of one daemon.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StatusView {
+    /// Name of the daemon.
+    pub name: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Whether callers should be sent to it.
+    pub ready: bool,
+    /// Whether it finishes its work to stop.
+    pub stopping: bool,
+    /// Version of the sheet in force, 0 if none.
+    pub sheet_version: u64,
+    /// Newest version heard of, 0 if none.
+    pub announced_version: u64,
+    /// Whether the platform answered the last call.
+    pub platform_reachable: bool,
+    /// Whether it holds its lease row.
+    pub leased: bool,
+    /// Requests in progress.
+    pub requests: usize,
+    /// Memory that their bodies take.
+    pub held_bytes: usize,
+    /// Other live daemons.
+    pub peers: Vec<PeerView>,
+}
+
+/// Another daemon.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerView {
+    /// Name of the daemon.
+    pub name: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Where it listens for daemons.
+    pub peer_address: String,
+}
+
+impl From<DaemonInfo> for PeerView {
+    fn from(daemon: DaemonInfo) -> PeerView {
+        PeerView { name: daemon.name, zone: daemon.zone, peer_address: daemon.peer_address.to_string() }
+    }
+}
+
+/// State of one pool.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PoolView {
+    /// The pool as the sheet has it.
+    #[serde(flatten)]
+    pub pool: Pool,
+    /// Hosts that take work.
+    pub live_hosts: usize,
+    /// Requests of this daemon at the pool's endpoints.
+    pub in_flight: usize,
+    /// Requests of this daemon that wait for an endpoint.
+    pub queued: usize,
+}
+
+impl Daemon {
+    /// Answers a question of an administration thread.
+    pub(crate) fn answer_admin(self: &Rc<Daemon>, call: AdminCall) {
+        // A thread that stopped waiting has dropped its receiver; nobody needs the answer then.
+        match call {
+            AdminCall::Status(reply) => drop(reply.try_send(self.status_view())),
+            AdminCall::Pools(reply) => drop(reply.try_send(self.pool_views())),
+            AdminCall::Hosts(reply) => drop(reply.try_send(self.fleet.borrow().hosts())),
+            AdminCall::Waves(reply) => drop(reply.try_send(self.waves())),
+            AdminCall::Sheet(reply) => drop(reply.try_send(self.sheet.borrow().in_force().cloned())),
+            AdminCall::Accepted(reference) => self.hear_of_sheet(&reference),
+        }
+    }
+
+    fn status_view(&self) -> StatusView {
+        let sheet = self.sheet.borrow();
+        let roster = self.roster.borrow();
+        StatusView {
+            name: self.settings.name.clone(),
+            zone: self.settings.zone.clone(),
+            ready: self.is_ready(),
+            stopping: self.control.is_stopping(),
+            sheet_version: sheet.version(),
+            announced_version: sheet.announced_version(),
+            platform_reachable: self.links.platform_reachable.get(),
+            leased: roster.is_leased(),
+            requests: self.requests.len(),
+            held_bytes: self.held_bytes.used_bytes(),
+            peers: roster.live_others(self.now_us()).into_iter().map(PeerView::from).collect(),
+        }
+    }
+
+    fn pool_views(&self) -> Vec<PoolView> {
+        let sheet = self.sheet.borrow();
+        let Some(accepted) = sheet.in_force() else { return Vec::new() };
+        let dispatcher = self.dispatcher.borrow();
+        let fleet = self.fleet.borrow();
+        let mut views = Vec::new();
+        for pool in &accepted.sheet.pools {
+            views.push(PoolView {
+                live_hosts: fleet.endpoints(&pool.name).len(),
+                in_flight: dispatcher.in_flight(&pool.name),
+                queued: dispatcher.queued(&pool.name),
+                pool: pool.clone(),
+            });
+        }
+        views
+    }
+
+    fn waves(&self) -> Vec<Wave> {
+        self.sheet.borrow().in_force().map(|accepted| accepted.sheet.waves.clone()).unwrap_or_default()
+    }
+}
