--- a/src/standin/store_tests.rs
+++ b/src/standin/store_tests.rs
@@ -1,1 +1,113 @@
+//! Tests of the stand-in's state and faults.
 
+use super::*;
+use crate::clock::{US_PER_MS, US_PER_S};
+use crate::platform::{HostState, Platform};
+use crate::table::{Transaction, ABSENT};
+
+fn update(state: HostState) -> HostUpdate {
+    HostUpdate { address: ([127, 0, 0, 1], 80).into(), zone: "z1".into(), pool: "p".into(), state }
+}
+
+#[test]
+fn a_transaction_takes_effect_whole_or_not_at_all() {
+    let mut store = Store::default();
+    let first = store.commit(&Transaction::new().expect("a", ABSENT).put("a", "1"));
+    let Commit::Committed { version } = first else { panic!("{first:?}") };
+
+    let conflict = store.commit(&Transaction::new().expect("a", ABSENT).put("a", "2").put("b", "2"));
+
+    assert_eq!(conflict, Commit::Conflict { key: "a".into(), version });
+    assert_eq!(store.read("a").map(|row| row.value), Some("1".into()));
+    assert_eq!(store.read("b"), None);
+}
+
+#[test]
+fn versions_never_repeat_even_after_deletion() {
+    let mut store = Store::default();
+    store.commit(&Transaction::new().put("a", "1"));
+    let old = store.read("a").expect("row").version;
+    store.commit(&Transaction::new().delete("a"));
+    store.commit(&Transaction::new().put("a", "2"));
+
+    let commit = store.commit(&Transaction::new().expect("a", old).put("a", "3"));
+
+    assert!(matches!(commit, Commit::Conflict { .. }));
+}
+
+#[test]
+fn scans_only_the_prefix() {
+    let mut store = Store::default();
+    store.commit(&Transaction::new().put("a/1", "1").put("a/2", "2").put("b/1", "3"));
+
+    let keys: Vec<Arc<str>> = store.scan("a/").into_iter().map(|row| row.key).collect();
+
+    assert_eq!(keys, ["a/1".into(), "a/2".into()]);
+}
+
+#[test]
+fn the_host_list_lags_and_gives_each_change_once() {
+    let mut store = Store::default();
+    store.put_host(0, "h1", &update(HostState::Live));
+    store.put_host(5 * US_PER_S, "h1", &update(HostState::Leaving));
+
+    let early = store.hosts(6 * US_PER_S, 2_000, 0);
+    let late = store.hosts(8 * US_PER_S, 2_000, early.cursor);
+    let nothing = store.hosts(9 * US_PER_S, 2_000, late.cursor);
+
+    assert_eq!(early.hosts[0].state, HostState::Live);
+    assert_eq!(late.hosts[0].state, HostState::Leaving);
+    assert!(nothing.hosts.is_empty());
+}
+
+#[test]
+fn a_host_that_returns_has_a_new_epoch() {
+    let mut store = Store::default();
+    store.put_host(0, "h1", &update(HostState::Live));
+    let leaving = store.put_host(1, "h1", &update(HostState::Leaving));
+
+    let returned = store.put_host(2, "h1", &update(HostState::Live));
+
+    assert_eq!((leaving.epoch, returned.epoch), (1, 2));
+}
+
+#[test]
+fn a_started_task_is_not_started_again_and_lapses_with_its_lease() {
+    let mut tasks = Tasks::default();
+    let start = |worker: &str| TaskUpdate::Start { worker: worker.into(), lease_ms: 100 };
+    tasks.update(0, "t", &start("w1"));
+
+    let again = tasks.update(10, "t", &start("w2")).expect("task");
+    let late = tasks.update(200 * US_PER_MS, "t", &TaskUpdate::Renew { lease_ms: 100 }).expect("task");
+
+    assert_eq!(&*again.worker, "w1");
+    assert_eq!(late.state, TaskState::Lapsed);
+    assert_eq!(tasks.update(0, "unknown", &TaskUpdate::Stop), None);
+}
+
+#[test]
+fn faults_act_before_or_after_the_effect() {
+    let standin = StandIn::new();
+    let platform = EmbeddedPlatform::new(standin.clone(), "z1");
+    let write = |value: &str| platform.commit(&Transaction::new().put("a", value));
+
+    standin.change_faults(&FaultChange { cut_zones: Some(vec!["z1".into()]), ..FaultChange::default() });
+    let cut = write("1");
+    let after_cut = standin.store().read("a");
+    standin.change_faults(&FaultChange {
+        cut_zones: Some(vec!["z2".into()]),
+        lose_answers: Some(true),
+        ..FaultChange::default()
+    });
+    let lost = write("2");
+    let after_loss = standin.store().read("a").map(|row| row.value);
+    standin.change_faults(&FaultChange { down: Some(true), ..FaultChange::default() });
+    let down = write("3");
+
+    assert!(matches!(cut, Err(PlatformError::Unavailable { .. })));
+    assert_eq!(after_cut, None);
+    assert!(matches!(lost, Err(PlatformError::AnswerLost { .. })));
+    assert_eq!(after_loss, Some("2".into()));
+    assert!(matches!(down, Err(PlatformError::Unavailable { .. })));
+    assert_eq!(standin.store().read("a").map(|row| row.value), Some("2".into()));
+}
