Tests of the request decisions in virtual time

Cause: routing, limits and retries had no proof. Change: cases for each decision and a property over random events: one true verdict for each request.

--- a/src/dispatch/dispatch_tests.rs
+++ b/src/dispatch/dispatch_tests.rs
@@ -1,1 +1,426 @@
+//! Tests of the request decisions in virtual time.
 
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use super::*;
+use crate::clock::{US_PER_MS, US_PER_S};
+use crate::platform::HostState;
+
+const POOL: &str = "p";
+
+fn host(name: &str, zone: &str) -> Arc<HostEntry> {
+    Arc::new(HostEntry {
+        name: name.into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        zone: zone.into(),
+        pool: POOL.into(),
+        state: HostState::Live,
+        epoch: 1,
+    })
+}
+
+fn hosts(count: usize) -> Vec<Arc<HostEntry>> {
+    (0..count).map(|number| host(&format!("h{number}"), "z1")).collect()
+}
+
+fn dispatcher(settings: DispatchSettings, endpoints: &[Arc<HostEntry>]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(settings, "d1", "z1", 1);
+    let actions = dispatcher.set_endpoints(0, &POOL.into(), endpoints);
+    assert!(actions.is_empty());
+    dispatcher
+}
+
+fn arrival(id: u64, idempotent: bool) -> Arrival {
+    Arrival {
+        request: RequestId(id),
+        pool: POOL.into(),
+        caller: "c".into(),
+        idempotent,
+        deadline_us: 10 * US_PER_S,
+        body_bytes: 10,
+    }
+}
+
+/// The single start among `actions`.
+fn started(actions: &[Action]) -> (AttemptId, Arc<HostEntry>, u64) {
+    let mut found = Vec::new();
+    for action in actions {
+        if let Action::Start { attempt, endpoint, deadline_us, .. } = action {
+            found.push((*attempt, endpoint.clone(), *deadline_us));
+        }
+    }
+    assert_eq!(found.len(), 1, "{actions:?}");
+    found.remove(0)
+}
+
+fn verdicts(actions: &[Action]) -> Vec<(u64, Verdict)> {
+    let mut found = Vec::new();
+    for action in actions {
+        if let Action::Finish { request, verdict } = action {
+            found.push((request.0, *verdict));
+        }
+    }
+    found
+}
+
+fn well(in_flight: u32) -> AttemptEnd {
+    AttemptEnd::Answered { failed: false, load: Some(LoadReport { in_flight, slots: 8 }) }
+}
+
+const LOST: AttemptEnd = AttemptEnd::Lost { fresh_connection: true };
+
+#[test]
+fn an_answer_is_delivered() {
+    let mut dispatcher = dispatcher(DispatchSettings::default(), &hosts(2));
+    let (attempt, _, deadline_us) = started(&dispatcher.arrive(0, arrival(1, false)));
+
+    let actions = dispatcher.end(US_PER_MS, attempt, well(0));
+
+    assert_eq!(deadline_us, 10 * US_PER_S, "a request that must not run twice gets one try of full length");
+    assert_eq!(verdicts(&actions), [(1, Verdict::Deliver)]);
+    assert_eq!(dispatcher.total_in_flight(), 0);
+}
+
+#[test]
+fn a_lost_non_idempotent_request_is_never_sent_again() {
+    let mut dispatcher = dispatcher(DispatchSettings::default(), &hosts(3));
+    let (attempt, ..) = started(&dispatcher.arrive(0, arrival(1, false)));
+
+    let actions = dispatcher.end(US_PER_MS, attempt, LOST);
+
+    assert_eq!(verdicts(&actions), [(1, Verdict::Unknown)]);
+    assert_eq!(dispatcher.total_in_flight(), 0);
+}
+
+#[test]
+fn what_certainly_did_not_run_is_tried_elsewhere() {
+    for end in [AttemptEnd::NotSent, AttemptEnd::Refused { load: None }] {
+        let mut dispatcher = dispatcher(DispatchSettings::default(), &hosts(3));
+        let (attempt, first, _) = started(&dispatcher.arrive(0, arrival(1, false)));
+
+        let (_, second, _) = started(&dispatcher.end(US_PER_MS, attempt, end));
+
+        assert_ne!(first.name, second.name, "{end:?}");
+    }
+}
+
+#[test]
+fn a_lost_idempotent_request_is_tried_elsewhere_within_its_deadline() {
+    let mut dispatcher = dispatcher(DispatchSettings::default(), &hosts(3));
+    let (attempt, first, deadline_us) = started(&dispatcher.arrive(0, arrival(1, true)));
+
+    let (_, second, _) = started(&dispatcher.end(deadline_us, attempt, LOST));
+
+    assert_eq!(deadline_us, 5 * US_PER_S, "a silent connection costs at most half of the deadline");
+    assert_ne!(first.name, second.name);
+}
+
+#[test]
+fn after_a_lost_try_no_later_failure_is_called_not_run() {
+    let mut dispatcher = dispatcher(DispatchSettings::default(), &hosts(3));
+    let (attempt, ..) = started(&dispatcher.arrive(0, arrival(1, true)));
+    let (attempt, ..) = started(&dispatcher.end(1, attempt, LOST));
+    let (attempt, ..) = started(&dispatcher.end(2, attempt, AttemptEnd::NotSent));
+
+    let actions = dispatcher.end(3, attempt, AttemptEnd::NotSent);
+
+    assert_eq!(verdicts(&actions), [(1, Verdict::Unknown)]);
+}
+
+#[test]
+fn a_pool_without_endpoints_refuses_at_once() {
+    let mut dispatcher = dispatcher(DispatchSettings::default(), &[]);
+
+    let actions = dispatcher.arrive(0, arrival(1, true));
+
+    let found = verdicts(&actions);
+    assert!(matches!(found[..], [(1, Verdict::NotRun { refusal: Refusal::NoEndpoint, retry_after_ms: 1.. })]));
+}
+
+#[test]
+fn unreachable_endpoints_are_left_alone_and_waiting_requests_answered_at_once() {
+    let settings = DispatchSettings { retry_burst: 0.0, ..DispatchSettings::default() };
+    let mut dispatcher = dispatcher(settings, &hosts(1));
+    let (attempt, ..) = started(&dispatcher.arrive(0, arrival(1, true)));
+    dispatcher.end(1, attempt, AttemptEnd::NotSent);
+
+    let refused = dispatcher.arrive(2, arrival(2, true));
+    let (trial, ..) = started(&dispatcher.arrive(US_PER_S, arrival(3, true)));
+    let while_on_trial = dispatcher.arrive(US_PER_S, arrival(4, true));
+    let after = dispatcher.end(US_PER_S + 1, trial, well(0));
+
+    assert!(matches!(verdicts(&refused)[..], [(2, Verdict::NotRun { refusal: Refusal::NoEndpoint, .. })]));
+    assert!(while_on_trial.is_empty(), "one trial at a time");
+    assert_eq!(verdicts(&after), [(3, Verdict::Deliver)]);
+    started(&after);
+}
+
+#[test]
+fn an_endpoint_that_fails_everything_fast_is_ejected_but_never_more_than_the_bound() {
+    let mut dispatcher = dispatcher(DispatchSettings::default(), &hosts(10));
+    let mut served: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+    for id in 0..1_000 {
+        let now_us = id * 100;
+        let (attempt, endpoint, _) = started(&dispatcher.arrive(now_us, arrival(id, true)));
+        *served.entry(endpoint.name.clone()).or_default() += 1;
+        let failed = &*endpoint.name < "h5";
+        dispatcher.end(now_us + 50, attempt, AttemptEnd::Answered { failed, load: None });
+    }
+
+    let still_failing = (0..5).filter(|number| served[&*format!("h{number}")] > 20).count();
+    assert_eq!(still_failing, 2, "three of ten ejected, the bound: {served:?}");
+}
+
+#[test]
+fn one_dead_path_is_not_held_against_the_endpoint() {
+    let mut dispatcher = dispatcher(DispatchSettings::default(), &hosts(1));
+    for id in 0..20 {
+        let (attempt, ..) = started(&dispatcher.arrive(id, arrival(id, false)));
+        dispatcher.end(id, attempt, AttemptEnd::Lost { fresh_connection: false });
+    }
+
+    started(&dispatcher.arrive(100, arrival(100, false)));
+}
+
+#[test]
+fn a_burst_of_one_caller_does_not_starve_another() {
+    let mut dispatcher = dispatcher(DispatchSettings::default(), &hosts(1));
+    let mut running = Vec::new();
+    for id in 0..200 {
+        let actions = dispatcher.arrive(0, Arrival { caller: "studio".into(), ..arrival(id, true) });
+        running.extend(actions.iter().any(|action| matches!(action, Action::Start { .. })).then(|| started(&actions)));
+    }
+    dispatcher.arrive(0, Arrival { caller: "press".into(), ..arrival(1_000, true) });
+
+    let mut order = Vec::new();
+    for now_us in 0..3 {
+        let (attempt, ..) = running.remove(0);
+        let actions = dispatcher.end(now_us, attempt, well(8));
+        for action in &actions {
+            if let Action::Start { request, .. } = action {
+                order.push(request.0);
+            }
+        }
+    }
+
+    assert!(order.contains(&1_000), "the press waits for at most one of the studio's: {order:?}");
+}
+
+#[test]
+fn a_full_queue_displaces_the_busiest_caller() {
+    let settings = DispatchSettings { max_queued: 4, ..DispatchSettings::default() };
+    let mut dispatcher = dispatcher(settings, &hosts(1));
+    let mut actions = Vec::new();
+    for id in 0..40 {
+        actions.extend(dispatcher.arrive(0, Arrival { caller: "studio".into(), ..arrival(id, true) }));
+    }
+    let before = verdicts(&actions).len();
+
+    let press = dispatcher.arrive(0, Arrival { caller: "press".into(), ..arrival(1_000, true) });
+
+    assert!(before > 0 && dispatcher.queued(POOL) == 4);
+    let refused = verdicts(&press);
+    assert_eq!(refused.len(), 1);
+    assert_ne!(refused[0].0, 1_000);
+    assert!(matches!(refused[0].1, Verdict::NotRun { refusal: Refusal::QueueFull, .. }));
+}
+
+#[test]
+fn a_queue_is_bounded_by_bytes() {
+    let settings = DispatchSettings { max_queued_bytes: 100, ..DispatchSettings::default() };
+    let mut dispatcher = dispatcher(settings, &hosts(1));
+    for id in 0..40 {
+        dispatcher.arrive(0, Arrival { body_bytes: 60, ..arrival(id, true) });
+    }
+
+    assert_eq!(dispatcher.queued(POOL), 1);
+}
+
+#[test]
+fn a_request_that_would_start_too_late_is_refused_at_once() {
+    let mut dispatcher = dispatcher(DispatchSettings::default(), &hosts(1));
+    // Teaches a service time of one second.
+    let (attempt, ..) = started(&dispatcher.arrive(0, arrival(0, true)));
+    dispatcher.end(US_PER_S, attempt, well(0));
+    for id in 1..20 {
+        dispatcher.arrive(US_PER_S, arrival(id, true));
+    }
+
+    let hasty = Arrival { deadline_us: 2 * US_PER_S, ..arrival(100, true) };
+    let actions = dispatcher.arrive(US_PER_S, hasty);
+
+    assert!(matches!(verdicts(&actions)[..], [(100, Verdict::NotRun { refusal: Refusal::DeadlineTooClose, .. })]));
+}
+
+#[test]
+fn local_endpoints_come_first_and_others_take_the_spill() {
+    let endpoints = [host("local", "z1"), host("remote", "z2")];
+    let mut dispatcher = dispatcher(DispatchSettings::default(), &endpoints);
+
+    let mut chosen = Vec::new();
+    for id in 0..12 {
+        chosen.push(started(&dispatcher.arrive(0, arrival(id, true))).1.name.clone());
+    }
+
+    assert!(chosen[..2].iter().all(|name| &**name == "local"));
+    assert!(chosen.iter().any(|name| &**name == "remote"));
+}
+
+#[test]
+fn a_removed_endpoint_gets_nothing_and_its_late_answer_still_counts() {
+    let endpoints = hosts(2);
+    let mut dispatcher = dispatcher(DispatchSettings::default(), &endpoints);
+    let (attempt, first, _) = started(&dispatcher.arrive(0, arrival(1, false)));
+    let rest: Vec<Arc<HostEntry>> = endpoints.iter().filter(|host| **host != first).cloned().collect();
+    dispatcher.set_endpoints(1, &POOL.into(), &rest);
+
+    for id in 2..8 {
+        let (_, endpoint, _) = started(&dispatcher.arrive(2, arrival(id, true)));
+        assert_ne!(endpoint.name, first.name);
+    }
+    let late = dispatcher.end(3, attempt, well(0));
+
+    assert_eq!(verdicts(&late), [(1, Verdict::Deliver)]);
+}
+
+#[test]
+fn retries_stay_within_their_budget() {
+    let mut dispatcher = dispatcher(DispatchSettings::default(), &hosts(10));
+    let mut starts = 0;
+    let total = 2_000;
+    for id in 0..total {
+        let now_us = id * US_PER_MS;
+        let mut actions = dispatcher.arrive(now_us, arrival(id, true));
+        while let Some(Action::Start { attempt, .. }) = actions.first().cloned() {
+            starts += 1;
+            // A fault of the path, so that no endpoint is ejected.
+            actions = dispatcher.end(now_us, attempt, AttemptEnd::Lost { fresh_connection: false });
+        }
+    }
+
+    let extra = starts - total;
+    assert!(extra as f64 <= total as f64 * 0.1 + 10.0, "{extra} retries of {total} requests");
+    assert!(extra > 100, "retries happen");
+}
+
+#[test]
+fn a_large_fleet_is_shared_by_subsets_within_each_endpoints_connections() {
+    let settings = DispatchSettings::default();
+    let endpoints: Vec<Arc<HostEntry>> =
+        (0..24).map(|number| host(&format!("h{number}"), &format!("z{}", number % 18))).collect();
+    let daemons = 108;
+    let mut users: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+    for daemon in 0..daemons {
+        let name = format!("d{daemon}");
+        let subset = pool::choose_subset(&settings, &endpoints, &name, &format!("z{}", daemon % 18), daemons);
+        assert!(subset.len() < endpoints.len());
+        for endpoint in subset {
+            *users.entry(endpoint.name.clone()).or_default() += 1;
+        }
+    }
+
+    assert_eq!(users.len(), 24, "every endpoint is used");
+}
+
+/// What the fake world does with an attempt.
+fn end_of(kind: u8) -> AttemptEnd {
+    match kind {
+        0..=3 => well(2),
+        4 => AttemptEnd::Answered { failed: true, load: None },
+        5 => AttemptEnd::Refused { load: Some(LoadReport { in_flight: 9, slots: 8 }) },
+        6 => AttemptEnd::NotSent,
+        7 => LOST,
+        _ => AttemptEnd::Lost { fresh_connection: false },
+    }
+}
+
+#[derive(Debug, Default)]
+struct Tally {
+    finished: BTreeMap<u64, Verdict>,
+    may_have_run: BTreeSet<u64>,
+    attempts: BTreeMap<u64, u32>,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300, rng_seed: RngSeed::Fixed(6), failure_persistence: None, ..ProptestConfig::default()
+    })]
+
+    /// Whatever happens, each request gets one verdict; `not-run` only if no attempt may have run; a request that
+    /// must not run twice is never sent again after it may have run.
+    #[test]
+    fn one_true_verdict_each(
+        events in proptest::collection::vec((0_u8..14, any::<u16>(), any::<bool>()), 1..200),
+        max_queued in 1_usize..20,
+    ) {
+        let settings = DispatchSettings { max_queued, max_queue_wait_us: US_PER_S, ..DispatchSettings::default() };
+        let endpoints = hosts(3);
+        let mut dispatcher = dispatcher(settings, &endpoints);
+        let mut now_us = 0;
+        let mut next_id = 0;
+        let mut running: Vec<(AttemptId, u64)> = Vec::new();
+        let mut idempotent = BTreeMap::new();
+        let mut tally = Tally::default();
+        let note = |actions: Vec<Action>, running: &mut Vec<(AttemptId, u64)>, tally: &mut Tally,
+                        idempotent: &BTreeMap<u64, bool>| -> Result<(), TestCaseError> {
+            for action in actions {
+                match action {
+                    Action::Start { request, attempt, .. } => {
+                        *tally.attempts.entry(request.0).or_default() += 1;
+                        let again = tally.may_have_run.contains(&request.0);
+                        prop_assert!(!again || idempotent[&request.0], "sent again after it may have run");
+                        prop_assert!(!tally.finished.contains_key(&request.0), "sent after its verdict");
+                        running.push((attempt, request.0));
+                    }
+                    Action::Finish { request, verdict } => {
+                        if let Verdict::NotRun { .. } = verdict {
+                            prop_assert!(!tally.may_have_run.contains(&request.0), "it may have run");
+                        }
+                        prop_assert!(tally.finished.insert(request.0, verdict).is_none(), "two verdicts");
+                    }
+                }
+            }
+            Ok(())
+        };
+        for (kind, pick, flag) in events {
+            now_us += u64::from(pick) * 20;
+            let actions = match kind {
+                0..=5 => {
+                    next_id += 1;
+                    idempotent.insert(next_id, flag);
+                    let caller = if pick % 3 == 0 { "a" } else { "b" };
+                    let deadline_us = now_us + u64::from(pick) * 50 + 1;
+                    dispatcher.arrive(now_us, Arrival { caller: caller.into(), deadline_us, ..arrival(next_id, flag) })
+                }
+                6..=10 if !running.is_empty() => {
+                    let (attempt, request) = running.remove(usize::from(pick) % running.len());
+                    let end = end_of((pick % 9) as u8);
+                    if matches!(end, AttemptEnd::Lost { .. }) {
+                        tally.may_have_run.insert(request);
+                    }
+                    dispatcher.end(now_us, attempt, end)
+                }
+                11 => {
+                    let kept = endpoints.len() - usize::from(flag);
+                    dispatcher.set_endpoints(now_us, &POOL.into(), &endpoints[..kept])
+                }
+                _ => dispatcher.tick(now_us),
+            };
+            note(actions, &mut running, &mut tally, &idempotent)?;
+            prop_assert!(dispatcher.queued(POOL) <= max_queued + 3, "retries may stand beyond the bound");
+            prop_assert_eq!(dispatcher.total_in_flight(), running.len());
+        }
+        // Everything that still runs is answered; then nothing may be left over.
+        while let Some((attempt, _)) = running.pop() {
+            let actions = dispatcher.end(now_us, attempt, well(0));
+            note(actions, &mut running, &mut tally, &idempotent)?;
+        }
+        let actions = dispatcher.tick(u64::MAX / 2);
+        note(actions, &mut running, &mut tally, &idempotent)?;
+        prop_assert_eq!(tally.finished.len() as u64, next_id);
+        prop_assert!(tally.attempts.values().all(|attempts| *attempts <= 3));
+    }
+}
--- a/src/dispatch/queue_tests.rs
+++ b/src/dispatch/queue_tests.rs
@@ -1,1 +1,81 @@
+//! Tests of the fair queue.
 
+use super::queue::FairQueue;
+use super::{Arrival, Request, RequestId};
+
+fn request(id: u64, caller: &str) -> Request {
+    let arrival = Arrival {
+        request: RequestId(id),
+        pool: "p".into(),
+        caller: caller.into(),
+        idempotent: true,
+        deadline_us: id * 10,
+        body_bytes: 5,
+    };
+    Request { arrival, attempts: 0, avoid: None, may_have_run: false }
+}
+
+fn filled(entries: &[(u64, &str)]) -> FairQueue {
+    let mut queue = FairQueue::default();
+    for (id, caller) in entries {
+        queue.push(request(*id, caller));
+    }
+    queue
+}
+
+fn drain(queue: &mut FairQueue) -> Vec<u64> {
+    std::iter::from_fn(|| queue.pop()).map(|request| request.arrival.request.0).collect()
+}
+
+#[test]
+fn callers_take_turns_and_keep_their_own_order() {
+    let mut queue = filled(&[(1, "a"), (2, "a"), (3, "a"), (4, "b"), (5, "c"), (6, "b")]);
+
+    assert_eq!(queue.bytes(), 30);
+    assert_eq!(drain(&mut queue), [1, 4, 5, 2, 6, 3]);
+    assert_eq!((queue.len(), queue.bytes()), (0, 0));
+}
+
+#[test]
+fn a_request_that_waited_before_goes_first() {
+    let mut queue = filled(&[(1, "a"), (2, "b")]);
+
+    queue.push_first(request(3, "b"));
+
+    assert_eq!(drain(&mut queue), [3, 1, 2]);
+}
+
+#[test]
+fn counts_what_leaves_before_a_new_request() {
+    let queue = filled(&[(1, "a"), (2, "a"), (3, "a"), (4, "b")]);
+
+    assert_eq!(queue.ahead_of("a"), 4);
+    assert_eq!(queue.ahead_of("b"), 3);
+    assert_eq!(queue.ahead_of("c"), 2);
+}
+
+#[test]
+fn displaces_the_newest_of_the_busiest_only() {
+    let mut queue = filled(&[(1, "a"), (2, "a"), (3, "a"), (4, "b")]);
+
+    let displaced = queue.displace_for("b").map(|request| request.arrival.request.0);
+    let second = queue.displace_for("b").map(|request| request.arrival.request.0);
+
+    assert_eq!(displaced, Some(3));
+    assert_eq!(second, None, "the busiest would have no more than the newcomer");
+}
+
+#[test]
+fn removes_expired_requests_in_the_order_of_arrival() {
+    let mut queue = filled(&[(1, "a"), (2, "b"), (3, "a"), (4, "b")]);
+
+    let removed: Vec<u64> = queue
+        .remove_unless(|request| request.arrival.deadline_us > 20)
+        .into_iter()
+        .map(|request| request.arrival.request.0)
+        .collect();
+
+    assert_eq!(removed, [1, 2]);
+    assert_eq!(queue.len(), 2);
+    assert_eq!(drain(&mut queue), [3, 4]);
+}
