--- a/src/sheet/sheet_tests.rs
+++ b/src/sheet/sheet_tests.rs
@@ -64,8 +64,7 @@
         "lunch,,,,,,,,,,\n",
     ]);
 
-    let found: Vec<(u64, String)> =
-        problems(&body).into_iter().map(|problem| (problem.line, problem.column)).collect();
+    let found: Vec<(u64, String)> = problems(&body).into_iter().map(|problem| (problem.line, problem.column)).collect();
 
     let expected = [
         (2, "name"),
