Serve administration on the event loop

Cause: the daemon's administration stopped accepting after ten quiet seconds. A receive timeout on tiny_http's listener also ends its accept loop, as accept itself then times out; without the timeout a slow client holds a thread for ever. Ruled out: a bound by the listener's backlog (does not close what is accepted). Change: administration goes through the bounded hyper server that callers use, handlers run on four threads; tiny_http stays in the stand-in, without a timeout. Conclusion: hyper is the nearest kin for every listener of the daemon.

--- /dev/null
+++ b/benches/entry.rs
@@ -0,0 +1,60 @@
+//! Latency and throughput through a daemon against direct calls to the same sample endpoint.
+//!
+//! Rounds alternate between the two, and the figures to compare are ratios within one run.
+
+mod support;
+
+use std::time::Duration;
+
+use support::load::{latencies_ms, throughput};
+use support::{http, median, percentile, wait_until, Process, STANDIN};
+
+const ROUNDS: usize = 5;
+const LATENCY_REQUESTS: usize = 4_000;
+const CONNECTIONS: usize = 64;
+const PERIOD: Duration = Duration::from_secs(2);
+const SHEET: &str = "kind,name,pool,service,zones,hosts,spare,max_unavailable,opens_at,closes_at,max_concurrent\n\
+    pool,one,,one,z1,1,no,,,,\nbudget,,one,,,,,0,,,\n";
+
+fn main() {
+    let file = std::env::temp_dir().join(format!("sardineseam-bench-{}.csv", std::process::id()));
+    std::fs::write(&file, SHEET).expect("the sheet is written");
+    let standin = Process::start(STANDIN, &["--listen", "127.0.0.1:0", "--endpoints", &file.to_string_lossy()]);
+    std::fs::remove_file(&file).expect("the sheet is removed");
+    let platform = format!("http://{}", standin.address("standin"));
+    let daemon = Process::daemon("d1", "z1", &platform, &[]);
+    let (status, body) = http("PUT", &format!("http://{}/v1/sheet", daemon.address("admin")), SHEET.as_bytes());
+    assert_eq!(status, 200, "{body}");
+    let callers = daemon.address("callers");
+    wait_until(|| http("GET", &format!("http://{callers}/one/"), b"").0 == 200);
+    let (_, hosts) = http("GET", &format!("{platform}/hosts?cursor=0"), b"");
+    let hosts: serde_json::Value = serde_json::from_str(&hosts).expect("JSON");
+    let endpoint = hosts["hosts"][0]["address"].as_str().expect("an address").to_owned();
+
+    println!("| work | measure | direct | daemon | daemon - direct | daemon / direct |");
+    println!("|---|---|---|---|---|---|");
+    for work_ms in [0, 2] {
+        let (direct, through) = (format!("/?work_ms={work_ms}"), format!("/one/?work_ms={work_ms}"));
+        let count = if work_ms == 0 { LATENCY_REQUESTS } else { LATENCY_REQUESTS / 8 };
+        let mut latency: [[Vec<f64>; 2]; 2] = Default::default();
+        let mut rates: [Vec<f64>; 2] = Default::default();
+        for _ in 0..ROUNDS {
+            for (side, address, path) in [(0, &endpoint, &direct), (1, &callers, &through)] {
+                let mut sample = latencies_ms(address, path, count);
+                latency[side][0].push(percentile(&mut sample, 50.0));
+                latency[side][1].push(percentile(&mut sample, 99.0));
+                rates[side].push(throughput(address, path, CONNECTIONS, PERIOD));
+            }
+        }
+        for (index, name) in ["p50 ms, 1 connection", "p99 ms, 1 connection"].into_iter().enumerate() {
+            row(work_ms, name, median(&mut latency[0][index]), median(&mut latency[1][index]));
+        }
+        row(work_ms, "requests/s, 64 connections", median(&mut rates[0]), median(&mut rates[1]));
+    }
+    println!("daemon resident after the run: {} KiB", daemon.resident_kib());
+}
+
+fn row(work_ms: u64, name: &str, direct: f64, daemon: f64) {
+    let (difference, ratio) = (daemon - direct, daemon / direct);
+    println!("| {work_ms} ms | {name} | {direct:.3} | {daemon:.3} | {difference:+.3} | {ratio:.2} |");
+}
--- /dev/null
+++ b/benches/support/mod.rs
@@ -0,0 +1,101 @@
+//! Processes, load and statistics for benchmarks.
+
+#![allow(dead_code, missing_docs, reason = "each benchmark uses a part")]
+
+pub mod load;
+
+use std::io::{BufRead, BufReader};
+use std::process::{Child, Command, Stdio};
+
+pub const DAEMON: &str = env!("CARGO_BIN_EXE_sardineseamd");
+pub const STANDIN: &str = env!("CARGO_BIN_EXE_sardineseam-standin");
+pub const TOKEN: &str = "bootstrap-for-benches";
+
+/// A process of this package, killed when dropped.
+pub struct Process {
+    child: Child,
+    announced: String,
+}
+
+impl Process {
+    pub fn start(program: &str, args: &[&str]) -> Process {
+        let mut command = Command::new(program);
+        command.args(args).env("SARDINESEAM_BOOTSTRAP_TOKEN", TOKEN);
+        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null());
+        let mut child = command.spawn().expect("the program starts");
+        let mut announced = String::new();
+        BufReader::new(child.stdout.take().expect("piped")).read_line(&mut announced).expect("a line");
+        assert!(announced.contains('='), "{program} {args:?} did not start");
+        Process { child, announced }
+    }
+
+    pub fn daemon(name: &str, zone: &str, platform: &str, more: &[&str]) -> Process {
+        let mut args = vec!["--name", name, "--zone", zone, "--platform", platform];
+        args.extend(["--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"]);
+        args.extend(more);
+        Process::start(DAEMON, &args)
+    }
+
+    pub fn address(&self, name: &str) -> String {
+        let prefix = format!("{name}=");
+        let found = self.announced.split_whitespace().find_map(|word| word.strip_prefix(&prefix));
+        found.expect("an announced address").to_owned()
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Processor time used so far, in clock ticks.
+    pub fn cpu_ticks(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id())).expect("stat");
+        let after_name = stat.rsplit_once(')').expect("a name").1;
+        let fields: Vec<&str> = after_name.split_whitespace().collect();
+        fields[11].parse::<u64>().expect("utime") + fields[12].parse::<u64>().expect("stime")
+    }
+
+    /// Resident memory, in KiB.
+    pub fn resident_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).expect("status");
+        let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("VmRSS");
+        line.split_whitespace().nth(1).expect("a number").parse().expect("a number")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Sends one administration or stand-in request; returns status and body.
+pub fn http(method: &str, url: &str, body: &[u8]) -> (u16, String) {
+    let config = ureq::Agent::config_builder().http_status_as_error(false).build();
+    let agent: ureq::Agent = config.into();
+    let request = ureq::http::Request::builder().method(method).uri(url);
+    let request = request.header("Authorization", format!("Bearer {TOKEN}"));
+    let mut answer = match agent.run(request.body(body).expect("a request")) {
+        Ok(answer) => answer,
+        Err(error) => return (0, error.to_string()),
+    };
+    (answer.status().as_u16(), answer.body_mut().read_to_string().unwrap_or_default())
+}
+
+/// Waits until `condition` holds.
+pub fn wait_until(mut condition: impl FnMut() -> bool) {
+    while !condition() {
+        std::thread::yield_now();
+    }
+}
+
+/// The value below which `percent` of the sorted `values` lie.
+pub fn percentile(values: &mut [f64], percent: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let index = (values.len() as f64 * percent / 100.0) as usize;
+    values.get(index.min(values.len().saturating_sub(1))).copied().unwrap_or(f64::NAN)
+}
+
+pub fn median(values: &mut [f64]) -> f64 {
+    percentile(values, 50.0)
+}
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -13,19 +13,26 @@
 use std::rc::Rc;
 use std::sync::mpsc::{sync_channel, SyncSender};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use futures::channel::mpsc::{unbounded, UnboundedReceiver, UnboundedSender};
 use futures::StreamExt;
+use http::header::CONTENT_TYPE;
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
-use tiny_http::Method;
 
-use crate::api_server::{ApiReply, ApiRequest, ApiServer};
+use crate::api::{ApiReply, ApiRequest};
 use crate::auth::{AuthError, Authenticator, Identity, Role};
 use crate::daemon::Daemon;
+use crate::endpoint_client::before;
 use crate::error::{Error, Result};
+use crate::held_body::{collect, BodyError, ByteBudget};
+use crate::http_server::{serve, Body, ServerLimits};
 use crate::kernel::{Plugin, Stage};
 use crate::platform::{Platform, PlatformError};
 use crate::reactor::spawn;
@@ -33,6 +40,7 @@
 use crate::sheet_store::{self, Acceptance, Apply, SheetRecord};
 use crate::telemetry;
 use crate::view::AdminCall;
+use crate::worker_pool::WorkerPool;
 
 /// Chosen by the operator's program; the same for every try of one apply.
 pub const APPLY_ID_HEADER: &str = "Sardineseam-Apply-Id";
@@ -40,6 +48,12 @@
 pub const SHEET_VERSION_HEADER: &str = "Sardineseam-Sheet-Version";
 const WORKER_COUNT: usize = 4;
 const MAX_BODY_BYTES: usize = MAX_SHEET_BYTES + 1;
+const MAX_CONNECTIONS: usize = 128;
+const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Memory for the bodies of requests being read.
+const MAX_HELD_BYTES: usize = 8 << 20;
+/// Longest wait for a request's headers, and then for its body.
+const READ_TIMEOUT_MS: u64 = 10_000;
 const DAEMON_TIMEOUT_MS: u64 = 2_000;
 const CSV: &str = "text/csv; charset=utf-8";
 const TEXT: &str = "text/plain; charset=utf-8";
@@ -113,12 +127,82 @@
         ),
         metrics: telemetry::metrics_handle(),
     };
-    let server = ApiServer::start(listener, WORKER_COUNT, MAX_BODY_BYTES, move |request| admin.answer(request))?;
-    *daemon.admin_server.borrow_mut() = Some(server);
+    let served = Rc::new(Served {
+        admin: Arc::new(admin),
+        workers: WorkerPool::start(WORKER_COUNT),
+        held_bytes: ByteBudget::new(MAX_HELD_BYTES),
+    });
+    let handler = Rc::new(move |request| {
+        let served = served.clone();
+        Box::pin(async move { served.answer(request).await }) as _
+    });
+    let limits = ServerLimits {
+        max_connections: MAX_CONNECTIONS,
+        header_timeout_ms: READ_TIMEOUT_MS,
+        max_header_bytes: MAX_HEADER_BYTES,
+    };
+    spawn(serve(listener, limits, daemon.admin_control.clone(), handler));
     spawn(answer_calls(daemon.clone(), receiver));
     Ok(())
 }
 
+/// Reads requests on the event loop and answers them on threads that may block.
+struct Served {
+    admin: Arc<Admin>,
+    workers: WorkerPool,
+    held_bytes: ByteBudget,
+}
+
+impl Served {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let reply = match self.read(request).await {
+            Ok(request) => {
+                let admin = self.admin.clone();
+                let answered = self.workers.call(move || admin.answer(&request)).await;
+                answered.unwrap_or_else(|error| ApiReply::error(503, &error.to_string()))
+            }
+            Err(refusal) => refusal,
+        };
+        into_response(reply)
+    }
+
+    async fn read(&self, request: Request<Incoming>) -> std::result::Result<ApiRequest, ApiReply> {
+        let (head, body) = request.into_parts();
+        let deadline = Instant::now() + Duration::from_millis(READ_TIMEOUT_MS);
+        let body = match before(deadline, collect(body, MAX_BODY_BYTES, &self.held_bytes)).await {
+            Some(Ok(body)) => body,
+            Some(Err(error @ BodyError::TooLarge { .. })) => return Err(ApiReply::error(413, &error.to_string())),
+            Some(Err(error @ BodyError::NoMemory)) => return Err(ApiReply::error(503, &error.to_string())),
+            Some(Err(error)) => return Err(ApiReply::error(400, &error.to_string())),
+            None => return Err(ApiReply::error(408, "the body did not arrive in time")),
+        };
+        let mut headers = Vec::new();
+        for (name, value) in &head.headers {
+            headers.push((name.to_string(), String::from_utf8_lossy(value.as_bytes()).into_owned()));
+        }
+        Ok(ApiRequest {
+            method: head.method,
+            path: head.uri.path().to_owned(),
+            query: head.uri.query().unwrap_or("").to_owned(),
+            headers,
+            body: body.bytes.to_vec(),
+        })
+    }
+}
+
+fn into_response(reply: ApiReply) -> Response<Body> {
+    let mut response = Response::new(Full::new(Bytes::from(reply.body)));
+    *response.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(reply.content_type));
+    for (name, value) in reply.headers {
+        if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::try_from(value)) {
+            headers.insert(name, value);
+        }
+    }
+    response
+}
+
 async fn answer_calls(daemon: Rc<Daemon>, mut calls: UnboundedReceiver<AdminCall>) {
     while let Some(call) = calls.next().await {
         daemon.answer_admin(call);
@@ -138,18 +222,18 @@
 impl Admin {
     fn answer(&self, request: &ApiRequest) -> ApiReply {
         let reply = match (&request.method, request.path.as_str()) {
-            (Method::Get, "/healthz") => Ok(ApiReply::bytes(TEXT, b"ok\n".to_vec())),
-            (Method::Get, "/readyz") => self.readiness(),
-            (Method::Get, "/metrics") => Ok(ApiReply::bytes(TEXT, self.metrics.render().into_bytes())),
-            (Method::Get, "/v1/status") => self.view(request, AdminCall::Status),
-            (Method::Get, "/v1/pools") => self.view(request, AdminCall::Pools),
-            (Method::Get, "/v1/hosts") => self.view(request, AdminCall::Hosts),
-            (Method::Get, "/v1/waves") => self.view(request, AdminCall::Waves),
-            (Method::Get, "/v1/sheet") => self.sheet(request),
-            (Method::Put, "/v1/sheet") => self.apply(request),
-            (Method::Post, "/v1/sheet/check") => self.check(request),
-            (Method::Post, "/v1/tokens") => self.issue_token(request),
-            (Method::Delete, path) if path.starts_with("/v1/tokens/") => self.withdraw_tokens(request),
+            (&Method::GET, "/healthz") => Ok(ApiReply::bytes(TEXT, b"ok\n".to_vec())),
+            (&Method::GET, "/readyz") => self.readiness(),
+            (&Method::GET, "/metrics") => Ok(ApiReply::bytes(TEXT, self.metrics.render().into_bytes())),
+            (&Method::GET, "/v1/status") => self.view(request, AdminCall::Status),
+            (&Method::GET, "/v1/pools") => self.view(request, AdminCall::Pools),
+            (&Method::GET, "/v1/hosts") => self.view(request, AdminCall::Hosts),
+            (&Method::GET, "/v1/waves") => self.view(request, AdminCall::Waves),
+            (&Method::GET, "/v1/sheet") => self.sheet(request),
+            (&Method::PUT, "/v1/sheet") => self.apply(request),
+            (&Method::POST, "/v1/sheet/check") => self.check(request),
+            (&Method::POST, "/v1/tokens") => self.issue_token(request),
+            (&Method::DELETE, path) if path.starts_with("/v1/tokens/") => self.withdraw_tokens(request),
             (method, path) => Err(ApiReply::error(404, &format!("no such resource: {method} {path}"))),
         };
         reply.unwrap_or_else(|refusal| refusal)
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -32,7 +32,7 @@
 pub(crate) struct Listeners {
     pub(crate) callers: Option<Listener>,
     pub(crate) peers: Option<Listener>,
-    pub(crate) admin: Option<std::net::TcpListener>,
+    pub(crate) admin: Option<Listener>,
 }
 
 /// Traffic with peers and platform, in messages.
@@ -64,6 +64,7 @@
     /// Callers' server and, with it, the peers' server.
     pub(crate) control: Rc<ServerControl>,
     pub(crate) peer_control: Rc<ServerControl>,
+    pub(crate) admin_control: Rc<ServerControl>,
     /// There is news for peers.
     pub(crate) news: Signal,
     pub(crate) news_count: Cell<u64>,
@@ -72,7 +73,6 @@
     /// A newer sheet was heard of.
     pub(crate) sheet_wanted: Signal,
     pub(crate) listeners: RefCell<Listeners>,
-    pub(crate) admin_server: RefCell<Option<crate::api_server::ApiServer>>,
 }
 
 impl Daemon {
@@ -111,12 +111,12 @@
             links: LinkState::default(),
             control: Rc::default(),
             peer_control: Rc::default(),
+            admin_control: Rc::default(),
             news: Signal::default(),
             news_count: Cell::new(0),
             waiting: Signal::default(),
             sheet_wanted: Signal::default(),
             listeners: RefCell::new(listeners),
-            admin_server: RefCell::new(None),
             settings,
             platform,
         }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -84,7 +84,7 @@
     let listeners = Listeners {
         callers: Some(Listener::new(callers).map_err(Error::io("register the callers' listener"))?),
         peers: Some(Listener::new(peers).map_err(Error::io("register the peers' listener"))?),
-        admin: Some(admin),
+        admin: Some(Listener::new(admin).map_err(Error::io("register the administration's listener"))?),
     };
     let pool = PlatformPool::start(platform, PLATFORM_THREADS);
     let daemon = Rc::new(Daemon::new(settings, peer_address, pool, listeners));
@@ -92,9 +92,7 @@
     log::info!("{} in zone {} serves {addresses}", daemon.settings.name, daemon.settings.zone);
     telemetry::announce(&addresses);
     spawn(stop_on_signal(daemon.clone(), signals));
-    let result = reactor.run().map_err(Error::io("run the event loop"));
-    daemon.admin_server.borrow_mut().take();
-    result
+    reactor.run().map_err(Error::io("run the event loop"))
 }
 
 fn connect_platform(settings: &Settings) -> Result<Arc<dyn Platform>> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,7 +18,7 @@
 //! actions. The daemon feeds it from sockets, the benchmarks from a virtual clock.
 
 mod admin;
-mod api_server;
+mod api;
 mod auth;
 mod clock;
 mod daemon;
@@ -51,6 +51,7 @@
 mod trace;
 mod view;
 pub mod wire;
+mod worker_pool;
 
 pub use admin::{
     Applied, IssuedToken, SheetConflict, SheetProblems, SheetSummary, WithdrawnTokens, APPLY_ID_HEADER,
--- a/src/platform_pool.rs
+++ b/src/platform_pool.rs
@@ -1,24 +1,16 @@
 //! Runs blocking platform calls on a few threads and hands the results to futures.
 
 use std::fmt;
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::thread;
-
-use futures::channel::oneshot;
+use std::sync::Arc;
 
 use crate::platform::{Platform, PlatformError};
-
-/// Calls that may wait for a thread.
-const MAX_WAITING_CALLS: usize = 64;
-
-type Call = Box<dyn FnOnce(&dyn Platform) + Send>;
+use crate::worker_pool::{WorkerError, WorkerPool};
 
 /// Threads that call the platform.
 #[derive(Clone)]
 pub(crate) struct PlatformPool {
     platform: Arc<dyn Platform>,
-    calls: SyncSender<Call>,
+    workers: WorkerPool,
 }
 
 impl fmt::Debug for PlatformPool {
@@ -30,18 +22,7 @@
 impl PlatformPool {
     /// Starts `thread_count` threads; they end with the last clone of the pool.
     pub(crate) fn start(platform: Arc<dyn Platform>, thread_count: usize) -> PlatformPool {
-        let (calls, receiver) = sync_channel::<Call>(MAX_WAITING_CALLS);
-        let receiver = Arc::new(Mutex::new(receiver));
-        for _ in 0..thread_count {
-            let platform = platform.clone();
-            let receiver = receiver.clone();
-            thread::spawn(move || {
-                while let Some(call) = next(&receiver) {
-                    call(&*platform);
-                }
-            });
-        }
-        PlatformPool { platform, calls }
+        PlatformPool { platform, workers: WorkerPool::start(thread_count) }
     }
 
     /// The platform itself, for threads that may block.
@@ -55,23 +36,14 @@
         operation: &'static str,
         call: impl FnOnce(&dyn Platform) -> Result<T, PlatformError> + Send + 'static,
     ) -> Result<T, PlatformError> {
-        let (sender, receiver) = oneshot::channel();
-        let run: Call = Box::new(move |platform| {
-            // The future may have been dropped meanwhile; its result interests nobody then.
-            let _ = sender.send(call(platform));
-        });
-        let unavailable = |reason: &str| PlatformError::Unavailable { operation, reason: reason.to_owned() };
-        match self.calls.try_send(run) {
-            Ok(()) => {}
-            Err(TrySendError::Full(_)) => return Err(unavailable("too many calls wait for the platform")),
-            Err(TrySendError::Disconnected(_)) => return Err(unavailable("the platform threads have ended")),
-        }
-        receiver.await.unwrap_or_else(|_| {
-            Err(PlatformError::AnswerLost { operation, reason: "the platform thread ended".to_owned() })
+        let platform = self.platform.clone();
+        let result = self.workers.call(move || call(&*platform)).await;
+        result.unwrap_or_else(|error| {
+            let reason = error.to_string();
+            Err(match error {
+                WorkerError::Busy => PlatformError::Unavailable { operation, reason },
+                WorkerError::Ended => PlatformError::AnswerLost { operation, reason },
+            })
         })
     }
 }
-
-fn next(receiver: &Mutex<Receiver<Call>>) -> Option<Call> {
-    receiver.lock().unwrap_or_else(PoisonError::into_inner).recv().ok()
-}
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -1,5 +1,6 @@
 //! Stand-in for the platform: table, object store, lagging host list and workers, with switchable faults.
 
+mod api_server;
 mod faults;
 mod server;
 mod store;
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -17,11 +17,12 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
+use http::Method;
 use serde::de::DeserializeOwned;
-use tiny_http::Method;
 
+use super::api_server::ApiServer;
 use super::{FaultChange, HostUpdate, StandIn, TaskUpdate};
-use crate::api_server::{ApiReply, ApiRequest, ApiServer};
+use crate::api::{ApiReply, ApiRequest};
 use crate::error::Result;
 use crate::platform::PlatformError;
 use crate::table::Transaction;
@@ -58,19 +59,19 @@
     let path = request.path.trim_start_matches('/');
     let (collection, item) = path.split_once('/').unwrap_or((path, ""));
     let reply = match (&request.method, collection) {
-        (Method::Get, "faults") => Ok(ApiReply::json(200, &standin.faults())),
-        (Method::Put, "faults") => change_faults(standin, request),
-        (Method::Get, "stats") => Ok(ApiReply::json(200, &standin.store().stats())),
-        (Method::Put | Method::Delete, "hosts") => change_host(standin, request, item),
-        (Method::Get, "hosts") => list_hosts(standin, request),
-        (Method::Get, "tasks") => {
+        (&Method::GET, "faults") => Ok(ApiReply::json(200, &standin.faults())),
+        (&Method::PUT, "faults") => change_faults(standin, request),
+        (&Method::GET, "stats") => Ok(ApiReply::json(200, &standin.store().stats())),
+        (&Method::PUT | &Method::DELETE, "hosts") => change_host(standin, request, item),
+        (&Method::GET, "hosts") => list_hosts(standin, request),
+        (&Method::GET, "tasks") => {
             let now_us = standin.now_us();
             Ok(ApiReply::json(200, &standin.store().tasks.list(now_us)))
         }
-        (Method::Post, "tasks") => update_task(standin, request, item),
-        (Method::Get, "table") => read_table(standin, request, item),
-        (Method::Post, "table") => commit(standin, request),
-        (Method::Get | Method::Put, "objects") => object(standin, request, item),
+        (&Method::POST, "tasks") => update_task(standin, request, item),
+        (&Method::GET, "table") => read_table(standin, request, item),
+        (&Method::POST, "table") => commit(standin, request),
+        (&Method::GET | &Method::PUT, "objects") => object(standin, request, item),
         _ => Err(ApiReply::error(404, &format!("no such resource: {} {}", request.method, request.path))),
     };
     reply.unwrap_or_else(|refusal| refusal)
@@ -101,7 +102,7 @@
         return Err(ApiReply::error(404, "name the host: /hosts/NAME"));
     }
     let now_us = standin.now_us();
-    if request.method == Method::Delete {
+    if request.method == Method::DELETE {
         let removed = standin.store().remove_host(now_us, name);
         return if removed { Ok(ApiReply::json(200, &())) } else { Err(ApiReply::error(404, "no such host")) };
     }
@@ -147,7 +148,7 @@
 
 fn object(standin: &StandIn, request: &ApiRequest, key: &str) -> Answer {
     let zone = zone_of(request);
-    if request.method == Method::Put {
+    if request.method == Method::PUT {
         let stored = standin.call(zone, "put_object", |store, _| store.put_object(key, &request.body));
         return Ok(ApiReply::json(200, &stored.map_err(|error| fault_reply(&error))?));
     }
--- /dev/null
+++ b/src/worker_pool.rs
@@ -0,0 +1,73 @@
+//! A few threads for calls that block, with results handed to futures.
+
+use std::fmt;
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+use futures::channel::oneshot;
+
+/// Calls that may wait for a thread.
+const MAX_WAITING_CALLS: usize = 64;
+
+type Job = Box<dyn FnOnce() + Send>;
+
+/// Why a call has no result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum WorkerError {
+    /// The call was not made.
+    #[error("too many calls wait for a thread")]
+    Busy,
+    /// The call may have been made.
+    #[error("the thread ended during the call")]
+    Ended,
+}
+
+/// See the module. The threads end with the last clone.
+#[derive(Clone)]
+pub(crate) struct WorkerPool {
+    jobs: SyncSender<Job>,
+}
+
+impl fmt::Debug for WorkerPool {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("WorkerPool")
+    }
+}
+
+impl WorkerPool {
+    /// Starts `thread_count` threads.
+    pub(crate) fn start(thread_count: usize) -> WorkerPool {
+        let (jobs, receiver) = sync_channel::<Job>(MAX_WAITING_CALLS);
+        let receiver = Arc::new(Mutex::new(receiver));
+        for _ in 0..thread_count {
+            let receiver = receiver.clone();
+            thread::spawn(move || {
+                while let Some(job) = next(&receiver) {
+                    job();
+                }
+            });
+        }
+        WorkerPool { jobs }
+    }
+
+    /// Runs `call` on one of the threads.
+    pub(crate) async fn call<T: Send + 'static>(
+        &self,
+        call: impl FnOnce() -> T + Send + 'static,
+    ) -> Result<T, WorkerError> {
+        let (sender, receiver) = oneshot::channel();
+        let job: Job = Box::new(move || {
+            // The future may have been dropped meanwhile; its result interests nobody then.
+            let _ = sender.send(call());
+        });
+        match self.jobs.try_send(job) {
+            Ok(()) => receiver.await.map_err(|_| WorkerError::Ended),
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => Err(WorkerError::Busy),
+        }
+    }
+}
+
+fn next(receiver: &Mutex<Receiver<Job>>) -> Option<Job> {
+    receiver.lock().unwrap_or_else(PoisonError::into_inner).recv().ok()
+}
