Serve callers on several threads that share the decisions

Ruled out: one dispatcher for each thread (worse decisions, more connections to endpoints). Change: lanes with their own event loop and connections; one dispatcher behind a lock, held for one event.

--- a/benches/group.rs
+++ b/benches/group.rs
@@ -27,20 +27,20 @@
 
     println!("| idle daemon of six | median | worst |");
     println!("|---|---|---|");
-    let before: Vec<(u64, u64)> = daemons.iter().map(|daemon| (daemon.cpu_ticks(), sent_bytes(daemon))).collect();
+    let before: Vec<u64> = daemons.iter().map(Process::cpu_ticks).collect();
+    let bytes_before = loopback_bytes();
     let started = Instant::now();
     thread::sleep(IDLE);
     let elapsed_s = started.elapsed().as_secs_f64();
     let mut cpu: Vec<f64> = Vec::new();
-    let mut bytes: Vec<f64> = Vec::new();
-    for (daemon, (ticks, sent)) in daemons.iter().zip(before) {
+    let kb_per_s = (loopback_bytes() - bytes_before) as f64 / elapsed_s / 1_000.0 / DAEMONS as f64;
+    for (daemon, ticks) in daemons.iter().zip(before) {
         cpu.push((daemon.cpu_ticks() - ticks) as f64 / TICKS_PER_S / elapsed_s * 100.0);
-        bytes.push((sent_bytes(daemon) - sent) as f64 / elapsed_s / 1_000.0);
     }
     let mut resident: Vec<f64> = daemons.iter().map(|daemon| daemon.resident_kib() as f64 / 1_024.0).collect();
     println!("| processor, % of a core | {:.2} | {:.2} |", median(&mut cpu), percentile(&mut cpu, 100.0));
     println!("| resident, MiB | {:.1} | {:.1} |", median(&mut resident), percentile(&mut resident, 100.0));
-    println!("| written to sockets, KB/s | {:.2} | {:.2} |", median(&mut bytes), percentile(&mut bytes, 100.0));
+    println!("| sent and received, KB/s | {kb_per_s:.2} on average | |");
 
     println!();
     println!("| sheet in force on six daemons | median s | worst s |");
@@ -73,9 +73,10 @@
     serde_json::from_str::<serde_json::Value>(&body).ok().and_then(|view| view["sheet_version"].as_u64()).unwrap_or(0)
 }
 
-/// Bytes that a process wrote to files and sockets; an idle daemon writes to sockets only.
-fn sent_bytes(process: &Process) -> u64 {
-    let io = std::fs::read_to_string(format!("/proc/{}/io", process.id())).expect("io");
-    let line = io.lines().find(|line| line.starts_with("wchar:")).expect("wchar");
-    line.split_whitespace().nth(1).expect("a number").parse().expect("a number")
+/// Bytes that crossed the loopback interface, headers included: all traffic of the daemons with each other and
+/// with the stand-in, each byte once.
+fn loopback_bytes() -> u64 {
+    let devices = std::fs::read_to_string("/proc/net/dev").expect("devices");
+    let line = devices.lines().find(|line| line.trim_start().starts_with("lo:")).expect("loopback");
+    line.split_whitespace().nth(9).expect("a number").parse().expect("a number")
 }
--- a/src/bin/sardineseamd/args.rs
+++ b/src/bin/sardineseamd/args.rs
@@ -30,6 +30,8 @@
         optional --bootstrap-token token: String
         /// Trace collector's URL for OTLP over HTTP, such as http://127.0.0.1:4318. Default: none
         optional --otlp-url url: String
+        /// Threads that serve callers. Default: one for each processor, at most 4
+        optional --lanes count: String
         /// Connections held from callers. Default: 4096
         optional --max-callers count: String
         /// Largest body of a request, in bytes. Default: 1048576
--- a/src/bin/sardineseamd/config.rs
+++ b/src/bin/sardineseamd/config.rs
@@ -7,6 +7,7 @@
 
 use super::args::Sardineseamd;
 
+const MAX_DEFAULT_LANES: usize = 4;
 const VARIABLE_PREFIX: &str = "SARDINESEAM_";
 
 /// Looks settings up in the environment.
@@ -40,6 +41,11 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
+/// One thread for each processor, as far as more of them help.
+fn default_lanes() -> usize {
+    std::thread::available_parallelism().map_or(1, |count| count.get().min(MAX_DEFAULT_LANES))
+}
+
 /// Builds the daemon's settings.
 ///
 /// # Errors
@@ -68,6 +74,7 @@
         log_format: log_format(source.text("log-format", args.log_format))?,
         bootstrap_token: source.text("bootstrap-token", args.bootstrap_token),
         otlp_url: source.text("otlp-url", args.otlp_url),
+        lanes: source.count("lanes", args.lanes, default_lanes())?,
         max_callers: source.count("max-callers", args.max_callers, 4_096)?,
         max_body_bytes: source.count("max-body-bytes", args.max_body_bytes, 1 << 20)?,
         max_answer_bytes: source.count("max-answer-bytes", args.max_answer_bytes, 8 << 20)?,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -8,29 +8,28 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use futures::channel::mpsc::{unbounded, UnboundedReceiver};
 use rand::Rng;
 
-use crate::clock::{Clock, US_PER_MS};
+use crate::clock::US_PER_MS;
 use crate::dispatch::{DispatchSettings, Dispatcher};
-use crate::endpoint_client::EndpointClient;
-use crate::entry::RequestTable;
+use crate::entry::Lanes;
 use crate::fleet::Fleet;
-use crate::held_body::ByteBudget;
 use crate::http_server::ServerControl;
 use crate::peer_client::PeerClient;
 use crate::peer_message::PoolLoad;
 use crate::platform_pool::PlatformPool;
 use crate::reactor::{Listener, Signal};
+use crate::request_path::{Report, RequestPath};
 use crate::roster::{DaemonInfo, Roster};
 use crate::settings::Settings;
 use crate::sheet_state::SheetState;
-use crate::trace::SpanExporter;
 
 pub use run::{populate, run, BoundDaemon};
 
 /// Sockets taken before the daemon starts, so that a taken port is reported at once.
 pub(crate) struct Listeners {
-    pub(crate) callers: Option<Listener>,
+    pub(crate) callers: Option<std::net::TcpListener>,
     pub(crate) peers: Option<Listener>,
     pub(crate) admin: Option<Listener>,
 }
@@ -47,29 +46,24 @@
 /// See the module.
 pub(crate) struct Daemon {
     pub(crate) settings: Settings,
-    pub(crate) clock: Clock,
+    /// Shared with the threads that serve callers.
+    pub(crate) path: Arc<RequestPath>,
+    pub(crate) reports: RefCell<Option<UnboundedReceiver<Report>>>,
+    pub(crate) lanes: RefCell<Lanes>,
     pub(crate) platform: PlatformPool,
-    pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) sheet: RefCell<SheetState>,
     pub(crate) roster: RefCell<Roster>,
-    pub(crate) requests: RequestTable,
-    /// Memory for bodies of requests and answers.
-    pub(crate) held_bytes: ByteBudget,
-    pub(crate) endpoints: EndpointClient,
     pub(crate) peers: PeerClient,
     pub(crate) peer_load: RefCell<std::collections::BTreeMap<Arc<str>, Vec<PoolLoad>>>,
-    pub(crate) spans: SpanExporter,
     pub(crate) links: LinkState,
-    /// Callers' server and, with it, the peers' server.
-    pub(crate) control: Rc<ServerControl>,
+    /// The daemon finishes its work to stop.
+    pub(crate) stopping: Cell<bool>,
     pub(crate) peer_control: Rc<ServerControl>,
     pub(crate) admin_control: Rc<ServerControl>,
     /// There is news for peers.
     pub(crate) news: Signal,
     pub(crate) news_count: Cell<u64>,
-    /// Requests began to wait in a queue.
-    pub(crate) waiting: Signal,
     /// A newer sheet was heard of.
     pub(crate) sheet_wanted: Signal,
     pub(crate) listeners: RefCell<Listeners>,
@@ -96,25 +90,24 @@
             max_queue_wait_us: settings.max_queue_wait_ms * US_PER_MS,
             ..DispatchSettings::default()
         };
+        let dispatcher = Dispatcher::new(dispatch, &settings.name, &settings.zone, incarnation);
+        let (reports, receiver) = unbounded();
+        let path = RequestPath::new(settings.clone(), dispatcher, incarnation, reports);
         Daemon {
-            clock: Clock::new(),
-            dispatcher: RefCell::new(Dispatcher::new(dispatch, &settings.name, &settings.zone, incarnation)),
+            path: Arc::new(path),
+            reports: RefCell::new(Some(receiver)),
+            lanes: RefCell::default(),
             fleet: RefCell::new(Fleet::new()),
             sheet: RefCell::new(SheetState::new()),
             roster: RefCell::new(Roster::new(own)),
-            requests: RequestTable::new(incarnation),
-            held_bytes: ByteBudget::new(settings.max_held_bytes),
-            endpoints: EndpointClient::default(),
             peers: PeerClient::default(),
             peer_load: RefCell::default(),
-            spans: SpanExporter::start(settings.otlp_url.as_deref(), &settings.name),
             links: LinkState::default(),
-            control: Rc::default(),
+            stopping: Cell::new(false),
             peer_control: Rc::default(),
             admin_control: Rc::default(),
             news: Signal::default(),
             news_count: Cell::new(0),
-            waiting: Signal::default(),
             sheet_wanted: Signal::default(),
             listeners: RefCell::new(listeners),
             settings,
@@ -123,12 +116,12 @@
     }
 
     pub(crate) fn now_us(&self) -> u64 {
-        self.clock.now_us()
+        self.path.now_us()
     }
 
     /// Whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
-        self.sheet.borrow().in_force().is_some() && !self.control.is_stopping()
+        self.sheet.borrow().in_force().is_some() && !self.stopping.get()
     }
 
     /// Makes the gossip task tell peers at once.
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -82,7 +82,7 @@
     let mut reactor = Reactor::new().map_err(Error::io("start the event loop"))?;
     let peer_address = peers.local_addr().map_err(Error::io("read a listener's address"))?;
     let listeners = Listeners {
-        callers: Some(Listener::new(callers).map_err(Error::io("register the callers' listener"))?),
+        callers: Some(callers),
         peers: Some(Listener::new(peers).map_err(Error::io("register the peers' listener"))?),
         admin: Some(Listener::new(admin).map_err(Error::io("register the administration's listener"))?),
     };
@@ -154,13 +154,14 @@
 
 async fn stop_on_signal(daemon: Rc<Daemon>, mut signals: UnboundedReceiver<i32>) {
     let _ = signals.next().await;
-    log::info!("stopping: no new work, {} requests in progress", daemon.requests.len());
-    daemon.control.stop();
+    log::info!("stopping: no new work, {} requests in progress", daemon.path.requests.len());
+    daemon.stopping.set(true);
     spawn(report_further_signals(daemon.clone(), signals));
-    daemon.control.stopped().await;
+    let lanes = std::mem::take(&mut *daemon.lanes.borrow_mut());
+    lanes.stop().await;
     // Requests whose callers hung up run on without a connection.
-    while daemon.requests.len() > 0 {
-        sleep_until(daemon.clock.instant(daemon.now_us() + DRAIN_CHECK_MS * US_PER_MS)).await;
+    while daemon.path.requests.len() > 0 {
+        sleep_until(daemon.path.clock.instant(daemon.now_us() + DRAIN_CHECK_MS * US_PER_MS)).await;
     }
     hand_back_lease(&daemon).await;
     daemon.peer_control.stop();
@@ -171,7 +172,7 @@
 /// A planned stop cuts nothing, however often it is asked for.
 async fn report_further_signals(daemon: Rc<Daemon>, mut signals: UnboundedReceiver<i32>) {
     while signals.next().await.is_some() {
-        let names = daemon.requests.names();
+        let names = daemon.path.requests.names();
         log::warn!("still stopping; a kill would cut {} requests: {}", names.len(), names.join(", "));
     }
 }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -17,7 +17,7 @@
 #[cfg(test)]
 mod queue_tests;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use rand::rngs::SmallRng;
@@ -163,6 +163,8 @@
     daemon_count: usize,
     pools: HashMap<Arc<str>, Pool>,
     attempts: HashMap<AttemptId, Arc<str>>,
+    /// Pools in whose queues requests wait.
+    waiting: BTreeSet<Arc<str>>,
     last_attempt: u64,
     rng: SmallRng,
 }
@@ -177,11 +179,17 @@
             daemon_count: 1,
             pools: HashMap::new(),
             attempts: HashMap::new(),
+            waiting: BTreeSet::new(),
             last_attempt: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
 
+    /// Bounds and weights in use.
+    pub fn settings(&self) -> &DispatchSettings {
+        &self.settings
+    }
+
     /// Number of daemons that share the endpoints, this one included; `true` if it changed.
     pub fn set_daemon_count(&mut self, daemon_count: usize) -> bool {
         let daemon_count = daemon_count.max(1);
@@ -233,24 +241,18 @@
     /// Refuses waiting requests that can no longer be served in time, and uses endpoints that are due again.
     pub fn tick(&mut self, now_us: u64) -> Vec<Action> {
         let mut actions = Vec::new();
-        let mut waiting = Vec::new();
-        for (name, pool) in &mut self.pools {
-            if pool.queued() == 0 {
-                continue;
+        for name in self.waiting.clone() {
+            if let Some(pool) = self.pools.get_mut(&name) {
+                pool.expire(now_us, &mut actions);
             }
-            pool.expire(now_us, &mut actions);
-            waiting.push(name.clone());
-        }
-        for name in waiting {
             self.pump(now_us, &name, &mut actions);
         }
         actions
     }
 
-    /// When [`Dispatcher::tick`] is due, if any request waits.
-    pub fn next_tick_us(&self, now_us: u64) -> Option<u64> {
-        let waiting = self.pools.values().any(|pool| pool.queued() > 0);
-        waiting.then(|| now_us + self.settings.tick_us)
+    /// Whether any request waits, so that [`Dispatcher::tick`] is due every [`DispatchSettings::tick_us`].
+    pub fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
     }
 
     /// Requests waiting in a pool's queue.
@@ -284,17 +286,23 @@
         self.pools.get(pool).map_or(1, |state| state.connection_limit(self.daemon_count))
     }
 
+    /// Starts waiting requests while endpoints have room.
     fn pump(&mut self, now_us: u64, name: &Arc<str>, actions: &mut Vec<Action>) {
         let Some(pool) = self.pools.get_mut(name) else { return };
         loop {
             let attempt = AttemptId(self.last_attempt + 1);
             let Some(start) = pool.start_next(now_us, attempt, self.daemon_count, &mut self.rng, actions) else {
-                return;
+                break;
             };
             self.last_attempt += 1;
             self.attempts.insert(attempt, name.clone());
             actions.push(start);
         }
+        if pool.queued() == 0 {
+            self.waiting.remove(name);
+        } else if !self.waiting.contains(name) {
+            self.waiting.insert(name.clone());
+        }
     }
 }
 
--- a/src/endpoint_client.rs
+++ b/src/endpoint_client.rs
@@ -152,11 +152,6 @@
             !connections.is_empty()
         });
     }
-
-    /// Idle connections to all endpoints.
-    pub(crate) fn idle_count(&self) -> usize {
-        self.idle.borrow().values().map(Vec::len).sum()
-    }
 }
 
 /// Result of `future`, or `None` if `deadline` comes first.
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -7,12 +7,13 @@
 
 use super::plan::Plan;
 use super::request_table::AttemptOrder;
+use super::Lane;
 use crate::clock::US_PER_MS;
-use crate::daemon::Daemon;
 use crate::dispatch::{AttemptEnd, LoadReport};
 use crate::endpoint_client::{Call, CallEnd};
 use crate::fleet::Departure;
 use crate::held_body::HeldBody;
+use crate::request_path::Report;
 use crate::trace::{unix_now_ns, Span, SpanKind, TraceContext};
 use crate::wire::{self, Outcome};
 
@@ -25,7 +26,7 @@
 
 /// Sends the request and judges what comes back.
 pub(super) async fn run(
-    daemon: &Daemon,
+    lane: &Lane,
     plan: &Plan,
     order: &AttemptOrder,
     body: Bytes,
@@ -36,17 +37,17 @@
     let context = parent.child();
     let call = Call {
         address: order.endpoint.address,
-        request: outgoing(daemon, plan, order, body, request_name, &context),
+        request: outgoing(lane, plan, order, body, request_name, &context),
         request_id: request_name,
-        deadline: daemon.clock.instant(order.deadline_us),
+        deadline: lane.path.clock.instant(order.deadline_us),
         idempotent: plan.idempotent,
-        max_answer_bytes: daemon.settings.max_answer_bytes,
-        held_bytes: &daemon.held_bytes,
+        max_answer_bytes: lane.path.settings.max_answer_bytes,
+        held_bytes: &lane.path.held_bytes,
     };
-    let attempt = judge(daemon, order, daemon.endpoints.send(call).await);
+    let attempt = judge(lane, order, lane.endpoints.send(call).await);
     metrics::counter!("attempts_total", "end" => end_name(attempt.end)).increment(1);
-    if daemon.spans.is_enabled() {
-        daemon.spans.export(Span {
+    if lane.path.spans.is_enabled() {
+        lane.path.spans.export(Span {
             context,
             parent_span_id: Some(parent.span_id.clone()),
             name: "attempt",
@@ -60,7 +61,7 @@
 }
 
 fn outgoing(
-    daemon: &Daemon,
+    lane: &Lane,
     plan: &Plan,
     order: &AttemptOrder,
     body: Bytes,
@@ -71,7 +72,7 @@
     // The body is held whole, so its length is known and no 100-continue is needed.
     headers.remove(EXPECT);
     headers.remove(CONTENT_LENGTH);
-    let left_ms = order.deadline_us.saturating_sub(daemon.now_us()) / US_PER_MS;
+    let left_ms = order.deadline_us.saturating_sub(lane.path.now_us()) / US_PER_MS;
     headers.insert(wire::DEADLINE_MS, HeaderValue::from(left_ms));
     set_text(&mut headers, HOST.as_str(), &order.endpoint.address.to_string());
     set_text(&mut headers, wire::REQUEST_ID, request_name);
@@ -89,7 +90,7 @@
     }
 }
 
-fn judge(daemon: &Daemon, order: &AttemptOrder, end: CallEnd) -> Attempt {
+fn judge(lane: &Lane, order: &AttemptOrder, end: CallEnd) -> Attempt {
     let answer = match end {
         CallEnd::Answered(answer) => answer,
         CallEnd::NotSent(reason) => {
@@ -102,7 +103,8 @@
     };
     let load = load_of(&answer);
     if text(&answer, wire::STATE) == Some(wire::LEAVING) {
-        daemon.depart(&Departure { host: order.endpoint.name.clone(), epoch: order.endpoint.epoch });
+        lane.path
+            .report(Report::Departed(Departure { host: order.endpoint.name.clone(), epoch: order.endpoint.epoch }));
     }
     let refused = answer.status() == StatusCode::SERVICE_UNAVAILABLE
         && text(&answer, wire::OUTCOME) == Some(Outcome::NotRun.name());
--- a/src/entry/plan.rs
+++ b/src/entry/plan.rs
@@ -8,7 +8,7 @@
 
 use super::reply::Refused;
 use crate::clock::US_PER_MS;
-use crate::sheet::Sheet;
+use crate::sheet_state::AcceptedSheet;
 use crate::trace::TraceContext;
 use crate::wire;
 
@@ -32,25 +32,30 @@
 
 impl Plan {
     /// Checks a request's head against the sheet in force.
-    pub(super) fn new(head: &Parts, sheet: &Sheet, now_us: u64, default_deadline_ms: u64) -> Result<Plan, Refused> {
+    pub(super) fn new(
+        head: Parts,
+        accepted: &AcceptedSheet,
+        now_us: u64,
+        default_deadline_ms: u64,
+    ) -> Result<Plan, Refused> {
         if head.method == Method::CONNECT {
             return Err(Refused::Method);
         }
-        let (service, path) = split_path(head)?;
-        let pool = sheet.pool_of_service(service).ok_or_else(|| Refused::UnknownService {
+        let (service, path) = split_path(&head)?;
+        let pool = accepted.pool_of_service(service).ok_or_else(|| Refused::UnknownService {
             service: service.chars().take(MAX_CALLER_CHARS).collect(),
-            known: sheet.pools.iter().map(|pool| pool.service.to_string()).collect(),
+            known: accepted.sheet.pools.iter().map(|pool| pool.service.to_string()).collect(),
         })?;
         let deadline_ms = deadline_ms(&head.headers, default_deadline_ms)?;
         let has_key = check_key(&head.headers)?;
         Ok(Plan {
-            pool: pool.name.clone(),
+            pool: pool.clone(),
             caller: caller(&head.headers),
-            method: head.method.clone(),
             path,
-            headers: end_to_end(&head.headers),
             idempotent: head.method.is_idempotent() && !has_key,
             deadline_us: now_us + deadline_ms * US_PER_MS,
+            method: head.method,
+            headers: end_to_end(head.headers),
         })
     }
 }
@@ -104,29 +109,30 @@
 }
 
 /// Headers without those that belong to one connection.
-pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let mut kept = headers.clone();
+pub(super) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    let mut named: Vec<HeaderName> = Vec::new();
     for value in headers.get_all(http::header::CONNECTION) {
         for name in value.to_str().unwrap_or("").split(',') {
-            if let Ok(name) = name.trim().parse::<HeaderName>() {
-                kept.remove(name);
-            }
+            named.extend(name.trim().parse::<HeaderName>());
         }
     }
-    for name in HOP_BY_HOP {
-        kept.remove(name);
+    for name in named {
+        headers.remove(name);
     }
-    kept
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers
 }
 
-const HOP_BY_HOP: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
+const HOP_BY_HOP: [HeaderName; 9] = [
+    http::header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    http::header::PROXY_AUTHENTICATE,
+    http::header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("proxy-connection"),
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::TRANSFER_ENCODING,
+    http::header::UPGRADE,
 ];
--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -99,7 +99,7 @@
 
     fn delivered(answer: Response<HeldBody>) -> CallerReply {
         let (mut head, body) = answer.into_parts();
-        head.headers = end_to_end(&head.headers);
+        head.headers = end_to_end(head.headers);
         for name in [wire::LOAD, wire::STATE, wire::OUTCOME, wire::REQUEST_ID] {
             head.headers.remove(name);
         }
--- a/src/entry/request_table.rs
+++ b/src/entry/request_table.rs
@@ -1,8 +1,8 @@
 //! Requests in progress in this daemon.
 
-use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use futures::channel::mpsc::UnboundedSender;
 
@@ -28,19 +28,18 @@
 #[derive(Debug)]
 pub(crate) struct RequestTable {
     incarnation: u64,
-    last_id: Cell<u64>,
-    waiting_for_step: RefCell<HashMap<RequestId, UnboundedSender<Step>>>,
+    last_id: AtomicU64,
+    steps: Mutex<HashMap<RequestId, UnboundedSender<Step>>>,
 }
 
 impl RequestTable {
     pub(crate) fn new(incarnation: u64) -> RequestTable {
-        RequestTable { incarnation, last_id: Cell::new(0), waiting_for_step: RefCell::default() }
+        RequestTable { incarnation, last_id: AtomicU64::new(0), steps: Mutex::default() }
     }
 
     /// A new request's id.
     pub(crate) fn next_id(&self) -> RequestId {
-        self.last_id.set(self.last_id.get() + 1);
-        RequestId(self.last_id.get())
+        RequestId(self.last_id.fetch_add(1, Ordering::Relaxed) + 1)
     }
 
     /// Name of a request that no other daemon's request has.
@@ -48,16 +47,21 @@
         format!("{:08x}-{}", self.incarnation, id.0)
     }
 
+    fn lock(&self) -> MutexGuard<'_, HashMap<RequestId, UnboundedSender<Step>>> {
+        self.steps.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(super) fn insert(&self, id: RequestId, steps: UnboundedSender<Step>) {
-        self.waiting_for_step.borrow_mut().insert(id, steps);
+        self.lock().insert(id, steps);
     }
 
     pub(super) fn remove(&self, id: RequestId) {
-        self.waiting_for_step.borrow_mut().remove(&id);
+        self.lock().remove(&id);
     }
 
-    pub(super) fn send(&self, id: RequestId, step: Step) {
-        if let Some(steps) = self.waiting_for_step.borrow().get(&id) {
+    /// Hands the next step to a request, wherever it is served.
+    pub(crate) fn send(&self, id: RequestId, step: Step) {
+        if let Some(steps) = self.lock().get(&id) {
             // The receiver lives until the request is removed from this table.
             let _ = steps.unbounded_send(step);
         }
@@ -65,13 +69,13 @@
 
     /// Names of the requests in progress.
     pub(crate) fn names(&self) -> Vec<String> {
-        let mut ids: Vec<RequestId> = self.waiting_for_step.borrow().keys().copied().collect();
+        let mut ids: Vec<RequestId> = self.lock().keys().copied().collect();
         ids.sort();
         ids.into_iter().map(|id| self.name(id)).collect()
     }
 
     /// Requests in progress.
     pub(crate) fn len(&self) -> usize {
-        self.waiting_for_step.borrow().len()
+        self.lock().len()
     }
 }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -43,7 +43,7 @@
 
 async fn sleep_ms(daemon: &Daemon, wait_ms: u64) {
     let deadline_us = daemon.now_us() + wait_ms * US_PER_MS;
-    sleep_until(daemon.clock.instant(deadline_us)).await;
+    sleep_until(daemon.path.clock.instant(deadline_us)).await;
 }
 
 /// Peers known from the platform, and those from the settings until it has told any.
--- a/src/held_body.rs
+++ b/src/held_body.rs
@@ -1,7 +1,7 @@
 //! Bodies held whole in memory, under a bound for each and a budget for all.
 
-use std::cell::Cell;
-use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -21,17 +21,17 @@
 /// Memory for all bodies of a daemon.
 #[derive(Debug, Clone)]
 pub(crate) struct ByteBudget {
-    used_bytes: Rc<Cell<usize>>,
+    used_bytes: Arc<AtomicUsize>,
     max_bytes: usize,
 }
 
 impl ByteBudget {
     pub(crate) fn new(max_bytes: usize) -> ByteBudget {
-        ByteBudget { used_bytes: Rc::default(), max_bytes }
+        ByteBudget { used_bytes: Arc::default(), max_bytes }
     }
 
     pub(crate) fn used_bytes(&self) -> usize {
-        self.used_bytes.get()
+        self.used_bytes.load(Ordering::Relaxed)
     }
 }
 
@@ -49,11 +49,11 @@
 
     /// Takes `more` bytes; `false` if the budget does not allow it.
     pub(crate) fn grow(&mut self, more: usize) -> bool {
-        let used_bytes = self.budget.used_bytes.get() + more;
-        if used_bytes > self.budget.max_bytes {
+        let used_bytes = &self.budget.used_bytes;
+        if used_bytes.fetch_add(more, Ordering::Relaxed) + more > self.budget.max_bytes {
+            used_bytes.fetch_sub(more, Ordering::Relaxed);
             return false;
         }
-        self.budget.used_bytes.set(used_bytes);
         self.count += more;
         true
     }
@@ -61,7 +61,7 @@
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
-        self.budget.used_bytes.set(self.budget.used_bytes.get() - self.count);
+        self.budget.used_bytes.fetch_sub(self.count, Ordering::Relaxed);
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 mod admin;
 mod api;
 mod auth;
+mod callers;
 mod clock;
 mod daemon;
 pub mod dispatch;
@@ -39,6 +40,7 @@
 mod platform_client;
 mod platform_pool;
 mod reactor;
+mod request_path;
 mod roster;
 pub mod sample_endpoint;
 mod settings;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -41,7 +41,7 @@
 async fn sleep_ms(daemon: &Daemon, wait_ms: u64) {
     let jitter = rand::rng().random_range(1.0 - JITTER..1.0 + JITTER);
     let wait_us = (wait_ms * US_PER_MS) as f64 * jitter;
-    sleep_until(daemon.clock.instant(daemon.now_us() + wait_us as u64)).await;
+    sleep_until(daemon.path.clock.instant(daemon.now_us() + wait_us as u64)).await;
 }
 
 /// One look at the platform.
@@ -92,7 +92,7 @@
 
 async fn follow_leases(daemon: Rc<Daemon>) {
     let mut looked_us = daemon.now_us();
-    while !daemon.control.is_stopping() {
+    while !daemon.stopping.get() {
         let renewal = daemon.roster.borrow_mut().renewal();
         let rows = daemon.platform.call("lease", move |platform| {
             let commit = platform.commit(&renewal)?;
@@ -170,12 +170,10 @@
 async fn keep_house(daemon: Rc<Daemon>) {
     loop {
         sleep_ms(&daemon, HOUSEKEEPING_MS).await;
-        daemon.endpoints.close_idle();
         let change = daemon.fleet.borrow_mut().forget_old(daemon.now_us());
         daemon.apply_fleet_change(&change);
-        metrics::gauge!("requests_in_progress").set(daemon.requests.len() as f64);
-        metrics::gauge!("held_bytes").set(daemon.held_bytes.used_bytes() as f64);
-        metrics::gauge!("idle_endpoint_connections").set(daemon.endpoints.idle_count() as f64);
+        metrics::gauge!("requests_in_progress").set(daemon.path.requests.len() as f64);
+        metrics::gauge!("held_bytes").set(daemon.path.held_bytes.used_bytes() as f64);
         metrics::gauge!("peer_connections").set(daemon.peers.link_count() as f64);
         // Without upkeep, histograms keep every sample until somebody reads them.
         crate::telemetry::metrics_handle().run_upkeep();
--- a/src/reactor/net.rs
+++ b/src/reactor/net.rs
@@ -19,6 +19,11 @@
 /// Largest piece read at once.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 
+thread_local! {
+    /// Where reads go before they are copied, so that no buffer is cleared for each read.
+    static READ_CHUNK: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_CHUNK_BYTES].into());
+}
+
 /// Futures waiting for a socket.
 #[derive(Debug, Default)]
 struct SocketWakers {
@@ -157,16 +162,17 @@
         cx: &mut TaskContext<'_>,
         mut cursor: hyper::rt::ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut chunk = [0_u8; READ_CHUNK_BYTES];
-        let length = cursor.remaining().min(chunk.len());
-        match self.read_into(cx, &mut chunk[..length]) {
-            Poll::Ready(Ok(count)) => {
-                cursor.put_slice(&chunk[..count]);
-                Poll::Ready(Ok(()))
+        READ_CHUNK.with_borrow_mut(|chunk| {
+            let length = cursor.remaining().min(chunk.len());
+            match self.read_into(cx, &mut chunk[..length]) {
+                Poll::Ready(Ok(count)) => {
+                    cursor.put_slice(&chunk[..count]);
+                    Poll::Ready(Ok(()))
+                }
+                Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+                Poll::Pending => Poll::Pending,
             }
-            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
-            Poll::Pending => Poll::Pending,
-        }
+        })
     }
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -50,6 +50,8 @@
     pub bootstrap_token: Option<String>,
     /// Collector for traces, over OTLP/HTTP.
     pub otlp_url: Option<String>,
+    /// Threads that serve callers.
+    pub lanes: usize,
     /// Connections held from callers.
     pub max_callers: usize,
     /// Largest body of a request, in bytes.
@@ -94,7 +96,7 @@
         if self.max_body_bytes > self.max_held_bytes {
             return refuse("max-body-bytes", self.max_body_bytes.to_string(), "must not exceed --max-held-bytes");
         }
-        if self.max_callers == 0 || self.endpoint_slots == 0 || self.endpoint_connections == 0 {
+        if self.lanes == 0 || self.max_callers == 0 || self.endpoint_slots == 0 || self.endpoint_connections == 0 {
             return refuse("max-callers", "0".to_owned(), "counts must be at least 1");
         }
         Ok(())
--- a/src/sheet.rs
+++ b/src/sheet.rs
@@ -67,19 +67,15 @@
     pub fn digest(body: &[u8]) -> Arc<str> {
         hex(&Sha256::digest(body)).into()
     }
-
-    /// The pool that serves `service`, if any.
-    pub fn pool_of_service(&self, service: &str) -> Option<&Pool> {
-        self.pools.iter().find(|pool| &*pool.service == service)
-    }
 }
 
 /// Lower-case hexadecimal form of `bytes`.
 pub(crate) fn hex(bytes: &[u8]) -> String {
-    use std::fmt::Write;
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
     let mut text = String::with_capacity(bytes.len() * 2);
     for byte in bytes {
-        let _ = write!(text, "{byte:02x}");
+        text.push(char::from(DIGITS[usize::from(byte >> 4)]));
+        text.push(char::from(DIGITS[usize::from(byte & 15)]));
     }
     text
 }
--- a/src/sheet_state.rs
+++ b/src/sheet_state.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod sheet_state_tests;
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -27,6 +28,20 @@
     pub sheet: Sheet,
     /// Content as it was applied.
     pub body: Vec<u8>,
+    pool_of_service: HashMap<Arc<str>, Arc<str>>,
+}
+
+impl AcceptedSheet {
+    fn new(reference: SheetRef, sheet: Sheet, body: Vec<u8>) -> AcceptedSheet {
+        let pools = sheet.pools.iter();
+        let pool_of_service = pools.map(|pool| (pool.service.clone(), pool.name.clone())).collect();
+        AcceptedSheet { reference, sheet, body, pool_of_service }
+    }
+
+    /// Name of the pool that serves `service`, if any.
+    pub fn pool_of_service(&self, service: &str) -> Option<&Arc<str>> {
+        self.pool_of_service.get(service)
+    }
 }
 
 /// Why a body was not put in force.
@@ -109,7 +124,7 @@
         }
         let sheet = Sheet::read(&body).map_err(|rejected| SheetStateError::Unreadable { version, rejected })?;
         self.announce(reference);
-        self.in_force = Some(Arc::new(AcceptedSheet { reference: reference.clone(), sheet, body }));
+        self.in_force = Some(Arc::new(AcceptedSheet::new(reference.clone(), sheet, body)));
         Ok(true)
     }
 }
--- a/src/view.rs
+++ b/src/view.rs
@@ -103,13 +103,13 @@
             name: self.settings.name.clone(),
             zone: self.settings.zone.clone(),
             ready: self.is_ready(),
-            stopping: self.control.is_stopping(),
+            stopping: self.stopping.get(),
             sheet_version: sheet.version(),
             announced_version: sheet.announced_version(),
             platform_reachable: self.links.platform_reachable.get(),
             leased: roster.is_leased(),
-            requests: self.requests.len(),
-            held_bytes: self.held_bytes.used_bytes(),
+            requests: self.path.requests.len(),
+            held_bytes: self.path.held_bytes.used_bytes(),
             peers: roster.live_others(self.now_us()).into_iter().map(PeerView::from).collect(),
         }
     }
@@ -117,7 +117,7 @@
     fn pool_views(&self) -> Vec<PoolView> {
         let sheet = self.sheet.borrow();
         let Some(accepted) = sheet.in_force() else { return Vec::new() };
-        let dispatcher = self.dispatcher.borrow();
+        let dispatcher = self.path.dispatcher();
         let fleet = self.fleet.borrow();
         let mut views = Vec::new();
         for pool in &accepted.sheet.pools {
