--- a/src/entry.rs
+++ b/src/entry.rs
@@ -26,7 +26,7 @@
 use crate::http_server::Body;
 use crate::reactor::spawn;
 use crate::request_path::RequestPath;
-use crate::trace::{unix_now_ns, Span, SpanKind, TraceContext};
+use crate::trace::{Span, SpanKind, TraceContext};
 
 use plan::Plan;
 use reply::{CallerReply, Refused};
@@ -56,7 +56,7 @@
 
 async fn answer(lane: &Lane, request: Request<Incoming>) -> Response<Body> {
     let started = Instant::now();
-    let started_ns = unix_now_ns();
+    let start_ns = lane.path.spans.now_ns();
     let request_id = lane.path.requests.next_id();
     let request_name = lane.path.requests.name(request_id);
     let parent = plan::trace_parent(request.headers());
@@ -65,16 +65,15 @@
         Ok(reply) => reply,
         Err(refused) => CallerReply::refused(&refused, &request_name),
     };
-    metrics::counter!("requests_total", "outcome" => reply.outcome.name()).increment(1);
-    metrics::histogram!("request_seconds").record(started.elapsed().as_secs_f64());
+    lane.path.metrics.request(reply.outcome, started.elapsed().as_secs_f64());
     if lane.path.spans.is_enabled() {
         lane.path.spans.export(Span {
             context,
             parent_span_id: parent.map(|parent| parent.span_id),
             name: "request",
             kind: SpanKind::Server,
-            start_ns: started_ns,
-            end_ns: unix_now_ns(),
+            start_ns,
+            end_ns: lane.path.spans.now_ns(),
             attributes: vec![("request.id", request_name.clone()), ("outcome", reply.outcome.name().to_owned())],
         });
     }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -14,7 +14,7 @@
 use crate::fleet::Departure;
 use crate::held_body::HeldBody;
 use crate::request_path::Report;
-use crate::trace::{unix_now_ns, Span, SpanKind, TraceContext};
+use crate::trace::{Span, SpanKind, TraceContext};
 use crate::wire::{self, Outcome};
 
 /// What came of a try.
@@ -33,7 +33,7 @@
     request_name: &str,
     parent: &TraceContext,
 ) -> Attempt {
-    let start_ns = unix_now_ns();
+    let start_ns = lane.path.spans.now_ns();
     let context = parent.child();
     let call = Call {
         address: order.endpoint.address,
@@ -45,7 +45,7 @@
         held_bytes: &lane.path.held_bytes,
     };
     let attempt = judge(lane, order, lane.endpoints.send(call).await);
-    metrics::counter!("attempts_total", "end" => end_name(attempt.end)).increment(1);
+    lane.path.metrics.attempt(attempt.end);
     if lane.path.spans.is_enabled() {
         lane.path.spans.export(Span {
             context,
@@ -53,7 +53,7 @@
             name: "attempt",
             kind: SpanKind::Client,
             start_ns,
-            end_ns: unix_now_ns(),
+            end_ns: lane.path.spans.now_ns(),
             attributes: vec![("host", order.endpoint.name.to_string()), ("end", end_name(attempt.end).to_owned())],
         });
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 mod platform_client;
 mod platform_pool;
 mod reactor;
+mod request_metrics;
 mod request_path;
 mod roster;
 pub mod sample_endpoint;
--- a/src/request_path.rs
+++ b/src/request_path.rs
@@ -11,6 +11,7 @@
 use crate::entry::{AttemptOrder, RequestTable, Step};
 use crate::fleet::Departure;
 use crate::held_body::ByteBudget;
+use crate::request_metrics::RequestMetrics;
 use crate::settings::Settings;
 use crate::sheet_state::AcceptedSheet;
 use crate::trace::SpanExporter;
@@ -32,6 +33,7 @@
     /// Memory for bodies of requests and answers.
     pub(crate) held_bytes: ByteBudget,
     pub(crate) spans: SpanExporter,
+    pub(crate) metrics: RequestMetrics,
     dispatcher: Mutex<Dispatcher>,
     sheet: RwLock<Option<Arc<AcceptedSheet>>>,
     reports: UnboundedSender<Report>,
@@ -56,6 +58,7 @@
             requests: RequestTable::new(incarnation),
             held_bytes: ByteBudget::new(settings.max_held_bytes),
             spans: SpanExporter::start(settings.otlp_url.as_deref(), &settings.name),
+            metrics: RequestMetrics::new(),
             dispatcher: Mutex::new(dispatcher),
             sheet: RwLock::new(None),
             reports,
@@ -104,7 +107,7 @@
                 }
                 Action::Finish { request, verdict } => {
                     if let Verdict::NotRun { refusal, .. } = verdict {
-                        metrics::counter!("refusals_total", "reason" => refusal.name()).increment(1);
+                        self.metrics.refusal(refusal);
                     }
                     self.requests.send(request, Step::Finish(verdict));
                 }
--- a/src/trace/export.rs
+++ b/src/trace/export.rs
@@ -6,7 +6,7 @@
 
 use serde_json::{json, Value};
 
-use super::Span;
+use super::{unix_now_ns, Span};
 
 const MAX_WAITING_SPANS: usize = 2_048;
 const MAX_BATCH_SPANS: usize = 256;
@@ -34,6 +34,15 @@
         self.spans.is_some()
     }
 
+    /// Nanoseconds since the Unix epoch; 0 if no span will be built.
+    pub(crate) fn now_ns(&self) -> u64 {
+        if self.is_enabled() {
+            unix_now_ns()
+        } else {
+            0
+        }
+    }
+
     /// Queues one span.
     pub(crate) fn export(&self, span: Span) {
         let Some(spans) = &self.spans else { return };
