Drive benchmark load from two threads

Cause: 64 threads of load took the processors that the daemon was to use. Change: the load keeps one request in flight on each connection from two event loops.

--- a/benches/support/load.rs
+++ b/benches/support/load.rs
@@ -1,12 +1,12 @@
-//! Closed-loop load over keep-alive connections, one thread for each.
+//! Closed-loop load over keep-alive connections.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Barrier};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use mio::{Events, Interest, Poll, Token};
+
 /// One keep-alive connection.
 pub struct Connection {
     stream: TcpStream,
@@ -31,12 +31,8 @@
             let count = self.stream.read(&mut chunk).expect("read");
             assert!(count > 0, "the connection ended");
             self.buffer.extend_from_slice(&chunk[..count]);
-            let Some(end) = find(&self.buffer, b"\r\n\r\n") else { continue };
-            let head = String::from_utf8_lossy(&self.buffer[..end]).to_lowercase();
-            let length = head.split("content-length: ").nth(1).and_then(|rest| rest.split("\r\n").next());
-            let length: usize = length.expect("a length").parse().expect("a number");
-            if self.buffer.len() >= end + 4 + length {
-                return head.starts_with("http/1.1 200");
+            if let Some(ok) = whole_answer(&self.buffer) {
+                return ok;
             }
         }
     }
@@ -61,32 +57,77 @@
     latencies
 }
 
+/// Threads that drive all connections, so that the load itself takes little of the machine.
+const THREADS: usize = 2;
+
 /// Requests per second over `connections` connections during `period`.
 pub fn throughput(address: &str, path: &str, connections: usize, period: Duration) -> f64 {
-    let done = Arc::new(AtomicU64::new(0));
-    let stop = Arc::new(AtomicBool::new(false));
-    let barrier = Arc::new(Barrier::new(connections + 1));
-    let mut threads = Vec::new();
-    for _ in 0..connections {
-        let (done, stop, barrier) = (done.clone(), stop.clone(), barrier.clone());
-        let mut connection = Connection::open(address, path);
-        threads.push(thread::spawn(move || {
-            barrier.wait();
-            while !stop.load(Ordering::Relaxed) {
-                if connection.exchange() {
-                    done.fetch_add(1, Ordering::Relaxed);
-                }
-            }
-        }));
+    let threads: Vec<_> = (0..THREADS)
+        .map(|_| {
+            let opened: Vec<Connection> = (0..connections / THREADS).map(|_| Connection::open(address, path)).collect();
+            thread::spawn(move || drive(opened, period))
+        })
+        .collect();
+    threads.into_iter().map(|thread| thread.join().expect("ended")).sum()
+}
+
+/// Keeps one request in flight on each connection; returns answers per second.
+fn drive(connections: Vec<Connection>, period: Duration) -> f64 {
+    let mut poll = Poll::new().expect("an event queue");
+    let mut events = Events::with_capacity(connections.len());
+    let mut sockets: Vec<Socket> = Vec::new();
+    for (index, connection) in connections.into_iter().enumerate() {
+        connection.stream.set_nonblocking(true).expect("non-blocking");
+        let mut stream = mio::net::TcpStream::from_std(connection.stream);
+        poll.registry().register(&mut stream, Token(index), Interest::READABLE).expect("registered");
+        stream.write_all(&connection.request).expect("sent");
+        sockets.push(Socket { stream, request: connection.request, buffer: connection.buffer });
     }
-    barrier.wait();
     let started = Instant::now();
-    thread::sleep(period);
-    let count = done.load(Ordering::Relaxed);
-    let elapsed = started.elapsed();
-    stop.store(true, Ordering::Relaxed);
-    for thread in threads {
-        thread.join().expect("ended");
+    let mut count = 0_u64;
+    while started.elapsed() < period {
+        poll.poll(&mut events, Some(period)).expect("polled");
+        for event in &events {
+            count += u64::from(sockets[event.token().0].advance());
+        }
+    }
+    count as f64 / started.elapsed().as_secs_f64()
+}
+
+struct Socket {
+    stream: mio::net::TcpStream,
+    request: Vec<u8>,
+    buffer: Vec<u8>,
+}
+
+impl Socket {
+    /// Reads what there is; after a whole answer, sends the next request and returns `true`.
+    fn advance(&mut self) -> bool {
+        let mut chunk = [0; 4096];
+        let mut done = false;
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => panic!("the connection ended"),
+                Ok(count) => self.buffer.extend_from_slice(&chunk[..count]),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return done,
+                Err(error) => panic!("{error}"),
+            }
+            if let Some(ok) = whole_answer(&self.buffer) {
+                assert!(ok, "{}", String::from_utf8_lossy(&self.buffer));
+                self.buffer.clear();
+                self.stream.write_all(&self.request).expect("sent");
+                done = true;
+            }
+        }
     }
-    count as f64 / elapsed.as_secs_f64()
+}
+
+/// Whether an answer has status 200, once it is whole.
+fn whole_answer(buffer: &[u8]) -> Option<bool> {
+    const LENGTH: &[u8] = b"content-length: ";
+    let end = find(buffer, b"\r\n\r\n")?;
+    let start = find(buffer, LENGTH).expect("a length") + LENGTH.len();
+    let digits = buffer[start..].iter().take_while(|byte| byte.is_ascii_digit());
+    let length = digits.fold(0, |length, digit| length * 10 + usize::from(digit - b'0'));
+    (buffer.len() >= end + 4 + length).then(|| buffer.starts_with(b"HTTP/1.1 200"))
 }
