At most once by claims and tickets

Cause: a caller that resends a print run or a charge could have it run twice. Change: a caller's own key is claimed by a row of the table before dispatch, claims made at the same time share a transaction; a ticket is a key issued by one run of a daemon, to which others forward. Resends join the request in progress or get its first answer. Seen: 72 cells of faults and races over claims, 12 over closings, none lets two daemons run a request.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -9,8 +9,9 @@
 use crate::entry::Lanes;
 use crate::error::{Error, Result};
 use crate::kernel::{Plugin, Stage};
+use crate::peer_message::{PeerReply, PeerRequest};
 use crate::reactor::{sleep_until, spawn};
-use crate::request_path::Report;
+use crate::request_path::{ForwardOrder, Report};
 
 inventory::submit! {
     Plugin { name: "callers", stage: Stage::Service, start }
@@ -30,6 +31,13 @@
         match report {
             Report::Departed(departure) => daemon.depart(&departure),
             Report::Waiting => spawn(check_waiting(daemon.clone())),
+            Report::Close { closing, row_version } => {
+                if !daemon.closings.borrow_mut().push(closing, row_version) {
+                    metrics::counter!("claim_closings_dropped_total").increment(1);
+                }
+                daemon.closings_added.notify();
+            }
+            Report::Forward(order) => spawn(forward(daemon.clone(), order)),
         }
     }
 }
@@ -45,3 +53,23 @@
         }
     }
 }
+
+/// Hands a request to the daemon that issued its ticket, if that run of it can be reached.
+async fn forward(daemon: Rc<Daemon>, order: ForwardOrder) {
+    let others = daemon.roster.borrow().known_others();
+    let issuer =
+        others.iter().find(|other| other.name == order.daemon && other.incarnation == order.incarnation).cloned();
+    let mut forwarded = None;
+    if let Some(issuer) = issuer {
+        metrics::counter!("forwarded_total", "side" => "sender").increment(1);
+        let deadline = daemon.path.clock.instant(order.deadline_us);
+        let message = PeerRequest::Forward(order.message);
+        if let Ok(PeerReply::Forwarded(reply)) =
+            daemon.forward_peers.call_until(issuer.peer_address, &message, deadline).await
+        {
+            forwarded = reply;
+        }
+    }
+    // The request that waits for it is not dropped.
+    let _ = order.reply.send(forwarded);
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -13,9 +13,10 @@
 
 use crate::clock::US_PER_MS;
 use crate::dispatch::{DispatchSettings, Dispatcher};
-use crate::entry::Lanes;
+use crate::entry::{Lane, Lanes};
 use crate::fleet::Fleet;
 use crate::http_server::ServerControl;
+use crate::keyed::WaitingClosings;
 use crate::peer_client::PeerClient;
 use crate::peer_message::PoolLoad;
 use crate::platform_pool::PlatformPool;
@@ -50,11 +51,18 @@
     pub(crate) path: Arc<RequestPath>,
     pub(crate) reports: RefCell<Option<UnboundedReceiver<Report>>>,
     pub(crate) lanes: RefCell<Lanes>,
+    /// Serves requests that other daemons forward.
+    pub(crate) forward_lane: Lane,
+    /// Ends of claims to be written.
+    pub(crate) closings: RefCell<WaitingClosings>,
+    pub(crate) closings_added: Signal,
     pub(crate) platform: PlatformPool,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) sheet: RefCell<SheetState>,
     pub(crate) roster: RefCell<Roster>,
     pub(crate) peers: PeerClient,
+    /// Connections over which requests are forwarded.
+    pub(crate) forward_peers: PeerClient,
     pub(crate) peer_load: RefCell<std::collections::BTreeMap<Arc<str>, Vec<PoolLoad>>>,
     pub(crate) links: LinkState,
     /// The daemon finishes its work to stop.
@@ -92,15 +100,19 @@
         };
         let dispatcher = Dispatcher::new(dispatch, &settings.name, &settings.zone, incarnation);
         let (reports, receiver) = unbounded();
-        let path = RequestPath::new(settings.clone(), dispatcher, incarnation, reports);
+        let path = Arc::new(RequestPath::new(settings.clone(), dispatcher, incarnation, platform.clone(), reports));
         Daemon {
-            path: Arc::new(path),
+            forward_lane: Lane::new(path.clone()),
+            path,
             reports: RefCell::new(Some(receiver)),
             lanes: RefCell::default(),
+            closings: RefCell::default(),
+            closings_added: Signal::default(),
             fleet: RefCell::new(Fleet::new()),
             sheet: RefCell::new(SheetState::new()),
             roster: RefCell::new(Roster::new(own)),
             peers: PeerClient::default(),
+            forward_peers: PeerClient::default(),
             peer_load: RefCell::default(),
             links: LinkState::default(),
             stopping: Cell::new(false),
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -28,6 +28,8 @@
 const PLATFORM_THREADS: usize = 4;
 /// Time between looks at the requests that are still in progress while stopping.
 const DRAIN_CHECK_MS: u64 = 10;
+/// Longest time to write the ends of claims while stopping.
+const MAX_CLOSING_MS: u64 = 5_000;
 const EMBEDDED_TEAM: &str = "embedded";
 
 /// A daemon whose sockets are bound.
@@ -163,6 +165,7 @@
     while daemon.path.requests.len() > 0 {
         sleep_until(daemon.path.clock.instant(daemon.now_us() + DRAIN_CHECK_MS * US_PER_MS)).await;
     }
+    write_closings(&daemon).await;
     hand_back_lease(&daemon).await;
     daemon.peer_control.stop();
     log::info!("stopped");
@@ -177,6 +180,18 @@
     }
 }
 
+/// Gives the ends of claims some time to be written.
+async fn write_closings(daemon: &Daemon) {
+    let latest_us = daemon.now_us() + MAX_CLOSING_MS * US_PER_MS;
+    while daemon.closings.borrow().len() > 0 && daemon.now_us() < latest_us {
+        sleep_until(daemon.path.clock.instant(daemon.now_us() + DRAIN_CHECK_MS * US_PER_MS)).await;
+    }
+    let left = daemon.closings.borrow().len();
+    if left > 0 {
+        log::warn!("the ends of {left} keyed requests were not written; resends will be told unknown");
+    }
+}
+
 async fn hand_back_lease(daemon: &Daemon) {
     let Some(release) = daemon.roster.borrow().release() else { return };
     let released = daemon.platform.call("release", move |platform| platform.commit(&release)).await;
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -7,7 +7,7 @@
 
 use super::plan::Plan;
 use super::request_table::AttemptOrder;
-use super::Lane;
+use super::{Lane, RequestIds};
 use crate::clock::US_PER_MS;
 use crate::dispatch::{AttemptEnd, LoadReport};
 use crate::endpoint_client::{Call, CallEnd};
@@ -25,20 +25,13 @@
 }
 
 /// Sends the request and judges what comes back.
-pub(super) async fn run(
-    lane: &Lane,
-    plan: &Plan,
-    order: &AttemptOrder,
-    body: Bytes,
-    request_name: &str,
-    parent: &TraceContext,
-) -> Attempt {
+pub(super) async fn run(lane: &Lane, plan: &Plan, order: &AttemptOrder, body: Bytes, ids: &RequestIds) -> Attempt {
     let start_ns = lane.path.spans.now_ns();
-    let context = parent.child();
+    let context = ids.context.child();
     let call = Call {
         address: order.endpoint.address,
-        request: outgoing(lane, plan, order, body, request_name, &context),
-        request_id: request_name,
+        request: outgoing(lane, plan, order, body, &ids.name, &context),
+        request_id: &ids.name,
         deadline: lane.path.clock.instant(order.deadline_us),
         idempotent: plan.idempotent,
         max_answer_bytes: lane.path.settings.max_answer_bytes,
@@ -49,7 +42,7 @@
     if lane.path.spans.is_enabled() {
         lane.path.spans.export(Span {
             context,
-            parent_span_id: Some(parent.span_id.clone()),
+            parent_span_id: Some(ids.context.span_id.clone()),
             name: "attempt",
             kind: SpanKind::Client,
             start_ns,
--- a/src/entry/lanes.rs
+++ b/src/entry/lanes.rs
@@ -11,7 +11,6 @@
 use futures::StreamExt;
 
 use super::{handle, Lane};
-use crate::endpoint_client::EndpointClient;
 use crate::error::{Error, Result};
 use crate::http_server::{serve, ServerControl, ServerLimits};
 use crate::reactor::{sleep_until, spawn, Listener, Reactor};
@@ -81,7 +80,7 @@
     let limits =
         ServerLimits { max_connections, header_timeout_ms: HEADER_TIMEOUT_MS, max_header_bytes: MAX_HEADER_BYTES };
     let control = Rc::new(ServerControl::default());
-    let lane = Rc::new(Lane { path, endpoints: EndpointClient::default() });
+    let lane = Rc::new(Lane::new(path));
     spawn(close_idle(lane.clone()));
     let handler = Rc::new(move |request| {
         let lane = lane.clone();
@@ -108,6 +107,6 @@
 async fn close_idle(lane: Rc<Lane>) {
     loop {
         sleep_until(Instant::now() + Duration::from_millis(CLOSE_IDLE_EVERY_MS)).await;
-        lane.endpoints.close_idle();
+        lane.close_idle();
     }
 }
--- a/src/entry/plan.rs
+++ b/src/entry/plan.rs
@@ -4,10 +4,11 @@
 
 use http::request::Parts;
 use http::uri::PathAndQuery;
-use http::{HeaderMap, HeaderName, Method};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
 use super::reply::Refused;
 use crate::clock::US_PER_MS;
+use crate::peer_message::Forward;
 use crate::sheet_state::AcceptedSheet;
 use crate::trace::TraceContext;
 use crate::wire;
@@ -28,6 +29,10 @@
     pub(super) headers: HeaderMap,
     pub(super) idempotent: bool,
     pub(super) deadline_us: u64,
+    /// Key of a request that must run at most once, however often it is sent.
+    pub(super) key: Option<String>,
+    /// Another daemon handed it over.
+    pub(super) forwarded: bool,
 }
 
 impl Plan {
@@ -47,17 +52,54 @@
             known: accepted.sheet.pools.iter().map(|pool| pool.service.to_string()).collect(),
         })?;
         let deadline_ms = deadline_ms(&head.headers, default_deadline_ms)?;
-        let has_key = check_key(&head.headers)?;
+        let key = key(&head.headers)?.filter(|_| !head.method.is_safe());
         Ok(Plan {
             pool: pool.clone(),
             caller: caller(&head.headers),
             path,
-            idempotent: head.method.is_idempotent() && !has_key,
+            idempotent: head.method.is_idempotent() && key.is_none(),
             deadline_us: now_us + deadline_ms * US_PER_MS,
+            key,
+            forwarded: false,
             method: head.method,
             headers: end_to_end(head.headers),
         })
     }
+
+    /// Takes a request over from another daemon; `None` if it is malformed.
+    pub(super) fn from_forward(forward: Forward, now_us: u64) -> Option<Plan> {
+        let mut headers = HeaderMap::new();
+        for (name, value) in forward.headers {
+            headers.append(HeaderName::try_from(name).ok()?, HeaderValue::from_bytes(&value).ok()?);
+        }
+        Some(Plan {
+            pool: forward.pool,
+            caller: forward.caller,
+            method: Method::from_bytes(forward.method.as_bytes()).ok()?,
+            path: PathAndQuery::try_from(forward.path).ok()?,
+            headers,
+            idempotent: false,
+            deadline_us: now_us + forward.deadline_ms * US_PER_MS,
+            key: Some(forward.key),
+            forwarded: true,
+        })
+    }
+
+    /// Hands the request over to another daemon.
+    pub(super) fn to_forward(&self, key: &str, body: &[u8], context: &TraceContext, now_us: u64) -> Forward {
+        let headers = self.headers.iter();
+        Forward {
+            pool: self.pool.clone(),
+            caller: self.caller.clone(),
+            method: self.method.to_string(),
+            path: self.path.to_string(),
+            headers: headers.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec())).collect(),
+            deadline_ms: self.deadline_us.saturating_sub(now_us) / US_PER_MS,
+            key: key.to_owned(),
+            traceparent: context.header(),
+            body: body.to_vec(),
+        }
+    }
 }
 
 /// The first segment names the service; the rest is the endpoint's.
@@ -81,12 +123,13 @@
     }
 }
 
-/// Whether the request carries a key; a malformed one is refused.
-fn check_key(headers: &HeaderMap) -> Result<bool, Refused> {
-    let Some(value) = headers.get(wire::IDEMPOTENCY_KEY) else { return Ok(false) };
-    let well_formed = value.to_str().is_ok_and(|key| !key.trim().is_empty() && key.len() <= MAX_KEY_CHARS);
+/// The request's key; a malformed one is refused.
+fn key(headers: &HeaderMap) -> Result<Option<String>, Refused> {
+    let Some(value) = headers.get(wire::IDEMPOTENCY_KEY) else { return Ok(None) };
+    let key = value.to_str().unwrap_or("").trim();
+    let well_formed = !key.is_empty() && key.len() <= MAX_KEY_CHARS;
     if well_formed && headers.get_all(wire::IDEMPOTENCY_KEY).iter().count() == 1 {
-        return Ok(true);
+        return Ok(Some(key.to_owned()));
     }
     let fix = format!("must be sent once, with 1 to {MAX_KEY_CHARS} visible characters");
     Err(Refused::Header { name: wire::IDEMPOTENCY_KEY, fix })
--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderValue, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 use serde::Serialize;
 
@@ -10,6 +10,8 @@
 use crate::dispatch::Verdict;
 use crate::held_body::{BodyError, HeldBody};
 use crate::http_server::Body;
+use crate::keyed::Final;
+use crate::peer_message::Forwarded;
 use crate::wire::{self, Outcome};
 
 const MS_PER_S: u64 = 1_000;
@@ -52,6 +54,64 @@
     }
 }
 
+/// A request whose key does not lead to an answer.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum KeyRefused {
+    #[error("the key was used for a different request; use a new one")]
+    Mismatch,
+    #[error("the request with this key did not run; send it again")]
+    FirstNotRun,
+    #[error("a request with this key is in progress, or was interrupted; send it again for its outcome")]
+    InProgress,
+    #[error("the key cannot be checked now ({reason}); send the request again with the same key")]
+    Unchecked { reason: String },
+    #[error("no such ticket was issued here; get one with POST /-/ticket")]
+    Forged,
+    #[error("the ticket is too old to tell whether the request ran")]
+    Expired,
+    #[error("the daemon that issued the ticket cannot be reached, and no other one may run the request")]
+    IssuerGone,
+}
+
+impl KeyRefused {
+    fn status(&self) -> StatusCode {
+        match self {
+            KeyRefused::Mismatch => StatusCode::UNPROCESSABLE_ENTITY,
+            KeyRefused::InProgress => StatusCode::CONFLICT,
+            KeyRefused::FirstNotRun | KeyRefused::Unchecked { .. } | KeyRefused::IssuerGone => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            KeyRefused::Forged => StatusCode::BAD_REQUEST,
+            KeyRefused::Expired => StatusCode::GONE,
+        }
+    }
+
+    /// A resend must not be told `not-run` unless the first request certainly did not run either.
+    fn outcome(&self) -> Outcome {
+        match self {
+            KeyRefused::Mismatch | KeyRefused::FirstNotRun | KeyRefused::Forged => Outcome::NotRun,
+            KeyRefused::InProgress | KeyRefused::Unchecked { .. } | KeyRefused::Expired | KeyRefused::IssuerGone => {
+                Outcome::Unknown
+            }
+        }
+    }
+
+    fn retry_after_ms(&self) -> Option<u64> {
+        match self {
+            KeyRefused::Mismatch | KeyRefused::Forged | KeyRefused::Expired => None,
+            KeyRefused::FirstNotRun
+            | KeyRefused::InProgress
+            | KeyRefused::Unchecked { .. }
+            | KeyRefused::IssuerGone => Some(DEFAULT_RETRY_AFTER_MS),
+        }
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct TicketBody<'a> {
+    ticket: &'a str,
+}
+
 #[derive(Debug, Serialize)]
 struct ErrorBody<'a> {
     error: &'a str,
@@ -67,14 +127,70 @@
 }
 
 impl CallerReply {
-    pub(super) fn refused(refused: &Refused, request_name: &str) -> CallerReply {
-        let reply = CallerReply::error(refused.status(), Outcome::NotRun, &refused.to_string(), request_name);
-        match refused.retry_after_ms() {
-            Some(retry_after_ms) => reply.with_retry_after(retry_after_ms),
-            None => reply,
+    /// Refuses before anything was done. A request with a key may have run when it was sent before.
+    pub(super) fn refused(refused: &Refused, has_key: bool, request_name: &str) -> CallerReply {
+        let outcome = if has_key { Outcome::Unknown } else { Outcome::NotRun };
+        CallerReply::error(refused.status(), outcome, &refused.to_string(), request_name)
+            .with_retry_after(refused.retry_after_ms())
+    }
+
+    pub(super) fn key_refused(refused: &KeyRefused, request_name: &str) -> CallerReply {
+        CallerReply::error(refused.status(), refused.outcome(), &refused.to_string(), request_name)
+            .with_retry_after(refused.retry_after_ms())
+    }
+
+    /// Gives a resend what the first request got.
+    pub(super) fn replayed(last: &Final, request_name: &str) -> CallerReply {
+        match last {
+            Final::Answered(answer) => {
+                let mut response = answer.response();
+                response.headers_mut().insert(wire::REPLAYED, HeaderValue::from_static("true"));
+                CallerReply { outcome: Outcome::Ran, response }
+            }
+            Final::AnswerDropped => {
+                let message = "the request ran, but its answer is no longer kept";
+                CallerReply::error(StatusCode::GONE, Outcome::Ran, message, request_name)
+            }
+            Final::Unknown => {
+                let message = "the request may have run; nobody knows";
+                CallerReply::error(StatusCode::BAD_GATEWAY, Outcome::Unknown, message, request_name)
+            }
         }
     }
 
+    pub(super) fn ticket(ticket: &str) -> CallerReply {
+        let body = serde_json::to_vec(&TicketBody { ticket }).unwrap_or_default();
+        let mut response = Response::new(Bytes::from(body));
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        CallerReply { outcome: Outcome::Ran, response }
+    }
+
+    /// Passes on what another daemon answered.
+    pub(super) fn forwarded(forwarded: Forwarded) -> CallerReply {
+        let mut response = Response::new(Bytes::from(forwarded.body));
+        *response.status_mut() = StatusCode::from_u16(forwarded.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        for (name, value) in forwarded.headers {
+            if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::from_bytes(&value)) {
+                response.headers_mut().append(name, value);
+            }
+        }
+        CallerReply { outcome: forwarded.outcome, response }
+    }
+
+    pub(super) fn into_forwarded(self) -> Forwarded {
+        let headers = self.response.headers().iter();
+        Forwarded {
+            outcome: self.outcome,
+            status: self.response.status().as_u16(),
+            headers: headers.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec())).collect(),
+            body: self.response.into_body().to_vec(),
+        }
+    }
+
+    pub(super) fn response(&self) -> &Response<Bytes> {
+        &self.response
+    }
+
     /// The endpoint's answer, or the reason why there is none.
     pub(super) fn from_verdict(
         verdict: Verdict,
@@ -88,7 +204,7 @@
             (Verdict::NotRun { refusal, retry_after_ms }, _) => {
                 let message = format!("not run ({}){failure}; come back later", refusal.name());
                 CallerReply::error(StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun, &message, request_name)
-                    .with_retry_after(retry_after_ms)
+                    .with_retry_after(Some(retry_after_ms))
             }
             (Verdict::Deliver | Verdict::Unknown, _) => {
                 let message = format!("the request may have run, but no whole answer arrived{failure}");
@@ -115,7 +231,8 @@
         CallerReply { outcome, response }
     }
 
-    fn with_retry_after(mut self, retry_after_ms: u64) -> CallerReply {
+    fn with_retry_after(mut self, retry_after_ms: Option<u64>) -> CallerReply {
+        let Some(retry_after_ms) = retry_after_ms else { return self };
         let headers = self.response.headers_mut();
         headers.insert(RETRY_AFTER, HeaderValue::from(retry_after_ms.div_ceil(MS_PER_S)));
         headers.insert(wire::RETRY_AFTER_MS, HeaderValue::from(retry_after_ms));
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -68,7 +68,9 @@
             metrics::counter!("gossip_total", "result" => "ok").increment(1);
             daemon.hear(gossip);
         }
-        Ok(PeerReply::Snapshot(_)) => metrics::counter!("gossip_total", "result" => "unexpected").increment(1),
+        Ok(PeerReply::Snapshot(_) | PeerReply::Forwarded(_)) => {
+            metrics::counter!("gossip_total", "result" => "unexpected").increment(1)
+        }
         Err(error) => {
             metrics::counter!("gossip_total", "result" => "failed").increment(1);
             log::debug!("peer {peer}: {error}");
--- /dev/null
+++ b/src/keyed/claims_tests.rs
@@ -0,0 +1,184 @@
+//! Tests of claims while daemons race and the platform fails at every call.
+
+use std::sync::Arc;
+
+use super::claims::{claim, close, close_group, load_large, row_key, sweep, Claim, ClaimRow, Claimed, Closing};
+use super::{Final, KeptAnswer};
+use crate::faulty_platform::{Fault, FaultyPlatform};
+use crate::platform::{Platform, PlatformError};
+use crate::standin::{EmbeddedPlatform, StandIn};
+
+fn healthy(standin: &Arc<StandIn>) -> EmbeddedPlatform {
+    EmbeddedPlatform::new(standin.clone(), "z")
+}
+
+fn new_claim(key: &str, id: &str) -> Claim {
+    let row =
+        ClaimRow { claim_id: id.into(), daemon: "d".into(), digest: "digest".into(), expires_at_s: 100, ending: None };
+    Claim { row_key: row_key("pool", key), row }
+}
+
+fn answered(body: &str) -> Final {
+    Final::Answered(KeptAnswer { status: 200, headers: Vec::new(), body_base64: body.to_owned(), object: None })
+}
+
+fn stored(standin: &Arc<StandIn>, key: &str) -> Option<ClaimRow> {
+    let row = healthy(standin).read(&row_key("pool", key)).expect("the stand-in answers")?;
+    Some(serde_json::from_str(&row.value).expect("a claim"))
+}
+
+fn is_mine(claimed: &Claimed) -> bool {
+    matches!(claimed, Claimed::Mine { .. })
+}
+
+#[test]
+fn keys_of_different_pools_do_not_meet() {
+    assert_ne!(row_key("a", "k"), row_key("b", "k"));
+}
+
+#[test]
+fn a_group_is_claimed_by_one_write_and_taken_keys_do_not_hinder_the_others() {
+    let standin = StandIn::new();
+    claim(&healthy(&standin), &[new_claim("b", "first")]);
+    let before = standin.store().stats().writes;
+
+    let claimed = claim(&healthy(&standin), &[new_claim("a", "1"), new_claim("b", "2"), new_claim("c", "3")]);
+
+    assert!(is_mine(&claimed[0]) && is_mine(&claimed[2]), "{claimed:?}");
+    assert!(matches!(&claimed[1], Claimed::Taken(row) if &*row.claim_id == "first"));
+    assert_eq!(standin.store().stats().writes - before, 1);
+}
+
+/// Two daemons claim the same keys; a fault hits the first at any call, and the second runs before the first's
+/// commit or after it. At most one of them may run each request.
+#[test]
+fn at_most_one_daemon_may_run_a_request_whatever_fails() {
+    let mut cells = 0;
+    for fault in [Fault::None, Fault::Refused, Fault::AnswerLost] {
+        for at in 0..6 {
+            for down_after in [false, true] {
+                for race in [false, true] {
+                    let cell = format!("{fault:?} at {at}, down after: {down_after}, race: {race}");
+                    let standin = StandIn::new();
+                    let platform = FaultyPlatform::new(&standin, at, fault, down_after);
+                    let other = healthy(&standin);
+                    let second: Arc<std::sync::Mutex<Vec<Claimed>>> = Arc::default();
+                    let claims_of = |id: &str| [new_claim("a", &format!("{id}-a")), new_claim("b", &format!("{id}-b"))];
+                    if race {
+                        let (second, claims) = (second.clone(), claims_of("2"));
+                        let run = move || *second.lock().expect("lock") = claim(&other, &claims[..1]);
+                        *platform.before_commit.lock().expect("lock") = Some(Box::new(run));
+                    }
+                    let first = claim(&platform, &claims_of("1"));
+                    if !race {
+                        *second.lock().expect("lock") = claim(&healthy(&standin), &claims_of("2"));
+                    }
+
+                    let second = second.lock().expect("lock").clone();
+                    for index in 0..2 {
+                        let mine = is_mine(&first[index]);
+                        let theirs = second.get(index).is_some_and(is_mine);
+                        assert!(!(mine && theirs), "{cell}: both may run");
+                        if mine || theirs {
+                            let key = ["a", "b"][index];
+                            let holder = stored(&standin, key).expect("a row").claim_id;
+                            assert_eq!(holder.starts_with('1'), mine, "{cell}");
+                        }
+                        if let Claimed::Failed { maybe_written: false, .. } = &first[index] {
+                            let left = stored(&standin, ["a", "b"][index]);
+                            assert!(left.is_none_or(|row| !row.claim_id.starts_with('1')), "{cell}");
+                        }
+                    }
+                    cells += 1;
+                }
+            }
+        }
+    }
+    assert_eq!(cells, 72);
+}
+
+#[test]
+fn a_claim_that_may_have_been_written_is_released_later() {
+    let standin = StandIn::new();
+    let platform = FaultyPlatform::new(&standin, 0, Fault::AnswerLost, true);
+    let claimed = claim(&platform, &[new_claim("a", "1")]);
+    assert!(matches!(claimed[..], [Claimed::Failed { maybe_written: true, .. }]), "{claimed:?}");
+    assert!(stored(&standin, "a").is_some());
+
+    close(&healthy(&standin), &Closing { claim: new_claim("a", "1"), ending: None }).expect("released");
+
+    assert_eq!(stored(&standin, "a"), None);
+}
+
+#[test]
+fn an_ending_is_written_once_and_never_over_anothers_claim() {
+    let standin = StandIn::new();
+    claim(&healthy(&standin), &[new_claim("a", "1")]);
+    let ran = Closing { claim: new_claim("a", "1"), ending: Some(answered("first")) };
+    let again = Closing { claim: new_claim("a", "1"), ending: None };
+    let foreign = Closing { claim: new_claim("a", "2"), ending: None };
+
+    for closing in [&ran, &again, &foreign] {
+        close(&healthy(&standin), closing).expect("closed");
+    }
+
+    assert_eq!(stored(&standin, "a").and_then(|row| row.ending), Some(answered("first")));
+}
+
+/// The end of a claim is written whole or not at all, and writing it again settles it.
+#[test]
+fn every_fault_while_closing_is_settled_by_a_retry() {
+    for fault in [Fault::Refused, Fault::AnswerLost] {
+        for at in 0..3 {
+            for large in [false, true] {
+                let standin = StandIn::new();
+                let claimed = claim(&healthy(&standin), &[new_claim("a", "1")]);
+                let Claimed::Mine { row_version } = claimed[0] else { panic!("{claimed:?}") };
+                let body = if large { "x".repeat(40_000) } else { "x".to_owned() };
+                let closing = Closing { claim: new_claim("a", "1"), ending: Some(answered(&body)) };
+                let platform = FaultyPlatform::new(&standin, at, fault, false);
+
+                let _ = close_group(&platform, &[(closing.clone(), row_version)]);
+                close(&healthy(&standin), &closing).expect("closed");
+
+                let ending = stored(&standin, "a").and_then(|row| row.ending).expect("an ending");
+                let Final::Answered(kept) = ending else { panic!("{ending:?}") };
+                let loaded = load_large(&healthy(&standin), kept).expect("loaded");
+                assert_eq!(loaded, answered(&body), "{fault:?} at {at}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_group_with_a_changed_row_is_refused_whole() {
+    let standin = StandIn::new();
+    let claimed = claim(&healthy(&standin), &[new_claim("a", "1"), new_claim("b", "2")]);
+    let Claimed::Mine { row_version } = claimed[0] else { panic!("{claimed:?}") };
+    let group = ["a", "b"].map(|key| {
+        let id = if key == "a" { "1" } else { "2" };
+        (Closing { claim: new_claim(key, id), ending: None }, row_version)
+    });
+    close(&healthy(&standin), &Closing { claim: new_claim("b", "2"), ending: Some(Final::Unknown) }).expect("closed");
+
+    let refused = close_group(&healthy(&standin), &group);
+
+    assert!(matches!(refused, Err(PlatformError::Protocol { .. })));
+    assert!(stored(&standin, "a").is_some() && stored(&standin, "b").is_some());
+}
+
+#[test]
+fn only_expired_claims_are_swept() {
+    let standin = StandIn::new();
+    let mut young = new_claim("young", "2");
+    young.row.expires_at_s = 1_000;
+    claim(&healthy(&standin), &[new_claim("old", "1"), young]);
+
+    let mut count = 0;
+    for part in 0..256 {
+        count += sweep(&healthy(&standin), &format!("{part:02x}"), 500).expect("swept");
+    }
+
+    assert_eq!(count, 1);
+    assert!(stored(&standin, "old").is_none() && stored(&standin, "young").is_some());
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,11 +27,14 @@
 mod endpoint_client;
 mod entry;
 mod error;
+#[cfg(test)]
+mod faulty_platform;
 mod fleet;
 mod gossip;
 mod held_body;
 mod http_server;
 mod kernel;
+mod keyed;
 mod membership;
 mod peer_client;
 mod peer_message;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -170,6 +170,7 @@
 async fn keep_house(daemon: Rc<Daemon>) {
     loop {
         sleep_ms(&daemon, HOUSEKEEPING_MS).await;
+        daemon.forward_lane.close_idle();
         let change = daemon.fleet.borrow_mut().forget_old(daemon.now_us());
         daemon.apply_fleet_change(&change);
         metrics::gauge!("requests_in_progress").set(daemon.path.requests.len() as f64);
--- a/src/peer_client.rs
+++ b/src/peer_client.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -35,10 +36,11 @@
     TooLarge,
 }
 
+#[derive(Clone)]
 struct Link {
     sender: SendRequest<Bytes>,
-    /// Dropping it closes the connection.
-    _close: oneshot::Sender<()>,
+    /// The connection closes when the last clone is dropped, so that calls in progress can end.
+    _open: Rc<oneshot::Sender<()>>,
 }
 
 /// Connections to peers.
@@ -48,9 +50,19 @@
 }
 
 impl PeerClient {
-    /// Sends one message and waits for the answer. A connection that fails or stays silent is closed.
+    /// Sends one message and waits for the answer for a short time.
     pub(crate) async fn call(&self, peer: SocketAddr, request: &PeerRequest) -> Result<PeerReply, PeerError> {
-        let deadline = Instant::now() + Duration::from_millis(CALL_TIMEOUT_MS);
+        self.call_until(peer, request, Instant::now() + Duration::from_millis(CALL_TIMEOUT_MS)).await
+    }
+
+    /// Sends one message and waits for the answer until `deadline`. After a failure, later calls use a new
+    /// connection; calls in progress on the old one go on.
+    pub(crate) async fn call_until(
+        &self,
+        peer: SocketAddr,
+        request: &PeerRequest,
+        deadline: Instant,
+    ) -> Result<PeerReply, PeerError> {
         let result = before(deadline, self.exchange(peer, request)).await.unwrap_or(Err(PeerError::Timeout));
         if result.is_err() {
             self.links.borrow_mut().remove(&peer);
@@ -60,8 +72,7 @@
 
     async fn exchange(&self, peer: SocketAddr, request: &PeerRequest) -> Result<PeerReply, PeerError> {
         let message = encode(request)?;
-        let sender = self.sender(peer).await?;
-        let mut sender = sender.ready().await?;
+        let Link { mut sender, _open } = self.link(peer).await?;
         let head = Request::post("http://peer/").body(()).unwrap_or_default();
         let (answer, mut stream) = sender.send_request(head, false)?;
         stream.send_data(message.into(), true)?;
@@ -69,9 +80,13 @@
         Ok(decode(&read_message(body).await?)?)
     }
 
-    async fn sender(&self, peer: SocketAddr) -> Result<SendRequest<Bytes>, PeerError> {
-        if let Some(link) = self.links.borrow().get(&peer) {
-            return Ok(link.sender.clone());
+    /// The link to a peer, made anew if it has ended.
+    async fn link(&self, peer: SocketAddr) -> Result<Link, PeerError> {
+        let known = self.links.borrow().get(&peer).cloned();
+        if let Some(Link { sender, _open }) = known {
+            if let Ok(sender) = sender.ready().await {
+                return Ok(Link { sender, _open });
+            }
         }
         let io = connect(peer).await?;
         let (sender, driver) = h2::client::Builder::new()
@@ -79,17 +94,17 @@
             .initial_connection_window_size(WINDOW_BYTES)
             .handshake(io)
             .await?;
-        let (close, closed) = oneshot::channel();
+        let (open, closed) = oneshot::channel();
         spawn(async move {
             // Errors reach the calls in progress.
             let _ = select(pin!(driver), pin!(closed)).await;
         });
-        let link = Link { sender: sender.clone(), _close: close };
-        self.links.borrow_mut().insert(peer, link);
-        Ok(sender)
+        let link = Link { sender: sender.ready().await?, _open: Rc::new(open) };
+        self.links.borrow_mut().insert(peer, link.clone());
+        Ok(link)
     }
 
-    /// Closes connections to daemons that are no longer called.
+    /// Closes connections to daemons that are no longer called, when their calls have ended.
     pub(crate) fn keep_only(&self, peers: &[SocketAddr]) {
         self.links.borrow_mut().retain(|peer, _| peers.contains(peer));
     }
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -9,9 +9,10 @@
 use crate::platform::HostEntry;
 use crate::roster::DaemonInfo;
 use crate::sheet_state::SheetRef;
+use crate::wire::Outcome;
 
 /// Largest message, in bytes.
-pub(crate) const MAX_MESSAGE_BYTES: usize = 4 << 20;
+pub(crate) const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
 /// A message that could not be encoded or decoded.
 #[derive(Debug, thiserror::Error)]
@@ -54,11 +55,38 @@
     pub(crate) daemons: Vec<DaemonInfo>,
 }
 
+/// A request for the daemon that issued its ticket.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Forward {
+    pub(crate) pool: Arc<str>,
+    pub(crate) caller: Arc<str>,
+    pub(crate) method: String,
+    /// Path and query that the endpoint sees.
+    pub(crate) path: String,
+    pub(crate) headers: Vec<(String, Vec<u8>)>,
+    /// Time left when it was forwarded.
+    pub(crate) deadline_ms: u64,
+    /// The ticket.
+    pub(crate) key: String,
+    pub(crate) traceparent: String,
+    pub(crate) body: Vec<u8>,
+}
+
+/// Answer to a forwarded request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Forwarded {
+    pub(crate) outcome: Outcome,
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<(String, Vec<u8>)>,
+    pub(crate) body: Vec<u8>,
+}
+
 /// A message to a peer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum PeerRequest {
     Gossip(Gossip),
     Snapshot,
+    Forward(Forward),
 }
 
 /// A peer's answer.
@@ -66,6 +94,8 @@
 pub(crate) enum PeerReply {
     Gossip(Gossip),
     Snapshot(Snapshot),
+    /// `None` if the request was malformed.
+    Forwarded(Option<Forwarded>),
 }
 
 fn config() -> impl bincode::config::Config {
--- a/src/peer_server.rs
+++ b/src/peer_server.rs
@@ -11,6 +11,7 @@
 
 use crate::daemon::Daemon;
 use crate::endpoint_client::before;
+use crate::entry::serve_forwarded;
 use crate::error::{Error, Result};
 use crate::kernel::{Plugin, Stage};
 use crate::peer_client::{read_message, PeerError};
@@ -98,7 +99,7 @@
     let deadline = Instant::now() + Duration::from_millis(MESSAGE_TIMEOUT_MS);
     let message = before(deadline, read_message(request.into_body())).await.unwrap_or(Err(PeerError::Timeout));
     let reply = match message.and_then(|message| Ok(decode(&message)?)) {
-        Ok(request) => answer(daemon, request),
+        Ok(request) => answer(daemon, request).await,
         Err(error) => {
             let mut refusal = Response::new(());
             *refusal.status_mut() = StatusCode::BAD_REQUEST;
@@ -111,12 +112,16 @@
     Ok(())
 }
 
-fn answer(daemon: &Daemon, request: PeerRequest) -> PeerReply {
+async fn answer(daemon: &Daemon, request: PeerRequest) -> PeerReply {
     match request {
         PeerRequest::Gossip(gossip) => {
             daemon.hear(gossip);
             PeerReply::Gossip(daemon.gossip())
         }
         PeerRequest::Snapshot => PeerReply::Snapshot(daemon.snapshot()),
+        PeerRequest::Forward(forward) => {
+            metrics::counter!("forwarded_total", "side" => "issuer").increment(1);
+            PeerReply::Forwarded(serve_forwarded(&daemon.forward_lane, forward).await)
+        }
     }
 }
--- a/src/request_path.rs
+++ b/src/request_path.rs
@@ -5,12 +5,20 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use futures::channel::mpsc::UnboundedSender;
+use futures::channel::oneshot;
+use rand::Rng;
 
 use crate::clock::Clock;
 use crate::dispatch::{Action, Dispatcher, Verdict};
 use crate::entry::{AttemptOrder, RequestTable, Step};
 use crate::fleet::Departure;
 use crate::held_body::ByteBudget;
+use crate::keyed::book::KeyBook;
+use crate::keyed::claimer::Claimer;
+use crate::keyed::claims::Closing;
+use crate::keyed::tickets::TicketBook;
+use crate::peer_message::{Forward, Forwarded};
+use crate::platform_pool::PlatformPool;
 use crate::request_metrics::RequestMetrics;
 use crate::settings::Settings;
 use crate::sheet_state::AcceptedSheet;
@@ -23,6 +31,25 @@
     Departed(Departure),
     /// Requests began to wait in a queue.
     Waiting,
+    /// A claim has ended.
+    Close {
+        closing: Closing,
+        /// Version of the claim's row, if it is known.
+        row_version: Option<u64>,
+    },
+    /// A request must go to the daemon that issued its ticket.
+    Forward(ForwardOrder),
+}
+
+/// A request to hand to another daemon.
+#[derive(Debug)]
+pub(crate) struct ForwardOrder {
+    pub(crate) daemon: Arc<str>,
+    pub(crate) incarnation: u64,
+    pub(crate) deadline_us: u64,
+    pub(crate) message: Forward,
+    /// Gets `None` if that daemon gave no answer.
+    pub(crate) reply: oneshot::Sender<Option<Forwarded>>,
 }
 
 /// See the module.
@@ -34,6 +61,10 @@
     pub(crate) held_bytes: ByteBudget,
     pub(crate) spans: SpanExporter,
     pub(crate) metrics: RequestMetrics,
+    pub(crate) platform: PlatformPool,
+    pub(crate) claimer: Claimer,
+    key_book: Mutex<KeyBook>,
+    tickets: Mutex<TicketBook>,
     dispatcher: Mutex<Dispatcher>,
     sheet: RwLock<Option<Arc<AcceptedSheet>>>,
     reports: UnboundedSender<Report>,
@@ -51,6 +82,7 @@
         settings: Settings,
         dispatcher: Dispatcher,
         incarnation: u64,
+        platform: PlatformPool,
         reports: UnboundedSender<Report>,
     ) -> RequestPath {
         RequestPath {
@@ -59,6 +91,10 @@
             held_bytes: ByteBudget::new(settings.max_held_bytes),
             spans: SpanExporter::start(settings.otlp_url.as_deref(), &settings.name),
             metrics: RequestMetrics::new(),
+            claimer: Claimer::new(platform.clone()),
+            platform,
+            key_book: Mutex::default(),
+            tickets: Mutex::new(TicketBook::new(&settings.name, incarnation, rand::rng().random())),
             dispatcher: Mutex::new(dispatcher),
             sheet: RwLock::new(None),
             reports,
@@ -76,6 +112,16 @@
         self.dispatcher.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Callers' keys in use in this daemon.
+    pub(crate) fn key_book(&self) -> MutexGuard<'_, KeyBook> {
+        self.key_book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tickets of this run.
+    pub(crate) fn tickets(&self) -> MutexGuard<'_, TicketBook> {
+        self.tickets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The sheet in force.
     pub(crate) fn sheet(&self) -> Option<Arc<AcceptedSheet>> {
         self.sheet.read().unwrap_or_else(PoisonError::into_inner).clone()
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -154,6 +154,11 @@
         self.others.values().filter(live).map(|observed| observed.daemon.clone()).collect()
     }
 
+    /// Other daemons, whether their leases have lapsed or not.
+    pub(crate) fn known_others(&self) -> Vec<DaemonInfo> {
+        self.others.values().map(|observed| observed.daemon.clone()).collect()
+    }
+
     /// Time passes while the table cannot be read: leases neither lapse nor renew.
     pub(crate) fn blind(&mut self, blind_us: u64) {
         for observed in self.others.values_mut() {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,5 +1,7 @@
 //! Names of headers, and the outcome that every answer to a caller carries.
 
+use serde::{Deserialize, Serialize};
+
 use crate::dispatch::LoadReport;
 
 /// Outcome of a request: see [`Outcome`].
@@ -20,11 +22,13 @@
 pub const LEAVING: &str = "leaving";
 /// Names a non-idempotent request across resends.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// `true` on an answer that an earlier request with the same key got.
+pub const REPLAYED: &str = "sardineseam-replayed";
 /// Trace context as the W3C defines it.
 pub const TRACEPARENT: &str = "traceparent";
 
 /// Whether a request ran.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// It ran, and this is its whole answer.
     Ran,
