Refuse early what would start too late

Cause: at 1.5x the busiest caller's queue is served only by what the others leave, which the estimate from the queue's length did not see. Change: a request that has waited starts only if nearly every request is served in the time left (mean and four deviations of the service time); a caller's wait is expected from how its next request fared; the longest wait is one second.

--- a/src/bin/sardineseamd/args.rs
+++ b/src/bin/sardineseamd/args.rs
@@ -48,7 +48,7 @@
         optional --endpoint-slots count: String
         /// Longest queue of a pool, in requests. Default: 512
         optional --max-queued count: String
-        /// Longest wait in a queue, in milliseconds. Default: 2000
+        /// Longest wait in a queue, in milliseconds. Default: 1000
         optional --max-queue-wait-ms ms: String
     }
 }
--- a/src/bin/sardineseamd/config.rs
+++ b/src/bin/sardineseamd/config.rs
@@ -83,7 +83,7 @@
         endpoint_connections: source.count("endpoint-connections", args.endpoint_connections, 64)?,
         endpoint_slots: source.count("endpoint-slots", args.endpoint_slots, 8)?,
         max_queued: source.count("max-queued", args.max_queued, 512)?,
-        max_queue_wait_ms: source.count("max-queue-wait-ms", args.max_queue_wait_ms, 2_000)?,
+        max_queue_wait_ms: source.count("max-queue-wait-ms", args.max_queue_wait_ms, 1_000)?,
     })
 }
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -152,6 +152,10 @@
     avoid: Option<Arc<str>>,
     /// Some try reached an endpoint and brought no answer: `not-run` can no longer be said.
     may_have_run: bool,
+    /// When it began to wait.
+    queued_us: u64,
+    /// Requests of the same caller that it then had before it.
+    queued_behind: usize,
 }
 
 /// One daemon's decisions about requests.
@@ -218,7 +222,8 @@
     pub fn arrive(&mut self, now_us: u64, arrival: Arrival) -> Vec<Action> {
         let mut actions = Vec::new();
         let name = arrival.pool.clone();
-        let request = Request { arrival, attempts: 0, avoid: None, may_have_run: false };
+        let request =
+            Request { arrival, attempts: 0, avoid: None, may_have_run: false, queued_us: now_us, queued_behind: 0 };
         match self.pools.get_mut(&name) {
             None => actions.push(refuse(&request, Refusal::NoEndpoint, self.settings.min_retry_after_ms)),
             Some(pool) => pool.enqueue(now_us, request, &mut actions),
--- a/src/dispatch/dispatch_tests.rs
+++ b/src/dispatch/dispatch_tests.rs
@@ -241,7 +241,8 @@
 
 #[test]
 fn a_request_that_would_start_too_late_is_refused_at_once() {
-    let mut dispatcher = dispatcher(DispatchSettings::default(), &hosts(1));
+    let settings = DispatchSettings { max_queue_wait_us: 60 * US_PER_S, ..DispatchSettings::default() };
+    let mut dispatcher = dispatcher(settings, &hosts(1));
     // Teaches a service time of one second.
     let (attempt, ..) = started(&dispatcher.arrive(0, arrival(0, true)));
     dispatcher.end(US_PER_S, attempt, well(0));
--- a/src/dispatch/pool.rs
+++ b/src/dispatch/pool.rs
@@ -17,8 +17,10 @@
 use crate::clock::US_PER_MS;
 use crate::platform::HostEntry;
 
-/// Weight of the latest service time in the average.
+/// Weight of the latest service time in the averages.
 const SERVICE_WEIGHT: f64 = 0.05;
+/// Mean deviations beyond the average within which nearly every request is served.
+const MARGIN_DEVIATIONS: f64 = 4.0;
 /// Fewest connections to an endpoint that make a connection set worth its keep.
 const MIN_CONNECTIONS: usize = 4;
 /// Fewest endpoints a daemon uses of a pool that has more.
@@ -42,6 +44,8 @@
     budget: RetryBudget,
     /// Average time from sending a request to its answer.
     service_us: f64,
+    /// Average distance of that time from its average.
+    deviation_us: f64,
     next_turn: usize,
     slot_share: f64,
 }
@@ -57,6 +61,7 @@
             in_flight: HashMap::new(),
             budget,
             service_us: 0.0,
+            deviation_us: 0.0,
             next_turn: 0,
             slot_share: 1.0,
         }
@@ -110,7 +115,9 @@
             return;
         }
         if self.queue.len() > 0 {
-            let wait_us = self.wait_us(self.queue.ahead_of(&request.arrival.caller) + 1);
+            let caller = &request.arrival.caller;
+            let by_position_us = self.wait_us(self.queue.ahead_of(caller) + 1);
+            let wait_us = by_position_us.max(self.queue.expected_wait_us(caller, now_us));
             if wait_us > self.settings.max_queue_wait_us {
                 actions.push(refuse(&request, Refusal::QueueFull, self.retry_after_ms()));
                 return;
@@ -162,7 +169,8 @@
                 return None;
             }
             let request = self.queue.pop()?;
-            if now_us >= request.arrival.deadline_us {
+            let waited = now_us > request.queued_us;
+            if now_us >= request.arrival.deadline_us || (waited && now_us > self.latest_start_us(&request)) {
                 actions.push(self.give_up(&request, Refusal::DeadlineTooClose));
                 continue;
             }
@@ -189,7 +197,8 @@
         if !request.arrival.idempotent || request.attempts >= self.settings.max_attempts {
             return deadline_us;
         }
-        now_us + deadline_us.saturating_sub(now_us) / 2
+        let left_us = deadline_us.saturating_sub(now_us);
+        now_us + (left_us / 2).max(self.margin_us()).min(left_us)
     }
 
     /// Takes the end of an attempt and decides what becomes of its request.
@@ -267,8 +276,8 @@
 
     /// Refuses waiting requests whose time is up.
     pub(super) fn expire(&mut self, now_us: u64, actions: &mut Vec<Action>) {
-        let service_us = self.service_us as u64;
-        let expired = self.queue.remove_unless(|request| now_us + service_us <= request.arrival.deadline_us);
+        let margin_us = self.margin_us();
+        let expired = self.queue.remove_unless(|request| now_us <= latest_start_us(request, margin_us));
         for request in expired {
             actions.push(self.give_up(&request, Refusal::DeadlineTooClose));
         }
@@ -287,7 +296,9 @@
         if self.service_us == 0.0 {
             self.service_us = service_us;
         }
-        self.service_us += SERVICE_WEIGHT * (service_us - self.service_us);
+        let difference_us = service_us - self.service_us;
+        self.service_us += SERVICE_WEIGHT * difference_us;
+        self.deviation_us += SERVICE_WEIGHT * (difference_us.abs() - self.deviation_us);
     }
 
     /// Expected time until `position` requests have left the queue.
@@ -296,8 +307,13 @@
         (position as f64 * self.service_us / servers) as u64
     }
 
+    /// Time in which nearly every request is served.
+    fn margin_us(&self) -> u64 {
+        (self.service_us + MARGIN_DEVIATIONS * self.deviation_us) as u64
+    }
+
     fn latest_start_us(&self, request: &Request) -> u64 {
-        request.arrival.deadline_us.saturating_sub(self.service_us as u64)
+        latest_start_us(request, self.margin_us())
     }
 
     /// Time in which the present queue is served.
@@ -391,6 +407,14 @@
     }
 }
 
+/// When a request that waits must start to be served in time. One whose deadline is short from the beginning may
+/// wait for half of it.
+fn latest_start_us(request: &Request, margin_us: u64) -> u64 {
+    let deadline_us = request.arrival.deadline_us;
+    let half_us = deadline_us.saturating_sub(request.queued_us) / 2;
+    deadline_us.saturating_sub(margin_us.min(half_us))
+}
+
 /// Random position within `candidates`, if there is any.
 fn pick(candidates: &[usize], rng: &mut SmallRng) -> Option<usize> {
     (!candidates.is_empty()).then(|| rng.random_range(0..candidates.len()))
--- a/src/dispatch/queue.rs
+++ b/src/dispatch/queue.rs
@@ -36,8 +36,17 @@
         ahead
     }
 
+    /// How long a request that `caller` adds now will wait, if its turns go on coming as they did for its next one.
+    pub(super) fn expected_wait_us(&self, caller: &str, now_us: u64) -> u64 {
+        let Some(waiting) = self.by_caller.get(caller) else { return 0 };
+        let Some(next) = waiting.front() else { return 0 };
+        let waited_us = now_us.saturating_sub(next.queued_us);
+        waited_us.saturating_mul(waiting.len() as u64) / next.queued_behind.max(1) as u64
+    }
+
     /// Adds a request behind its caller's others.
-    pub(super) fn push(&mut self, request: Request) {
+    pub(super) fn push(&mut self, mut request: Request) {
+        request.queued_behind = self.by_caller.get(&request.arrival.caller).map_or(0, VecDeque::len);
         self.add(request, VecDeque::push_back);
     }
 
--- a/src/dispatch/queue_tests.rs
+++ b/src/dispatch/queue_tests.rs
@@ -12,7 +12,7 @@
         deadline_us: id * 10,
         body_bytes: 5,
     };
-    Request { arrival, attempts: 0, avoid: None, may_have_run: false }
+    Request { arrival, attempts: 0, avoid: None, may_have_run: false, queued_us: id, queued_behind: 0 }
 }
 
 fn filled(entries: &[(u64, &str)]) -> FairQueue {
@@ -79,3 +79,14 @@
     assert_eq!(queue.len(), 2);
     assert_eq!(drain(&mut queue), [3, 4]);
 }
+
+#[test]
+fn expects_a_caller_to_wait_as_its_next_request_did() {
+    // The next request of "a" came with two before it and has waited 8 us: 4 us each, with three waiting now.
+    let mut queue = filled(&[(0, "a"), (1, "a"), (2, "a"), (3, "a"), (4, "a")]);
+    queue.pop();
+    queue.pop();
+
+    assert_eq!(queue.expected_wait_us("a", 10), 12);
+    assert_eq!(queue.expected_wait_us("c", 10), 0);
+}
--- a/src/dispatch/settings.rs
+++ b/src/dispatch/settings.rs
@@ -63,7 +63,7 @@
             slack: 1,
             max_queued: 512,
             max_queued_bytes: 8 << 20,
-            max_queue_wait_us: 2_000_000,
+            max_queue_wait_us: 1_000_000,
             max_attempts: 3,
             retry_ratio: 0.1,
             retry_burst: 10.0,
