--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -44,7 +44,9 @@
     pub request: RequestId,
     /// Pool that serves it.
     pub pool: Arc<str>,
-    /// Who sent it, for fairness.
+    /// Team of its caller; teams are served in turn.
+    pub team: Arc<str>,
+    /// Who sent it; the callers of a team are served in turn.
     pub caller: Arc<str>,
     /// Whether it may run more than once.
     pub idempotent: bool,
--- a/src/dispatch/dispatch_tests.rs
+++ b/src/dispatch/dispatch_tests.rs
@@ -37,6 +37,7 @@
     Arrival {
         request: RequestId(id),
         pool: POOL.into(),
+        team: "t".into(),
         caller: "c".into(),
         idempotent,
         deadline_us: 10 * US_PER_S,
--- a/src/dispatch/pool.rs
+++ b/src/dispatch/pool.rs
@@ -115,9 +115,8 @@
             return;
         }
         if self.queue.len() > 0 {
-            let caller = &request.arrival.caller;
-            let by_position_us = self.wait_us(self.queue.ahead_of(caller) + 1);
-            let wait_us = by_position_us.max(self.queue.expected_wait_us(caller, now_us));
+            let by_position_us = self.wait_us(self.queue.ahead_of(&request.arrival) + 1);
+            let wait_us = by_position_us.max(self.queue.expected_wait_us(&request.arrival, now_us));
             if wait_us > self.settings.max_queue_wait_us {
                 actions.push(refuse(&request, Refusal::QueueFull, self.retry_after_ms()));
                 return;
@@ -142,7 +141,7 @@
             queue.len() < settings.max_queued && bytes <= settings.max_queued_bytes
         };
         while !fits(&self.queue, &self.settings) {
-            let Some(displaced) = self.queue.displace_for(&request.arrival.caller) else { return false };
+            let Some(displaced) = self.queue.displace_for(&request.arrival) else { return false };
             actions.push(refuse(&displaced, Refusal::QueueFull, self.retry_after_ms()));
         }
         true
--- a/src/dispatch/queue_tests.rs
+++ b/src/dispatch/queue_tests.rs
@@ -4,7 +4,10 @@
 use super::{Arrival, Request, RequestId};
 
 fn request(id: u64, caller: &str) -> Request {
+    // A caller is named as "team/caller", or by itself in the team "t".
+    let (team, caller) = caller.split_once('/').unwrap_or(("t", caller));
     let arrival = Arrival {
+        team: team.into(),
         request: RequestId(id),
         pool: "p".into(),
         caller: caller.into(),
@@ -49,17 +52,17 @@
 fn counts_what_leaves_before_a_new_request() {
     let queue = filled(&[(1, "a"), (2, "a"), (3, "a"), (4, "b")]);
 
-    assert_eq!(queue.ahead_of("a"), 4);
-    assert_eq!(queue.ahead_of("b"), 3);
-    assert_eq!(queue.ahead_of("c"), 2);
+    assert_eq!(queue.ahead_of(&request(9, "a").arrival), 4);
+    assert_eq!(queue.ahead_of(&request(9, "b").arrival), 3);
+    assert_eq!(queue.ahead_of(&request(9, "c").arrival), 2);
 }
 
 #[test]
 fn displaces_the_newest_of_the_busiest_only() {
     let mut queue = filled(&[(1, "a"), (2, "a"), (3, "a"), (4, "b")]);
 
-    let displaced = queue.displace_for("b").map(|request| request.arrival.request.0);
-    let second = queue.displace_for("b").map(|request| request.arrival.request.0);
+    let displaced = queue.displace_for(&request(9, "b").arrival).map(|request| request.arrival.request.0);
+    let second = queue.displace_for(&request(9, "b").arrival).map(|request| request.arrival.request.0);
 
     assert_eq!(displaced, Some(3));
     assert_eq!(second, None, "the busiest would have no more than the newcomer");
@@ -87,6 +90,24 @@
     queue.pop();
     queue.pop();
 
-    assert_eq!(queue.expected_wait_us("a", 10), 12);
-    assert_eq!(queue.expected_wait_us("c", 10), 0);
+    assert_eq!(queue.expected_wait_us(&request(9, "a").arrival, 10), 12);
+    assert_eq!(queue.expected_wait_us(&request(9, "c").arrival, 10), 0);
+}
+
+#[test]
+fn teams_take_turns_however_many_callers_they_have() {
+    let mut queue = filled(&[(1, "x/a"), (2, "x/b"), (3, "x/c"), (4, "y/d"), (5, "y/d")]);
+
+    assert_eq!(drain(&mut queue), [1, 4, 2, 5, 3]);
+}
+
+#[test]
+fn a_busier_team_is_displaced_before_a_callers_own() {
+    let mut queue = filled(&[(1, "x/a"), (2, "x/b"), (3, "x/c"), (4, "y/d")]);
+
+    let displaced = queue.displace_for(&request(9, "y/e").arrival).map(|request| request.arrival.request.0);
+    let none = queue.displace_for(&request(9, "x/e").arrival);
+
+    assert!(displaced.is_some_and(|id| id <= 3));
+    assert!(none.is_none());
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -159,6 +159,7 @@
     let arrival = Arrival {
         request: ids.id,
         pool: plan.pool.clone(),
+        team: plan.team.clone(),
         caller: plan.caller.clone(),
         idempotent: plan.idempotent,
         deadline_us: plan.deadline_us,
--- a/src/entry/plan.rs
+++ b/src/entry/plan.rs
@@ -14,14 +14,16 @@
 use crate::wire;
 
 const MAX_DEADLINE_MS: u64 = 600_000;
-const MAX_CALLER_CHARS: usize = 64;
+const MAX_LABEL_CHARS: usize = 64;
 const MAX_KEY_CHARS: usize = 255;
 const ANONYMOUS: &str = "anonymous";
+const FORWARDED_FOR: &str = "x-forwarded-for";
 
 /// A request whose head is in order.
 #[derive(Debug)]
 pub(super) struct Plan {
     pub(super) pool: Arc<str>,
+    pub(super) team: Arc<str>,
     pub(super) caller: Arc<str>,
     pub(super) method: Method,
     /// Path and query that the endpoint sees.
@@ -48,14 +50,15 @@
         }
         let (service, path) = split_path(&head)?;
         let pool = accepted.pool_of_service(service).ok_or_else(|| Refused::UnknownService {
-            service: service.chars().take(MAX_CALLER_CHARS).collect(),
+            service: service.chars().take(MAX_LABEL_CHARS).collect(),
             known: accepted.sheet.pools.iter().map(|pool| pool.service.to_string()).collect(),
         })?;
         let deadline_ms = deadline_ms(&head.headers, default_deadline_ms)?;
         let key = key(&head.headers)?.filter(|_| !head.method.is_safe());
         Ok(Plan {
             pool: pool.clone(),
-            caller: caller(&head.headers),
+            team: label(&head.headers, &[wire::TEAM]),
+            caller: label(&head.headers, &[wire::CALLER, FORWARDED_FOR]),
             path,
             idempotent: head.method.is_idempotent() && key.is_none(),
             deadline_us: now_us + deadline_ms * US_PER_MS,
@@ -74,6 +77,7 @@
         }
         Some(Plan {
             pool: forward.pool,
+            team: forward.team,
             caller: forward.caller,
             method: Method::from_bytes(forward.method.as_bytes()).ok()?,
             path: PathAndQuery::try_from(forward.path).ok()?,
@@ -90,6 +94,7 @@
         let headers = self.headers.iter();
         Forward {
             pool: self.pool.clone(),
+            team: self.team.clone(),
             caller: self.caller.clone(),
             method: self.method.to_string(),
             path: self.path.to_string(),
@@ -135,11 +140,12 @@
     Err(Refused::Header { name: wire::IDEMPOTENCY_KEY, fix })
 }
 
-fn caller(headers: &HeaderMap) -> Arc<str> {
-    let named = headers.get(wire::CALLER).or_else(|| headers.get("x-forwarded-for"));
+/// First of the named headers' first value, shortened.
+fn label(headers: &HeaderMap, names: &[&str]) -> Arc<str> {
+    let named = names.iter().find_map(|name| headers.get(*name));
     let Some(Ok(text)) = named.map(|value| value.to_str()) else { return ANONYMOUS.into() };
     let first = text.split(',').next().unwrap_or("").trim();
-    let shortened: String = first.chars().take(MAX_CALLER_CHARS).collect();
+    let shortened: String = first.chars().take(MAX_LABEL_CHARS).collect();
     if shortened.is_empty() {
         return ANONYMOUS.into();
     }
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -59,6 +59,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Forward {
     pub(crate) pool: Arc<str>,
+    pub(crate) team: Arc<str>,
     pub(crate) caller: Arc<str>,
     pub(crate) method: String,
     /// Path and query that the endpoint sees.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -10,6 +10,8 @@
 pub const REQUEST_ID: &str = "sardineseam-request-id";
 /// Time left for a request, in milliseconds.
 pub const DEADLINE_MS: &str = "sardineseam-deadline-ms";
+/// Team of the caller, for fairness between teams.
+pub const TEAM: &str = "sardineseam-team";
 /// Who sends the request, for fairness between callers.
 pub const CALLER: &str = "sardineseam-caller";
 /// When to come back, in milliseconds; finer than `Retry-After`.
--- a/tests/support/sim.rs
+++ b/tests/support/sim.rs
@@ -29,6 +29,7 @@
 const IDEMPOTENT_SHARE: f64 = 0.7;
 /// Connections that were open when the silent path began.
 const SILENT_CONNECTIONS: u32 = 4;
+const SLOW_FACTOR: u64 = 10;
 const SHARE_PERIOD_US: u64 = 500 * US_PER_MS;
 pub const WINDOW_US: u64 = 100 * US_PER_MS;
 const POOL: &str = "pool";
@@ -43,18 +44,31 @@
     SilentPath,
     /// Zone 0 cannot reach the others, nor they it.
     ZoneCut,
+    /// One endpoint works ten times as slowly.
+    SlowEndpoint,
+    /// One endpoint always tells that it has nothing to do.
+    LyingEndpoint,
     /// The host list stands still while an endpoint is lost.
     PlatformOutage,
 }
 
 impl Fault {
-    pub const ALL: [Fault; 5] =
-        [Fault::None, Fault::FailingEndpoint, Fault::SilentPath, Fault::ZoneCut, Fault::PlatformOutage];
+    pub const ALL: [Fault; 7] = [
+        Fault::None,
+        Fault::FailingEndpoint,
+        Fault::SlowEndpoint,
+        Fault::LyingEndpoint,
+        Fault::SilentPath,
+        Fault::ZoneCut,
+        Fault::PlatformOutage,
+    ];
 
     pub fn name(self) -> &'static str {
         match self {
             Fault::None => "none",
             Fault::FailingEndpoint => "endpoint fails all",
+            Fault::SlowEndpoint => "endpoint slow",
+            Fault::LyingEndpoint => "endpoint lies",
             Fault::SilentPath => "silent path",
             Fault::ZoneCut => "zone cut off",
             Fault::PlatformOutage => "platform outage",
@@ -317,6 +331,7 @@
         let arrival = Arrival {
             request: RequestId(id),
             pool: POOL.into(),
+            team: "team".into(),
             caller: request.caller.to_string().into(),
             idempotent: request.idempotent,
             deadline_us: self.now_us + DEADLINE_US,
@@ -397,6 +412,7 @@
     }
 
     fn run_next(&mut self, endpoint: usize) {
+        let slow = self.fault_active(Fault::SlowEndpoint) && endpoint == 0;
         let state = &mut self.endpoints[endpoint];
         if state.running >= SLOTS {
             return;
@@ -405,7 +421,8 @@
         state.running += 1;
         let running = &mut self.requests[request as usize];
         running.runs += 1;
-        let at_us = self.now_us + running.service_us;
+        let factor = if slow { SLOW_FACTOR } else { 1 };
+        let at_us = self.now_us + running.service_us * factor;
         self.schedule(at_us, Event::Served { endpoint, daemon, attempt, request });
     }
 
@@ -420,7 +437,10 @@
             return;
         }
         let state = &self.endpoints[endpoint];
-        let in_flight = u32::try_from(state.running + state.waiting.len()).expect("few");
+        let mut in_flight = u32::try_from(state.running + state.waiting.len()).expect("few");
+        if self.fault_active(Fault::LyingEndpoint) && endpoint == 0 {
+            in_flight = 0;
+        }
         let kind = EndKind::Answered { failed, in_flight };
         self.schedule(self.now_us + Self::delay_us(daemon, endpoint), Event::Ended { daemon, attempt, kind });
     }
