--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,140 @@
+//! Slopes of each role's state and work over the size of the fleet, with the decision logic driven by fakes.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use sardineseam::dispatch::{Arrival, AttemptEnd, DispatchSettings, Dispatcher, LoadReport, RequestId};
+use sardineseam::{capacity, HostEntry, HostState, Sheet};
+
+/// Workers and pools of each measured size; daemons are one for sixty workers, at least six.
+const SIZES: [(usize, usize); 4] = [(50, 5), (400, 20), (1_600, 70), (6_400, 270)];
+const ZONES: usize = 18;
+
+fn daemons(workers: usize) -> usize {
+    (workers / 60).max(6)
+}
+
+fn host(number: usize, pools: usize) -> HostEntry {
+    HostEntry {
+        name: format!("worker-{number:05}").into(),
+        address: ([10, (number >> 16) as u8, (number >> 8) as u8, number as u8], 8080).into(),
+        zone: format!("region-{}-zone-{}", number % 5, number % ZONES).into(),
+        pool: format!("pool-{:03}", number % pools).into(),
+        state: HostState::Live,
+        epoch: 1,
+    }
+}
+
+fn sheet(workers: usize, pools: usize) -> String {
+    let mut csv =
+        "kind,name,pool,service,zones,hosts,spare,max_unavailable,opens_at,closes_at,max_concurrent\n".to_owned();
+    let zones: Vec<String> = (0..ZONES).map(|zone| format!("region-{}-zone-{zone}", zone % 5)).collect();
+    let zones = zones.join(" ");
+    for pool in 0..pools {
+        csv += &format!("pool,pool-{pool:03},,service-{pool:03},{zones},{},no,,,,\n", workers / pools);
+        csv += &format!("budget,,pool-{pool:03},,,,,2,,,\n");
+        csv +=
+            &format!("wave,wave-{pool:03},pool-{pool:03},,,,,,2026-12-04T01:00:00+08:00,2026-12-04T05:00:00+08:00,2\n");
+    }
+    csv
+}
+
+/// Resident memory of this process, in bytes.
+fn resident_bytes() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("status");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("VmRSS");
+    line.split_whitespace().nth(1).expect("a number").parse::<f64>().expect("a number") * 1_024.0
+}
+
+/// Median time of one call, in microseconds.
+fn time_us(rounds: usize, mut call: impl FnMut()) -> f64 {
+    let mut times: Vec<f64> = Vec::new();
+    for _ in 0..rounds {
+        let started = Instant::now();
+        call();
+        times.push(started.elapsed().as_secs_f64() * 1e6);
+    }
+    times.sort_by(f64::total_cmp);
+    times[times.len() / 2]
+}
+
+fn main() {
+    println!("| workers | pools | daemons | sheet KB | read sheet us | take host list us | one host change us | fleet and dispatcher KB | gossip bytes, quiet | gossip bytes, 32 departures | snapshot KB | links | lease scan KB | endpoints used |");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for (workers, pools) in SIZES {
+        row(workers, pools);
+    }
+    println!();
+    println!("| pools | one request (arrive and end) us |");
+    println!("|---|---|");
+    for (workers, pools) in SIZES {
+        println!("| {pools} | {:.2} |", request_us(workers, pools));
+    }
+}
+
+fn row(workers: usize, pools: usize) {
+    let daemons = daemons(workers);
+    let csv = sheet(workers, pools);
+    let read_us = time_us(9, || drop(Sheet::read(csv.as_bytes()).expect("a correct sheet")));
+    let hosts: Vec<HostEntry> = (0..workers).map(|number| host(number, pools)).collect();
+    let list_us = time_us(5, || drop(capacity::Fleet::from_list(hosts.clone())));
+    let before = resident_bytes();
+    let mut fleet = capacity::Fleet::from_list(hosts);
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), "daemon-000", "region-0-zone-0", 1);
+    dispatcher.set_daemon_count(daemons);
+    let mut used = 0;
+    for pool in 0..pools {
+        let name: Arc<str> = format!("pool-{pool:03}").into();
+        dispatcher.set_endpoints(0, &name, &fleet.endpoints(&name));
+        used += dispatcher.endpoint_count(&name);
+    }
+    let kept_kb = (resident_bytes() - before) / 1_000.0;
+    let mut epoch = 1;
+    let change_us = time_us(99, || {
+        epoch += 1;
+        let changed = HostEntry { epoch, ..host(7, pools) };
+        let pool = changed.pool.clone();
+        fleet.change(changed);
+        dispatcher.set_endpoints(0, &pool, &fleet.endpoints(&pool));
+    });
+    let sizes = capacity::message_sizes(workers, daemons, csv.as_bytes(), &fleet);
+    println!(
+        "| {workers} | {pools} | {daemons} | {:.1} | {read_us:.0} | {list_us:.0} | {change_us:.1} | {kept_kb:.0} | {} | {} | {:.0} | {} | {:.1} | {used} |",
+        csv.len() as f64 / 1_000.0,
+        sizes.quiet_gossip_bytes,
+        sizes.busy_gossip_bytes,
+        sizes.snapshot_bytes as f64 / 1_000.0,
+        sizes.links,
+        sizes.lease_scan_bytes as f64 / 1_000.0,
+    );
+}
+
+fn request_us(workers: usize, pools: usize) -> f64 {
+    const REQUESTS: u64 = 50_000;
+    let fleet = capacity::Fleet::from_list((0..workers).map(|number| host(number, pools)).collect());
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), "daemon-000", "region-0-zone-0", 1);
+    dispatcher.set_daemon_count(daemons(workers));
+    let names: Vec<Arc<str>> = (0..pools).map(|pool| format!("pool-{pool:03}").into()).collect();
+    for name in &names {
+        dispatcher.set_endpoints(0, name, &fleet.endpoints(name));
+    }
+    let started = Instant::now();
+    for id in 0..REQUESTS {
+        let arrival = Arrival {
+            request: RequestId(id),
+            pool: names[id as usize % pools].clone(),
+            team: "team".into(),
+            caller: "caller".into(),
+            idempotent: true,
+            deadline_us: id + 1_000_000,
+            body_bytes: 100,
+        };
+        for action in dispatcher.arrive(id, arrival) {
+            if let sardineseam::dispatch::Action::Start { attempt, .. } = action {
+                let load = Some(LoadReport { in_flight: 1, slots: 8 });
+                dispatcher.end(id + 10, attempt, AttemptEnd::Answered { failed: false, load });
+            }
+        }
+    }
+    started.elapsed().as_secs_f64() * 1e6 / REQUESTS as f64
+}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -262,6 +262,11 @@
         !self.waiting.is_empty()
     }
 
+    /// Endpoints of a pool that this daemon uses.
+    pub fn endpoint_count(&self, pool: &str) -> usize {
+        self.pools.get(pool).map_or(0, Pool::endpoint_count)
+    }
+
     /// Requests waiting in a pool's queue.
     pub fn queued(&self, pool: &str) -> usize {
         self.pools.get(pool).map_or(0, Pool::queued)
--- a/src/dispatch/pool.rs
+++ b/src/dispatch/pool.rs
@@ -67,6 +67,10 @@
         }
     }
 
+    pub(super) fn endpoint_count(&self) -> usize {
+        self.endpoints.len()
+    }
+
     pub(super) fn queued(&self) -> usize {
         self.queue.len()
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 mod api;
 mod auth;
 mod callers;
+pub mod capacity;
 mod clock;
 mod daemon;
 pub mod dispatch;
