Keep control traffic level as daemons and pools grow

Ruled out: deltas between sheets (another format to keep right), fewer renewals (slower takeover). Change: lease rows are looked at every quarter second for each daemon, at least every 5 s, and lapse only by looks; sheets are stored compressed; hosts are indexed by pool.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -9,6 +9,9 @@
 /// Workers and pools of each measured size; daemons are one for sixty workers, at least six.
 const SIZES: [(usize, usize); 4] = [(50, 5), (400, 20), (1_600, 70), (6_400, 270)];
 const ZONES: usize = 18;
+/// Workers in all copies together when memory is measured.
+const TOTAL_WORKERS: usize = 64_000;
+const COPIES_VARIABLE: &str = "SARDINESEAM_BENCH_COPIES";
 
 fn daemons(workers: usize) -> usize {
     (workers / 60).max(6)
@@ -59,8 +62,12 @@
 }
 
 fn main() {
-    println!("| workers | pools | daemons | sheet KB | read sheet us | take host list us | one host change us | fleet and dispatcher KB | gossip bytes, quiet | gossip bytes, 32 departures | snapshot KB | links | lease scan KB | endpoints used |");
-    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    if let Ok(size) = std::env::var(COPIES_VARIABLE) {
+        print_kept_kb(&size);
+        return;
+    }
+    println!("| workers | pools | daemons | sheet KB | stored KB | read sheet us | take host list us | one host change us | fleet and dispatcher KB | gossip bytes, quiet | gossip bytes, 32 departures | snapshot KB | links | lease scan KB | endpoints used |");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
     for (workers, pools) in SIZES {
         row(workers, pools);
     }
@@ -78,17 +85,9 @@
     let read_us = time_us(9, || drop(Sheet::read(csv.as_bytes()).expect("a correct sheet")));
     let hosts: Vec<HostEntry> = (0..workers).map(|number| host(number, pools)).collect();
     let list_us = time_us(5, || drop(capacity::Fleet::from_list(hosts.clone())));
-    let before = resident_bytes();
-    let mut fleet = capacity::Fleet::from_list(hosts);
-    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), "daemon-000", "region-0-zone-0", 1);
-    dispatcher.set_daemon_count(daemons);
-    let mut used = 0;
-    for pool in 0..pools {
-        let name: Arc<str> = format!("pool-{pool:03}").into();
-        dispatcher.set_endpoints(0, &name, &fleet.endpoints(&name));
-        used += dispatcher.endpoint_count(&name);
-    }
-    let kept_kb = (resident_bytes() - before) / 1_000.0;
+    drop(hosts);
+    let (mut fleet, mut dispatcher, used) = build(workers, pools);
+    let kept_kb = kept_kb(workers, pools);
     let mut epoch = 1;
     let change_us = time_us(99, || {
         epoch += 1;
@@ -99,8 +98,9 @@
     });
     let sizes = capacity::message_sizes(workers, daemons, csv.as_bytes(), &fleet);
     println!(
-        "| {workers} | {pools} | {daemons} | {:.1} | {read_us:.0} | {list_us:.0} | {change_us:.1} | {kept_kb:.0} | {} | {} | {:.0} | {} | {:.1} | {used} |",
+        "| {workers} | {pools} | {daemons} | {:.1} | {:.1} | {read_us:.0} | {list_us:.0} | {change_us:.1} | {kept_kb:.0} | {} | {} | {:.0} | {} | {:.1} | {used} |",
         csv.len() as f64 / 1_000.0,
+        sizes.stored_sheet_bytes as f64 / 1_000.0,
         sizes.quiet_gossip_bytes,
         sizes.busy_gossip_bytes,
         sizes.snapshot_bytes as f64 / 1_000.0,
@@ -109,6 +109,37 @@
     );
 }
 
+/// The state of one daemon; the last value counts the endpoints it uses.
+fn build(workers: usize, pools: usize) -> (capacity::Fleet, Dispatcher, usize) {
+    let fleet = capacity::Fleet::from_list((0..workers).map(|number| host(number, pools)).collect());
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), "daemon-000", "region-0-zone-0", 1);
+    dispatcher.set_daemon_count(daemons(workers));
+    let mut used = 0;
+    for pool in 0..pools {
+        let name: Arc<str> = format!("pool-{pool:03}").into();
+        dispatcher.set_endpoints(0, &name, &fleet.endpoints(&name));
+        used += dispatcher.endpoint_count(&name);
+    }
+    (fleet, dispatcher, used)
+}
+
+/// Memory of that state, as the mean of many copies in a process of their own.
+fn kept_kb(workers: usize, pools: usize) -> f64 {
+    let program = std::env::current_exe().expect("this program");
+    let size = format!("{workers},{pools}");
+    let output = std::process::Command::new(program).env(COPIES_VARIABLE, size).output().expect("it runs");
+    String::from_utf8_lossy(&output.stdout).trim().parse().expect("a number")
+}
+
+fn print_kept_kb(size: &str) {
+    let (workers, pools) = size.split_once(',').expect("two numbers");
+    let (workers, pools): (usize, usize) = (workers.parse().expect("a number"), pools.parse().expect("a number"));
+    let copies = TOTAL_WORKERS / workers;
+    let before = resident_bytes();
+    let kept: Vec<_> = (0..copies).map(|_| build(workers, pools)).collect();
+    println!("{}", (resident_bytes() - before) / 1_000.0 / kept.len() as f64);
+}
+
 fn request_us(workers: usize, pools: usize) -> f64 {
     const REQUESTS: u64 = 50_000;
     let fleet = capacity::Fleet::from_list((0..workers).map(|number| host(number, pools)).collect());
--- a/benches/keyed.rs
+++ b/benches/keyed.rs
@@ -81,6 +81,10 @@
     println!("|---|---|---|---|---|---|");
     for (kind, name) in [(Kind::NoKey, "no key"), (Kind::Claim, "claim in the table"), (Kind::Ticket, "ticket")] {
         let caller = Caller::new(&base);
+        for number in 0..SEQUENTIAL / 4 {
+            caller.send(kind, &format!("w{number}"));
+        }
+        thread::sleep(Duration::from_millis(300));
         let before = writes();
         let mut times: Vec<f64> = (0..SEQUENTIAL).map(|number| caller.send(kind, &format!("s{number}")).0).collect();
         thread::sleep(Duration::from_millis(300));
--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -8,6 +8,7 @@
 use crate::roster::{gossip_targets, DaemonInfo, Roster};
 use crate::sheet::Sheet;
 use crate::sheet_state::SheetRef;
+use crate::sheet_store::stored_size;
 use crate::table::Row;
 
 const TOLD_DEPARTURES: usize = 32;
@@ -48,6 +49,8 @@
     pub snapshot_bytes: usize,
     /// Daemons that one daemon tells news to.
     pub links: usize,
+    /// The sheet as the object store keeps it.
+    pub stored_sheet_bytes: usize,
     /// The lease rows of all daemons, as the table answers them.
     pub lease_scan_bytes: usize,
 }
@@ -90,6 +93,7 @@
         quiet_gossip_bytes: gossip(Vec::new()),
         busy_gossip_bytes: gossip(departures),
         snapshot_bytes: size(&PeerReply::Snapshot(snapshot)),
+        stored_sheet_bytes: stored_size(sheet).unwrap_or(0),
         links: gossip_targets(&daemons[0].name, &daemons[1..]).len(),
         lease_scan_bytes: serde_json::to_vec(&rows).map_or(0, |bytes| bytes.len()),
     }
--- a/src/daemon/events.rs
+++ b/src/daemon/events.rs
@@ -80,7 +80,7 @@
 
     /// Recounts the daemons that share the endpoints.
     pub(crate) fn recount_daemons(&self) {
-        let count = self.roster.borrow().live_others(self.now_us()).len() + 1;
+        let count = self.roster.borrow().live_others().len() + 1;
         if self.path.dispatcher().set_daemon_count(count) {
             metrics::gauge!("daemons").set(count as f64);
             self.refresh_all_pools();
@@ -127,7 +127,7 @@
         let sheet = self.sheet.borrow();
         let in_force = sheet.in_force();
         let roster = self.roster.borrow();
-        let mut daemons = roster.live_others(self.now_us());
+        let mut daemons = roster.live_others();
         daemons.push(roster.own().clone());
         Snapshot {
             sheet: in_force.map(|accepted| accepted.reference.clone()),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -44,6 +44,8 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     hosts: HashMap<Arc<str>, Arc<HostEntry>>,
+    /// Names of each pool's hosts.
+    by_pool: HashMap<Arc<str>, BTreeSet<Arc<str>>>,
     departed: HashMap<Arc<str>, Departed>,
     cursor: u64,
 }
@@ -83,13 +85,22 @@
         } else {
             self.note_departure(now_us, &entry.name, entry.epoch, change);
         }
-        if entry.state == HostState::Gone {
-            self.hosts.remove(&entry.name);
-        } else {
+        self.remove(&entry.name);
+        if entry.state != HostState::Gone {
+            self.by_pool.entry(entry.pool.clone()).or_default().insert(entry.name.clone());
             self.hosts.insert(entry.name.clone(), Arc::new(entry));
         }
     }
 
+    fn remove(&mut self, name: &str) {
+        let Some(host) = self.hosts.remove(name) else { return };
+        let Some(names) = self.by_pool.get_mut(&host.pool) else { return };
+        names.remove(name);
+        if names.is_empty() {
+            self.by_pool.remove(&host.pool);
+        }
+    }
+
     /// Takes a sign from a peer or an endpoint that a host leaves.
     pub fn depart(&mut self, now_us: u64, departure: &Departure) -> FleetChange {
         let mut change = FleetChange::default();
@@ -117,13 +128,12 @@
     /// Hosts of a pool that take new work, in the order of names.
     pub fn endpoints(&self, pool: &str) -> Vec<Arc<HostEntry>> {
         let mut found = Vec::new();
-        for host in self.hosts.values() {
-            if &*host.pool != pool || host.state != HostState::Live || self.has_departed(host) {
-                continue;
+        for name in self.by_pool.get(pool).into_iter().flatten() {
+            let Some(host) = self.hosts.get(name) else { continue };
+            if host.state == HostState::Live && !self.has_departed(host) {
+                found.push(host.clone());
             }
-            found.push(host.clone());
         }
-        found.sort_by(|a, b| a.name.cmp(&b.name));
         found
     }
 
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -48,7 +48,7 @@
 
 /// Peers known from the platform, and those from the settings until it has told any.
 fn targets(daemon: &Daemon) -> Vec<SocketAddr> {
-    let others = daemon.roster.borrow().live_others(daemon.now_us());
+    let others = daemon.roster.borrow().live_others();
     if others.is_empty() {
         return daemon.settings.peers.clone();
     }
--- a/src/keyed/closer.rs
+++ b/src/keyed/closer.rs
@@ -132,7 +132,7 @@
 
 /// Daemons share the parts by their places in the order of names.
 fn is_mine(daemon: &Daemon, part: usize) -> bool {
-    let others = daemon.roster.borrow().live_others(daemon.now_us());
+    let others = daemon.roster.borrow().live_others();
     let place = others.iter().filter(|other| other.name < daemon.settings.name).count();
     part % (others.len() + 1) == place
 }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -15,7 +15,7 @@
 use crate::roster::{LEASE_PREFIX, RENEW_EVERY_US};
 use crate::sheet_state::SheetRef;
 use crate::sheet_store;
-use crate::table::{Commit, Row, Transaction};
+use crate::table::Commit;
 
 /// Time between two looks at the sheet and the host list.
 const POLL_MS: u64 = 1_000;
@@ -90,45 +90,37 @@
 }
 
 async fn follow_leases(daemon: Rc<Daemon>) {
-    let mut looked_us = daemon.now_us();
     while !daemon.stopping.get() {
         let renewal = daemon.roster.borrow_mut().renewal();
-        let rows = daemon.platform.call("lease", move |platform| {
+        let look = daemon.roster.borrow().look_is_due(daemon.now_us());
+        let renewed = daemon.platform.call("lease", move |platform| {
             let commit = platform.commit(&renewal)?;
-            Ok((commit, platform.scan(LEASE_PREFIX)?))
+            // Renewing fails only if the row is not as expected, and only a look tells how it is.
+            let look = look || matches!(commit, Commit::Conflict { .. });
+            let rows = if look { Some(platform.scan(LEASE_PREFIX)?) } else { None };
+            Ok((commit, rows))
         });
-        match rows.await {
-            Ok((commit, rows)) => {
-                if let Some(tidy) = observe_leases(&daemon, &commit, &rows) {
-                    // Another daemon may tidy up at the same time; one of them succeeds.
-                    let _ = daemon.platform.call("tidy", move |platform| platform.commit(&tidy)).await;
-                }
-            }
-            Err(_) => {
-                let now_us = daemon.now_us();
-                daemon.roster.borrow_mut().blind(now_us - looked_us);
+        if let Ok((commit, rows)) = renewed.await {
+            daemon.roster.borrow_mut().renewed(&commit);
+            let tidy = rows.and_then(|rows| daemon.roster.borrow_mut().observe(daemon.now_us(), &rows));
+            if let Some(tidy) = tidy {
+                // Another daemon may tidy up at the same time; one of them succeeds.
+                let _ = daemon.platform.call("tidy", move |platform| platform.commit(&tidy)).await;
             }
         }
-        looked_us = daemon.now_us();
         daemon.recount_daemons();
         sleep_ms(&daemon, RENEW_EVERY_US / US_PER_MS).await;
     }
 }
 
-fn observe_leases(daemon: &Daemon, commit: &Commit, rows: &[Row]) -> Option<Transaction> {
-    let mut roster = daemon.roster.borrow_mut();
-    roster.renewed(commit);
-    roster.observe(daemon.now_us(), rows)
-}
-
 /// Fetches a newer sheet when one was heard of: from the object store, or else from a peer. A daemon that starts
 /// while the platform is down hears of the sheet from the peers in its settings.
 async fn fetch_sheets(daemon: Rc<Daemon>) {
     loop {
         daemon.sheet_wanted.until(|| daemon.sheet.borrow().wanted().is_some()).await;
         let Some(reference) = daemon.sheet.borrow().wanted().cloned() else { continue };
-        let key = sheet_store::object_key(&reference.digest);
-        let body = daemon.platform.call("fetch sheet", move |platform| platform.get_object(&key)).await;
+        let digest = reference.digest.clone();
+        let body = daemon.platform.call("fetch sheet", move |platform| sheet_store::fetch(platform, &digest)).await;
         match body {
             Ok(Some(body)) => daemon.accept_sheet(&reference, body),
             Ok(None) | Err(_) => ask_any_peer(&daemon).await,
@@ -140,7 +132,7 @@
 }
 
 fn known_peers(daemon: &Daemon) -> Vec<SocketAddr> {
-    let others = daemon.roster.borrow().live_others(daemon.now_us());
+    let others = daemon.roster.borrow().live_others();
     let mut peers: Vec<SocketAddr> = others.iter().map(|peer| peer.peer_address).collect();
     peers.extend(&daemon.settings.peers);
     peers
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -1,7 +1,8 @@
 //! The daemons that share the work, by lease rows in the platform's table.
 //!
-//! A lease is judged by the observer's own clock: a row that has not changed for the lease's length, while
-//! the table could be read, has lapsed. Clocks of different hosts are never compared.
+//! A lease is judged by the observer's own clock, when it looks at the rows: one that has not changed since an
+//! earlier look at least a lease's length ago has lapsed. Clocks of different hosts are never compared, and nothing
+//! lapses while the table cannot be read.
 
 #[cfg(test)]
 mod roster_tests;
@@ -21,6 +22,8 @@
 pub(crate) const LEASE_US: u64 = 15 * US_PER_S;
 /// Leases are renewed this often.
 pub(crate) const RENEW_EVERY_US: u64 = 5 * US_PER_S;
+/// Time between two looks for each daemon, so that looking costs the same however many there are.
+const LOOK_EVERY_US_PER_DAEMON: u64 = US_PER_S / 4;
 /// Rows of lapsed leases are deleted after this time.
 const DELETE_AFTER_US: u64 = 10 * LEASE_US;
 
@@ -47,6 +50,7 @@
     daemon: DaemonInfo,
     row_version: u64,
     changed_at_us: u64,
+    lapsed: bool,
 }
 
 /// Leases as this daemon sees them, its own among them.
@@ -56,11 +60,12 @@
     own_row_version: u64,
     renewal: u64,
     others: BTreeMap<Arc<str>, Observed>,
+    looked_us: Option<u64>,
 }
 
 impl Roster {
     pub(crate) fn new(own: DaemonInfo) -> Roster {
-        Roster { own, own_row_version: ABSENT, renewal: 0, others: BTreeMap::new() }
+        Roster { own, own_row_version: ABSENT, renewal: 0, others: BTreeMap::new(), looked_us: None }
     }
 
     pub(crate) fn own(&self) -> &DaemonInfo {
@@ -94,10 +99,17 @@
         self.is_leased().then(|| Transaction::new().expect(&key, self.own_row_version).delete(&key))
     }
 
+    /// Whether the lease rows should be read again.
+    pub(crate) fn look_is_due(&self, now_us: u64) -> bool {
+        let wait_us = (self.others.len() as u64 * LOOK_EVERY_US_PER_DAEMON).max(RENEW_EVERY_US);
+        self.looked_us.is_none_or(|looked_us| now_us + RENEW_EVERY_US / 2 >= looked_us + wait_us)
+    }
+
     /// Takes the lease rows just read from the table; returns the transaction that tidies up, if any is due.
     pub(crate) fn observe(&mut self, now_us: u64, rows: &[Row]) -> Option<Transaction> {
         let mut tidy: Option<Transaction> = None;
         let mut seen = BTreeMap::new();
+        self.looked_us = Some(now_us);
         for row in rows {
             let Ok(lease) = serde_json::from_str::<LeaseRow>(&row.value) else { continue };
             if lease.daemon.name == self.own.name {
@@ -109,11 +121,13 @@
                 Some(known) if known.row_version == row.version => known.changed_at_us,
                 _ => now_us,
             };
-            if now_us.saturating_sub(changed_at_us) > DELETE_AFTER_US {
+            let unchanged_us = now_us.saturating_sub(changed_at_us);
+            if unchanged_us > DELETE_AFTER_US {
                 let transaction = tidy.unwrap_or_default();
                 tidy = Some(transaction.expect(&row.key, row.version).delete(&row.key));
             }
-            let observed = Observed { daemon: lease.daemon, row_version: row.version, changed_at_us };
+            let lapsed = unchanged_us > LEASE_US;
+            let observed = Observed { daemon: lease.daemon, row_version: row.version, changed_at_us, lapsed };
             seen.insert(observed.daemon.name.clone(), observed);
         }
         self.others = seen;
@@ -135,7 +149,7 @@
             return;
         }
         let row_version = self.others.get(&daemon.name).map_or(ABSENT, |known| known.row_version);
-        let observed = Observed { daemon: daemon.clone(), row_version, changed_at_us: now_us };
+        let observed = Observed { daemon: daemon.clone(), row_version, changed_at_us: now_us, lapsed: false };
         self.others.insert(daemon.name.clone(), observed);
     }
 
@@ -149,9 +163,9 @@
     }
 
     /// Other daemons whose leases have not lapsed, in the order of names.
-    pub(crate) fn live_others(&self, now_us: u64) -> Vec<DaemonInfo> {
-        let live = |observed: &&Observed| now_us.saturating_sub(observed.changed_at_us) <= LEASE_US;
-        self.others.values().filter(live).map(|observed| observed.daemon.clone()).collect()
+    pub(crate) fn live_others(&self) -> Vec<DaemonInfo> {
+        let live = self.others.values().filter(|observed| !observed.lapsed);
+        live.map(|observed| observed.daemon.clone()).collect()
     }
 
     /// Other daemons, whether their leases have lapsed or not.
@@ -159,13 +173,6 @@
         self.others.values().map(|observed| observed.daemon.clone()).collect()
     }
 
-    /// Time passes while the table cannot be read: leases neither lapse nor renew.
-    pub(crate) fn blind(&mut self, blind_us: u64) {
-        for observed in self.others.values_mut() {
-            observed.changed_at_us = observed.changed_at_us.saturating_add(blind_us);
-        }
-    }
-
     fn own_key(&self) -> String {
         format!("{LEASE_PREFIX}{}", self.own.name)
     }
--- a/src/roster/roster_tests.rs
+++ b/src/roster/roster_tests.rs
@@ -27,9 +27,9 @@
     renew(&mut store, &mut b);
 
     a.observe(0, &store.scan(LEASE_PREFIX));
-    let live = a.live_others(LEASE_US);
+    let live = a.live_others();
     a.observe(LEASE_US + 1, &store.scan(LEASE_PREFIX));
-    let lapsed = a.live_others(LEASE_US + 1);
+    let lapsed = a.live_others();
     let tidy = a.observe(DELETE_AFTER_US + 1, &store.scan(LEASE_PREFIX)).expect("an old row");
     store.commit(&tidy);
 
@@ -47,7 +47,7 @@
         a.observe(step * RENEW_EVERY_US, &store.scan(LEASE_PREFIX));
     }
 
-    assert_eq!(names(&a.live_others(9 * RENEW_EVERY_US)), ["b"]);
+    assert_eq!(names(&a.live_others()), ["b"]);
 }
 
 #[test]
@@ -56,10 +56,28 @@
     let (mut a, mut b) = (Roster::new(info("a")), Roster::new(info("b")));
     renew(&mut store, &mut b);
     a.observe(0, &store.scan(LEASE_PREFIX));
+    let during_outage = a.live_others();
 
-    a.blind(3_600 * US_PER_S);
+    renew(&mut store, &mut b);
+    a.observe(3_600 * US_PER_S, &store.scan(LEASE_PREFIX));
+
+    assert_eq!(names(&during_outage), ["b"]);
+    assert_eq!(names(&a.live_others()), ["b"]);
+}
+
+#[test]
+fn looks_grow_rarer_with_the_number_of_daemons() {
+    let mut a = Roster::new(info("a"));
+    assert!(a.look_is_due(0));
+    let others: Vec<DaemonInfo> = (0..120).map(|number| info(&format!("d{number}"))).collect();
+    a.observe(0, &[]);
+
+    let few = a.look_is_due(RENEW_EVERY_US);
+    a.introduce(0, &others);
 
-    assert_eq!(names(&a.live_others(3_600 * US_PER_S)), ["b"]);
+    assert!(few);
+    assert!(!a.look_is_due(20 * US_PER_S));
+    assert!(a.look_is_due(30 * US_PER_S));
 }
 
 #[test]
@@ -81,14 +99,17 @@
 
 #[test]
 fn a_daemon_that_is_heard_lives_though_its_row_does_not_change() {
-    let mut a = Roster::new(info("a"));
-    a.introduce(0, &[info("b"), info("a")]);
-    let lapsed = a.live_others(LEASE_US + 1);
+    let mut store = Store::default();
+    let (mut a, mut b) = (Roster::new(info("a")), Roster::new(info("b")));
+    renew(&mut store, &mut b);
+    a.observe(0, &store.scan(LEASE_PREFIX));
+    a.observe(LEASE_US + 1, &store.scan(LEASE_PREFIX));
+    let lapsed = a.live_others();
 
-    a.heard_from(LEASE_US, &info("b"));
+    a.heard_from(LEASE_US + 2, &info("b"));
 
     assert!(lapsed.is_empty());
-    assert_eq!(names(&a.live_others(LEASE_US + 1)), ["b"]);
+    assert_eq!(names(&a.live_others()), ["b"]);
 }
 
 /// News spreads from any daemon to all others within log2(n) + 1 rounds.
--- a/src/sheet_store.rs
+++ b/src/sheet_store.rs
@@ -7,12 +7,16 @@
 #[cfg(test)]
 mod sheet_store_tests;
 
+use std::io::{Read, Write};
 use std::sync::Arc;
 
+use flate2::read::GzDecoder;
+use flate2::write::GzEncoder;
+use flate2::Compression;
 use serde::{Deserialize, Serialize};
 
 use crate::platform::{Platform, PlatformError};
-use crate::sheet::Sheet;
+use crate::sheet::{Sheet, MAX_SHEET_BYTES};
 use crate::sheet_state::SheetRef;
 use crate::table::{Commit, Transaction, ABSENT};
 
@@ -67,7 +71,7 @@
 }
 
 /// Key of a sheet's body in the object store.
-pub fn object_key(digest: &str) -> String {
+fn object_key(digest: &str) -> String {
     format!("sheets/{digest}")
 }
 
@@ -124,9 +128,10 @@
 
 fn store_body(platform: &dyn Platform, digest: &str, body: &[u8]) -> Result<(), PlatformError> {
     let key = object_key(digest);
-    match platform.put_object(&key, body) {
+    let packed = pack(body)?;
+    match platform.put_object(&key, &packed) {
         Err(PlatformError::AnswerLost { operation, reason }) => match platform.get_object(&key) {
-            Ok(Some(stored)) if stored == body => Ok(()),
+            Ok(Some(stored)) if stored == packed => Ok(()),
             // No row names the body yet, so nothing has been accepted.
             _ => Err(PlatformError::Unavailable { operation, reason }),
         },
@@ -134,6 +139,30 @@
     }
 }
 
+/// Sheets are stored compressed, since every daemon fetches every one.
+fn pack(body: &[u8]) -> Result<Vec<u8>, PlatformError> {
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
+    let packed = encoder.write_all(body).and_then(|()| encoder.finish());
+    packed.map_err(|error| PlatformError::Unavailable { operation: "apply", reason: error.to_string() })
+}
+
+/// Bytes that a sheet takes in the object store.
+pub(crate) fn stored_size(body: &[u8]) -> Result<usize, PlatformError> {
+    pack(body).map(|packed| packed.len())
+}
+
+/// Fetches a sheet's body; `None` if it is not there or damaged.
+///
+/// # Errors
+/// Fails if the platform does not answer.
+pub(crate) fn fetch(platform: &dyn Platform, digest: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+    let Some(packed) = platform.get_object(&object_key(digest))? else { return Ok(None) };
+    let mut body = Vec::new();
+    let limit = MAX_SHEET_BYTES as u64 + 1;
+    let unpacked = GzDecoder::new(&packed[..]).take(limit).read_to_end(&mut body);
+    Ok(unpacked.ok().map(|_| body))
+}
+
 fn read_current(platform: &dyn Platform) -> Result<Current, PlatformError> {
     let Some(row) = platform.read(CURRENT_KEY)? else {
         return Ok(Current { row_version: ABSENT, record: None });
--- a/src/sheet_store/sheet_store_tests.rs
+++ b/src/sheet_store/sheet_store_tests.rs
@@ -110,3 +110,19 @@
 
     assert!(matches!(again, Acceptance::Accepted(record) if record.reference.version == 1));
 }
+
+#[test]
+fn a_stored_body_comes_back_whole_or_not_at_all() {
+    let standin = StandIn::new();
+    let body = b"line\n".repeat(1_000);
+    let accepted = try_apply(&healthy(&standin), &body, None, "id-1").expect("accepted");
+    let Acceptance::Accepted(record) = accepted else { panic!("{accepted:?}") };
+    let key = object_key(&record.reference.digest);
+    let packed = standin.store().get_object(&key).expect("stored");
+
+    assert_eq!(fetch(&healthy(&standin), &record.reference.digest), Ok(Some(body)));
+    assert!(packed.len() < 200, "compressed");
+    standin.store().put_object(&key, &packed[..packed.len() / 2]);
+    assert_eq!(fetch(&healthy(&standin), &record.reference.digest), Ok(None));
+    assert_eq!(fetch(&healthy(&standin), "unknown"), Ok(None));
+}
--- a/src/view.rs
+++ b/src/view.rs
@@ -110,7 +110,7 @@
             leased: roster.is_leased(),
             requests: self.path.requests.len(),
             held_bytes: self.path.held_bytes.used_bytes(),
-            peers: roster.live_others(self.now_us()).into_iter().map(PeerView::from).collect(),
+            peers: roster.live_others().into_iter().map(PeerView::from).collect(),
         }
     }
 
