Learn an endpoint's limit from latency that it causes itself

Cause: for an endpoint that tells no load the limit drifted to the cap of 64, however few slots it had: the best latency rose by a thousandth with each answer, until queueing looked normal. Found by its first test. Ruled out: a window for the best latency (ratchets up in the same way). Change: the best latency rises only by answers that had no company. Tests for it, for silent and oversized callers, paused, chunked and oversized answers, a slow platform, a silent peer and a daemon frozen past its lease.

--- a/src/dispatch/dispatch_tests.rs
+++ b/src/dispatch/dispatch_tests.rs
@@ -308,6 +308,46 @@
     assert!(extra > 100, "retries happen");
 }
 
+/// Endpoint that tells no load: four requests run at once for 10 ms each, further ones wait their turn.
+fn settled_concurrency(slots: usize) -> usize {
+    const SERVICE_US: u64 = 10_000;
+    let mut dispatcher = dispatcher(DispatchSettings::default(), &hosts(1));
+    let mut free_us = vec![0_u64; slots];
+    let mut ends: BTreeSet<(u64, AttemptId)> = BTreeSet::new();
+    let mut now_us = 0;
+    let mut next_id = 0;
+    let mut peak = 0;
+    for round in 0..6_000 {
+        let mut actions = Vec::new();
+        while dispatcher.queued(POOL) < 20 {
+            next_id += 1;
+            actions.extend(dispatcher.arrive(now_us, Arrival { deadline_us: u64::MAX / 2, ..arrival(next_id, true) }));
+        }
+        if let Some((end_us, attempt)) = ends.pop_first() {
+            now_us = now_us.max(end_us);
+            actions.extend(dispatcher.end(now_us, attempt, AttemptEnd::Answered { failed: false, load: None }));
+        }
+        for action in actions {
+            let Action::Start { attempt, .. } = action else { continue };
+            let slot = free_us.iter_mut().min().expect("a slot");
+            *slot = (*slot).max(now_us) + SERVICE_US;
+            ends.insert((*slot, attempt));
+        }
+        if round > 3_000 {
+            peak = peak.max(dispatcher.in_flight(POOL));
+        }
+    }
+    peak
+}
+
+#[test]
+fn the_limit_of_an_endpoint_that_tells_no_load_is_learned_from_latency() {
+    let (few, many) = (settled_concurrency(2), settled_concurrency(16));
+
+    assert!((2..=6).contains(&few), "two slots: {few}");
+    assert!((16..=48).contains(&many), "sixteen slots: {many}");
+}
+
 #[test]
 fn a_large_fleet_is_shared_by_subsets_within_each_endpoints_connections() {
     let settings = DispatchSettings::default();
--- a/src/dispatch/endpoint.rs
+++ b/src/dispatch/endpoint.rs
@@ -11,8 +11,8 @@
 /// Latency above the best by this factor makes the learned limit shrink.
 const CONGESTED_FACTOR: f64 = 2.0;
 const SHRINK_FACTOR: f64 = 0.9;
-/// The best latency rises slowly, so that a lasting change is learned.
-const BEST_LATENCY_DRIFT: f64 = 1.001;
+/// Weight of a latency without company in the best latency, so that a lasting change is learned.
+const ALONE_WEIGHT: f64 = 0.2;
 
 /// Load that an endpoint tells with its answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -71,7 +71,13 @@
     pub(super) fn learn(&mut self, latency_us: u64) {
         let latency_us = latency_us as f64;
         let learned = &mut self.learned;
-        learned.best_us = (learned.best_us * BEST_LATENCY_DRIFT).min(latency_us);
+        if latency_us < learned.best_us {
+            learned.best_us = latency_us;
+        } else if self.in_flight == 0 {
+            // Nothing of this daemon's was in the way, so the endpoint itself has become slower. A limit that shrinks for
+            // this reason ends here.
+            learned.best_us += ALONE_WEIGHT * (latency_us - learned.best_us);
+        }
         if latency_us > learned.best_us * CONGESTED_FACTOR {
             let weight = LATENCY_WEIGHT;
             learned.limit = learned.limit * (1.0 - weight) + learned.limit * SHRINK_FACTOR * weight;
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -1,5 +1,8 @@
 //! HTTP/1.1 server on the event loop, with bounds on connections and on waiting for headers.
 
+#[cfg(test)]
+mod http_server_tests;
+
 use std::cell::Cell;
 use std::future::Future;
 use std::pin::{pin, Pin};
--- a/tests/integration_tests.rs
+++ b/tests/integration_tests.rs
@@ -10,6 +10,8 @@
 
 const SIGTERM: i32 = 15;
 const SIGKILL: i32 = 9;
+const SIGSTOP: i32 = 19;
+const SIGCONT: i32 = 18;
 
 fn apply(daemon: &Daemon, sheet: &str) {
     let output = daemon.cli(&["sheet", "apply", sheet]);
@@ -300,3 +302,59 @@
     let metrics = http("GET", &format!("http://{}/metrics", daemon.admin), &[], b"").body;
     assert!(metrics.contains("requests_total{outcome=\"ran\"} 1"), "{metrics}");
 }
+
+#[test]
+fn a_slow_platform_holds_nothing_up_and_is_used_again_when_it_is_fast() {
+    let standin = StandIn::start(Some(SMALL_SHEET));
+    let daemons = start_daemons(&standin, 2);
+    apply(&daemons[0], SMALL_SHEET);
+    wait_for_version(&daemons, 1);
+    eventually("hosts are known", || daemons[0].live_hosts("alpha") == 2);
+
+    standin.faults(r#"{"slow_ms": 5000}"#);
+    eventually("it notices", || daemons[0].status()["platform_reachable"] == false);
+    let answer = daemons[0].call("POST", "/alpha/x", &[], b"work");
+    standin.faults(r#"{"slow_ms": 0}"#);
+    eventually("the platform is back", || daemons[0].status()["platform_reachable"] == true);
+
+    assert_eq!((answer.status, answer.outcome()), (200, "ran"));
+    eventually("sheets are accepted again", || daemons[0].cli(&["sheet", "apply", CHANGED_SHEET]).status == 0);
+    wait_for_version(&daemons, 2);
+}
+
+#[test]
+fn a_silent_peer_does_not_keep_a_starting_daemon_from_the_others() {
+    let standin = StandIn::start(Some(SMALL_SHEET));
+    let daemons = start_daemons(&standin, 1);
+    apply(&daemons[0], SMALL_SHEET);
+    wait_for_version(&daemons, 1);
+    eventually("hosts are known", || daemons[0].live_hosts("alpha") == 2);
+    standin.faults(r#"{"down": true}"#);
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let silent_address = silent.local_addr().expect("an address").to_string();
+
+    let peers = format!("{silent_address},{}", daemons[0].peers);
+    let started = Daemon::start("d2", "z2", &standin.url, &["--peers", &peers]);
+
+    eventually("it is ready", || started.is_ready());
+    assert_eq!(started.call("GET", "/alpha/x", &[], b"").outcome(), "ran");
+}
+
+#[test]
+fn a_daemon_frozen_past_its_lease_is_left_out_and_comes_back_with_the_newest_sheet() {
+    let standin = StandIn::start(Some(SMALL_SHEET));
+    let daemons = start_daemons(&standin, 2);
+    apply(&daemons[0], SMALL_SHEET);
+    wait_for_version(&daemons, 1);
+    let knows_peer = || daemons[0].status()["peers"].as_array().is_some_and(|peers| peers.len() == 1);
+    eventually("they know each other", knows_peer);
+
+    daemons[1].process.signal(SIGSTOP);
+    eventually("its lease lapses", || !knows_peer());
+    apply(&daemons[0], CHANGED_SHEET);
+    daemons[1].process.signal(SIGCONT);
+
+    eventually("it is back", knows_peer);
+    wait_for_version(&daemons, 2);
+    assert_eq!(daemons[1].call("GET", "/alpha/x", &[], b"").outcome(), "ran");
+}
--- a/tests/request_tests.rs
+++ b/tests/request_tests.rs
@@ -194,21 +194,58 @@
     }
 }
 
+const WHOLE_ANSWERS: [&str; 2] = [
+    "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nwhole answer",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nwhole \r\n6\r\nanswer\r\n0\r\n\r\n",
+];
+
 #[test]
 fn an_answer_cut_at_any_byte_is_never_passed_as_whole() {
     let scene = scene(Script::Echo, 1, &[]);
-    let whole = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nwhole answer";
-    for count in 0..whole.len() {
-        scene.endpoint.set(Script::RawThenClose(whole[..count].to_owned()));
+    for whole in WHOLE_ANSWERS {
+        for count in 0..whole.len() {
+            scene.endpoint.set(Script::RawThenClose(whole[..count].to_owned()));
+            let answer = scene.daemons[0].call("POST", "/alpha/plate", &[], b"body");
+            assert_eq!((answer.status, answer.outcome()), (502, "unknown"), "cut after {count}: {}", answer.body);
+        }
+        scene.endpoint.set(Script::RawThenClose(whole.to_owned()));
+
         let answer = scene.daemons[0].call("POST", "/alpha/plate", &[], b"body");
-        assert_eq!((answer.status, answer.outcome()), (502, "unknown"), "cut after {count}: {}", answer.body);
+
+        assert_eq!((answer.outcome(), &*answer.body), ("ran", "whole answer"));
     }
-    scene.endpoint.set(Script::RawThenClose(whole.to_owned()));
+    let sent: usize = WHOLE_ANSWERS.iter().map(|whole| whole.len() + 1).sum();
+    assert_eq!(scene.endpoint.seen().len(), sent, "each was sent once");
+}
+
+#[test]
+fn an_answer_that_pauses_for_good_at_any_byte_is_given_up_at_the_deadline() {
+    let scene = scene(Script::Echo, 1, &[]);
+    let whole = WHOLE_ANSWERS[0];
+    for count in (0..whole.len()).step_by(4) {
+        scene.endpoint.set(Script::RawThenSilence(whole[..count].to_owned()));
+        let deadline = [("sardineseam-deadline-ms", "60")];
+        let answer = scene.daemons[0].call("POST", "/alpha/plate", &deadline, b"body");
+        assert_eq!((answer.status, answer.outcome()), (502, "unknown"), "after {count}: {}", answer.body);
+    }
+    scene.endpoint.set(Script::Echo);
 
     let answer = scene.daemons[0].call("POST", "/alpha/plate", &[], b"body");
 
-    assert_eq!((answer.outcome(), &*answer.body), ("ran", "whole answer"));
-    assert_eq!(scene.endpoint.seen().len(), whole.len() + 1, "each was sent once");
+    assert_eq!((answer.outcome(), &*answer.body), ("ran", "body"));
+    assert_eq!(scene.endpoint.seen().len(), whole.len().div_ceil(4) + 1, "each was sent once");
+}
+
+#[test]
+fn an_oversized_answer_is_not_passed_in_part() {
+    let scene = scene(Script::Echo, 1, &["--max-answer-bytes", "1000"]);
+    let large = vec![b'x'; 1_001];
+
+    let answer = scene.daemons[0].call("POST", "/alpha/plate", &[], &large);
+    let fitting = scene.daemons[0].call("POST", "/alpha/plate", &[], &large[..1_000]);
+
+    assert_eq!((answer.status, answer.outcome()), (502, "unknown"), "{}", answer.body);
+    assert_eq!((fitting.status, fitting.body.len()), (200, 1_000));
 }
 
 #[test]
--- a/tests/support/endpoint.rs
+++ b/tests/support/endpoint.rs
@@ -14,6 +14,8 @@
     Raw(String),
     /// Send these bytes and close the connection.
     RawThenClose(String),
+    /// Send these bytes and nothing more, and keep the connection.
+    RawThenSilence(String),
     /// Close the connection without an answer.
     Close,
     /// Wait for [`ScriptedEndpoint::release`], and then echo.
@@ -97,7 +99,7 @@
         let echo = [echo.into_bytes(), request.body].concat();
         let (bytes, keep) = match script {
             Script::Echo => (echo, true),
-            Script::Raw(text) => (text.into_bytes(), true),
+            Script::Raw(text) | Script::RawThenSilence(text) => (text.into_bytes(), true),
             Script::RawThenClose(text) => (text.into_bytes(), false),
             Script::Close => (Vec::new(), false),
             Script::Hold => {
