--- a/src/dispatch/dispatch_tests.rs
+++ b/src/dispatch/dispatch_tests.rs
@@ -257,6 +257,25 @@
     assert!(matches!(verdicts(&actions)[..], [(100, Verdict::NotRun { refusal: Refusal::DeadlineTooClose, .. })]));
 }
 
+#[test]
+fn a_request_that_waited_too_long_to_be_served_in_time_is_not_started() {
+    let settings = DispatchSettings { max_queue_wait_us: 60 * US_PER_S, ..DispatchSettings::default() };
+    let mut dispatcher = dispatcher(settings, &hosts(1));
+    // Teaches a service time of one second.
+    let (attempt, ..) = started(&dispatcher.arrive(0, arrival(0, true)));
+    dispatcher.end(US_PER_S, attempt, well(0));
+    let mut running = Vec::new();
+    for id in 1..=9 {
+        running.push(started(&dispatcher.arrive(US_PER_S, arrival(id, true))).0);
+    }
+    dispatcher.arrive(US_PER_S, Arrival { deadline_us: 8 * US_PER_S, ..arrival(100, false) });
+
+    let actions = dispatcher.end(7_500_000, running.remove(0), well(8));
+
+    let refused = verdicts(&actions).into_iter().find(|(id, _)| *id == 100).map(|(_, verdict)| verdict);
+    assert!(matches!(refused, Some(Verdict::NotRun { refusal: Refusal::DeadlineTooClose, .. })), "{actions:?}");
+}
+
 #[test]
 fn local_endpoints_come_first_and_others_take_the_spill() {
     let endpoints = [host("local", "z1"), host("remote", "z2")];
--- a/tests/load_tests.rs
+++ b/tests/load_tests.rs
@@ -33,6 +33,15 @@
     }
 }
 
+#[test]
+fn goodput_at_five_times_the_capacity_is_not_below_that_at_one_and_a_half() {
+    for seed in SEEDS {
+        let at = |load| Scenario::new(Routing::LeastLoaded, load, Fault::None, seed);
+        let (heavy, light) = (run(&at(5.0)).goodput(&at(5.0)), run(&at(1.5)).goodput(&at(1.5)));
+        assert!(heavy >= light, "seed {seed}: {heavy:.4} at 5, {light:.4} at 1.5");
+    }
+}
+
 #[test]
 fn near_capacity_the_slowest_hundredth_is_close_to_the_ideal_queue() {
     for seed in SEEDS {
