Say once what stood several times

Cause: a reading as a newcomer: waiting on the loop stood in three places, a benchmark's scene in two, a ticket travelled as a pair, the platform's reachability hid in a time of 0 or 1, two test files had grown large.

--- a/benches/entry.rs
+++ b/benches/entry.rs
@@ -8,26 +8,16 @@
 use std::time::Duration;
 
 use support::load::{latencies_ms, throughput};
-use support::{http, median, percentile, wait_until, Process, STANDIN};
+use support::{http, median, percentile, OnePool};
 
 const ROUNDS: usize = 21;
 const LATENCY_REQUESTS: usize = 800;
 const CONNECTIONS: usize = 64;
 const PERIOD: Duration = Duration::from_millis(400);
-const SHEET: &str = "kind,name,pool,service,zones,hosts,spare,max_unavailable,opens_at,closes_at,max_concurrent\n\
-    pool,one,,one,z1,1,no,,,,\nbudget,,one,,,,,0,,,\n";
 
 fn main() {
-    let file = std::env::temp_dir().join(format!("sardineseam-bench-{}.csv", std::process::id()));
-    std::fs::write(&file, SHEET).expect("the sheet is written");
-    let standin = Process::start(STANDIN, &["--listen", "127.0.0.1:0", "--endpoints", &file.to_string_lossy()]);
-    std::fs::remove_file(&file).expect("the sheet is removed");
-    let platform = format!("http://{}", standin.address("standin"));
-    let daemon = Process::daemon("d1", "z1", &platform, &[]);
-    let (status, body) = http("PUT", &format!("http://{}/v1/sheet", daemon.address("admin")), SHEET.as_bytes());
-    assert_eq!(status, 200, "{body}");
+    let OnePool { platform, daemon, .. } = &OnePool::start(1);
     let callers = daemon.address("callers");
-    wait_until(|| http("GET", &format!("http://{callers}/one/"), b"").0 == 200);
     let (_, hosts) = http("GET", &format!("{platform}/hosts?cursor=0"), b"");
     let hosts: serde_json::Value = serde_json::from_str(&hosts).expect("JSON");
     let endpoint = hosts["hosts"][0]["address"].as_str().expect("an address").to_owned();
--- a/benches/keyed.rs
+++ b/benches/keyed.rs
@@ -7,14 +7,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use support::{http, percentile, wait_until, Process, STANDIN};
+use support::{http, percentile, OnePool};
 
 const SEQUENTIAL: usize = 400;
 const THREADS: usize = 32;
 const PER_THREAD: usize = 60;
 const OUTAGE_REQUESTS: usize = 100;
-const SHEET: &str = "kind,name,pool,service,zones,hosts,spare,max_unavailable,opens_at,closes_at,max_concurrent\n\
-    pool,one,,one,z1,10,no,,,,\nbudget,,one,,,,,0,,,\n";
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Kind {
@@ -62,16 +60,8 @@
 }
 
 fn main() {
-    let file = std::env::temp_dir().join(format!("sardineseam-keyed-{}.csv", std::process::id()));
-    std::fs::write(&file, SHEET).expect("the sheet is written");
-    let standin = Process::start(STANDIN, &["--listen", "127.0.0.1:0", "--endpoints", &file.to_string_lossy()]);
-    std::fs::remove_file(&file).expect("the sheet is removed");
-    let platform = format!("http://{}", standin.address("standin"));
-    let daemon = Process::daemon("d1", "z1", &platform, &[]);
-    let (status, body) = http("PUT", &format!("http://{}/v1/sheet", daemon.address("admin")), SHEET.as_bytes());
-    assert_eq!(status, 200, "{body}");
+    let OnePool { platform, daemon, .. } = &OnePool::start(10);
     let base = format!("http://{}", daemon.address("callers"));
-    wait_until(|| http("GET", &format!("{base}/one/"), b"").0 == 200);
     let writes = || {
         let (_, stats) = http("GET", &format!("{platform}/stats"), b"");
         serde_json::from_str::<serde_json::Value>(&stats).expect("JSON")["writes"].as_u64().expect("a number")
--- a/benches/support/mod.rs
+++ b/benches/support/mod.rs
@@ -69,6 +69,34 @@
     }
 }
 
+/// A stand-in with sample endpoints of one pool, and a daemon in front of them.
+pub struct OnePool {
+    pub platform: String,
+    pub daemon: Process,
+    _standin: Process,
+}
+
+impl OnePool {
+    /// Starts both and waits until callers are served.
+    pub fn start(hosts: usize) -> OnePool {
+        let sheet = format!(
+            "kind,name,pool,service,zones,hosts,spare,max_unavailable,opens_at,closes_at,max_concurrent\n\
+             pool,one,,one,z1,{hosts},no,,,,\nbudget,,one,,,,,0,,,\n"
+        );
+        let file = std::env::temp_dir().join(format!("sardineseam-bench-{}.csv", std::process::id()));
+        std::fs::write(&file, &sheet).expect("the sheet is written");
+        let standin = Process::start(STANDIN, &["--listen", "127.0.0.1:0", "--endpoints", &file.to_string_lossy()]);
+        std::fs::remove_file(&file).expect("the sheet is removed");
+        let platform = format!("http://{}", standin.address("standin"));
+        let daemon = Process::daemon("d1", "z1", &platform, &[]);
+        let (status, body) = http("PUT", &format!("http://{}/v1/sheet", daemon.address("admin")), sheet.as_bytes());
+        assert_eq!(status, 200, "{body}");
+        let url = format!("http://{}/one/", daemon.address("callers"));
+        wait_until(|| http("GET", &url, b"").0 == 200);
+        OnePool { platform, daemon, _standin: standin }
+    }
+}
+
 /// Sends one administration or stand-in request; returns status and body.
 pub fn http(method: &str, url: &str, body: &[u8]) -> (u16, String) {
     let config = ureq::Agent::config_builder().http_status_as_error(false).build();
--- a/src/callers.rs
+++ b/src/callers.rs
@@ -10,7 +10,7 @@
 use crate::error::{Error, Result};
 use crate::kernel::{Plugin, Stage};
 use crate::peer_message::{PeerReply, PeerRequest};
-use crate::reactor::{sleep_until, spawn};
+use crate::reactor::spawn;
 use crate::request_path::{ForwardOrder, Report};
 
 inventory::submit! {
@@ -46,7 +46,7 @@
 async fn check_waiting(daemon: Rc<Daemon>) {
     let tick_us = daemon.path.dispatcher().settings().tick_us;
     loop {
-        sleep_until(daemon.path.clock.instant(daemon.now_us() + tick_us)).await;
+        daemon.sleep_us(tick_us).await;
         daemon.path.decide(|dispatcher, now_us| dispatcher.tick(now_us));
         if !daemon.path.still_waiting() {
             return;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -20,7 +20,7 @@
 use crate::peer_client::PeerClient;
 use crate::peer_message::PoolLoad;
 use crate::platform_pool::PlatformPool;
-use crate::reactor::{Listener, Signal};
+use crate::reactor::{sleep_until, Listener, Signal};
 use crate::request_path::{Report, RequestPath};
 use crate::roster::{DaemonInfo, Roster};
 use crate::settings::Settings;
@@ -35,13 +35,13 @@
     pub(crate) admin: Option<Listener>,
 }
 
-/// Traffic with peers and platform, in messages.
-#[derive(Debug, Default)]
-pub(crate) struct LinkState {
-    /// Time of the platform's last answer, 0 if none yet.
-    pub(crate) platform_ok_us: Cell<u64>,
-    /// Whether the last call to the platform was answered.
-    pub(crate) platform_reachable: Cell<bool>,
+/// Whether the last call to the platform was answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PlatformLink {
+    /// There was no call yet.
+    Unknown,
+    Reachable,
+    Unreachable,
 }
 
 /// See the module.
@@ -64,7 +64,7 @@
     /// Connections over which requests are forwarded.
     pub(crate) forward_peers: PeerClient,
     pub(crate) peer_load: RefCell<std::collections::BTreeMap<Arc<str>, Vec<PoolLoad>>>,
-    pub(crate) links: LinkState,
+    pub(crate) platform_link: Cell<PlatformLink>,
     /// The daemon finishes its work to stop.
     pub(crate) stopping: Cell<bool>,
     pub(crate) peer_control: Rc<ServerControl>,
@@ -114,7 +114,7 @@
             peers: PeerClient::default(),
             forward_peers: PeerClient::default(),
             peer_load: RefCell::default(),
-            links: LinkState::default(),
+            platform_link: Cell::new(PlatformLink::Unknown),
             stopping: Cell::new(false),
             peer_control: Rc::default(),
             admin_control: Rc::default(),
@@ -131,6 +131,16 @@
         self.path.now_us()
     }
 
+    /// Waits on the event loop.
+    pub(crate) async fn sleep_ms(&self, wait_ms: u64) {
+        self.sleep_us(wait_ms * US_PER_MS).await;
+    }
+
+    /// Waits on the event loop.
+    pub(crate) async fn sleep_us(&self, wait_us: u64) {
+        sleep_until(self.path.clock.instant(self.now_us() + wait_us)).await;
+    }
+
     /// Whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         self.sheet.borrow().in_force().is_some() && !self.stopping.get()
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -17,7 +17,7 @@
 use crate::platform::{HostState, Platform};
 use crate::platform_client::HttpPlatform;
 use crate::platform_pool::PlatformPool;
-use crate::reactor::{self, sleep_until, spawn, Listener, Reactor};
+use crate::reactor::{self, spawn, Listener, Reactor};
 use crate::sample_endpoint;
 use crate::settings::{PlatformSetting, Settings};
 use crate::sheet::Sheet;
@@ -163,7 +163,7 @@
     lanes.stop().await;
     // Requests whose callers hung up run on without a connection.
     while daemon.path.requests.len() > 0 {
-        sleep_until(daemon.path.clock.instant(daemon.now_us() + DRAIN_CHECK_MS * US_PER_MS)).await;
+        daemon.sleep_ms(DRAIN_CHECK_MS).await;
     }
     write_closings(&daemon).await;
     hand_back_lease(&daemon).await;
@@ -184,7 +184,7 @@
 async fn write_closings(daemon: &Daemon) {
     let latest_us = daemon.now_us() + MAX_CLOSING_MS * US_PER_MS;
     while daemon.closings.borrow().len() > 0 && daemon.now_us() < latest_us {
-        sleep_until(daemon.path.clock.instant(daemon.now_us() + DRAIN_CHECK_MS * US_PER_MS)).await;
+        daemon.sleep_ms(DRAIN_CHECK_MS).await;
     }
     let left = daemon.closings.borrow().len();
     if left > 0 {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -16,6 +16,8 @@
 mod health_tests;
 #[cfg(test)]
 mod queue_tests;
+#[cfg(test)]
+mod verdict_tests;
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -22,7 +22,7 @@
 pub(super) async fn serve(lane: &Lane, plan: &Plan, key: &str, body: Bytes, ids: &RequestIds) -> CallerReply {
     let digest = request_digest(plan.method.as_str(), plan.path.as_str(), &body);
     if let Some(ticket) = Ticket::parse(key) {
-        return serve_ticket(lane, plan, (key, &ticket), &digest, body, ids).await;
+        return serve_ticket(lane, plan, &ticket, &digest, body, ids).await;
     }
     let key = row_key(&plan.pool, key);
     let begin = lane.path.key_book().begin(&key, &digest);
@@ -121,7 +121,7 @@
 async fn serve_ticket(
     lane: &Lane,
     plan: &Plan,
-    (key, ticket): (&str, &Ticket),
+    ticket: &Ticket,
     digest: &Arc<str>,
     body: Bytes,
     ids: &RequestIds,
@@ -131,7 +131,7 @@
         tickets.is_own(ticket).then(|| tickets.begin(ticket, digest))
     };
     match used {
-        None => forward(lane, plan, key, ticket, body, ids).await,
+        None => forward(lane, plan, ticket, body, ids).await,
         Some(Use::Forged) => CallerReply::key_refused(&KeyRefused::Forged, &ids.name),
         Some(Use::Expired) => CallerReply::key_refused(&KeyRefused::Expired, &ids.name),
         Some(Use::Begin(Begin::Fresh)) => {
@@ -144,7 +144,7 @@
 }
 
 /// Hands a request to the daemon that issued its ticket; no other one may run it.
-async fn forward(lane: &Lane, plan: &Plan, key: &str, ticket: &Ticket, body: Bytes, ids: &RequestIds) -> CallerReply {
+async fn forward(lane: &Lane, plan: &Plan, ticket: &Ticket, body: Bytes, ids: &RequestIds) -> CallerReply {
     if plan.forwarded {
         return CallerReply::key_refused(&KeyRefused::IssuerGone, &ids.name);
     }
@@ -153,7 +153,7 @@
         daemon: ticket.daemon.clone(),
         incarnation: ticket.incarnation,
         deadline_us: plan.deadline_us,
-        message: plan.to_forward(key, &body, &ids.context, lane.path.now_us()),
+        message: plan.to_forward(&ticket.key, &body, &ids.context, lane.path.now_us()),
         reply: sender,
     };
     lane.path.report(Report::Forward(order));
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -7,12 +7,11 @@
 
 use futures::future::{join_all, select};
 
-use crate::clock::US_PER_MS;
 use crate::daemon::Daemon;
 use crate::error::Result;
 use crate::kernel::{Plugin, Stage};
 use crate::peer_message::{PeerReply, PeerRequest};
-use crate::reactor::{sleep_until, spawn};
+use crate::reactor::spawn;
 use crate::roster::gossip_targets;
 
 /// Time between messages without news.
@@ -34,18 +33,13 @@
     loop {
         told.set(daemon.news_count.get());
         tell_all(&daemon).await;
-        sleep_ms(&daemon, MIN_PERIOD_MS).await;
-        let quiet = pin!(sleep_ms(&daemon, QUIET_PERIOD_MS));
+        daemon.sleep_ms(MIN_PERIOD_MS).await;
+        let quiet = pin!(daemon.sleep_ms(QUIET_PERIOD_MS));
         let news = pin!(daemon.news.until(|| daemon.news_count.get() != told.get()));
         select(quiet, news).await;
     }
 }
 
-async fn sleep_ms(daemon: &Daemon, wait_ms: u64) {
-    let deadline_us = daemon.now_us() + wait_ms * US_PER_MS;
-    sleep_until(daemon.path.clock.instant(deadline_us)).await;
-}
-
 /// Peers known from the platform, and those from the settings until it has told any.
 fn targets(daemon: &Daemon) -> Vec<SocketAddr> {
     let others = daemon.roster.borrow().live_others();
--- a/src/keyed/closer.rs
+++ b/src/keyed/closer.rs
@@ -5,12 +5,11 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use super::claims::{close, close_group, sweep, Closing, MAX_GROUP};
-use crate::clock::US_PER_MS;
 use crate::daemon::Daemon;
 use crate::error::Result;
 use crate::kernel::{Plugin, Stage};
 use crate::platform::PlatformError;
-use crate::reactor::{sleep_until, spawn};
+use crate::reactor::spawn;
 
 const RETRY_MS: u64 = 1_000;
 const SWEEP_EVERY_MS: u64 = 60_000;
@@ -90,7 +89,7 @@
             Err(_) => {
                 metrics::counter!("claim_closings_retried_total").increment(group.len() as u64);
                 daemon.closings.borrow_mut().put_back(group);
-                sleep_ms(&daemon, RETRY_MS).await;
+                daemon.sleep_ms(RETRY_MS).await;
             }
         }
     }
@@ -119,7 +118,7 @@
 async fn sweep_expired(daemon: Rc<Daemon>) {
     let mut part = 0;
     loop {
-        sleep_ms(&daemon, SWEEP_EVERY_MS).await;
+        daemon.sleep_ms(SWEEP_EVERY_MS).await;
         part = (part + 1) % SWEEP_PARTS;
         if !is_mine(&daemon, part) {
             continue;
@@ -137,10 +136,6 @@
     part % (others.len() + 1) == place
 }
 
-async fn sleep_ms(daemon: &Daemon, wait_ms: u64) {
-    sleep_until(daemon.path.clock.instant(daemon.now_us() + wait_ms * US_PER_MS)).await;
-}
-
 /// Seconds since the Unix epoch.
 pub(crate) fn now_s() -> i64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/src/keyed/tickets.rs
+++ b/src/keyed/tickets.rs
@@ -18,6 +18,8 @@
 /// A ticket's parts.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Ticket {
+    /// The key as the caller sent it.
+    pub(crate) key: Arc<str>,
     /// Daemon that issued it.
     pub(crate) daemon: Arc<str>,
     /// Run of that daemon.
@@ -29,6 +31,7 @@
 impl Ticket {
     /// Reads a key; `None` if it is not a ticket.
     pub(crate) fn parse(key: &str) -> Option<Ticket> {
+        let key: Arc<str> = key.into();
         let mut parts = key.split(SEPARATOR);
         if parts.next()? != PREFIX {
             return None;
@@ -37,7 +40,8 @@
         let incarnation = u64::from_str_radix(parts.next()?, 16).ok()?;
         let number = parts.next()?.parse().ok()?;
         let check = parts.next()?.to_owned();
-        parts.next().is_none().then_some(Ticket { daemon, incarnation, number, check })
+        let ended = parts.next().is_none();
+        ended.then_some(Ticket { daemon, incarnation, number, check, key: key.clone() })
     }
 }
 
@@ -94,15 +98,15 @@
         if ticket.number > self.last_number || ticket.check != self.check(ticket.number) {
             return Use::Forged;
         }
-        if ticket.number <= self.forgotten_number && !self.keys.contains(&key(ticket.number)) {
+        if ticket.number <= self.forgotten_number && !self.keys.contains(&book_key(ticket.number)) {
             return Use::Expired;
         }
-        Use::Begin(self.keys.begin(&key(ticket.number), digest))
+        Use::Begin(self.keys.begin(&book_key(ticket.number), digest))
     }
 
     /// Ends the request in progress.
     pub(crate) fn end(&mut self, ticket: &Ticket, ending: &Ending) {
-        self.keys.end(&key(ticket.number), ending);
+        self.keys.end(&book_key(ticket.number), ending);
         self.keys.drop_answers_beyond(MAX_ANSWER_BYTES);
         for forgotten in self.keys.forget_beyond(MAX_ENDED) {
             let number = forgotten.parse().unwrap_or(u64::MAX);
@@ -120,6 +124,7 @@
     }
 }
 
-fn key(number: u64) -> Arc<str> {
+/// Key of a ticket in the book.
+fn book_key(number: u64) -> Arc<str> {
     number.to_string().into()
 }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -6,12 +6,12 @@
 use rand::Rng;
 
 use crate::clock::US_PER_MS;
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, PlatformLink};
 use crate::error::Result;
 use crate::kernel::{Plugin, Stage};
 use crate::peer_message::{PeerReply, PeerRequest};
 use crate::platform::{HostChanges, Platform, PlatformError};
-use crate::reactor::{sleep_until, spawn};
+use crate::reactor::spawn;
 use crate::roster::{LEASE_PREFIX, RENEW_EVERY_US};
 use crate::sheet_state::SheetRef;
 use crate::sheet_store;
@@ -37,10 +37,10 @@
     Ok(())
 }
 
-async fn sleep_ms(daemon: &Daemon, wait_ms: u64) {
+/// Waits about as long as said.
+async fn sleep_about_ms(daemon: &Daemon, wait_ms: u64) {
     let jitter = rand::rng().random_range(1.0 - JITTER..1.0 + JITTER);
-    let wait_us = (wait_ms * US_PER_MS) as f64 * jitter;
-    sleep_until(daemon.path.clock.instant(daemon.now_us() + wait_us as u64)).await;
+    daemon.sleep_us(((wait_ms * US_PER_MS) as f64 * jitter) as u64).await;
 }
 
 /// One look at the platform.
@@ -65,24 +65,19 @@
                 daemon.hear_of_sheet(reference);
             }
         }
-        sleep_ms(&daemon, POLL_MS).await;
+        sleep_about_ms(&daemon, POLL_MS).await;
     }
 }
 
 fn note_reachable(daemon: &Daemon, error: Option<&PlatformError>) {
-    let was_reachable = daemon.links.platform_reachable.replace(error.is_none());
-    let known_before = daemon.links.platform_ok_us.get() > 0;
+    let link = if error.is_none() { PlatformLink::Reachable } else { PlatformLink::Unreachable };
+    let changed = daemon.platform_link.replace(link) != link;
     match error {
-        None => {
-            daemon.links.platform_ok_us.set(daemon.now_us());
-            if !was_reachable {
-                log::info!("the platform answers");
-            }
-        }
+        None if changed => log::info!("the platform answers"),
+        None => {}
         Some(error) => {
             metrics::counter!("platform_errors_total").increment(1);
-            if was_reachable || !known_before {
-                daemon.links.platform_ok_us.set(daemon.links.platform_ok_us.get().max(1));
+            if changed {
                 log::warn!("{error}; serving what is known");
             }
         }
@@ -109,7 +104,7 @@
             }
         }
         daemon.recount_daemons();
-        sleep_ms(&daemon, RENEW_EVERY_US / US_PER_MS).await;
+        sleep_about_ms(&daemon, RENEW_EVERY_US / US_PER_MS).await;
     }
 }
 
@@ -126,7 +121,7 @@
             Ok(None) | Err(_) => ask_any_peer(&daemon).await,
         }
         if daemon.sheet.borrow().wanted().is_some() {
-            sleep_ms(&daemon, FETCH_RETRY_MS).await;
+            sleep_about_ms(&daemon, FETCH_RETRY_MS).await;
         }
     }
 }
@@ -151,7 +146,7 @@
 
 async fn keep_house(daemon: Rc<Daemon>) {
     loop {
-        sleep_ms(&daemon, HOUSEKEEPING_MS).await;
+        sleep_about_ms(&daemon, HOUSEKEEPING_MS).await;
         daemon.forward_lane.close_idle();
         let change = daemon.fleet.borrow_mut().forget_old(daemon.now_us());
         daemon.apply_fleet_change(&change);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the daemon, checked.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::error::{Error, Result};
@@ -89,7 +89,7 @@
             }
         }
         let advertised = self.peer_advertise.unwrap_or(self.peer_listen).ip();
-        if is_unspecified(advertised) {
+        if advertised.is_unspecified() {
             let fix = "peers cannot connect to it; set --peer-advertise to this host's address";
             return refuse("peer-listen", self.peer_listen.to_string(), fix);
         }
@@ -107,7 +107,3 @@
         self.platform == PlatformSetting::Embedded && self.admin_listen.ip().is_loopback()
     }
 }
-
-fn is_unspecified(address: IpAddr) -> bool {
-    address.is_unspecified()
-}
--- a/src/view.rs
+++ b/src/view.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, PlatformLink};
 use crate::platform::HostEntry;
 use crate::roster::DaemonInfo;
 use crate::sheet::{Pool, Wave};
@@ -106,7 +106,7 @@
             stopping: self.stopping.get(),
             sheet_version: sheet.version(),
             announced_version: sheet.announced_version(),
-            platform_reachable: self.links.platform_reachable.get(),
+            platform_reachable: self.platform_link.get() == PlatformLink::Reachable,
             leased: roster.is_leased(),
             requests: self.path.requests.len(),
             held_bytes: self.path.held_bytes.used_bytes(),
