Write forwarded answers before a daemon ends

Cause: a stopping daemon ended as soon as its requests were decided; an answer to a request that another daemon had forwarded could still be in h2's buffers, and its caller was told unknown. Ruled out: small answers (written in the same turn of the loop; the first form of the test passed without a fix). Change: peers' connections are closed gracefully and waited for, two seconds at most; a stopping daemon takes no new forwarded request and no new peer connection.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -68,6 +68,8 @@
     /// The daemon finishes its work to stop.
     pub(crate) stopping: Cell<bool>,
     pub(crate) peer_control: Rc<ServerControl>,
+    /// Each open connection of a peer holds a clone.
+    pub(crate) peer_connections: Rc<()>,
     pub(crate) admin_control: Rc<ServerControl>,
     /// There is news for peers.
     pub(crate) news: Signal,
@@ -117,6 +119,7 @@
             platform_link: Cell::new(PlatformLink::Unknown),
             stopping: Cell::new(false),
             peer_control: Rc::default(),
+            peer_connections: Rc::default(),
             admin_control: Rc::default(),
             news: Signal::default(),
             news_count: Cell::new(0),
@@ -131,6 +134,11 @@
         self.path.now_us()
     }
 
+    /// Open connections of peers.
+    pub(crate) fn peer_connection_count(&self) -> usize {
+        Rc::strong_count(&self.peer_connections) - 1
+    }
+
     /// Waits on the event loop.
     pub(crate) async fn sleep_ms(&self, wait_ms: u64) {
         self.sleep_us(wait_ms * US_PER_MS).await;
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -168,6 +168,10 @@
     write_closings(&daemon).await;
     hand_back_lease(&daemon).await;
     daemon.peer_control.stop();
+    // The server bounds the time that each of them takes to close.
+    while daemon.peer_connection_count() > 0 {
+        daemon.sleep_ms(DRAIN_CHECK_MS).await;
+    }
     log::info!("stopped");
     reactor::stop();
 }
--- a/src/peer_message.rs
+++ b/src/peer_message.rs
@@ -95,7 +95,7 @@
 pub(crate) enum PeerReply {
     Gossip(Gossip),
     Snapshot(Snapshot),
-    /// `None` if the request was malformed.
+    /// `None` if the request was malformed, or the daemon is stopping.
     Forwarded(Option<Forwarded>),
 }
 
--- a/src/peer_server.rs
+++ b/src/peer_server.rs
@@ -21,6 +21,8 @@
 /// A connection without messages for this long is closed.
 const IDLE_TIMEOUT_MS: u64 = 30_000;
 const MESSAGE_TIMEOUT_MS: u64 = 2_000;
+/// Longest time in which answers in progress are written when a connection closes.
+const CLOSE_TIMEOUT_MS: u64 = 2_000;
 const ACCEPT_RETRY_MS: u64 = 50;
 const MAX_CONNECTIONS: usize = 512;
 const MAX_CONCURRENT_STREAMS: u32 = 16;
@@ -39,11 +41,10 @@
 }
 
 async fn accept(daemon: Rc<Daemon>, listener: Listener) {
-    let connections = Rc::new(());
     loop {
         match listener.accept().await {
-            Ok(io) if Rc::strong_count(&connections) <= MAX_CONNECTIONS => {
-                let count = connections.clone();
+            Ok(io) if !daemon.peer_control.is_stopping() && daemon.peer_connection_count() < MAX_CONNECTIONS => {
+                let count = daemon.peer_connections.clone();
                 let daemon = daemon.clone();
                 spawn(async move {
                     if let Err(error) = serve_connection(&daemon, io).await {
@@ -79,15 +80,24 @@
             Either::Left((accepted, _)) => accepted,
             Either::Right(_) => None,
         };
-        let Some(Some(stream)) = accepted else { return Ok(()) };
+        let Some(Some(stream)) = accepted else { break };
         let (request, respond) = stream?;
-        let daemon = daemon.clone();
-        spawn(async move {
-            if let Err(error) = serve_stream(&daemon, request, respond).await {
-                metrics::counter!("peer_message_errors_total").increment(1);
-                log::debug!("peer message: {error}");
-            }
-        });
+        spawn(answer_stream(daemon.clone(), request, respond));
+    }
+    // Messages in progress are answered; the peer is told to send no more here.
+    connection.graceful_shutdown();
+    let deadline = Instant::now() + Duration::from_millis(CLOSE_TIMEOUT_MS);
+    while let Some(Some(stream)) = before(deadline, connection.accept()).await {
+        let (request, respond) = stream?;
+        spawn(answer_stream(daemon.clone(), request, respond));
+    }
+    Ok(())
+}
+
+async fn answer_stream(daemon: Rc<Daemon>, request: Request<RecvStream>, respond: SendResponse<Bytes>) {
+    if let Err(error) = serve_stream(&daemon, request, respond).await {
+        metrics::counter!("peer_message_errors_total").increment(1);
+        log::debug!("peer message: {error}");
     }
 }
 
@@ -121,6 +131,9 @@
         PeerRequest::Snapshot => PeerReply::Snapshot(daemon.snapshot()),
         PeerRequest::Forward(forward) => {
             metrics::counter!("forwarded_total", "side" => "issuer").increment(1);
+            if daemon.stopping.get() {
+                return PeerReply::Forwarded(None);
+            }
             PeerReply::Forwarded(serve_forwarded(&daemon.forward_lane, forward).await)
         }
     }
--- a/tests/request_tests.rs
+++ b/tests/request_tests.rs
@@ -14,6 +14,7 @@
 use support::{eventually, http, Answer};
 
 const SIGKILL: i32 = 9;
+const SIGTERM: i32 = 15;
 const KEY: &str = "idempotency-key";
 
 /// Daemons in front of one scripted endpoint, the only one of pool alpha.
@@ -146,6 +147,29 @@
     assert_eq!(scene.endpoint.seen().len(), 1);
 }
 
+#[test]
+fn a_forwarded_request_is_answered_though_its_issuer_stops() {
+    let mut scene = scene(Script::Hold, 2, &[]);
+    eventually("they know each other", || scene.daemons[1].status()["peers"].as_array().is_some_and(|p| p.len() == 1));
+    let ticket = ticket(&scene.daemons[0]);
+    let url = format!("http://{}/alpha/charge", scene.daemons[1].callers);
+    // Large enough that it is not written at once.
+    let body = vec![b'x'; 1 << 20];
+    let caller = thread::spawn(move || http("POST", &url, &[(KEY, &ticket)], &body));
+    eventually("it is at the endpoint", || scene.endpoint.seen().len() == 1);
+
+    let issuer = scene.daemons.remove(0);
+    issuer.process.signal(SIGTERM);
+    eventually("it stops", || issuer.process.log().contains("stopping"));
+    scene.endpoint.release();
+    let answer = caller.join().expect("answered");
+    let (status, log) = issuer.process.wait();
+
+    assert_eq!((answer.status, answer.outcome(), answer.body.len()), (200, "ran", 1 << 20), "{log}");
+    assert_eq!(status.code(), Some(0), "{log}");
+    assert_eq!(scene.endpoint.seen().len(), 1);
+}
+
 /// An endpoint that reads as many bytes of each connection as it is told, tells how many came, and closes it.
 fn closing_after(count: &Arc<AtomicUsize>) -> (String, Receiver<usize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
