Look again for claims that are written late

Cause: a claim that was given up and not found by its release could still be written by a slow table; its key would then be unknown for 24 hours. Change: the release looks again every two seconds for two minutes. Seen: the new unit test is red when nothing is looked for again. The test with a slow table passes either way, since the claim's own tries outlast the delay of four seconds; it stays for the outcome it checks.

--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -14,6 +14,7 @@
 use crate::keyed::claims::{load_large, row_key, Claim, ClaimRow, Claimed, Closing, RETENTION_S};
 use crate::keyed::now_s;
 use crate::keyed::tickets::{Ticket, Use};
+use crate::keyed::LATE_LOOKS;
 use crate::keyed::{request_digest, Final, KeptAnswer};
 use crate::request_path::{ForwardOrder, Report};
 use crate::wire::Outcome;
@@ -76,7 +77,7 @@
         Claimed::Failed { maybe_written, error } => {
             lane.path.key_book().end(key, &Ending::Elsewhere);
             if maybe_written {
-                let closing = Closing { claim, ending: None };
+                let closing = Closing { claim, ending: None, looks_left: LATE_LOOKS };
                 lane.path.report(Report::Close { closing, row_version: None });
             }
             let refused = KeyRefused::Unchecked { reason: error.to_string() };
@@ -90,7 +91,8 @@
         Ending::Final(last) => Some(Final::clone(&last)),
         Ending::NotRun | Ending::Elsewhere => None,
     };
-    lane.path.report(Report::Close { closing: Closing { claim, ending }, row_version: Some(row_version) });
+    lane.path
+        .report(Report::Close { closing: Closing { claim, ending, looks_left: 0 }, row_version: Some(row_version) });
     reply
 }
 
--- a/src/keyed.rs
+++ b/src/keyed.rs
@@ -17,6 +17,8 @@
 #[cfg(test)]
 mod claims_tests;
 #[cfg(test)]
+mod closer_tests;
+#[cfg(test)]
 mod tickets_tests;
 
 use std::sync::Arc;
@@ -30,7 +32,7 @@
 
 use crate::sheet::hex;
 
-pub(crate) use closer::{now_s, WaitingClosings};
+pub(crate) use closer::{now_s, WaitingClosings, LATE_LOOKS};
 
 /// What a request's key leads to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/keyed/claims.rs
+++ b/src/keyed/claims.rs
@@ -127,18 +127,23 @@
     pub(crate) claim: Claim,
     /// The request's end, or `None` if it did not run and the key becomes free.
     pub(crate) ending: Option<Final>,
+    /// Further looks for a row that may be written late, by a transaction that was given up.
+    pub(crate) looks_left: u32,
 }
 
-/// Writes the end of one claim, wherever its row stands.
+/// Writes the end of one claim, wherever its row stands; `false` if there is no row of this claim.
 ///
 /// # Errors
 /// Fails if the platform does not confirm; doing it again is safe.
-pub(crate) fn close(platform: &dyn Platform, closing: &Closing) -> Result<(), PlatformError> {
+pub(crate) fn close(platform: &dyn Platform, closing: &Closing) -> Result<bool, PlatformError> {
     let key = &closing.claim.row_key;
-    let Some(row) = platform.read(key)? else { return Ok(()) };
-    let Ok(mut found) = serde_json::from_str::<ClaimRow>(&row.value) else { return Ok(()) };
-    if found.claim_id != closing.claim.row.claim_id || found.ending.is_some() {
-        return Ok(());
+    let Some(row) = platform.read(key)? else { return Ok(false) };
+    let Ok(mut found) = serde_json::from_str::<ClaimRow>(&row.value) else { return Ok(false) };
+    if found.claim_id != closing.claim.row.claim_id {
+        return Ok(false);
+    }
+    if found.ending.is_some() {
+        return Ok(true);
     }
     let transaction = Transaction::new().expect(key, row.version);
     let transaction = match &closing.ending {
@@ -149,7 +154,7 @@
         }
     };
     // After a conflict, somebody else has deleted the row.
-    platform.commit(&transaction).map(drop)
+    platform.commit(&transaction).map(|_| true)
 }
 
 /// Writes the ends of several claims whose rows have known versions, by one transaction.
--- a/src/keyed/claims_tests.rs
+++ b/src/keyed/claims_tests.rs
@@ -105,7 +105,7 @@
     assert!(matches!(claimed[..], [Claimed::Failed { maybe_written: true, .. }]), "{claimed:?}");
     assert!(stored(&standin, "a").is_some());
 
-    close(&healthy(&standin), &Closing { claim: new_claim("a", "1"), ending: None }).expect("released");
+    close(&healthy(&standin), &Closing { claim: new_claim("a", "1"), ending: None, looks_left: 0 }).expect("released");
 
     assert_eq!(stored(&standin, "a"), None);
 }
@@ -114,9 +114,9 @@
 fn an_ending_is_written_once_and_never_over_anothers_claim() {
     let standin = StandIn::new();
     claim(&healthy(&standin), &[new_claim("a", "1")]);
-    let ran = Closing { claim: new_claim("a", "1"), ending: Some(answered("first")) };
-    let again = Closing { claim: new_claim("a", "1"), ending: None };
-    let foreign = Closing { claim: new_claim("a", "2"), ending: None };
+    let ran = Closing { claim: new_claim("a", "1"), ending: Some(answered("first")), looks_left: 0 };
+    let again = Closing { claim: new_claim("a", "1"), ending: None, looks_left: 0 };
+    let foreign = Closing { claim: new_claim("a", "2"), ending: None, looks_left: 0 };
 
     for closing in [&ran, &again, &foreign] {
         close(&healthy(&standin), closing).expect("closed");
@@ -135,7 +135,7 @@
                 let claimed = claim(&healthy(&standin), &[new_claim("a", "1")]);
                 let Claimed::Mine { row_version } = claimed[0] else { panic!("{claimed:?}") };
                 let body = if large { "x".repeat(40_000) } else { "x".to_owned() };
-                let closing = Closing { claim: new_claim("a", "1"), ending: Some(answered(&body)) };
+                let closing = Closing { claim: new_claim("a", "1"), ending: Some(answered(&body)), looks_left: 0 };
                 let platform = FaultyPlatform::new(&standin, at, fault, false);
 
                 let _ = close_group(&platform, &[(closing.clone(), row_version)]);
@@ -157,9 +157,10 @@
     let Claimed::Mine { row_version } = claimed[0] else { panic!("{claimed:?}") };
     let group = ["a", "b"].map(|key| {
         let id = if key == "a" { "1" } else { "2" };
-        (Closing { claim: new_claim(key, id), ending: None }, row_version)
+        (Closing { claim: new_claim(key, id), ending: None, looks_left: 0 }, row_version)
     });
-    close(&healthy(&standin), &Closing { claim: new_claim("b", "2"), ending: Some(Final::Unknown) }).expect("closed");
+    close(&healthy(&standin), &Closing { claim: new_claim("b", "2"), ending: Some(Final::Unknown), looks_left: 0 })
+        .expect("closed");
 
     let refused = close_group(&healthy(&standin), &group);
 
--- a/src/keyed/closer.rs
+++ b/src/keyed/closer.rs
@@ -12,6 +12,10 @@
 use crate::reactor::spawn;
 
 const RETRY_MS: u64 = 1_000;
+/// Time between looks for a claim's row that may be written late.
+const LATE_LOOK_MS: u64 = 2_000;
+/// Looks for such a row: a transaction that takes longer leaves its key unknown until the row expires.
+pub(crate) const LATE_LOOKS: u32 = 60;
 const SWEEP_EVERY_MS: u64 = 60_000;
 /// Claims are swept by the first byte of their digests, one value at a time.
 const SWEEP_PARTS: usize = 256;
@@ -79,8 +83,11 @@
         let written = group.clone();
         let result = daemon.platform.call("close", move |platform| write_group(platform, &written)).await;
         match result {
-            Ok(()) => {
+            Ok(not_found) => {
                 daemon.closings.borrow_mut().written();
+                for closing in not_found {
+                    spawn(look_later(daemon.clone(), closing));
+                }
                 let mut book = daemon.path.key_book();
                 for (closing, _) in &group {
                     book.forget(&closing.claim.row_key);
@@ -95,24 +102,35 @@
     }
 }
 
-/// Tries all at once, and one by one if some row is not as expected.
-fn write_group(
+/// A claim that was given up may still be written: looks for its row again after a while.
+async fn look_later(daemon: Rc<Daemon>, closing: Closing) {
+    daemon.sleep_ms(LATE_LOOK_MS).await;
+    let looks_left = closing.looks_left - 1;
+    daemon.closings.borrow_mut().push(Closing { looks_left, ..closing }, None);
+    daemon.closings_added.notify();
+}
+
+/// Tries all at once, and one by one if some row is not as expected. Returns the claims to be looked for again.
+pub(super) fn write_group(
     platform: &dyn crate::platform::Platform,
     group: &[(Closing, Option<u64>)],
-) -> Result<(), PlatformError> {
+) -> Result<Vec<Closing>, PlatformError> {
     let known: Option<Vec<(Closing, u64)>> =
         group.iter().map(|(closing, row_version)| Some((closing.clone(), (*row_version)?))).collect();
     if let Some(known) = known {
         match close_group(platform, &known) {
-            Ok(()) => return Ok(()),
+            Ok(()) => return Ok(Vec::new()),
             Err(error @ PlatformError::Unavailable { .. }) => return Err(error),
             Err(_) => {}
         }
     }
+    let mut not_found = Vec::new();
     for (closing, _) in group {
-        close(platform, closing)?;
+        if !close(platform, closing)? && closing.looks_left > 0 {
+            not_found.push(closing.clone());
+        }
     }
-    Ok(())
+    Ok(not_found)
 }
 
 async fn sweep_expired(daemon: Rc<Daemon>) {
--- a/tests/request_tests.rs
+++ b/tests/request_tests.rs
@@ -125,6 +125,19 @@
     assert_eq!(scene.endpoint.seen().len(), 1);
 }
 
+#[test]
+fn a_claim_that_a_slow_table_writes_late_does_not_keep_its_key() {
+    let scene = scene(Script::Echo, 1, &[]);
+    scene.standin.faults(r#"{"slow_ms": 4000}"#);
+    let answer = post(&scene.daemons[0], "k", "b");
+    scene.standin.faults(r#"{"slow_ms": 0}"#);
+
+    eventually("the key is free", || post(&scene.daemons[0], "k", "b").outcome() == "ran");
+
+    assert_eq!((answer.status, answer.outcome()), (503, "unknown"), "{}", answer.body);
+    assert_eq!(scene.endpoint.seen().len(), 1);
+}
+
 #[test]
 fn a_ticket_runs_once_during_an_outage_by_way_of_any_daemon() {
     let scene = scene(Script::Echo, 2, &[]);
