Look for endpoints with room once for each start

Cause: a reading of the whole change: the candidates were computed before a request left the queue and again to choose among them; had the two ever differed, the request would have been lost without an answer. Ruled out: keeping them between calls (health and reports change with time). Change: the choice takes the candidates that were found.

--- a/src/dispatch/pool.rs
+++ b/src/dispatch/pool.rs
@@ -168,7 +168,8 @@
                 self.refuse_all(now_us, back_at_us, actions);
                 return None;
             }
-            if self.candidates(now_us, daemon_count).is_empty() {
+            let candidates = self.candidates(now_us, daemon_count);
+            if candidates.is_empty() {
                 return None;
             }
             let request = self.queue.pop()?;
@@ -177,7 +178,7 @@
                 actions.push(self.give_up(&request, Refusal::DeadlineTooClose));
                 continue;
             }
-            let index = self.choose(now_us, daemon_count, request.avoid.as_ref(), rng)?;
+            let index = self.choose(now_us, candidates, request.avoid.as_ref(), rng)?;
             return Some(self.start(now_us, attempt, request, index));
         }
     }
@@ -364,18 +365,16 @@
         by_policy.min(by_connections).min(by_health)
     }
 
+    /// One of `candidates`, of which there is at least one; not the one to avoid, if there is another.
     fn choose(
         &mut self,
         now_us: u64,
-        daemon_count: usize,
+        mut candidates: Vec<usize>,
         avoid: Option<&Arc<str>>,
         rng: &mut SmallRng,
     ) -> Option<usize> {
-        let mut candidates = self.candidates(now_us, daemon_count);
-        let others: Vec<usize> =
-            candidates.iter().copied().filter(|index| Some(&self.endpoints[*index].host.name) != avoid).collect();
-        if !others.is_empty() {
-            candidates = others;
+        if let Some(avoid) = avoid.filter(|_| candidates.len() > 1) {
+            candidates.retain(|index| self.endpoints[*index].host.name != *avoid);
         }
         match self.settings.routing {
             Routing::RoundRobin | Routing::StaticSplit | Routing::TradedShares => self.next_in_turn(&candidates),
