Show the load that daemons tell each other

Cause: peers' load was received and kept, and nothing read it. Ruled out: to stop telling it; operators need it to see which entry hosts carry a peak. Change: status lists each peer's requests at endpoints and waiting; a test follows one request from another daemon.

--- a/src/view.rs
+++ b/src/view.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::daemon::{Daemon, PlatformLink};
+use crate::peer_message::PoolLoad;
 use crate::platform::HostEntry;
 use crate::roster::DaemonInfo;
 use crate::sheet::{Pool, Wave};
@@ -60,11 +61,21 @@
     pub zone: Arc<str>,
     /// Where it listens for daemons.
     pub peer_address: String,
+    /// Its requests at endpoints, by its last news.
+    pub in_flight: u32,
+    /// Its requests that wait for an endpoint, by its last news.
+    pub queued: u32,
 }
 
-impl From<DaemonInfo> for PeerView {
-    fn from(daemon: DaemonInfo) -> PeerView {
-        PeerView { name: daemon.name, zone: daemon.zone, peer_address: daemon.peer_address.to_string() }
+impl PeerView {
+    fn new(daemon: DaemonInfo, load: &[PoolLoad]) -> PeerView {
+        PeerView {
+            name: daemon.name,
+            zone: daemon.zone,
+            peer_address: daemon.peer_address.to_string(),
+            in_flight: load.iter().map(|pool| pool.in_flight).sum(),
+            queued: load.iter().map(|pool| pool.queued).sum(),
+        }
     }
 }
 
@@ -110,8 +121,18 @@
             leased: roster.is_leased(),
             requests: self.path.requests.len(),
             held_bytes: self.path.held_bytes.used_bytes(),
-            peers: roster.live_others().into_iter().map(PeerView::from).collect(),
+            peers: self.peer_views(),
+        }
+    }
+
+    fn peer_views(&self) -> Vec<PeerView> {
+        let loads = self.peer_load.borrow();
+        let mut views = Vec::new();
+        for peer in self.roster.borrow().live_others() {
+            let load = loads.get(&peer.name).map_or(&[][..], Vec::as_slice);
+            views.push(PeerView::new(peer, load));
         }
+        views
     }
 
     fn pool_views(&self) -> Vec<PoolView> {
--- a/tests/integration_tests.rs
+++ b/tests/integration_tests.rs
@@ -303,6 +303,24 @@
     assert!(metrics.contains("requests_total{outcome=\"ran\"} 1"), "{metrics}");
 }
 
+#[test]
+fn daemons_tell_each_other_their_load() {
+    let standin = StandIn::start(None);
+    let endpoint = ScriptedEndpoint::start(Script::Hold);
+    standin.put_host("held", &endpoint.address, "alpha", "live");
+    let daemons = start_daemons(&standin, 2);
+    apply(&daemons[0], SMALL_SHEET);
+    eventually("the host is known", || daemons[0].live_hosts("alpha") == 1);
+    let url = format!("http://{}/alpha/plate", daemons[0].callers);
+    let caller = thread::spawn(move || http("POST", &url, &[], b"run"));
+
+    eventually("the other daemon hears of it", || daemons[1].status()["peers"][0]["in_flight"] == 1);
+    endpoint.release();
+    eventually("and of its end", || daemons[1].status()["peers"][0]["in_flight"] == 0);
+
+    assert_eq!(caller.join().expect("answered").outcome(), "ran");
+}
+
 #[test]
 fn a_slow_platform_holds_nothing_up_and_is_used_again_when_it_is_fast() {
     let standin = StandIn::start(Some(SMALL_SHEET));
