--- a/src/bin/sardineseamd/args.rs
+++ b/src/bin/sardineseamd/args.rs
@@ -6,6 +6,8 @@
     /// Every flag has an environment variable of the same name: --admin-listen is SARDINESEAM_ADMIN_LISTEN.
     /// A flag goes before its variable.
     cmd sardineseamd {
+        /// Run jobs on the users' platform; all settings come from the file that it places on the machine.
+        optional --control
         /// Unique name of this daemon. Default: zone and peer address.
         optional --name name: String
         /// Availability zone of this daemon. Default: local
--- a/src/bin/sardineseamd/main.rs
+++ b/src/bin/sardineseamd/main.rs
@@ -5,7 +5,7 @@
 
 use std::process::ExitCode;
 
-use sardineseam::{run, start_logging, BoundDaemon, Result};
+use sardineseam::{load_deployment_settings, run, run_control, start_logging, BoundDaemon, LogFormat, Result};
 
 use args::Sardineseamd;
 
@@ -26,7 +26,7 @@
     };
     match serve(args) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error @ sardineseam::Error::Setting { .. }) => {
+        Err(error @ (sardineseam::Error::Setting { .. } | sardineseam::Error::DeploymentSetting { .. })) => {
             eprintln!("sardineseamd: {error}");
             ExitCode::from(USAGE)
         }
@@ -38,6 +38,10 @@
 }
 
 fn serve(args: Sardineseamd) -> Result<()> {
+    if args.control {
+        start_logging(LogFormat::Json)?;
+        return run_control(load_deployment_settings()?);
+    }
     let settings = config::settings(args, &|name| std::env::var(name).ok())?;
     start_logging(settings.log_format)?;
     run(BoundDaemon::bind(settings)?)
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::settings::Settings;
 use crate::sheet_state::SheetState;
 
+pub(crate) use run::watch_signals;
 pub use run::{populate, run, BoundDaemon};
 
 /// Sockets taken before the daemon starts, so that a taken port is reported at once.
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -80,7 +80,7 @@
     let addresses = bound.addresses()?;
     let BoundDaemon { settings, callers, admin, peers } = bound;
     let platform = connect_platform(&settings)?;
-    let signals = watch_signals()?;
+    let signals = watch_signals(&[SIGTERM, SIGINT])?;
     let mut reactor = Reactor::new().map_err(Error::io("start the event loop"))?;
     let peer_address = peers.local_addr().map_err(Error::io("read a listener's address"))?;
     let listeners = Listeners {
@@ -141,8 +141,9 @@
     Ok(())
 }
 
-fn watch_signals() -> Result<UnboundedReceiver<i32>> {
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(Error::io("watch signals"))?;
+/// Delivers these signals to the event loop.
+pub(crate) fn watch_signals(signals: &[i32]) -> Result<UnboundedReceiver<i32>> {
+    let mut signals = Signals::new(signals).map_err(Error::io("watch signals"))?;
     let (sender, receiver) = unbounded();
     thread::spawn(move || {
         for signal in signals.forever() {
--- a/src/error.rs
+++ b/src/error.rs
@@ -18,6 +18,14 @@
         /// What would be right.
         fix: String,
     },
+    /// A field of the platform's settings file is missing or unusable.
+    #[error("settings file: {field} {fix}")]
+    DeploymentSetting {
+        /// Path of the field, its parts joined by dots.
+        field: String,
+        /// What would be right.
+        fix: String,
+    },
     /// The sheet has errors; all of them are listed.
     #[error(transparent)]
     Sheet(#[from] SheetRejected),
--- a/src/held_body.rs
+++ b/src/held_body.rs
@@ -72,6 +72,13 @@
     pub(crate) held: HeldBytes,
 }
 
+impl HeldBody {
+    /// The body alone; it no longer counts towards the budget.
+    pub(crate) fn into_bytes(self) -> Bytes {
+        self.bytes
+    }
+}
+
 /// Reads a body whole.
 pub(crate) async fn collect(mut body: Incoming, max_bytes: usize, budget: &ByteBudget) -> Result<HeldBody, BodyError> {
     let mut held = HeldBytes::none(budget);
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,4 +1,17 @@
-//! The platform's services as the rest of the program sees them.
+//! The platform's services as the rest of the program sees them, and, in the modules below, the translation between
+//! the users' platform and our own types. No other module knows the names on that platform's wire.
+
+pub(crate) mod advice;
+mod call;
+pub(crate) mod callers;
+pub(crate) mod hosts;
+mod names;
+pub(crate) mod operator;
+pub mod settings;
+pub(crate) mod store;
+pub(crate) mod workers;
+
+pub(crate) use call::Caller;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- /dev/null
+++ b/src/platform/call.rs
@@ -0,0 +1,90 @@
+//! One HTTP call to a service of the platform.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST};
+use http::{HeaderName, HeaderValue, Request};
+use http_body_util::Full;
+
+use crate::endpoint_client::{Call, CallEnd, EndpointClient};
+use crate::held_body::ByteBudget;
+
+/// Largest answer taken; a page of rows is at most 1 MB before its encoding.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Memory for all answers in progress.
+const MAX_HELD_BYTES: usize = 48 << 20;
+
+/// A whole answer.
+#[derive(Debug)]
+pub(super) struct Reply {
+    pub(super) status: u16,
+    pub(super) body: Bytes,
+}
+
+/// Connections to the platform's services and to workers.
+pub(crate) struct Caller {
+    client: EndpointClient,
+    held_bytes: ByteBudget,
+}
+
+impl Caller {
+    pub(crate) fn new() -> Caller {
+        Caller { client: EndpointClient::default(), held_bytes: ByteBudget::new(MAX_HELD_BYTES) }
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub(crate) fn close_idle(&self) {
+        self.client.close_idle();
+    }
+
+    /// Sends a request and waits for its whole answer, or tells how the call ended without one.
+    pub(super) async fn call(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: Bytes,
+        timeout_ms: u64,
+    ) -> Result<Reply, CallEnd> {
+        let request = match build(address, method, path, headers, body) {
+            Ok(request) => request,
+            Err(error) => return Err(CallEnd::NotSent(error.to_string())),
+        };
+        let call = Call {
+            address,
+            request,
+            request_id: "",
+            deadline: Instant::now() + Duration::from_millis(timeout_ms),
+            idempotent: true,
+            max_answer_bytes: MAX_ANSWER_BYTES,
+            held_bytes: &self.held_bytes,
+        };
+        match self.client.send(call).await {
+            CallEnd::Answered(answer) => {
+                let (head, body) = answer.into_parts();
+                Ok(Reply { status: head.status.as_u16(), body: body.into_bytes() })
+            }
+            end => Err(end),
+        }
+    }
+}
+
+fn build(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&'static str, &str)],
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, http::Error> {
+    let mut request = Request::builder().method(method).uri(path).header(HOST, address.to_string());
+    if !body.is_empty() {
+        request = request.header(CONTENT_TYPE, "application/json").header(CONTENT_LENGTH, body.len());
+    }
+    for (name, value) in headers {
+        request = request.header(HeaderName::from_static(name), HeaderValue::from_str(value)?);
+    }
+    request.body(Full::new(body))
+}
--- /dev/null
+++ b/src/platform/operator.rs
@@ -0,0 +1,96 @@
+//! Decodes what operators write: the configuration and maintenance waves.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+
+use crate::sched::model::{AdviceTimes, Catalog, PoolRules, Queue, WaveOrder};
+
+const DEFAULT_STRETCH: f64 = 2.0;
+
+#[derive(Deserialize)]
+struct ConfigBody {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RouteBody>,
+    #[serde(default)]
+    services: Vec<ServiceBody>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RouteBody {
+    name: Arc<str>,
+    host: Arc<str>,
+    path_prefix: Arc<str>,
+    service: Arc<str>,
+    #[serde(default)]
+    priority: u32,
+    #[serde(default = "one")]
+    attempts: u32,
+    stretch: Option<f64>,
+    #[serde(default)]
+    target_latency_ms: f64,
+    advice: Option<AdviceBody>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct AdviceBody {
+    #[serde(default)]
+    valid_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct ServiceBody {
+    name: Arc<str>,
+    #[serde(default)]
+    spare: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WaveBody {
+    wave: u64,
+    machines: Vec<Arc<str>>,
+    // Time in which the whole wave should be over.
+    duration_s: f64,
+    // Most machines of the wave that may be down at once.
+    cap: u32,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// Decodes the configuration.
+pub(crate) fn catalog(value: &[u8]) -> Result<Catalog, serde_json::Error> {
+    let body: ConfigBody = serde_json::from_slice(value)?;
+    let mut queues = Vec::with_capacity(body.routes.len());
+    for route in body.routes {
+        queues.push(Arc::new(Queue {
+            name: route.name,
+            host: route.host,
+            path_prefix: route.path_prefix,
+            pool: route.service,
+            priority: route.priority,
+            max_attempts: route.attempts.max(1),
+            stretch: route.stretch.unwrap_or(DEFAULT_STRETCH),
+            target_latency_ms: route.target_latency_ms as u64,
+            advice: route.advice.map(|advice| AdviceTimes { valid_ms: advice.valid_ms }),
+        }));
+    }
+    let pools = body.services.into_iter().map(|service| PoolRules { name: service.name, spare: service.spare });
+    Ok(Catalog { version: body.version, queues, pools: pools.collect() })
+}
+
+/// Decodes a maintenance wave.
+pub(crate) fn wave(value: &[u8]) -> Result<WaveOrder, serde_json::Error> {
+    let body: WaveBody = serde_json::from_slice(value)?;
+    Ok(WaveOrder {
+        number: body.wave,
+        hosts: body.machines,
+        duration_ms: (body.duration_s * 1_000.0) as u64,
+        max_down: body.cap.max(1),
+    })
+}
--- /dev/null
+++ b/src/sched/reconcile.rs
@@ -0,0 +1,331 @@
+//! Compares what workers say with what was ordered.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::action::{Action, StartRun};
+use super::job::{RunPhase, TaskState, WorkerLife};
+use super::model::{EndedRow, HoldAnswer, JobId, JobPhase, OrderEnd, OrderRefusal, RunningRow, TaskRef};
+use super::progress::STOP_RETRY_MS;
+use super::scheduler::Scheduler;
+use crate::clock::US_PER_MS;
+
+/// Ends that a worker lists at most in one answer.
+const MAX_LISTED_ENDS: usize = 500;
+/// No new work for a worker that has less room than was thought.
+const NO_ROOM_PAUSE_MS: u64 = 200;
+/// No new work for a worker that could not be reached.
+const UNREACHABLE_PAUSE_MS: u64 = 500;
+/// No new work for a worker that refuses as unhealthy.
+const UNHEALTHY_PAUSE_MS: u64 = 700;
+/// A run that shows no progress for so long stands still.
+const STALLED_MS: u64 = 2_500;
+
+impl Scheduler {
+    /// After a restore: workers named in records are known, so that their work can be waited for.
+    pub(super) fn after_restore(&mut self, now_us: u64, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let mut placed = Vec::new();
+        for (at, task) in job.tasks() {
+            if let Some(life) = task.life() {
+                placed.push((at, life.clone()));
+            }
+        }
+        let ended = job.phase.is_final();
+        for (at, life) in placed {
+            self.attach(&at, &life);
+        }
+        if ended {
+            self.stop_all(now_us, id);
+        }
+        self.refresh(id);
+    }
+
+    pub(super) fn attach(&mut self, at: &TaskRef, life: &WorkerLife) {
+        let Some(step) = self.jobs.get(&at.job).and_then(|job| job.spec.steps.get(at.step as usize)) else { return };
+        let Some(worker) = self.workers.get_mut(&life.id) else { return };
+        if worker.life() == *life {
+            worker.attach(at.clone(), step);
+        }
+    }
+
+    /// Takes a worker's lists. `asked_us` is when they were asked for.
+    pub(crate) fn worker_answered(&mut self, now_us: u64, asked_us: u64, id: &Arc<str>, answer: &HoldAnswer) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if let Some(born_unix_ms) = answer.born_unix_ms {
+            if worker.entry.born_unix_ms != born_unix_ms {
+                if born_unix_ms < worker.entry.born_unix_ms {
+                    return;
+                }
+                let mut entry = worker.entry.clone();
+                entry.born_unix_ms = born_unix_ms;
+                self.worker_reborn(now_us, entry);
+            }
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.read_clock(asked_us, now_us, answer.clock_ms);
+        worker.last_answer_us = now_us;
+        if !worker.is_synced {
+            worker.is_synced = true;
+            self.wants_placement = true;
+        }
+        let known_end = worker.seen_end;
+        let new_ends: Vec<&EndedRow> = answer.ended.iter().filter(|row| row.number > known_end).collect();
+        for row in &new_ends {
+            self.run_ended(now_us, id, row);
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.seen_end = worker.seen_end.max(row.number);
+            }
+        }
+        let all_ends_listed = answer.ended.len() < MAX_LISTED_ENDS;
+        self.compare_runs(now_us, asked_us, id, &answer.running, all_ends_listed);
+        self.schedule_hold(now_us, id, false);
+    }
+
+    fn compare_runs(&mut self, now_us: u64, asked_us: u64, id: &Arc<str>, rows: &[RunningRow], all_ends_listed: bool) {
+        let listed: HashMap<&TaskRef, &RunningRow> = rows.iter().map(|row| (&row.task, row)).collect();
+        let Some(worker) = self.workers.get(id) else { return };
+        let life = worker.life();
+        let expected: Vec<TaskRef> = worker.tasks.iter().cloned().collect();
+        for at in &expected {
+            match listed.get(at) {
+                Some(row) => self.run_listed(now_us, id, at, row),
+                None if all_ends_listed => self.run_not_listed(now_us, asked_us, at),
+                None => {}
+            }
+        }
+        for row in rows {
+            let known = self.jobs.get(&row.task.job).and_then(|job| job.task(&row.task));
+            let is_ours = known.is_some_and(|task| task.life() == Some(&life) && task.run == row.run);
+            if !is_ours {
+                log::warn!("job={} worker={id} run={} outcome=stop_unexpected_run", row.task.job, row.run);
+                self.actions.push(Action::Stop { worker: id.clone(), task: row.task.clone(), run: row.run });
+            }
+        }
+    }
+
+    fn run_listed(&mut self, now_us: u64, id: &Arc<str>, at: &TaskRef, row: &RunningRow) {
+        let Some(job) = self.jobs.get_mut(&at.job) else { return };
+        let is_over = job.phase.is_final();
+        let long_running = job.spec.steps[at.step as usize].long_running;
+        if job.phase == JobPhase::Queued {
+            job.phase = JobPhase::Running;
+            self.mark_dirty(&at.job);
+        }
+        let Some(job) = self.jobs.get_mut(&at.job) else { return };
+        let Some(task) = job.task_mut(at) else { return };
+        if task.run != row.run {
+            return;
+        }
+        if !row.checkpoint.is_empty() {
+            task.checkpoint = row.checkpoint.clone();
+        }
+        task.load = row.load;
+        if task.percent != row.percent {
+            task.percent = row.percent;
+            task.percent_since_us = now_us;
+        }
+        let TaskState::Placed { phase, .. } = &mut task.state else { return };
+        match phase {
+            RunPhase::Ordered | RunPhase::Unanswered { .. } | RunPhase::Inherited => {
+                *phase = RunPhase::Running { since_us: now_us };
+                task.percent_since_us = now_us;
+            }
+            RunPhase::Running { .. } if long_running || is_over => {}
+            RunPhase::Running { .. } => {
+                if now_us > task.percent_since_us + STALLED_MS * US_PER_MS {
+                    log::warn!("job={} worker={id} run={} percent={} outcome=stalled", at.job, row.run, row.percent);
+                    if !task.avoid.contains(id) {
+                        task.avoid.push(id.clone());
+                    }
+                    task.percent_since_us = now_us;
+                    self.order_stop(now_us, at);
+                    if let Some(worker) = self.workers.get_mut(id) {
+                        worker.failed(now_us, &at.job);
+                    }
+                    return;
+                }
+            }
+            RunPhase::Writing | RunPhase::Stopping { .. } => {}
+        }
+        if is_over {
+            self.order_stop(now_us, at);
+        }
+    }
+
+    /// The worker neither runs it nor lists its end.
+    fn run_not_listed(&mut self, now_us: u64, asked_us: u64, at: &TaskRef) {
+        let Some(task) = self.jobs.get(&at.job).and_then(|job| job.task(at)) else { return };
+        let TaskState::Placed { phase, .. } = &task.state else { return };
+        match *phase {
+            RunPhase::Writing | RunPhase::Ordered => {}
+            // No order of the former leader takes effect any more: the worker has seen a higher fencing token.
+            RunPhase::Inherited => self.release(now_us, at),
+            RunPhase::Unanswered { since_us } | RunPhase::Running { since_us } => {
+                if asked_us > since_us {
+                    // It may still arrive; a stopped run never starts.
+                    self.order_stop(now_us, at);
+                }
+            }
+            RunPhase::Stopping { confirmed_us: Some(confirmed_us), .. } => {
+                if asked_us > confirmed_us {
+                    self.release(now_us, at);
+                }
+            }
+            RunPhase::Stopping { confirmed_us: None, .. } => {}
+        }
+    }
+
+    /// A look at the worker failed.
+    pub(crate) fn worker_silent(&mut self, now_us: u64, id: &Arc<str>, end: &OrderEnd) {
+        self.judge_refusal(now_us, id, end);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.block(now_us, UNREACHABLE_PAUSE_MS);
+        log::debug!("worker={id} end={end:?} outcome=hold_failed");
+        self.schedule_hold(now_us, id, true);
+    }
+
+    fn judge_refusal(&mut self, now_us: u64, id: &Arc<str>, end: &OrderEnd) {
+        let OrderEnd::Refused(refusal) = end else { return };
+        match refusal {
+            OrderRefusal::Fenced => self.actions.push(Action::CheckLeadership),
+            OrderRefusal::NoRoom => self.block_worker(now_us, id, NO_ROOM_PAUSE_MS),
+            OrderRefusal::Unhealthy => self.block_worker(now_us, id, UNHEALTHY_PAUSE_MS),
+            OrderRefusal::OtherLife => self.block_worker(now_us, id, UNREACHABLE_PAUSE_MS),
+            OrderRefusal::OldRun | OrderRefusal::Late | OrderRefusal::Ticket | OrderRefusal::Invalid => {}
+        }
+    }
+
+    fn block_worker(&mut self, now_us: u64, id: &Arc<str>, wait_ms: u64) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.block(now_us, wait_ms);
+            worker.next_hold_us = worker.next_hold_us.min(now_us);
+        }
+    }
+
+    /// An order to start was answered, or was not.
+    pub(crate) fn start_ended(&mut self, now_us: u64, start: &StartRun, end: &OrderEnd) {
+        let at = &start.task;
+        if !matches!(end, OrderEnd::Accepted { .. }) {
+            log::info!("job={} worker={} run={} end={end:?} outcome=start_refused", at.job, start.worker, start.run);
+        }
+        self.judge_refusal(now_us, &start.worker, end);
+        let Some(job) = self.jobs.get_mut(&at.job) else { return };
+        let was_queued = job.phase == JobPhase::Queued;
+        let Some(task) = job.task_mut(at) else { return };
+        if task.run != start.run {
+            return;
+        }
+        let TaskState::Placed { at: life, phase } = &mut task.state else { return };
+        if life.id != start.worker {
+            return;
+        }
+        match (end, *phase) {
+            (OrderEnd::Accepted { .. }, RunPhase::Ordered) => {
+                *phase = RunPhase::Running { since_us: now_us };
+                task.percent_since_us = now_us;
+                if was_queued {
+                    job.phase = JobPhase::Running;
+                    self.mark_dirty(&at.job);
+                }
+            }
+            (OrderEnd::Unanswered, RunPhase::Ordered) => {
+                *phase = RunPhase::Unanswered { since_us: now_us };
+                self.block_worker(now_us, &start.worker, UNREACHABLE_PAUSE_MS);
+            }
+            (OrderEnd::Refused(_) | OrderEnd::NotSent, RunPhase::Ordered | RunPhase::Stopping { .. }) => {
+                if *end == OrderEnd::NotSent {
+                    self.block_worker(now_us, &start.worker, UNREACHABLE_PAUSE_MS);
+                }
+                if *end == OrderEnd::Refused(OrderRefusal::Ticket) {
+                    self.drop_ticket(at, &start.worker);
+                }
+                self.release(now_us, at);
+            }
+            _ => {}
+        }
+    }
+
+    /// An order to stop was answered, or was not.
+    pub(crate) fn stop_ended(&mut self, now_us: u64, worker: &Arc<str>, at: &TaskRef, run: u32, end: &OrderEnd) {
+        self.judge_refusal(now_us, worker, end);
+        let Some(task) = self.jobs.get_mut(&at.job).and_then(|job| job.task_mut(at)) else { return };
+        if task.run != run {
+            return;
+        }
+        let TaskState::Placed { at: life, phase } = &mut task.state else { return };
+        let RunPhase::Stopping { next_order_us, confirmed_us } = phase else { return };
+        if life.id != *worker {
+            return;
+        }
+        match end {
+            OrderEnd::Accepted { .. } => {
+                *confirmed_us = Some(now_us);
+                let grace_us = self.settings.stop_grace_ms * US_PER_MS;
+                if let Some(worker) = self.workers.get_mut(worker) {
+                    worker.next_hold_us = worker.next_hold_us.min(now_us + grace_us);
+                }
+            }
+            OrderEnd::Refused(_) | OrderEnd::NotSent | OrderEnd::Unanswered => {
+                *next_order_us = now_us + STOP_RETRY_MS * US_PER_MS;
+            }
+        }
+    }
+
+    /// Gives up on runs whose leases have ended for certain.
+    pub(super) fn expire_leases(&mut self, now_us: u64) {
+        let inherited_over = now_us >= self.inherited_over_us();
+        let mut lost = Vec::new();
+        for worker in self.workers.values() {
+            if worker.tasks.is_empty() {
+                continue;
+            }
+            let never_heard = !worker.is_synced && inherited_over;
+            if worker.lease_surely_over(now_us) || never_heard {
+                lost.push(worker.entry.id.clone());
+            }
+        }
+        for id in lost {
+            self.lose_all(now_us, &id);
+        }
+        if inherited_over {
+            self.release_orphans(now_us);
+        }
+    }
+
+    /// Runs of workers that the registry no longer knows.
+    fn release_orphans(&mut self, now_us: u64) {
+        let mut orphans = Vec::new();
+        for job in self.jobs.values() {
+            if job.occurrences.is_empty() {
+                continue;
+            }
+            for (at, task) in job.tasks() {
+                if task.life().is_some_and(|life| !self.has_life(life)) {
+                    orphans.push(at);
+                }
+            }
+        }
+        for at in orphans {
+            log::warn!("job={} task={}.{} outcome=worker_gone", at.job, at.step, at.index);
+            self.release(now_us, &at);
+            self.mark_dirty(&at.job);
+        }
+    }
+
+    /// Everything on a worker is over, without a word about how.
+    pub(super) fn lose_all(&mut self, now_us: u64, id: &Arc<str>) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let lost: Vec<TaskRef> = worker.tasks.iter().cloned().collect();
+        if !lost.is_empty() {
+            log::warn!("worker={id} tasks={} outcome=leases_over", lost.len());
+        }
+        for at in lost {
+            self.release(now_us, &at);
+            self.mark_dirty(&at.job);
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.lease_end_ms = 0;
+        }
+    }
+}
