Move hosts to the demand and maintain them in waves

Change: hosts without work go to pools whose demand exceeds their room, idle ones to the spare pool; waves empty a host within its steps' budgets before the provider is told.

--- a/src/control.rs
+++ b/src/control.rs
@@ -10,6 +10,7 @@
 //! | `record` | `sched` | job | its work items, written by the leader |
 //! | `phase` | `sched` | job | what its caller is told |
 //! | `phase` | `sched` | `/pending` | jobs of each queue that have not begun |
+//! | `wave` | `sched` | wave | hosts whose maintenance has begun |
 //! | `lead` | `sched` | `owner` | leader; its version is the fencing token |
 //! | `lead` | `sched` | `sequence` | changes with each of the leader's transactions |
 
@@ -50,6 +51,7 @@
 const JOB_TABLE: &str = "job";
 const RECORD_TABLE: &str = "record";
 const PHASE_TABLE: &str = "phase";
+const WAVE_TABLE: &str = "wave";
 const LEAD_TABLE: &str = "lead";
 const PENDING_KEY: &str = "/pending";
 /// Ending of the key under which a wish to cancel a job is kept.
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -7,7 +7,9 @@
 
 use super::election::{owner_row, sequence_row, RELEASED};
 use super::orders::Orders;
-use super::{sessions, Node, CANCEL_SUFFIX, JOB_TABLE, LEADER_PARTITION, PENDING_KEY, PHASE_TABLE, RECORD_TABLE};
+use super::{
+    sessions, Node, CANCEL_SUFFIX, JOB_TABLE, LEADER_PARTITION, PENDING_KEY, PHASE_TABLE, RECORD_TABLE, WAVE_TABLE,
+};
 use crate::clock::US_PER_MS;
 use crate::platform::advice::AdviceClient;
 use crate::platform::hosts::HostClient;
@@ -15,7 +17,7 @@
 use crate::reactor::{spawn, Signal};
 use crate::sched::action::{Action, Batch};
 use crate::sched::model::{Catalog, DutyEnd, JobId, WaveOrder};
-use crate::sched::record::{decode_spec, encode_pending, encode_phase};
+use crate::sched::record::{decode_begun, decode_spec, encode_begun, encode_pending, encode_phase};
 use crate::sched::scheduler::{SchedSettings, Scheduler};
 use crate::store::{CommitEnd, RowKey, RowPage, StoreError, StoreTransaction, StoredRow};
 
@@ -165,6 +167,7 @@
         let records = store.read_all(RECORD_TABLE, LEADER_PARTITION).await?;
         let records: HashMap<Arc<str>, Vec<u8>> =
             records.rows.into_iter().filter_map(|row| Some((row.at.key, row.value?))).collect();
+        let waves = store.read_all(WAVE_TABLE, LEADER_PARTITION).await?;
         let mut jobs: Vec<StoredRow> = Vec::new();
         let mut version = u64::MAX;
         for partition in store.partitions(JOB_TABLE).await? {
@@ -192,6 +195,13 @@
                 log::error!("job={} error={error} outcome=record_unreadable", row.at.key);
             }
         }
+        for row in &waves.rows {
+            let (Ok(number), Some(value)) = (row.at.key.parse(), &row.value) else { continue };
+            match decode_begun(value) {
+                Ok(hosts) => scheduler.restore_wave(number, hosts),
+                Err(error) => log::error!("wave={number} error={error} outcome=record_unreadable"),
+            }
+        }
         for row in &jobs {
             take_cancel(&mut scheduler, now_us, row);
         }
@@ -517,6 +527,10 @@
     for (id, phase) in &batch.phases {
         transaction.writes.push((RowKey::new(PHASE_TABLE, LEADER_PARTITION, id), encode_phase(*phase)));
     }
+    for (wave, hosts) in &batch.waves {
+        let at = RowKey::new(WAVE_TABLE, LEADER_PARTITION, &wave.to_string());
+        transaction.writes.push((at, encode_begun(hosts)));
+    }
     if let Some(pending) = &batch.pending {
         let at = RowKey::new(PHASE_TABLE, LEADER_PARTITION, PENDING_KEY);
         transaction.writes.push((at, encode_pending(pending)));
--- a/src/sched/action.rs
+++ b/src/sched/action.rs
@@ -84,15 +84,10 @@
     pub(crate) phases: Vec<(JobId, JobPhase)>,
     /// Jobs of each queue that have not begun, if they changed.
     pub(crate) pending: Option<Vec<(Arc<str>, u64)>>,
+    /// Hosts of each wave whose maintenance has begun, where that changed.
+    pub(crate) waves: Vec<(u64, Vec<Arc<str>>)>,
     /// Runs that may be ordered once the batch is written.
     pub(crate) intents: Vec<(TaskRef, u32)>,
     /// Ends that workers may forget once the batch is written.
     pub(crate) acknowledged: Vec<(Arc<str>, u64, u64)>,
 }
-
-impl Batch {
-    /// Whether there is something to write.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.records.is_empty() && self.phases.is_empty() && self.pending.is_none()
-    }
-}
--- a/src/sched/duties.rs
+++ b/src/sched/duties.rs
@@ -1,40 +1,348 @@
 //! Moves hosts between pools, to where the demand is.
+//!
+//! Demand is what runs, what could run now, and what arrived a moment ago. Hosts without work go to pools that lack
+//! room, first from the spare pool; hosts that nobody needs go to the spare pool, where they cost nothing.
 
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::sync::Arc;
 
-use super::job::Job;
-use super::model::{DutyEnd, HostRecord};
+use super::action::Action;
+use super::job::{Job, TaskState};
+use super::model::{DutyEnd, HostPhase, HostRecord, Resources};
 use super::scheduler::Scheduler;
 use crate::clock::US_PER_MS;
 
-/// What is known about moves in progress.
+/// Margin beyond the time that must pass between two holders' orders.
+const HOLDER_CHANGE_MARGIN_MS: u64 = 1_000;
+/// Time between two decisions.
+const DECIDE_MS: u64 = 100;
+/// A pool's demand counts for so long after it was seen.
+const DEMAND_KEPT_MS: u64 = 2_000;
+/// Room wanted beyond the demand: work items do not fill workers to the last core.
+const HEADROOM: f64 = 1.2;
+/// A host without work and without need goes to the spare pool after this time.
+const SPARE_AFTER_MS: u64 = 3_000;
+/// A host without work may go to a pool that needs it after this time.
+const LEND_AFTER_MS: u64 = 150;
+/// Moves under way at once.
+const MAX_MOVING: usize = 24;
+/// Time after which a move that brought no worker no longer counts as room on its way.
+const ARRIVAL_MS: u64 = 4_000;
+/// Pause before an order about the same host is repeated.
+const RETRY_MS: u64 = 800;
+
+/// A host on its way to a pool.
+#[derive(Debug, Clone)]
+struct Move {
+    pool: Arc<str>,
+    capacity: Resources,
+    counts_until_us: u64,
+    is_answered: bool,
+    /// When an order without an answer is repeated.
+    again_us: Option<u64>,
+}
+
+/// What is known about demand and moves.
 #[derive(Debug)]
 pub(crate) struct Duties {
     /// No order about a host before this time: a former leader may have sent one.
     pub(super) quiet_until_us: u64,
+    /// When the provider's list was read last.
+    pub(super) hosts_read_us: u64,
+    decide_at_us: u64,
+    moving: BTreeMap<Arc<str>, Move>,
+    /// Recent demand of each pool in thousandths of a core, newest last.
+    demand: BTreeMap<Arc<str>, VecDeque<(u64, u64)>>,
+    /// Pools that a host cannot join.
+    impossible: HashSet<(Arc<str>, Arc<str>)>,
+    not_before_us: BTreeMap<Arc<str>, u64>,
 }
 
-/// Margin beyond the time that must pass between two holders' orders.
-const HOLDER_CHANGE_MARGIN_MS: u64 = 1_000;
-
 impl Duties {
     pub(super) fn new(now_us: u64, holder_change_ms: u64) -> Duties {
-        Duties { quiet_until_us: now_us + (holder_change_ms + HOLDER_CHANGE_MARGIN_MS) * US_PER_MS }
+        Duties {
+            quiet_until_us: now_us + (holder_change_ms + HOLDER_CHANGE_MARGIN_MS) * US_PER_MS,
+            hosts_read_us: 0,
+            decide_at_us: 0,
+            moving: BTreeMap::new(),
+            demand: BTreeMap::new(),
+            impossible: HashSet::new(),
+            not_before_us: BTreeMap::new(),
+        }
     }
 
     /// Counts a job towards its queue's demand.
     pub(super) fn note_arrival(&mut self, _now_us: u64, _job: &Job) {}
+
+    pub(super) fn is_moving(&self, host: &str) -> bool {
+        self.moving.contains_key(host)
+    }
+
+    /// Highest demand of a pool in the last moments.
+    fn recent_demand(&self, pool: &str) -> u64 {
+        let demand = self.demand.get(pool);
+        demand.and_then(|recent| recent.iter().map(|(_, milli)| *milli).max()).unwrap_or(0)
+    }
+
+    fn note_demand(&mut self, now_us: u64, pool: &Arc<str>, milli: u64) {
+        let recent = self.demand.entry(pool.clone()).or_default();
+        recent.push_back((now_us, milli));
+        while recent.front().is_some_and(|(at_us, _)| now_us > at_us + DEMAND_KEPT_MS * US_PER_MS) {
+            recent.pop_front();
+        }
+    }
+
+    /// Room that is on its way to a pool.
+    fn arriving(&self, now_us: u64, pool: &str) -> u64 {
+        let mut milli = 0;
+        for one in self.moving.values() {
+            if &*one.pool == pool && now_us < one.counts_until_us {
+                milli += one.capacity.cpu_milli;
+            }
+        }
+        milli
+    }
+}
+
+/// A pool's room and demand, in thousandths of a core.
+#[derive(Debug, Default, Clone)]
+struct Balance {
+    room: u64,
+    demand: u64,
 }
 
 impl Scheduler {
     /// Takes a reading of the provider's list.
-    pub(crate) fn hosts_listed(&mut self, _now_us: u64, hosts: Vec<HostRecord>) {
+    pub(crate) fn hosts_listed(&mut self, now_us: u64, hosts: Vec<HostRecord>) {
         self.hosts = hosts.into_iter().map(|host| (host.name.clone(), host)).collect();
+        self.duties.hosts_read_us = now_us;
+        let mut arrived = Vec::new();
+        for (host, one) in &self.duties.moving {
+            let is_there = self.worker_on(host).is_some_and(|id| self.workers[&id].entry.pool == one.pool);
+            let is_spare = self.catalog.pool(&one.pool).is_some_and(|pool| pool.spare);
+            if one.is_answered && (is_there || is_spare || now_us >= one.counts_until_us) {
+                arrived.push(host.clone());
+            }
+        }
+        for host in arrived {
+            self.duties.moving.remove(&host);
+        }
     }
 
     /// Decides which hosts change their pools.
-    pub(super) fn move_hosts(&mut self, _now_us: u64) {}
+    pub(super) fn move_hosts(&mut self, now_us: u64) {
+        if now_us < self.duties.decide_at_us {
+            return;
+        }
+        self.duties.decide_at_us = now_us + DECIDE_MS * US_PER_MS;
+        let balances = self.balances(now_us);
+        if now_us < self.duties.quiet_until_us || self.hosts.is_empty() || self.lease_until_us(now_us) <= now_us {
+            return;
+        }
+        self.repeat_unanswered(now_us);
+        self.fill_gaps(now_us, &balances);
+        self.rest_idle(now_us, &balances);
+    }
+
+    /// Room and demand of every pool.
+    fn balances(&mut self, now_us: u64) -> BTreeMap<Arc<str>, Balance> {
+        let mut balances: BTreeMap<Arc<str>, Balance> = BTreeMap::new();
+        for pool in &self.catalog.pools {
+            if !pool.spare {
+                balances.insert(pool.name.clone(), Balance::default());
+            }
+        }
+        for worker in self.workers.values() {
+            let Some(balance) = balances.get_mut(&worker.entry.pool) else { continue };
+            balance.demand += worker.reserved.cpu_milli;
+            if worker.is_listed && !worker.entry.draining && !worker.is_cordoned {
+                balance.room += worker.entry.capacity.cpu_milli;
+            }
+        }
+        for id in &self.ready {
+            let Some(job) = self.jobs.get(id) else { continue };
+            let queue = self.queue_of(job);
+            if let Some(balance) = balances.get_mut(&queue.pool) {
+                balance.demand += waiting_cpu_milli(job);
+            }
+        }
+        for (pool, balance) in &mut balances {
+            self.duties.note_demand(now_us, pool, balance.demand);
+            balance.demand = (self.duties.recent_demand(pool) as f64 * HEADROOM) as u64;
+            balance.room += self.duties.arriving(now_us, pool);
+        }
+        balances
+    }
+
+    fn repeat_unanswered(&mut self, now_us: u64) {
+        let mut again = Vec::new();
+        for (host, one) in &mut self.duties.moving {
+            if one.again_us.is_some_and(|again_us| now_us >= again_us) {
+                one.again_us = None;
+                again.push(Action::MoveHost { host: host.clone(), pool: one.pool.clone() });
+            }
+        }
+        self.actions.extend(again);
+    }
+
+    /// Brings hosts to pools that lack room.
+    fn fill_gaps(&mut self, now_us: u64, balances: &BTreeMap<Arc<str>, Balance>) {
+        let mut balances = balances.clone();
+        let mut gaps: Vec<(u64, Arc<str>)> = Vec::new();
+        for (pool, balance) in &balances {
+            if balance.demand > balance.room {
+                gaps.push((balance.demand - balance.room, pool.clone()));
+            }
+        }
+        gaps.sort_by(|a, b| b.cmp(a));
+        let mut taken = BTreeSet::new();
+        for (mut gap, pool) in gaps {
+            while gap > 0 && self.duties.moving.len() < MAX_MOVING {
+                let Some(host) = self.donor(now_us, &pool, &mut balances, &taken) else { break };
+                taken.insert(host.clone());
+                let capacity = self.hosts.get(&host).map(|record| record.capacity).unwrap_or_default();
+                self.order_move(now_us, &host, &pool);
+                gap = gap.saturating_sub(capacity.cpu_milli.max(1));
+            }
+        }
+    }
+
+    /// A host that another pool can do without.
+    fn donor(
+        &self,
+        now_us: u64,
+        pool: &Arc<str>,
+        balances: &mut BTreeMap<Arc<str>, Balance>,
+        taken: &BTreeSet<Arc<str>>,
+    ) -> Option<Arc<str>> {
+        let mut best: Option<(bool, u64, &Arc<str>)> = None;
+        for (name, host) in &self.hosts {
+            if host.pool == *pool || taken.contains(name) || !self.may_move(now_us, name, host, pool) {
+                continue;
+            }
+            let is_spare = self.catalog.pool(&host.pool).is_some_and(|pool| pool.spare);
+            let surplus = match balances.get(&host.pool) {
+                Some(balance) => balance.room.saturating_sub(balance.demand),
+                None => u64::MAX,
+            };
+            if !is_spare {
+                if surplus < host.capacity.cpu_milli || !self.is_idle(now_us, name, LEND_AFTER_MS) {
+                    continue;
+                }
+            }
+            let candidate = (is_spare, surplus, name);
+            if best.as_ref().is_none_or(|known| (candidate.0, candidate.1) > (known.0, known.1)) {
+                best = Some(candidate);
+            }
+        }
+        let (_, _, name) = best?;
+        if let Some(balance) = balances.get_mut(&self.hosts[name].pool) {
+            balance.room = balance.room.saturating_sub(self.hosts[name].capacity.cpu_milli);
+        }
+        Some(name.clone())
+    }
+
+    fn may_move(&self, now_us: u64, name: &Arc<str>, host: &HostRecord, pool: &Arc<str>) -> bool {
+        host.phase == HostPhase::Up
+            && !self.duties.is_moving(name)
+            && !self.waves.holds(name)
+            && !self.duties.impossible.contains(&(name.clone(), pool.clone()))
+            && self.duties.not_before_us.get(name).is_none_or(|not_before_us| now_us >= *not_before_us)
+    }
+
+    /// Whether a host's worker has had no work for so long.
+    fn is_idle(&self, now_us: u64, host: &str, wait_ms: u64) -> bool {
+        let Some(worker) = self.worker_on(host).and_then(|id| self.workers.get(&id)) else { return false };
+        worker.tasks.is_empty()
+            && worker.is_synced
+            && !worker.entry.draining
+            && now_us >= worker.idle_since_us + wait_ms * US_PER_MS
+    }
+
+    /// Sends hosts that nobody needs to the spare pool.
+    fn rest_idle(&mut self, now_us: u64, balances: &BTreeMap<Arc<str>, Balance>) {
+        let Some(spare) = self.catalog.pools.iter().find(|pool| pool.spare).map(|pool| pool.name.clone()) else {
+            return;
+        };
+        let mut balances = balances.clone();
+        let names: Vec<Arc<str>> = self.hosts.keys().cloned().collect();
+        for name in names {
+            if self.duties.moving.len() >= MAX_MOVING {
+                return;
+            }
+            let host = &self.hosts[&name];
+            let capacity = host.capacity.cpu_milli;
+            if host.pool == spare || !self.may_move(now_us, &name, host, &spare) {
+                continue;
+            }
+            if !self.is_idle(now_us, &name, SPARE_AFTER_MS) {
+                continue;
+            }
+            let Some(balance) = balances.get_mut(&host.pool) else { continue };
+            // One host stays, so that the pool's next job finds a worker at once.
+            if balance.room < balance.demand + capacity || balance.room <= capacity {
+                continue;
+            }
+            balance.room -= capacity;
+            self.order_move(now_us, &name, &spare);
+        }
+    }
+
+    fn order_move(&mut self, now_us: u64, host: &Arc<str>, pool: &Arc<str>) {
+        self.cordon(host, true);
+        let capacity = self.hosts.get(host).map(|record| record.capacity).unwrap_or_default();
+        let counts_until_us = now_us + (self.settings.host_move_ms + ARRIVAL_MS) * US_PER_MS;
+        let one = Move { pool: pool.clone(), capacity, counts_until_us, is_answered: false, again_us: None };
+        self.duties.moving.insert(host.clone(), one);
+        log::info!("host={host} pool={pool} outcome=move_ordered");
+        self.actions.push(Action::MoveHost { host: host.clone(), pool: pool.clone() });
+    }
 
     /// An order to move a host was answered, or was not.
-    pub(crate) fn move_ended(&mut self, _now_us: u64, _host: &Arc<str>, _pool: &Arc<str>, _end: DutyEnd) {}
+    pub(crate) fn move_ended(&mut self, now_us: u64, host: &Arc<str>, pool: &Arc<str>, end: DutyEnd) {
+        match end {
+            DutyEnd::Done => {
+                self.host_taken(now_us, host);
+                if let Some(record) = self.hosts.get_mut(host) {
+                    record.phase = HostPhase::Moving;
+                }
+                if let Some(one) = self.duties.moving.get_mut(host) {
+                    one.is_answered = true;
+                }
+            }
+            DutyEnd::Unanswered => {
+                if let Some(one) = self.duties.moving.get_mut(host) {
+                    one.again_us = Some(now_us + RETRY_MS * US_PER_MS);
+                }
+            }
+            DutyEnd::Invalid => {
+                self.duties.impossible.insert((host.clone(), pool.clone()));
+                self.end_move(now_us, host);
+            }
+            DutyEnd::Busy | DutyEnd::NotOfWave | DutyEnd::Fenced | DutyEnd::Throttled | DutyEnd::NotDone => {
+                self.end_move(now_us, host);
+            }
+        }
+    }
+
+    fn end_move(&mut self, now_us: u64, host: &Arc<str>) {
+        self.duties.moving.remove(host);
+        self.duties.not_before_us.insert(host.clone(), now_us + RETRY_MS * US_PER_MS);
+        self.cordon(host, false);
+    }
+}
+
+/// Processor need of work items that could start now.
+fn waiting_cpu_milli(job: &Job) -> u64 {
+    let mut milli = 0;
+    for (number, occurrence) in &job.occurrences {
+        for (index, step) in occurrence.steps.iter().enumerate() {
+            if !job.is_step_open(*number, index) {
+                continue;
+            }
+            let waiting = step.tasks.iter().filter(|task| task.state == TaskState::Waiting).count() as u64;
+            milli += waiting * job.spec.steps[index].reserved().cpu_milli;
+        }
+    }
+    milli
 }
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -63,7 +63,7 @@
             }
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.read_clock(asked_us, now_us, answer.clock_ms);
+        worker.read_clock(now_us, answer.clock_ms);
         worker.last_answer_us = now_us;
         if !worker.is_synced {
             worker.is_synced = true;
--- a/src/sched/record.rs
+++ b/src/sched/record.rs
@@ -84,6 +84,16 @@
     decode(bytes)
 }
 
+/// Encodes the hosts of a wave whose maintenance has begun.
+pub(crate) fn encode_begun(hosts: &[Arc<str>]) -> Vec<u8> {
+    encode(&hosts)
+}
+
+/// Decodes the hosts of a wave whose maintenance has begun.
+pub(crate) fn decode_begun(bytes: &[u8]) -> Result<Vec<Arc<str>>, BadRecord> {
+    decode(bytes)
+}
+
 /// Encodes what has become of a job.
 pub(crate) fn encode_job(job: &Job) -> Vec<u8> {
     let mut record =
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -214,7 +214,7 @@
 
     /// Whether there is something to write.
     pub(crate) fn wants_commit(&self, now_us: u64) -> bool {
-        !self.dirty.is_empty() || self.pending_changed(now_us)
+        !self.dirty.is_empty() || self.waves.has_changed() || self.pending_changed(now_us)
     }
 
     fn pending_changed(&self, now_us: u64) -> bool {
@@ -255,6 +255,7 @@
             self.pending_told_us = now_us;
             batch.pending = Some(self.pending_told.clone());
         }
+        batch.waves = self.waves.take_changed();
         if self.dirty.is_empty() {
             for worker in self.workers.values() {
                 if worker.seen_end > worker.stored_end {
@@ -301,11 +302,6 @@
         }
     }
 
-    /// Leadership was confirmed without writing anything else.
-    pub(crate) fn leadership_renewed(&mut self, sent_us: u64) {
-        self.renewed_us = self.renewed_us.max(sent_us);
-    }
-
     fn order_start(&mut self, now_us: u64, task: &TaskRef, run: u32) {
         let Some(job) = self.jobs.get(&task.job) else { return };
         let Some(state) = job.task(task) else { return };
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -18,8 +18,6 @@
 /// A reading of a worker's clock.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct ClockReading {
-    /// Our time before the answer was asked for.
-    asked_us: u64,
     /// Our time when the answer came.
     answered_us: u64,
     clock_ms: u64,
@@ -131,8 +129,8 @@
     }
 
     /// Takes a reading of its clock into account.
-    pub(crate) fn read_clock(&mut self, asked_us: u64, answered_us: u64, clock_ms: u64) {
-        self.clock = Some(ClockReading { asked_us, answered_us, clock_ms });
+    pub(crate) fn read_clock(&mut self, answered_us: u64, clock_ms: u64) {
+        self.clock = Some(ClockReading { answered_us, clock_ms });
     }
 
     pub(crate) fn knows_clock(&self) -> bool {
@@ -157,11 +155,6 @@
         clock.clock_ms + passed_ms as u64 > self.lease_end_ms
     }
 
-    /// Round trip of the latest reading of its clock.
-    pub(crate) fn round_trip_us(&self) -> u64 {
-        self.clock.map_or(0, |clock| clock.answered_us.saturating_sub(clock.asked_us))
-    }
-
     /// A run ended well.
     pub(crate) fn succeeded(&mut self) {
         self.failure_average *= 1.0 - FAILURE_WEIGHT;
