--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -253,6 +253,11 @@
         }
     }
 
+    /// Whether an order about a host may be sent now.
+    fn may_order_hosts(&self) -> bool {
+        !self.is_over.get() && self.scheduler.borrow().is_lately_confirmed(self.now_us())
+    }
+
     fn wake_all(&self) {
         for signal in self.session_signals.borrow().values() {
             signal.notify();
@@ -402,7 +407,7 @@
 
 async fn move_host(leader: Rc<Leader>, host: Arc<str>, pool: Arc<str>) {
     let end = match &leader.hosts {
-        Some(client) if !leader.is_over.get() => client.move_to(&host, &pool, leader.token).await,
+        Some(client) if leader.may_order_hosts() => client.move_to(&host, &pool, leader.token).await,
         _ => DutyEnd::NotDone,
     };
     log::info!("host={host} pool={pool} end={end:?} outcome=move_ended");
@@ -412,7 +417,7 @@
 
 async fn maintain_host(leader: Rc<Leader>, host: Arc<str>, wave: u64) {
     let end = match &leader.hosts {
-        Some(client) if !leader.is_over.get() => client.maintain(&host, wave, leader.token).await,
+        Some(client) if leader.may_order_hosts() => client.maintain(&host, wave, leader.token).await,
         _ => DutyEnd::NotDone,
     };
     log::info!("host={host} wave={wave} end={end:?} outcome=maintenance_ended");
--- a/src/sched/duties.rs
+++ b/src/sched/duties.rs
@@ -136,7 +136,7 @@
         }
         self.duties.decide_at_us = now_us + DECIDE_MS * US_PER_MS;
         let balances = self.balances(now_us);
-        if now_us < self.duties.quiet_until_us || self.hosts.is_empty() || self.lease_until_us(now_us) <= now_us {
+        if !self.may_order_hosts(now_us) {
             return;
         }
         self.repeat_unanswered(now_us);
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -28,6 +28,8 @@
 const HOLD_RETRY_MS: u64 = 250;
 /// Part of the longest lease that a leader gives beyond its last confirmed renewal of leadership.
 const LEASE_AFTER_RENEWAL: f64 = 0.85;
+/// Orders about hosts go out for so long after the latest confirmed renewal of leadership.
+const HOST_ORDERS_AFTER_RENEWAL_MS: u64 = 1_200;
 /// What a new leader waits beyond the longest lease, for clocks that run 2% slow and errors of reading them.
 const INHERITED_FACTOR: f64 = 1.03;
 const INHERITED_SLACK_MS: u64 = 300;
@@ -313,7 +315,7 @@
         let cancelled = job.phase.is_final();
         let lease_until_us = self.lease_until_us(now_us);
         let usable = self.workers.get(&at.id).is_some_and(|worker| {
-            worker.life() == at && worker.is_listed && !worker.entry.draining && worker.knows_clock()
+            worker.life() == at && worker.is_listed && !worker.entry.draining && worker.may_be_started(now_us)
         });
         if cancelled || !usable || lease_until_us <= now_us {
             self.release(now_us, task);
@@ -340,6 +342,19 @@
         (now_us + LEASE_MS * US_PER_MS).min(by_renewal_us)
     }
 
+    /// Whether orders about hosts may go out. Another daemon's orders must lie well apart from ours, so they end soon
+    /// after leadership can no longer be confirmed.
+    pub(super) fn may_order_hosts(&self, now_us: u64) -> bool {
+        now_us >= self.duties.quiet_until_us
+            && !self.hosts.is_empty()
+            && now_us < self.renewed_us + HOST_ORDERS_AFTER_RENEWAL_MS * US_PER_MS
+    }
+
+    /// Whether leadership was confirmed so lately that an order about a host may still be sent.
+    pub(crate) fn is_lately_confirmed(&self, now_us: u64) -> bool {
+        self.may_order_hosts(now_us)
+    }
+
     fn longest_lease_ms(&self) -> u64 {
         (self.settings.max_lease_ms as f64 * LEASE_AFTER_RENEWAL) as u64
     }
@@ -433,7 +448,8 @@
             return HoldPlan::WaitUntil { at_us: worker.next_hold_us };
         }
         let mut lease_end_ms = None;
-        if !worker.tasks.is_empty() && lease_until_us > now_us {
+        // A worker that does not answer gets no longer lease: its work can go elsewhere once the last one is over.
+        if !worker.tasks.is_empty() && lease_until_us > now_us && worker.is_heard(now_us) {
             lease_end_ms = worker.lease_end_for(lease_until_us);
         }
         worker.lease_end_ms = worker.lease_end_ms.max(lease_end_ms.unwrap_or(0));
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -138,7 +138,7 @@
 
     /// Decides which hosts go down now.
     pub(super) fn run_waves(&mut self, now_us: u64) {
-        if now_us < self.duties.quiet_until_us || self.hosts.is_empty() {
+        if !self.may_order_hosts(now_us) {
             return;
         }
         let numbers: Vec<u64> = self.waves.states.keys().copied().collect();
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -9,6 +9,8 @@
 
 /// A worker's clock runs at least at this share of true time.
 const SLOWEST_CLOCK: f64 = 0.98;
+/// A worker with work is asked about once a second; after this time without an answer it counts as silent.
+const HEARD_MS: u64 = 1_800;
 /// Weight of the latest end in a worker's average of failures.
 const FAILURE_WEIGHT: f64 = 0.34;
 /// Average share of failures at which a worker gets no more work for a while.
@@ -133,8 +135,14 @@
         self.clock = Some(ClockReading { answered_us, clock_ms });
     }
 
-    pub(crate) fn knows_clock(&self) -> bool {
-        self.clock.is_some()
+    /// Whether it has answered a moment ago.
+    pub(crate) fn is_heard(&self, now_us: u64) -> bool {
+        now_us < self.last_answer_us + HEARD_MS * US_PER_MS
+    }
+
+    /// Whether an order to start may go out: it answers, or was free of work and therefore not asked.
+    pub(crate) fn may_be_started(&self, now_us: u64) -> bool {
+        self.clock.is_some() && (self.is_heard(now_us) || now_us >= self.blocked_until_us)
     }
 
     /// End of a lease that is given until our time `until_us`, on its clock; never later than that.
