Reset connections whose requests were given up; count silent workers as away; report pools

Change: connections to the platform end with a reset; a worker that does not answer is away for its steps' budgets; one line a second tells each pool's room and demand.

--- a/src/endpoint_client.rs
+++ b/src/endpoint_client.rs
@@ -70,10 +70,17 @@
 /// Idle connections by endpoint.
 #[derive(Default)]
 pub(crate) struct EndpointClient {
+    /// Whether connections end with a reset, so that nothing that is still under way is delivered later.
+    resets: bool,
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
 impl EndpointClient {
+    /// A client whose requests, once given up on, are not delivered any more as far as that can be prevented.
+    pub(crate) fn with_resets() -> EndpointClient {
+        EndpointClient { resets: true, idle: RefCell::default() }
+    }
+
     /// Sends a request and waits for its whole answer.
     pub(crate) async fn send(&self, call: Call<'_>) -> CallEnd {
         let Call { address, mut request, request_id, deadline, idempotent, max_answer_bytes, held_bytes } = call;
@@ -108,7 +115,7 @@
                 return Ok(connection);
             }
         }
-        open(address, deadline).await
+        open(address, deadline, self.resets).await
     }
 
     /// The connection is dropped here, which closes it: an answer still under way reaches nobody.
@@ -162,10 +169,13 @@
     }
 }
 
-async fn open(address: SocketAddr, deadline: Instant) -> Result<Connection, String> {
+async fn open(address: SocketAddr, deadline: Instant, resets: bool) -> Result<Connection, String> {
     let connect_deadline = deadline.min(Instant::now() + Duration::from_millis(CONNECT_TIMEOUT_MS));
     let opened = before(connect_deadline, connect(address)).await;
     let io = opened.ok_or("no connection in time")?.map_err(|error| error.to_string())?;
+    if resets {
+        io.reset_on_close().map_err(|error| error.to_string())?;
+    }
     let sent_bytes = io.sent_bytes();
     let (sender, driver) = http1::handshake(io).await.map_err(|error| error.to_string())?;
     let (close, closed) = oneshot::channel();
--- a/src/reactor/net.rs
+++ b/src/reactor/net.rs
@@ -7,6 +7,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context as TaskContext, Poll, Waker};
+use std::time::Duration;
 
 use mio::net::{TcpListener, TcpStream};
 use mio::Interest;
@@ -131,6 +132,11 @@
         Ok(TcpIo { source, wakers, sent_bytes: Rc::default() })
     }
 
+    /// Closing then resets the connection: bytes that are still under way are dropped.
+    pub(crate) fn reset_on_close(&self) -> io::Result<()> {
+        Ok(rustix::net::sockopt::set_socket_linger(&*self.source, Some(Duration::ZERO))?)
+    }
+
     /// Bytes handed to the operating system so far.
     pub(crate) fn sent_bytes(&self) -> Rc<Cell<u64>> {
         self.sent_bytes.clone()
--- a/src/sched/duties.rs
+++ b/src/sched/duties.rs
@@ -14,6 +14,8 @@
 
 /// Margin beyond the time that must pass between two holders' orders.
 const HOLDER_CHANGE_MARGIN_MS: u64 = 1_000;
+/// Time between two reports of the pools.
+const REPORT_MS: u64 = 1_000;
 /// Time between two decisions.
 const DECIDE_MS: u64 = 100;
 /// A pool's demand counts for so long after it was seen.
@@ -50,6 +52,7 @@
     /// When the provider's list was read last.
     pub(super) hosts_read_us: u64,
     decide_at_us: u64,
+    report_at_us: u64,
     moving: BTreeMap<Arc<str>, Move>,
     /// Recent demand of each pool in thousandths of a core, newest last.
     demand: BTreeMap<Arc<str>, VecDeque<(u64, u64)>>,
@@ -64,6 +67,7 @@
             quiet_until_us: now_us + (holder_change_ms + HOLDER_CHANGE_MARGIN_MS) * US_PER_MS,
             hosts_read_us: 0,
             decide_at_us: 0,
+            report_at_us: 0,
             moving: BTreeMap::new(),
             demand: BTreeMap::new(),
             impossible: HashSet::new(),
@@ -136,6 +140,7 @@
         }
         self.duties.decide_at_us = now_us + DECIDE_MS * US_PER_MS;
         let balances = self.balances(now_us);
+        self.report_pools(now_us, &balances);
         if !self.may_order_hosts(now_us) {
             return;
         }
@@ -174,6 +179,32 @@
         balances
     }
 
+    /// Writes one line for each pool now and then.
+    fn report_pools(&mut self, now_us: u64, balances: &BTreeMap<Arc<str>, Balance>) {
+        if now_us < self.duties.report_at_us {
+            return;
+        }
+        self.duties.report_at_us = now_us + REPORT_MS * US_PER_MS;
+        for (pool, balance) in balances {
+            let (mut workers, mut usable, mut used) = (0, 0, 0);
+            for worker in self.workers.values() {
+                if worker.entry.pool != *pool {
+                    continue;
+                }
+                workers += u32::from(worker.is_listed);
+                usable += u32::from(worker.takes_work(now_us));
+                used += worker.reserved.cpu_milli;
+            }
+            log::info!(
+                "pool={pool} workers={workers} usable={usable} used_milli={used} room_milli={} demand_milli={} moving={} \
+                 outcome=balance",
+                balance.room,
+                balance.demand,
+                self.duties.moving.len()
+            );
+        }
+    }
+
     fn repeat_unanswered(&mut self, now_us: u64) {
         let mut again = Vec::new();
         for (host, one) in &mut self.duties.moving {
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -264,7 +264,7 @@
             let Some(step) = self.step_of(at) else { continue };
             let (long_running, checkpoints) = (step.long_running, step.checkpoints);
             let may_stop = match long_running {
-                true => self.may_be_away(at),
+                true => self.may_be_away(now_us, at),
                 false => is_pressed || checkpoints,
             };
             if may_stop {
@@ -275,7 +275,7 @@
     }
 
     /// Whether one more work item of its step may be away.
-    pub(super) fn may_be_away(&self, at: &TaskRef) -> bool {
+    pub(super) fn may_be_away(&self, now_us: u64, at: &TaskRef) -> bool {
         let Some(step) = self.step_of(at) else { return true };
         let Some(max_away) = step.max_away else { return true };
         let Some(occurrence) = self.jobs.get(&at.job).and_then(|job| job.occurrences.get(&at.occurrence)) else {
@@ -291,7 +291,11 @@
                 }
                 continue;
             }
-            others_away += u32::from(!task.is_at_work());
+            let is_heard = task
+                .life()
+                .and_then(|life| self.workers.get(&life.id))
+                .is_some_and(|worker| worker.is_listed && worker.is_heard(now_us));
+            others_away += u32::from(!task.is_at_work() || !is_heard);
         }
         others_away < max_away
     }
