Bring hosts to work that is in time first, and empty hosts whose work is late anyway

Change: only owed and timely work claims hosts; late work's hosts are emptied for others; a host whose worker has lived longer than the bound may be ordered a second after a takeover; phases share one row, so a transaction holds 90 jobs.

--- a/src/control.rs
+++ b/src/control.rs
@@ -8,7 +8,7 @@
 //! | `job` | by the job's name | job | submission |
 //! | `job` | by the job's name | job, `/x` | wish to cancel it |
 //! | `record` | `sched` | job | its work items, written by the leader |
-//! | `phase` | `sched` | job | what its caller is told |
+//! | `phase` | `sched` | number of a transaction | jobs whose callers are told something new by it |
 //! | `phase` | `sched` | `/pending` | jobs of each queue that have not begun |
 //! | `wave` | `sched` | wave | hosts whose maintenance has begun |
 //! | `lead` | `sched` | `owner` | leader; its version is the fencing token |
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -17,7 +17,7 @@
 use crate::reactor::{spawn, Signal};
 use crate::sched::action::{Action, Batch};
 use crate::sched::model::{Catalog, DutyEnd, JobId, WaveOrder};
-use crate::sched::record::{decode_begun, decode_spec, encode_begun, encode_pending, encode_phase};
+use crate::sched::record::{decode_begun, decode_spec, encode_begun, encode_pending, encode_phases};
 use crate::sched::scheduler::{SchedSettings, Scheduler};
 use crate::store::{CommitEnd, RowKey, RowPage, StoreError, StoreTransaction, StoredRow};
 
@@ -529,8 +529,10 @@
     for (id, record) in &batch.records {
         transaction.writes.push((RowKey::new(RECORD_TABLE, LEADER_PARTITION, id), record.clone()));
     }
-    for (id, phase) in &batch.phases {
-        transaction.writes.push((RowKey::new(PHASE_TABLE, LEADER_PARTITION, id), encode_phase(*phase)));
+    if !batch.phases.is_empty() {
+        // The row before this transaction's was written by this leader or the last one, so the number is new.
+        let key = format!("{:016x}", leader.sequence.get());
+        transaction.writes.push((RowKey::new(PHASE_TABLE, LEADER_PARTITION, &key), encode_phases(&batch.phases)));
     }
     for (wave, hosts) in &batch.waves {
         let at = RowKey::new(WAVE_TABLE, LEADER_PARTITION, &wave.to_string());
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -6,7 +6,7 @@
 
 use super::{Node, LEADER_PARTITION, PENDING_KEY, PHASE_TABLE};
 use crate::sched::model::{JobId, JobPhase};
-use crate::sched::record::{decode_pending, decode_phase};
+use crate::sched::record::{decode_pending, decode_phases};
 use crate::store::{StoreError, StoredRow};
 
 /// Longest wait for a change.
@@ -52,14 +52,20 @@
             }
             return;
         }
-        match decode_phase(value) {
-            Ok(phase) => {
-                let known = self.phases.entry(row.at.key.clone()).or_insert(phase);
-                if !known.is_final() {
-                    *known = phase;
+        match decode_phases(value) {
+            Ok(phases) => {
+                for (id, phase) in phases {
+                    self.take_phase(id, phase);
                 }
             }
-            Err(error) => log::warn!("job={} error={error} outcome=phase_unreadable", row.at.key),
+            Err(error) => log::warn!("row={} error={error} outcome=phases_unreadable", row.at.key),
+        }
+    }
+
+    fn take_phase(&mut self, id: JobId, phase: JobPhase) {
+        let known = self.phases.entry(id).or_insert(phase);
+        if !known.is_final() {
+            *known = phase;
         }
     }
 }
--- a/src/sched/duties.rs
+++ b/src/sched/duties.rs
@@ -3,6 +3,7 @@
 //! Demand is what runs, what could run now, and what arrived a moment ago. Hosts without work go to pools that lack
 //! room, first from the spare pool; hosts that nobody needs go to the spare pool, where they cost nothing.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::sync::Arc;
 
@@ -10,6 +11,7 @@
 use super::job::{Job, TaskState};
 use super::model::{DutyEnd, HostPhase, HostRecord, Resources};
 use super::scheduler::Scheduler;
+use super::worker::Worker;
 use crate::clock::US_PER_MS;
 
 /// Margin beyond the time that must pass between two holders' orders.
@@ -27,7 +29,9 @@
 /// A host without work may go to a pool that needs it after this time.
 const LEND_AFTER_MS: u64 = 150;
 /// Moves under way at once.
-const MAX_MOVING: usize = 24;
+const MAX_MOVING: usize = 40;
+/// Longest time for which a host's work may end before it moves.
+const EMPTY_MS: u64 = 2_500;
 /// Time after which a move that brought no worker no longer counts as room on its way.
 const ARRIVAL_MS: u64 = 4_000;
 /// Pause before an order about the same host is repeated.
@@ -54,6 +58,8 @@
     decide_at_us: u64,
     report_at_us: u64,
     moving: BTreeMap<Arc<str>, Move>,
+    /// Hosts whose work may end before they move to a pool, and for how long.
+    emptying: BTreeMap<Arc<str>, (Arc<str>, u64)>,
     /// Recent demand of each pool in thousandths of a core, newest last.
     demand: BTreeMap<Arc<str>, VecDeque<(u64, u64)>>,
     /// Pools that a host cannot join.
@@ -69,6 +75,7 @@
             decide_at_us: 0,
             report_at_us: 0,
             moving: BTreeMap::new(),
+            emptying: BTreeMap::new(),
             demand: BTreeMap::new(),
             impossible: HashSet::new(),
             not_before_us: BTreeMap::new(),
@@ -79,7 +86,7 @@
     pub(super) fn note_arrival(&mut self, _now_us: u64, _job: &Job) {}
 
     pub(super) fn is_moving(&self, host: &str) -> bool {
-        self.moving.contains_key(host)
+        self.moving.contains_key(host) || self.emptying.contains_key(host)
     }
 
     /// Highest demand of a pool in the last moments.
@@ -108,11 +115,33 @@
     }
 }
 
+/// A host that could move.
+#[derive(Debug)]
+struct Donor {
+    host: Arc<str>,
+    /// It has no work.
+    is_free: bool,
+}
+
 /// A pool's room and demand, in thousandths of a core.
 #[derive(Debug, Default, Clone)]
 struct Balance {
     room: u64,
+    /// Work that is owed or can be done in time.
     demand: u64,
+    /// Further work, for which room that nobody else needs is enough.
+    late_demand: u64,
+}
+
+impl Balance {
+    fn all_demand(&self) -> u64 {
+        self.demand + self.late_demand
+    }
+
+    /// Room beyond the demand that claims hosts.
+    fn surplus(&self) -> u64 {
+        self.room.saturating_sub(self.demand)
+    }
 }
 
 impl Scheduler {
@@ -145,6 +174,7 @@
             return;
         }
         self.repeat_unanswered(now_us);
+        self.move_emptied(now_us);
         self.fill_gaps(now_us, &balances);
         self.rest_idle(now_us, &balances);
     }
@@ -159,16 +189,21 @@
         }
         for worker in self.workers.values() {
             let Some(balance) = balances.get_mut(&worker.entry.pool) else { continue };
-            balance.demand += worker.reserved.cpu_milli;
             if worker.is_listed && !worker.entry.draining && !worker.is_cordoned {
                 balance.room += worker.entry.capacity.cpu_milli;
             }
+            let firm = self.firm_cpu_milli(now_us, worker);
+            balance.demand += firm;
+            balance.late_demand += worker.reserved.cpu_milli.saturating_sub(firm);
         }
         for id in &self.ready {
             let Some(job) = self.jobs.get(id) else { continue };
             let queue = self.queue_of(job);
-            if let Some(balance) = balances.get_mut(&queue.pool) {
+            let Some(balance) = balances.get_mut(&queue.pool) else { continue };
+            if job.prospect(now_us).claims_hosts() {
                 balance.demand += waiting_cpu_milli(job);
+            } else {
+                balance.late_demand += waiting_cpu_milli(job);
             }
         }
         for (pool, balance) in &mut balances {
@@ -196,10 +231,11 @@
                 used += worker.reserved.cpu_milli;
             }
             log::info!(
-                "pool={pool} workers={workers} usable={usable} used_milli={used} room_milli={} demand_milli={} moving={} \
+                "pool={pool} workers={workers} usable={usable} used_milli={used} room_milli={} demand_milli={} late_milli={} moving={} \
                  outcome=balance",
                 balance.room,
                 balance.demand,
+                balance.late_demand,
                 self.duties.moving.len()
             );
         }
@@ -216,25 +252,62 @@
         self.actions.extend(again);
     }
 
-    /// Brings hosts to pools that lack room.
+    /// Processor in use by work that is owed or can be done in time.
+    fn firm_cpu_milli(&self, now_us: u64, worker: &Worker) -> u64 {
+        let mut milli = 0;
+        for at in &worker.tasks {
+            let Some(job) = self.jobs.get(&at.job) else { continue };
+            if job.prospect(now_us).claims_hosts() {
+                milli += job.spec.steps[at.step as usize].reserved().cpu_milli;
+            }
+        }
+        milli
+    }
+
+    /// Brings hosts to pools that lack room: first for work that is in time, then for the rest.
     fn fill_gaps(&mut self, now_us: u64, balances: &BTreeMap<Arc<str>, Balance>) {
         let mut balances = balances.clone();
-        let mut gaps: Vec<(u64, Arc<str>)> = Vec::new();
-        for (pool, balance) in &balances {
-            if balance.demand > balance.room {
-                gaps.push((balance.demand - balance.room, pool.clone()));
+        let mut taken = BTreeSet::new();
+        for firm in [true, false] {
+            let mut gaps: Vec<(u64, Arc<str>)> = Vec::new();
+            for (pool, balance) in &balances {
+                let demand = if firm { balance.demand } else { balance.all_demand() };
+                if demand > balance.room {
+                    gaps.push((demand - balance.room, pool.clone()));
+                }
+            }
+            gaps.sort_by(|a, b| b.cmp(a));
+            for (gap, pool) in gaps {
+                self.fill_gap(now_us, &pool, gap, firm, &mut balances, &mut taken);
             }
         }
-        gaps.sort_by(|a, b| b.cmp(a));
-        let mut taken = BTreeSet::new();
-        for (mut gap, pool) in gaps {
-            while gap > 0 && self.duties.moving.len() < MAX_MOVING {
-                let Some(host) = self.donor(now_us, &pool, &mut balances, &taken) else { break };
-                taken.insert(host.clone());
-                let capacity = self.hosts.get(&host).map(|record| record.capacity).unwrap_or_default();
-                self.order_move(now_us, &host, &pool);
-                gap = gap.saturating_sub(capacity.cpu_milli.max(1));
+    }
+
+    fn fill_gap(
+        &mut self,
+        now_us: u64,
+        pool: &Arc<str>,
+        mut gap: u64,
+        firm: bool,
+        balances: &mut BTreeMap<Arc<str>, Balance>,
+        taken: &mut BTreeSet<Arc<str>>,
+    ) {
+        while gap > 0 && self.duties.moving.len() < MAX_MOVING {
+            let Some(donor) = self.donor(now_us, pool, firm, balances, taken) else { return };
+            taken.insert(donor.host.clone());
+            let capacity = self.hosts.get(&donor.host).map_or(0, |record| record.capacity.cpu_milli);
+            if let Some(balance) = self.hosts.get(&donor.host).and_then(|record| balances.get_mut(&record.pool)) {
+                balance.room = balance.room.saturating_sub(capacity);
             }
+            if let Some(balance) = balances.get_mut(pool) {
+                balance.room += capacity;
+            }
+            if donor.is_free {
+                self.order_move(now_us, &donor.host, pool);
+            } else {
+                self.begin_emptying(now_us, &donor.host, pool);
+            }
+            gap = gap.saturating_sub(capacity.max(1));
         }
     }
 
@@ -243,44 +316,99 @@
         &self,
         now_us: u64,
         pool: &Arc<str>,
-        balances: &mut BTreeMap<Arc<str>, Balance>,
+        firm: bool,
+        balances: &BTreeMap<Arc<str>, Balance>,
         taken: &BTreeSet<Arc<str>>,
-    ) -> Option<Arc<str>> {
-        let mut best: Option<(bool, u64, &Arc<str>)> = None;
+    ) -> Option<Donor> {
+        let mut best: Option<(Reverse<u64>, bool, u64, &Arc<str>)> = None;
         for (name, host) in &self.hosts {
             if host.pool == *pool || taken.contains(name) || !self.may_move(now_us, name, host, pool) {
                 continue;
             }
             let is_spare = self.catalog.pool(&host.pool).is_some_and(|pool| pool.spare);
-            let surplus = match balances.get(&host.pool) {
-                Some(balance) => balance.room.saturating_sub(balance.demand),
-                None => u64::MAX,
-            };
-            if !is_spare {
-                if surplus < host.capacity.cpu_milli || !self.is_idle(now_us, name, LEND_AFTER_MS) {
-                    continue;
+            let (busy, surplus) = match balances.get(&host.pool) {
+                Some(balance) if firm => {
+                    let Some(busy) = self.busy_milli(now_us, name) else { continue };
+                    (busy, balance.surplus())
+                }
+                Some(balance) => {
+                    if !self.is_idle(now_us, name, LEND_AFTER_MS) {
+                        continue;
+                    }
+                    (0, balance.room.saturating_sub(balance.all_demand()))
                 }
+                None if is_spare => (0, u64::MAX),
+                None => continue,
+            };
+            if surplus < host.capacity.cpu_milli {
+                continue;
             }
-            let candidate = (is_spare, surplus, name);
-            if best.as_ref().is_none_or(|known| (candidate.0, candidate.1) > (known.0, known.1)) {
+            let candidate = (Reverse(busy), is_spare, surplus, name);
+            if best.as_ref().is_none_or(|known| candidate > *known) {
                 best = Some(candidate);
             }
         }
-        let (_, _, name) = best?;
-        if let Some(balance) = balances.get_mut(&self.hosts[name].pool) {
-            balance.room = balance.room.saturating_sub(self.hosts[name].capacity.cpu_milli);
+        best.map(|(Reverse(busy), _, _, name)| Donor { host: name.clone(), is_free: busy == 0 })
+    }
+
+    /// Processor in use on a host that could be emptied soon; `None` if it should stay.
+    fn busy_milli(&self, now_us: u64, host: &str) -> Option<u64> {
+        let worker = self.worker_on(host).and_then(|id| self.workers.get(&id))?;
+        if !worker.is_synced || worker.entry.draining || worker.is_cordoned || worker.lasting > 0 {
+            return None;
+        }
+        if worker.tasks.is_empty() {
+            return (now_us >= worker.idle_since_us + LEND_AFTER_MS * US_PER_MS).then_some(0);
+        }
+        // Only hosts whose work is late anyway are emptied for others.
+        (self.firm_cpu_milli(now_us, worker) == 0).then_some(worker.reserved.cpu_milli.max(1))
+    }
+
+    /// Lets a host's work end before it moves.
+    fn begin_emptying(&mut self, now_us: u64, host: &Arc<str>, pool: &Arc<str>) {
+        self.cordon(host, true);
+        self.duties.emptying.insert(host.clone(), (pool.clone(), now_us + EMPTY_MS * US_PER_MS));
+    }
+
+    /// Moves hosts whose work has ended, and gives up on those whose work goes on.
+    fn move_emptied(&mut self, now_us: u64) {
+        let emptying: Vec<(Arc<str>, Arc<str>, u64)> =
+            self.duties.emptying.iter().map(|(host, (pool, until))| (host.clone(), pool.clone(), *until)).collect();
+        for (host, pool, until_us) in emptying {
+            let worker = self.worker_on(&host).and_then(|id| self.workers.get(&id));
+            let is_empty = worker.is_some_and(|worker| worker.tasks.is_empty());
+            if !is_empty && worker.is_some() && now_us < until_us {
+                continue;
+            }
+            self.duties.emptying.remove(&host);
+            if is_empty {
+                self.order_move(now_us, &host, &pool);
+            } else {
+                self.cordon(&host, false);
+            }
         }
-        Some(name.clone())
     }
 
     fn may_move(&self, now_us: u64, name: &Arc<str>, host: &HostRecord, pool: &Arc<str>) -> bool {
         host.phase == HostPhase::Up
             && !self.duties.is_moving(name)
+            && self.is_settled(now_us, name)
             && !self.waves.holds(name)
             && !self.duties.impossible.contains(&(name.clone(), pool.clone()))
             && self.duties.not_before_us.get(name).is_none_or(|not_before_us| now_us >= *not_before_us)
     }
 
+    /// Whether a former leader's orders about a host lie far enough back: time has passed, or the host's worker has
+    /// been running for longer than that.
+    pub(super) fn is_settled(&self, now_us: u64, host: &str) -> bool {
+        if now_us >= self.duties.quiet_until_us {
+            return true;
+        }
+        let worker = self.worker_on(host).and_then(|id| self.workers.get(&id));
+        let quiet_ms = self.settings.holder_change_ms + HOLDER_CHANGE_MARGIN_MS;
+        worker.is_some_and(|worker| worker.is_synced && worker.age_ms() >= quiet_ms)
+    }
+
     /// Whether a host's worker has had no work for so long.
     fn is_idle(&self, now_us: u64, host: &str, wait_ms: u64) -> bool {
         let Some(worker) = self.worker_on(host).and_then(|id| self.workers.get(&id)) else { return false };
@@ -311,7 +439,7 @@
             }
             let Some(balance) = balances.get_mut(&host.pool) else { continue };
             // One host stays, so that the pool's next job finds a worker at once.
-            if balance.room < balance.demand + capacity || balance.room <= capacity {
+            if balance.room < balance.all_demand() + capacity || balance.room <= capacity {
                 continue;
             }
             balance.room -= capacity;
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -6,6 +6,9 @@
 use super::model::{JobId, JobPhase, JobSpec, TaskRef};
 use crate::clock::US_PER_MS;
 
+/// A job is worth something up to so many times its objective.
+const LATE_FACTOR: f64 = 3.0;
+
 /// One life of a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct WorkerLife {
@@ -114,6 +117,31 @@
     pub(crate) ask_again_us: u64,
 }
 
+/// What a job's open work can still be worth, best first; within each kind, what must begin earliest comes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Prospect {
+    /// Work that lasts is owed at all times.
+    Owed,
+    /// It can meet its objective if it begins by then.
+    InTime {
+        latest_start_us: u64,
+    },
+    /// It can be done while a late answer is worth something.
+    Late {
+        latest_start_us: u64,
+    },
+    Worthless {
+        deadline_us: u64,
+    },
+}
+
+impl Prospect {
+    /// Whether hosts are brought to a pool for it.
+    pub(crate) fn claims_hosts(self) -> bool {
+        matches!(self, Prospect::Owed | Prospect::InTime { .. })
+    }
+}
+
 /// One time that the steps run.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Occurrence {
@@ -131,6 +159,8 @@
     pub(crate) next_occurrence: u32,
     /// End of its objective.
     pub(crate) deadline_us: u64,
+    /// When it is so late that it is worth nothing to its caller.
+    pub(crate) worthless_us: u64,
     /// Phase that callers are told.
     pub(crate) told: JobPhase,
 }
@@ -145,6 +175,7 @@
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
             deadline_us: 0,
+            worthless_us: 0,
             told: JobPhase::Queued,
         }
     }
@@ -253,5 +284,29 @@
     pub(crate) fn set_deadline(&mut self, begin_us: u64, stretch: f64, target_latency_ms: u64) {
         let allowed_ms = self.chain_ms() as f64 * stretch + target_latency_ms as f64;
         self.deadline_us = begin_us + allowed_ms as u64 * US_PER_MS;
+        self.worthless_us = begin_us + (allowed_ms * LATE_FACTOR) as u64 * US_PER_MS;
+    }
+
+    /// What the job's open work can still be worth.
+    pub(crate) fn prospect(&self, now_us: u64) -> Prospect {
+        if self.is_long_running() {
+            return Prospect::Owed;
+        }
+        let mut rest_ms = 0;
+        for (number, occurrence) in &self.occurrences {
+            for (step, state) in occurrence.steps.iter().enumerate() {
+                if state.done < self.spec.steps[step].count && self.is_step_open(*number, step) {
+                    rest_ms = rest_ms.max(self.chain_from_ms(step));
+                }
+            }
+        }
+        let done_us = now_us + rest_ms * US_PER_MS;
+        if done_us <= self.deadline_us {
+            return Prospect::InTime { latest_start_us: self.deadline_us - rest_ms * US_PER_MS };
+        }
+        if done_us <= self.worthless_us {
+            return Prospect::Late { latest_start_us: self.worthless_us - rest_ms * US_PER_MS };
+        }
+        Prospect::Worthless { deadline_us: self.deadline_us }
     }
 }
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use super::action::Action;
-use super::job::{Job, RunPhase, TaskState};
+use super::job::{Job, Prospect, RunPhase, TaskState};
 use super::model::{JobId, Step, TaskRef};
 use super::scheduler::Scheduler;
 use super::worker::Worker;
@@ -23,13 +23,8 @@
 /// Order in which jobs get workers; smaller goes first.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct Urgency {
-    /// Work that lasts is owed at all times.
-    is_finite: bool,
-    /// Jobs that can no longer meet their objective yield to those that can.
-    is_hopeless: bool,
-    priority: u32,
-    /// Latest time at which the rest may begin and still be done in time.
-    latest_start_us: u64,
+    priority_of_late: (bool, u32),
+    prospect: Prospect,
     id: JobId,
 }
 
@@ -69,22 +64,8 @@
     }
 
     fn urgency(&self, now_us: u64, job: &Job, priority: u32) -> Urgency {
-        let mut rest_ms = 0;
-        for (number, occurrence) in &job.occurrences {
-            for (step, state) in occurrence.steps.iter().enumerate() {
-                if state.tasks.iter().any(|task| task.state == TaskState::Waiting) && job.is_step_open(*number, step) {
-                    rest_ms = rest_ms.max(job.chain_from_ms(step));
-                }
-            }
-        }
-        let latest_start_us = job.deadline_us.saturating_sub(rest_ms * US_PER_MS);
-        Urgency {
-            is_finite: !job.is_long_running(),
-            is_hopeless: latest_start_us < now_us,
-            priority,
-            latest_start_us,
-            id: job.id.clone(),
-        }
+        let prospect = job.prospect(now_us);
+        Urgency { priority_of_late: (!prospect.claims_hosts(), priority), prospect, id: job.id.clone() }
     }
 
     fn place_job(&mut self, now_us: u64, id: &JobId, workers: &[Arc<str>], left: &mut usize) {
--- a/src/sched/record.rs
+++ b/src/sched/record.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::job::{Job, RunPhase, TaskState, WorkerLife};
-use super::model::{JobPhase, JobSpec, TaskRef};
+use super::model::{JobId, JobPhase, JobSpec, TaskRef};
 
 /// Why a row of our own cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -64,13 +64,13 @@
     decode(bytes)
 }
 
-/// Encodes the phase that callers are told.
-pub(crate) fn encode_phase(phase: JobPhase) -> Vec<u8> {
-    encode(&phase)
+/// Encodes the phases that callers are told from now on.
+pub(crate) fn encode_phases(phases: &[(JobId, JobPhase)]) -> Vec<u8> {
+    encode(&phases)
 }
 
-/// Decodes the phase that callers are told.
-pub(crate) fn decode_phase(bytes: &[u8]) -> Result<JobPhase, BadRecord> {
+/// Decodes the phases that callers are told.
+pub(crate) fn decode_phases(bytes: &[u8]) -> Result<Vec<(JobId, JobPhase)>, BadRecord> {
     decode(bytes)
 }
 
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -28,13 +28,15 @@
 const HOLD_RETRY_MS: u64 = 250;
 /// Part of the longest lease that a leader gives beyond its last confirmed renewal of leadership.
 const LEASE_AFTER_RENEWAL: f64 = 0.85;
+/// An order that a former leader sent last is done by then, and the provider's list shows it.
+const FORMER_ORDERS_MS: u64 = 1_000;
 /// Orders about hosts go out for so long after the latest confirmed renewal of leadership.
 const HOST_ORDERS_AFTER_RENEWAL_MS: u64 = 1_200;
 /// What a new leader waits beyond the longest lease, for clocks that run 2% slow and errors of reading them.
 const INHERITED_FACTOR: f64 = 1.03;
 const INHERITED_SLACK_MS: u64 = 300;
 /// Jobs written in one transaction, which holds at most 100 entries.
-const MAX_BATCH_JOBS: usize = 32;
+const MAX_BATCH_JOBS: usize = 90;
 /// Least time between two reports of queue lengths.
 const PENDING_REPORT_MS: u64 = 500;
 
@@ -345,7 +347,7 @@
     /// Whether orders about hosts may go out. Another daemon's orders must lie well apart from ours, so they end soon
     /// after leadership can no longer be confirmed.
     pub(super) fn may_order_hosts(&self, now_us: u64) -> bool {
-        now_us >= self.duties.quiet_until_us
+        now_us >= self.lead_since_us + FORMER_ORDERS_MS * US_PER_MS
             && !self.hosts.is_empty()
             && now_us < self.renewed_us + HOST_ORDERS_AFTER_RENEWAL_MS * US_PER_MS
     }
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -187,7 +187,11 @@
         for (host, stage) in &wave.stages {
             let HostStage::Waiting { not_before_us } = stage else { continue };
             let Some(record) = self.hosts.get(host) else { continue };
-            if now_us < *not_before_us || record.phase != HostPhase::Up || self.duties.is_moving(host) {
+            if now_us < *not_before_us
+                || record.phase != HostPhase::Up
+                || self.duties.is_moving(host)
+                || !self.is_settled(now_us, host)
+            {
                 continue;
             }
             candidates.push((self.work_on(host), host.clone()));
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -135,6 +135,11 @@
         self.clock = Some(ClockReading { answered_us, clock_ms });
     }
 
+    /// How long this life of it had lasted at its latest answer.
+    pub(crate) fn age_ms(&self) -> u64 {
+        self.clock.map_or(0, |clock| clock.clock_ms)
+    }
+
     /// Whether it has answered a moment ago.
     pub(crate) fn is_heard(&self, now_us: u64) -> bool {
         now_us < self.last_answer_us + HEARD_MS * US_PER_MS
