Make rounds of placing and looks at time cheap

Change: queue lengths are counted when something moved; a round stops trying needs for which no worker had room; rounds are 8 ms apart; chains, claims and hosts' workers are kept; lines tell steps, not work items.

--- a/src/sched/duties.rs
+++ b/src/sched/duties.rs
@@ -9,7 +9,7 @@
 
 use super::action::Action;
 use super::job::{Job, TaskState};
-use super::model::{DutyEnd, HostPhase, HostRecord, Resources};
+use super::model::{DutyEnd, HostPhase, HostRecord, JobId, Resources};
 use super::scheduler::Scheduler;
 use super::worker::Worker;
 use crate::clock::US_PER_MS;
@@ -64,6 +64,8 @@
     demand: BTreeMap<Arc<str>, VecDeque<(u64, u64)>>,
     /// Pools that a host cannot join.
     impossible: HashSet<(Arc<str>, Arc<str>)>,
+    /// Jobs whose work is owed or can be done in time.
+    claims: HashSet<JobId>,
     not_before_us: BTreeMap<Arc<str>, u64>,
 }
 
@@ -78,13 +80,11 @@
             emptying: BTreeMap::new(),
             demand: BTreeMap::new(),
             impossible: HashSet::new(),
+            claims: HashSet::new(),
             not_before_us: BTreeMap::new(),
         }
     }
 
-    /// Counts a job towards its queue's demand.
-    pub(super) fn note_arrival(&mut self, _now_us: u64, _job: &Job) {}
-
     pub(super) fn is_moving(&self, host: &str) -> bool {
         self.moving.contains_key(host) || self.emptying.contains_key(host)
     }
@@ -148,10 +148,17 @@
     /// Takes a reading of the provider's list.
     pub(crate) fn hosts_listed(&mut self, now_us: u64, hosts: Vec<HostRecord>) {
         self.hosts = hosts.into_iter().map(|host| (host.name.clone(), host)).collect();
+        for (name, host) in &self.hosts {
+            if let Some(worker) = &host.worker {
+                self.on_host.insert(name.clone(), worker.clone());
+            }
+        }
         self.duties.hosts_read_us = now_us;
         let mut arrived = Vec::new();
         for (host, one) in &self.duties.moving {
-            let is_there = self.worker_on(host).is_some_and(|id| self.workers[&id].entry.pool == one.pool);
+            let is_there = self
+                .worker_on(host)
+                .is_some_and(|id| self.workers.get(&id).is_some_and(|worker| worker.entry.pool == one.pool));
             let is_spare = self.catalog.pool(&one.pool).is_some_and(|pool| pool.spare);
             if one.is_answered && (is_there || is_spare || now_us >= one.counts_until_us) {
                 arrived.push(host.clone());
@@ -187,12 +194,13 @@
                 balances.insert(pool.name.clone(), Balance::default());
             }
         }
+        self.note_claims(now_us);
         for worker in self.workers.values() {
             let Some(balance) = balances.get_mut(&worker.entry.pool) else { continue };
             if worker.is_listed && !worker.entry.draining && !worker.is_cordoned {
                 balance.room += worker.entry.capacity.cpu_milli;
             }
-            let firm = self.firm_cpu_milli(now_us, worker);
+            let firm = self.firm_cpu_milli(worker);
             balance.demand += firm;
             balance.late_demand += worker.reserved.cpu_milli.saturating_sub(firm);
         }
@@ -200,7 +208,7 @@
             let Some(job) = self.jobs.get(id) else { continue };
             let queue = self.queue_of(job);
             let Some(balance) = balances.get_mut(&queue.pool) else { continue };
-            if job.prospect(now_us).claims_hosts() {
+            if self.duties.claims.contains(id) {
                 balance.demand += waiting_cpu_milli(job);
             } else {
                 balance.late_demand += waiting_cpu_milli(job);
@@ -252,12 +260,29 @@
         self.actions.extend(again);
     }
 
+    /// Notes which jobs' work claims hosts.
+    fn note_claims(&mut self, now_us: u64) {
+        let mut claims = HashSet::new();
+        let placed = self.workers.values().flat_map(|worker| worker.tasks.iter().map(|at| &at.job));
+        for id in placed.chain(&self.ready) {
+            if claims.contains(id) {
+                continue;
+            }
+            if self.jobs.get(id).is_some_and(|job| job.prospect(now_us).claims_hosts()) {
+                claims.insert(id.clone());
+            }
+        }
+        self.duties.claims = claims;
+    }
+
     /// Processor in use by work that is owed or can be done in time.
-    fn firm_cpu_milli(&self, now_us: u64, worker: &Worker) -> u64 {
+    fn firm_cpu_milli(&self, worker: &Worker) -> u64 {
         let mut milli = 0;
         for at in &worker.tasks {
-            let Some(job) = self.jobs.get(&at.job) else { continue };
-            if job.prospect(now_us).claims_hosts() {
+            if !self.duties.claims.contains(&at.job) {
+                continue;
+            }
+            if let Some(job) = self.jobs.get(&at.job) {
                 milli += job.spec.steps[at.step as usize].reserved().cpu_milli;
             }
         }
@@ -361,7 +386,7 @@
             return (now_us >= worker.idle_since_us + LEND_AFTER_MS * US_PER_MS).then_some(0);
         }
         // Only hosts whose work is late anyway are emptied for others.
-        (self.firm_cpu_milli(now_us, worker) == 0).then_some(worker.reserved.cpu_milli.max(1))
+        (self.firm_cpu_milli(worker) == 0).then_some(worker.reserved.cpu_milli.max(1))
     }
 
     /// Lets a host's work end before it moves.
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::model::{JobId, JobPhase, JobSpec, TaskRef};
+use super::model::{JobId, JobPhase, JobSpec, Step, TaskRef};
 use crate::clock::US_PER_MS;
 
 /// A job is worth something up to so many times its objective.
@@ -163,6 +163,22 @@
     pub(crate) worthless_us: u64,
     /// Phase that callers are told.
     pub(crate) told: JobPhase,
+    /// For each step, the longest chain of estimated work from it to the end.
+    chains_ms: Vec<u64>,
+}
+
+fn chains_ms(steps: &[Step]) -> Vec<u64> {
+    let mut longest = vec![0; steps.len()];
+    for index in (0..steps.len()).rev() {
+        let mut rest = 0;
+        for (later, other) in steps.iter().enumerate().skip(index + 1) {
+            if other.after.contains(&(index as u32)) {
+                rest = rest.max(longest[later]);
+            }
+        }
+        longest[index] = rest + steps[index].estimate_ms;
+    }
+    longest
 }
 
 impl Job {
@@ -170,6 +186,7 @@
     pub(crate) fn new(id: JobId, spec: Arc<JobSpec>) -> Job {
         Job {
             id,
+            chains_ms: chains_ms(&spec.steps),
             spec,
             phase: JobPhase::Queued,
             occurrences: BTreeMap::new(),
@@ -257,22 +274,12 @@
 
     /// Longest chain of estimated work from a step to the end, itself included, in milliseconds.
     pub(crate) fn chain_from_ms(&self, step: usize) -> u64 {
-        let mut longest = vec![0; self.spec.steps.len()];
-        for index in (0..self.spec.steps.len()).rev() {
-            let mut rest = 0;
-            for (later, other) in self.spec.steps.iter().enumerate().skip(index + 1) {
-                if other.after.contains(&(index as u32)) {
-                    rest = rest.max(longest[later]);
-                }
-            }
-            longest[index] = rest + self.spec.steps[index].estimate_ms;
-        }
-        longest.get(step).copied().unwrap_or(0)
+        self.chains_ms.get(step).copied().unwrap_or(0)
     }
 
     /// Longest chain of estimated work, in milliseconds.
     pub(crate) fn chain_ms(&self) -> u64 {
-        (0..self.spec.steps.len()).map(|step| self.chain_from_ms(step)).max().unwrap_or(0)
+        self.chains_ms.iter().copied().max().unwrap_or(0)
     }
 
     /// Unix time at which an occurrence is due, in milliseconds.
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -166,6 +166,11 @@
 }
 
 impl Step {
+    /// Whether any worker with room will do.
+    pub(crate) fn has_no_wishes(&self) -> bool {
+        self.required_label.is_none() && self.max_per_worker.is_none() && !self.fills && self.target_ms.is_none()
+    }
+
     /// What a work item takes of a worker's capacity.
     pub(crate) fn reserved(&self) -> Resources {
         if self.fills {
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -6,7 +6,7 @@
 
 use super::action::Action;
 use super::job::{Job, Prospect, RunPhase, TaskState};
-use super::model::{JobId, Step, TaskRef};
+use super::model::{JobId, Resources, Step, TaskRef};
 use super::scheduler::Scheduler;
 use super::worker::Worker;
 use crate::clock::US_PER_MS;
@@ -17,6 +17,8 @@
 const ADVICE_PAUSE_MS: u64 = 300;
 /// A ticket must hold at least this long to be used.
 const TICKET_MARGIN_MS: u64 = 150;
+/// Least time between two rounds, in which ends and arrivals gather.
+const ROUND_GAP_MS: u64 = 8;
 /// Work items that one round places at most, so that a round stays short.
 const MAX_PLACED_PER_ROUND: usize = 400;
 
@@ -28,13 +30,23 @@
     id: JobId,
 }
 
+/// One round of placing in one pool.
+#[derive(Debug)]
+struct Round {
+    /// Work items that may still be placed.
+    left: usize,
+    /// Needs for which no worker had room.
+    too_large: Vec<Resources>,
+}
+
 impl Scheduler {
     /// Places what can start now.
     pub(super) fn place(&mut self, now_us: u64) {
-        if !self.wants_placement || self.lease_until_us(now_us) <= now_us {
+        if !self.wants_placement || now_us < self.place_at_us || self.lease_until_us(now_us) <= now_us {
             return;
         }
         self.wants_placement = false;
+        self.place_at_us = now_us + ROUND_GAP_MS * US_PER_MS;
         let mut by_pool: BTreeMap<Arc<str>, Vec<Urgency>> = BTreeMap::new();
         for id in &self.ready {
             let Some(job) = self.jobs.get(id) else { continue };
@@ -52,10 +64,10 @@
                 continue;
             }
             jobs.sort();
-            let mut left = MAX_PLACED_PER_ROUND;
+            let mut round = Round { left: MAX_PLACED_PER_ROUND, too_large: Vec::new() };
             for urgency in jobs {
-                self.place_job(now_us, &urgency.id, &workers, &mut left);
-                if left == 0 {
+                self.place_job(now_us, &urgency.id, &workers, &mut round);
+                if round.left == 0 {
                     self.wants_placement = true;
                     break;
                 }
@@ -68,7 +80,7 @@
         Urgency { priority_of_late: (!prospect.claims_hosts(), priority), prospect, id: job.id.clone() }
     }
 
-    fn place_job(&mut self, now_us: u64, id: &JobId, workers: &[Arc<str>], left: &mut usize) {
+    fn place_job(&mut self, now_us: u64, id: &JobId, workers: &[Arc<str>], round: &mut Round) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
         let needs_advice = self.queue_of(job).advice.is_some();
@@ -90,9 +102,9 @@
                 if step.gang {
                     self.place_gang(now_us, &waiting, step, &allowed);
                 } else {
-                    self.place_tasks(now_us, &waiting, step, &allowed, left);
+                    self.place_tasks(now_us, &waiting, step, &allowed, round);
                 }
-                if *left == 0 {
+                if round.left == 0 {
                     return;
                 }
             }
@@ -106,17 +118,38 @@
         self.wants_placement = wants_placement;
     }
 
-    fn place_tasks(&mut self, now_us: u64, waiting: &[TaskRef], step: &Step, workers: &[Arc<str>], left: &mut usize) {
+    fn place_tasks(&mut self, now_us: u64, waiting: &[TaskRef], step: &Step, workers: &[Arc<str>], round: &mut Round) {
+        let needs = step.reserved();
+        if round.too_large.iter().any(|failed| failed.fits_in(&needs)) {
+            return;
+        }
+        let mut placed = 0;
         let mut per_worker = self.members_per_worker(&waiting[0]);
         for at in waiting {
-            if *left == 0 {
-                return;
+            if round.left == 0 {
+                break;
             }
-            let Some(worker) = self.choose(at, step, workers, &per_worker) else { return };
+            let Some(worker) = self.choose(at, step, workers, &per_worker) else {
+                if step.has_no_wishes() {
+                    round.too_large.push(needs);
+                }
+                break;
+            };
             *per_worker.entry(worker.clone()).or_default() += 1;
             let run = self.jobs.get(&at.job).and_then(|job| job.task(at)).map_or(1, |task| task.run + 1);
             self.assign(now_us, at, &worker, run);
-            *left -= 1;
+            round.left -= 1;
+            placed += 1;
+        }
+        if placed > 0 {
+            let at = &waiting[0];
+            log::info!(
+                "job={} step={}.{} placed={placed} waiting={} outcome=placed",
+                at.job,
+                at.occurrence,
+                at.step,
+                waiting.len() - placed
+            );
         }
     }
 
@@ -238,13 +271,7 @@
         task.percent_since_us = now_us;
         task.state = TaskState::Placed { at: life.clone(), phase: RunPhase::Writing };
         self.attach(at, &life);
-        log::info!(
-            "job={} task={}.{}.{} run={run} worker={worker} outcome=placed",
-            at.job,
-            at.occurrence,
-            at.step,
-            at.index
-        );
+        log::debug!("job={} task={}.{}.{} run={run} worker={worker}", at.job, at.occurrence, at.step, at.index);
         self.note_intent(at, run);
     }
 
--- a/src/sched/progress.rs
+++ b/src/sched/progress.rs
@@ -65,14 +65,12 @@
     }
 
     pub(super) fn begin_all_due(&mut self, now_us: u64, now_unix_ms: u64) {
-        let mut timed = Vec::new();
-        for job in self.jobs.values() {
-            if job.is_scheduled() && !job.phase.is_final() {
-                timed.push(job.id.clone());
-            }
-        }
+        let timed: Vec<JobId> = self.timed.iter().cloned().collect();
         for id in timed {
             self.begin_due(now_us, now_unix_ms, &id);
+            if self.jobs.get(&id).is_none_or(|job| job.phase.is_final()) {
+                self.timed.remove(&id);
+            }
         }
     }
 
@@ -118,7 +116,12 @@
         };
         let Some(task) = job.task_mut(at) else { return };
         let is_here = task.life().is_some_and(|life| life.id == *worker) && task.run == row.run;
-        log::info!(
+        let level = match row.kind {
+            EndKind::Done if is_here => log::Level::Debug,
+            _ => log::Level::Info,
+        };
+        log::log!(
+            level,
             "job={} task={}.{}.{} run={} worker={worker} end={:?} current={is_here} outcome=ended",
             at.job,
             at.occurrence,
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -18,6 +18,8 @@
 const UNREACHABLE_PAUSE_MS: u64 = 500;
 /// No new work for a worker that refuses as unhealthy.
 const UNHEALTHY_PAUSE_MS: u64 = 700;
+/// Time between looks for runs whose worker is not known any more.
+const ORPHANS_MS: u64 = 1_000;
 /// A run that shows no progress for so long stands still.
 const STALLED_MS: u64 = 2_500;
 
@@ -288,7 +290,8 @@
         for id in lost {
             self.lose_all(now_us, &id);
         }
-        if inherited_over {
+        if inherited_over && now_us >= self.next_orphans_us {
+            self.next_orphans_us = now_us + ORPHANS_MS * US_PER_MS;
             self.release_orphans(now_us);
         }
     }
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -21,7 +21,7 @@
 /// The same where work items serve users beside others that must be slowed down in time.
 const HOLD_WAIT_SHARED_MS: u64 = 400;
 /// Pause between two looks at a worker, in which further ends gather.
-const HOLD_PAUSE_MS: u64 = 40;
+const HOLD_PAUSE_MS: u64 = 60;
 /// Pause between looks at a worker without work, which only keep its clock known.
 const IDLE_HOLD_PAUSE_MS: u64 = 6_000;
 /// Pause after a look that failed.
@@ -37,6 +37,8 @@
 const INHERITED_SLACK_MS: u64 = 300;
 /// Jobs written in one transaction, which holds at most 100 entries.
 const MAX_BATCH_JOBS: usize = 90;
+/// Time between looks at what time alone brings about.
+const SWEEP_MS: u64 = 100;
 /// Least time between two reports of queue lengths.
 const PENDING_REPORT_MS: u64 = 500;
 
@@ -78,6 +80,15 @@
     pub(super) renewed_us: u64,
     pending_told: Vec<(Arc<str>, u64)>,
     pending_told_us: u64,
+    /// A job began to wait or no longer does.
+    pending_moved: bool,
+    /// Jobs on a timetable that are not over.
+    pub(super) timed: BTreeSet<JobId>,
+    next_sweep_us: u64,
+    pub(super) next_orphans_us: u64,
+    /// Worker on each host.
+    pub(super) on_host: HashMap<Arc<str>, Arc<str>>,
+    pub(super) place_at_us: u64,
     /// Something happened that may let work start.
     pub(super) wants_placement: bool,
 }
@@ -101,6 +112,12 @@
             renewed_us: now_us,
             pending_told: Vec::new(),
             pending_told_us: 0,
+            pending_moved: false,
+            timed: BTreeSet::new(),
+            next_sweep_us: 0,
+            next_orphans_us: 0,
+            on_host: HashMap::new(),
+            place_at_us: 0,
             wants_placement: true,
         }
     }
@@ -147,6 +164,10 @@
         let mut job = Job::new(id.clone(), Arc::new(spec));
         restore_job(&mut job, record)?;
         self.set_deadline(now_us, now_unix_ms, &mut job);
+        if job.is_scheduled() && !job.phase.is_final() {
+            self.timed.insert(id.clone());
+        }
+        self.pending_moved = true;
         self.jobs.insert(id.clone(), job);
         self.after_restore(now_us, &id);
         Ok(())
@@ -169,7 +190,10 @@
             job.chain_ms(),
             job.deadline_us.saturating_sub(now_us) / US_PER_MS
         );
-        self.duties.note_arrival(now_us, &job);
+        self.pending_moved = true;
+        if job.is_scheduled() {
+            self.timed.insert(id.clone());
+        }
         self.jobs.insert(id.clone(), job);
         if self.cancelled_early.remove(&id) {
             self.cancel(now_us, &id);
@@ -205,6 +229,7 @@
     }
 
     pub(super) fn mark_dirty(&mut self, id: &JobId) {
+        self.pending_moved = true;
         if !self.dirty.contains(id) {
             self.dirty.insert(id.clone());
         }
@@ -222,7 +247,7 @@
     }
 
     fn pending_changed(&self, now_us: u64) -> bool {
-        now_us >= self.pending_told_us + PENDING_REPORT_MS * US_PER_MS && self.pending() != self.pending_told
+        self.pending_moved && now_us >= self.pending_told_us + PENDING_REPORT_MS * US_PER_MS
     }
 
     /// Jobs of each queue that have not begun.
@@ -255,9 +280,13 @@
         batch.intents = now;
         self.intents = later;
         if self.pending_changed(now_us) {
-            self.pending_told = self.pending();
+            self.pending_moved = false;
             self.pending_told_us = now_us;
-            batch.pending = Some(self.pending_told.clone());
+            let pending = self.pending();
+            if pending != self.pending_told {
+                self.pending_told.clone_from(&pending);
+                batch.pending = Some(pending);
+            }
         }
         batch.waves = self.waves.take_changed();
         if self.dirty.is_empty() {
@@ -378,6 +407,9 @@
                 entry.zone,
                 entry.draining
             );
+            if let Some(host) = &entry.host {
+                self.on_host.insert(host.clone(), id.clone());
+            }
             self.workers.insert(id.clone(), Worker::new(now_us, entry));
             self.open_session(&id);
             return;
@@ -478,12 +510,15 @@
 
     /// Does what time alone brings about.
     pub(crate) fn tick(&mut self, now_us: u64, now_unix_ms: u64) {
-        self.begin_all_due(now_us, now_unix_ms);
-        self.expire_leases(now_us);
-        self.retry_stops(now_us);
-        self.pace_fillers(now_us);
-        self.run_waves(now_us);
-        self.move_hosts(now_us);
+        if now_us >= self.next_sweep_us {
+            self.next_sweep_us = now_us + SWEEP_MS * US_PER_MS;
+            self.begin_all_due(now_us, now_unix_ms);
+            self.expire_leases(now_us);
+            self.retry_stops(now_us);
+            self.pace_fillers(now_us);
+            self.run_waves(now_us);
+            self.move_hosts(now_us);
+        }
         self.place(now_us);
     }
 
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -221,10 +221,8 @@
         if by_list.as_ref().is_some_and(|id| self.workers.get(id).is_some_and(|worker| worker.is_listed)) {
             return by_list;
         }
-        let on_host = |worker: &&super::worker::Worker| {
-            worker.is_listed && worker.entry.host.as_deref().is_some_and(|known| known == host)
-        };
-        self.workers.values().find(on_host).map(|worker| worker.entry.id.clone())
+        let id = self.on_host.get(host)?;
+        self.workers.get(id).is_some_and(|worker| worker.is_listed).then(|| id.clone())
     }
 
     /// Keeps new work away from a host, or lets it come again.
