Play jobs, workers and leaders with faults in virtual time

Change: a model of workers, store and leader with lost, late and doubled orders, crashes, cuts and takeovers checks TWICE, ORDER, BUDGET and UNASKED over 300 seeds, and each fault alone over 8. The model's late orders end with the life that holds them up: no connection outlives it (seed 191).

--- a/src/control.rs
+++ b/src/control.rs
@@ -97,18 +97,8 @@
     pub host_move_ms: u64,
     /// Time that a host is away for maintenance, in milliseconds.
     pub upkeep_ms: u64,
-    /// Time for which the state of an ended job is kept, in milliseconds.
-    pub status_kept_ms: u64,
     /// Time between a stop signal and the kill, in milliseconds.
     pub grace_ms: u64,
-    /// Time without work after which a work item that lasts counts as away, in milliseconds.
-    pub notice_ms: u64,
-    /// Work takes so many times as long away from its data.
-    pub remote_factor: f64,
-    /// Writing calls that the store takes from all daemons together.
-    pub writes_per_s: u64,
-    /// Reading calls that the store takes from all daemons together.
-    pub reads_per_s: u64,
 }
 
 /// State that the daemon's parts share, all on one thread.
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -128,8 +128,6 @@
             holder_change_ms: node.settings.holder_change_ms,
             host_move_ms: node.settings.host_move_ms,
             upkeep_ms: node.settings.upkeep_ms,
-            notice_ms: node.settings.notice_ms,
-            remote_factor: node.settings.remote_factor,
         };
         let holder = node.settings.daemon.clone();
         Leader {
--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -28,9 +28,6 @@
     machine: Arc<str>,
     pool: Arc<str>,
     state: MachineState,
-    zone: Arc<str>,
-    #[serde(default)]
-    labels: Vec<Arc<str>>,
     capacity: Option<CapacityBody>,
     // The worker on it; absent while the machine is not up.
     id: Option<Arc<str>>,
@@ -146,7 +143,5 @@
         },
         worker: body.id,
         capacity: body.capacity.map(|capacity| capacity.resources()).unwrap_or_default(),
-        labels: body.labels,
-        zone: body.zone,
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -47,12 +47,7 @@
         holder_change_ms: fields.number("bounds.leaseMs")?,
         host_move_ms: fields.seconds_as_ms("bounds.moveS")?,
         upkeep_ms: fields.seconds_as_ms("bounds.upkeepS")?,
-        status_kept_ms: fields.seconds_as_ms("bounds.status_s")?,
         grace_ms: fields.seconds_as_ms("bounds.graceS")?,
-        notice_ms: fields.number_or("bounds.noticeMs", 4_500)?,
-        remote_factor: fields.ratio("bounds.remoteFactor")?,
-        writes_per_s: fields.number("platform.writesPerS")?,
-        reads_per_s: fields.number("platform.readsPerS")?,
     })
 }
 
@@ -102,13 +97,6 @@
         self.ratio(path).map(|number| number as u64)
     }
 
-    fn number_or(&self, path: &str, default: u64) -> Result<u64> {
-        if self.find(path).is_none() {
-            return Ok(default);
-        }
-        self.number(path)
-    }
-
     fn seconds_as_ms(&self, path: &str) -> Result<u64> {
         self.ratio(path).map(|seconds| (seconds * 1_000.0) as u64)
     }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -16,3 +16,8 @@
 pub(crate) mod scheduler;
 mod waves;
 pub(crate) mod worker;
+
+#[cfg(test)]
+mod scheduler_tests;
+#[cfg(test)]
+mod sim;
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -296,8 +296,6 @@
     pub(crate) phase: HostPhase,
     pub(crate) worker: Option<Arc<str>>,
     pub(crate) capacity: Resources,
-    pub(crate) labels: Vec<Arc<str>>,
-    pub(crate) zone: Arc<str>,
 }
 
 /// An operator's order to maintain hosts.
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -91,7 +91,8 @@
                 if !job.is_step_open(number, index) {
                     continue;
                 }
-                let waiting = waiting_tasks(job, number, index, now_us);
+                let (waiting, has_paused) = waiting_tasks(job, number, index, now_us);
+                self.wants_placement |= has_paused;
                 if waiting.is_empty() {
                     continue;
                 }
@@ -373,13 +374,20 @@
     }
 }
 
-fn waiting_tasks(job: &Job, number: u32, step: usize, now_us: u64) -> Vec<TaskRef> {
-    let Some(occurrence) = job.occurrences.get(&number) else { return Vec::new() };
+/// Work items of a step that wait, and whether others wait for a pause to end.
+fn waiting_tasks(job: &Job, number: u32, step: usize, now_us: u64) -> (Vec<TaskRef>, bool) {
     let mut waiting = Vec::new();
+    let mut has_paused = false;
+    let Some(occurrence) = job.occurrences.get(&number) else { return (waiting, has_paused) };
     for (index, task) in occurrence.steps[step].tasks.iter().enumerate() {
-        if task.state == TaskState::Waiting && now_us >= task.not_before_us {
-            waiting.push(job.task_ref(number, step, index));
+        if task.state != TaskState::Waiting {
+            continue;
         }
+        if now_us < task.not_before_us {
+            has_paused = true;
+            continue;
+        }
+        waiting.push(job.task_ref(number, step, index));
     }
-    waiting
+    (waiting, has_paused)
 }
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -283,7 +283,8 @@
                 continue;
             }
             let never_heard = !worker.is_synced && inherited_over;
-            if worker.lease_surely_over(now_us) || never_heard {
+            let long_silent = !worker.is_listed && now_us > worker.last_answer_us + self.longest_silence_us();
+            if worker.lease_surely_over(now_us) || never_heard || (long_silent && inherited_over) {
                 lost.push(worker.entry.id.clone());
             }
         }
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -52,10 +52,6 @@
     pub(crate) holder_change_ms: u64,
     pub(crate) host_move_ms: u64,
     pub(crate) upkeep_ms: u64,
-    /// A work item that lasts and was not at work for so long counts as away.
-    pub(crate) notice_ms: u64,
-    /// Work takes so many times as long away from its data.
-    pub(crate) remote_factor: f64,
 }
 
 /// See the module.
@@ -392,8 +388,13 @@
 
     /// When every lease that a former leader gave has ended.
     pub(super) fn inherited_over_us(&self) -> u64 {
+        self.lead_since_us + self.longest_silence_us()
+    }
+
+    /// A worker that was not heard for so long holds no lease any more.
+    pub(super) fn longest_silence_us(&self) -> u64 {
         let wait_ms = (self.longest_lease_ms() as f64 * INHERITED_FACTOR) as u64 + INHERITED_SLACK_MS;
-        self.lead_since_us + wait_ms * US_PER_MS
+        wait_ms * US_PER_MS
     }
 
     /// Takes a worker's entry in the registry.
@@ -428,18 +429,48 @@
         }
     }
 
-    /// A new life of a worker: whatever ran in the former one is over.
+    /// A new life of a worker: whatever ran in the former one is over. Orders that were not answered may still arrive
+    /// in the new one, so their runs are stopped there before they go elsewhere.
     pub(super) fn worker_reborn(&mut self, now_us: u64, entry: WorkerEntry) {
         let id = entry.id.clone();
         log::warn!("worker={id} born_unix_ms={} outcome=new_life", entry.born_unix_ms);
+        let open_orders = self.open_orders(&id);
         self.lose_all(now_us, &id);
         let had_session = self.workers.get(&id).is_some_and(|worker| worker.has_session);
         let mut worker = Worker::new(now_us, entry);
         worker.has_session = had_session;
+        let life = worker.life();
         self.workers.insert(id.clone(), worker);
+        for at in open_orders {
+            self.close_on(now_us, &at, &life);
+        }
         self.open_session(&id);
     }
 
+    /// Work items on a worker whose order to start may not have arrived yet.
+    fn open_orders(&self, id: &Arc<str>) -> Vec<TaskRef> {
+        let Some(worker) = self.workers.get(id) else { return Vec::new() };
+        let mut open = Vec::new();
+        for at in &worker.tasks {
+            let Some(task) = self.jobs.get(&at.job).and_then(|job| job.task(at)) else { continue };
+            let TaskState::Placed { phase, .. } = &task.state else { continue };
+            match phase {
+                RunPhase::Ordered | RunPhase::Unanswered { .. } | RunPhase::Stopping { .. } => open.push(at.clone()),
+                RunPhase::Writing | RunPhase::Running { .. } | RunPhase::Inherited => {}
+            }
+        }
+        open
+    }
+
+    /// Has a work item's latest run stopped in a life of a worker in which it may still begin.
+    fn close_on(&mut self, now_us: u64, at: &TaskRef, life: &WorkerLife) {
+        let Some(task) = self.jobs.get_mut(&at.job).and_then(|job| job.task_mut(at)) else { return };
+        task.state = TaskState::Placed { at: life.clone(), phase: RunPhase::Ordered };
+        self.attach(at, life);
+        self.order_stop(now_us, at);
+        self.refresh(&at.job);
+    }
+
     fn open_session(&mut self, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         if worker.has_session {
--- /dev/null
+++ b/src/sched/scheduler_tests.rs
@@ -0,0 +1,174 @@
+//! Jobs on workers that fail, played in virtual time.
+
+use std::sync::Arc;
+
+use super::job::{Job, Prospect};
+use super::model::{JobPhase, Step};
+use super::sim::{catalog, settings, spec, step, worker_entry, Faults, Sim};
+use super::worker::Worker;
+
+const SECOND_US: u64 = 1_000_000;
+
+fn phase(sim: &Sim, job: &str) -> Option<JobPhase> {
+    sim.scheduler.jobs.get(job).map(|job| job.phase)
+}
+
+fn two_steps() -> Vec<Step> {
+    vec![step(4, &[]), step(3, &[0])]
+}
+
+/// Submits jobs while faults strike, then lets everything end.
+fn play_with(seed: u64, faults: Faults) -> Sim {
+    let mut sim = Sim::new(seed, 6, faults);
+    for number in 0..12 {
+        let id = sim.submit(&format!("job-{number:02}"), spec(two_steps()));
+        sim.play(700);
+        if number % 5 == 4 {
+            sim.cancel(&id);
+        }
+    }
+    sim.settle(60_000);
+    sim
+}
+
+fn assert_kept(seed: u64, faults: Faults) {
+    let sim = play_with(seed, faults);
+
+    assert_eq!(sim.broken, [], "seed {seed}, {faults:?}");
+    for id in sim.specs.keys() {
+        let phase = phase(&sim, id);
+        assert!(phase.is_some_and(JobPhase::is_final), "seed {seed}, {faults:?}: {id} is {phase:?}");
+    }
+}
+
+#[test]
+fn a_job_runs_its_steps_in_order() {
+    let mut sim = Sim::new(1, 4, Faults::default());
+
+    sim.submit("job", spec(two_steps()));
+    sim.play(3_000);
+
+    assert_eq!(phase(&sim, "job"), Some(JobPhase::Completed));
+    assert_eq!((sim.starts, sim.broken.len()), (7, 0));
+}
+
+#[test]
+fn single_faults_break_no_rule() {
+    let cases = [
+        Faults { answer_lost: 0.3, ..Faults::default() },
+        Faults { applied_late: 0.3, ..Faults::default() },
+        Faults { order_lost: 0.3, ..Faults::default() },
+        Faults { run_fails: 0.2, ..Faults::default() },
+        Faults { crashes_per_s: 0.5, ..Faults::default() },
+        Faults { cuts_per_s: 0.5, ..Faults::default() },
+        Faults { takeovers_per_s: 0.3, ..Faults::default() },
+        Faults { commit_lost: 0.3, ..Faults::default() },
+    ];
+
+    for faults in cases {
+        for seed in 0..8 {
+            assert_kept(seed, faults);
+        }
+    }
+}
+
+#[test]
+fn faults_together_break_no_rule() {
+    let faults = Faults {
+        answer_lost: 0.08,
+        applied_late: 0.08,
+        order_lost: 0.05,
+        run_fails: 0.05,
+        crashes_per_s: 0.1,
+        cuts_per_s: 0.2,
+        takeovers_per_s: 0.15,
+        commit_lost: 0.1,
+    };
+
+    for seed in 100..400 {
+        assert_kept(seed, faults);
+    }
+}
+
+#[test]
+fn a_dark_worker_loses_its_work_when_its_lease_is_over() {
+    let mut sim = Sim::new(1, 2, Faults::default());
+    let mut lasting = step(2, &[]);
+    lasting.long_running = true;
+    lasting.max_per_worker = Some(2);
+    sim.submit("job", spec(vec![lasting]));
+    sim.play(1_000);
+    let dark: Vec<usize> = (0..2).filter(|number| has_work(&sim, *number)).collect();
+
+    sim.cut(dark[0], 60_000);
+    sim.play(9_000);
+
+    assert!(!has_work(&sim, dark[0]), "its work is elsewhere");
+    assert!(has_work(&sim, 1 - dark[0]));
+    assert_eq!(sim.broken, []);
+}
+
+fn has_work(sim: &Sim, number: usize) -> bool {
+    let id: Arc<str> = format!("w{number}").into();
+    sim.scheduler.workers.get(&id).is_some_and(|worker| !worker.tasks.is_empty())
+}
+
+#[test]
+fn a_new_leader_goes_on_where_the_last_one_ended() {
+    let mut sim = Sim::new(1, 4, Faults::default());
+    sim.submit("job", spec(two_steps()));
+    sim.play(300);
+
+    sim.end_leader(1_000);
+    sim.play(5_000);
+
+    assert_eq!(phase(&sim, "job"), Some(JobPhase::Completed));
+    assert_eq!((sim.starts, sim.broken.len()), (7, 0), "nothing ran again");
+}
+
+#[test]
+fn no_order_about_hosts_without_confirmed_leadership() {
+    let mut scheduler = super::scheduler::Scheduler::new(SECOND_US, settings());
+    scheduler.configure(catalog());
+    let host = super::model::HostRecord {
+        name: "h1".into(),
+        pool: "press".into(),
+        phase: super::model::HostPhase::Up,
+        worker: None,
+        capacity: super::model::Resources::default(),
+    };
+    scheduler.hosts_listed(SECOND_US, vec![host]);
+    let written = |scheduler: &mut super::scheduler::Scheduler, now_us| {
+        let batch = scheduler.take_batch(now_us);
+        scheduler.batch_written(now_us, now_us, &batch);
+    };
+
+    assert!(!scheduler.is_lately_confirmed(SECOND_US + 100_000), "a former leader's orders may be under way");
+    written(&mut scheduler, 3 * SECOND_US);
+    assert!(scheduler.is_lately_confirmed(3 * SECOND_US + 500_000));
+    assert!(!scheduler.is_lately_confirmed(5 * SECOND_US), "the store has not confirmed for two seconds");
+}
+
+#[test]
+fn a_lease_is_over_only_when_a_slow_clock_says_so() {
+    let mut worker = Worker::new(0, worker_entry(1, 0));
+    worker.read_clock(SECOND_US, 50_000);
+    worker.lease_end_ms = worker.lease_end_for(SECOND_US + 4 * SECOND_US).expect("its clock is known");
+
+    assert_eq!(worker.lease_end_ms, 54_000);
+    assert!(!worker.lease_surely_over(5 * SECOND_US + 50_000), "its clock may be 2% slow");
+    assert!(worker.lease_surely_over(5 * SECOND_US + 100_000));
+}
+
+#[test]
+fn a_job_that_cannot_be_in_time_claims_no_hosts() {
+    let mut job = Job::new("job".into(), Arc::new(spec(two_steps())));
+    job.begin_occurrence(0);
+    job.set_deadline(0, 2.0, 1_000);
+
+    // Two steps of 500 ms, twice their time and a second more.
+    assert_eq!(job.prospect(0), Prospect::InTime { latest_start_us: 2 * SECOND_US });
+    assert_eq!(job.prospect(3 * SECOND_US), Prospect::Late { latest_start_us: 8 * SECOND_US });
+    assert_eq!(job.prospect(9 * SECOND_US), Prospect::Worthless { deadline_us: 3 * SECOND_US });
+    assert!(!job.prospect(3 * SECOND_US).claims_hosts());
+}
--- /dev/null
+++ b/src/sched/sim.rs
@@ -0,0 +1,728 @@
+//! Workers, a store and a leader in virtual time, with faults, and checks of what must always hold.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::action::{Action, Batch, HoldPlan, StartRun};
+use super::model::{
+    Catalog, EndKind, EndedRow, HoldAnswer, JobId, JobSpec, OrderEnd, OrderRefusal, PoolRules, Queue, Resources,
+    RunningRow, Step, TaskRef, WorkerEntry,
+};
+use super::scheduler::{SchedSettings, Scheduler};
+use crate::clock::US_PER_MS;
+
+/// Time of one step of the simulation.
+const STEP_US: u64 = 5 * US_PER_MS;
+/// One way to a worker or the store.
+const WAY_US: u64 = 2 * US_PER_MS;
+const ORDER_TIMEOUT_US: u64 = 800 * US_PER_MS;
+/// Unix time at the start of the simulation, in milliseconds.
+const START_UNIX_MS: u64 = 1_700_000_000_000;
+pub(super) const MAX_ATTEMPTS: u32 = 3;
+
+/// How often things go wrong.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Faults {
+    /// Share of orders whose answer is lost after they took effect.
+    pub(super) answer_lost: f64,
+    /// Share of orders that get no answer and take effect seconds later.
+    pub(super) applied_late: f64,
+    /// Share of orders that never arrive.
+    pub(super) order_lost: f64,
+    /// Share of runs that fail.
+    pub(super) run_fails: f64,
+    /// Crashes of workers a second, each back as a new life after a while.
+    pub(super) crashes_per_s: f64,
+    /// Cuts of workers a second, in which work goes on.
+    pub(super) cuts_per_s: f64,
+    /// Ends of the leader a second; the next one starts from the store.
+    pub(super) takeovers_per_s: f64,
+    /// Share of the store's answers that are lost after the effect.
+    pub(super) commit_lost: f64,
+}
+
+/// A rule that was broken.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Broken(pub(super) String);
+
+#[derive(Debug, Clone)]
+struct Run {
+    run: u32,
+    ends_us: u64,
+    fails: bool,
+}
+
+#[derive(Debug)]
+struct SimWorker {
+    entry: WorkerEntry,
+    is_up: bool,
+    cut_until_us: u64,
+    started_us: u64,
+    clock_rate: f64,
+    token: u64,
+    lease_end_ms: u64,
+    runs: BTreeMap<TaskRef, Run>,
+    highest_over: HashMap<TaskRef, u32>,
+    ended: Vec<EndedRow>,
+    next_end: u64,
+    noted: u64,
+    /// Ends up to this one were listed when a lease ended; they do not count as taken note of.
+    lapsed_end: u64,
+}
+
+impl SimWorker {
+    fn clock_ms(&self, now_us: u64) -> u64 {
+        ((now_us - self.started_us) as f64 * self.clock_rate) as u64 / US_PER_MS
+    }
+
+    fn end(&mut self, task: &TaskRef, run: u32, kind: EndKind) {
+        self.next_end += 1;
+        let row = EndedRow { number: self.next_end, task: task.clone(), run, kind, checkpoint: Arc::from("") };
+        self.ended.push(row);
+        let highest = self.highest_over.entry(task.clone()).or_default();
+        *highest = (*highest).max(run);
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    /// `late_in` is the life that holds the order up; such an order ends with it.
+    Start {
+        start: StartRun,
+        token: u64,
+        answered: bool,
+        late_in: Option<u64>,
+    },
+    StartAnswer {
+        start: StartRun,
+        leader: u32,
+        end: OrderEnd,
+    },
+    Stop {
+        worker: Arc<str>,
+        task: TaskRef,
+        run: u32,
+        token: u64,
+        answered: bool,
+    },
+    StopAnswer {
+        worker: Arc<str>,
+        task: TaskRef,
+        run: u32,
+        leader: u32,
+        end: OrderEnd,
+    },
+    Hold {
+        worker: Arc<str>,
+        lease_end_ms: Option<u64>,
+        acknowledged: u64,
+        until_us: u64,
+        asked_us: u64,
+        token: u64,
+    },
+    HoldAnswer {
+        worker: Arc<str>,
+        asked_us: u64,
+        leader: u32,
+        answer: Option<HoldAnswer>,
+    },
+    Commit {
+        leader: u32,
+        token: u64,
+        batch: Batch,
+        sent_us: u64,
+    },
+    CommitAnswer {
+        leader: u32,
+        batch: Batch,
+        sent_us: u64,
+        is_written: bool,
+    },
+}
+
+/// See the module.
+pub(super) struct Sim {
+    pub(super) now_us: u64,
+    rng: SmallRng,
+    faults: Faults,
+    workers: BTreeMap<Arc<str>, SimWorker>,
+    pub(super) scheduler: Scheduler,
+    leader: u32,
+    token: u64,
+    leader_down_until_us: Option<u64>,
+    messages: Vec<(u64, Message)>,
+    holding: HashSet<Arc<str>>,
+    commit_under_way: bool,
+    pub(super) specs: BTreeMap<JobId, JobSpec>,
+    cancelled: HashMap<JobId, u64>,
+    records: HashMap<JobId, Vec<u8>>,
+    /// Work items with a run that ended well.
+    done: HashSet<TaskRef>,
+    /// Work items whose good end was taken note of.
+    noted_done: HashSet<TaskRef>,
+    noted_failures: HashMap<TaskRef, u32>,
+    pub(super) starts: u32,
+    pub(super) broken: Vec<Broken>,
+    duration_us: u64,
+    reborn: u32,
+}
+
+pub(super) fn settings() -> SchedSettings {
+    SchedSettings {
+        max_lease_ms: 10_000,
+        stop_grace_ms: 200,
+        holder_change_ms: 3_000,
+        host_move_ms: 1_500,
+        upkeep_ms: 2_000,
+    }
+}
+
+pub(super) fn queue() -> Arc<Queue> {
+    Arc::new(Queue {
+        name: "proofs".into(),
+        host: "studio.example".into(),
+        path_prefix: "/proofs/".into(),
+        pool: "press".into(),
+        priority: 0,
+        max_attempts: MAX_ATTEMPTS,
+        stretch: 2.0,
+        target_latency_ms: 1_000,
+        advice: None,
+    })
+}
+
+pub(super) fn catalog() -> Arc<Catalog> {
+    let pools = vec![PoolRules { name: "press".into(), spare: false }];
+    Arc::new(Catalog { version: 1, queues: vec![queue()], pools })
+}
+
+pub(super) fn step(count: u32, after: &[u32]) -> Step {
+    let needs = Resources { cpu_milli: 2_000, mem_mb: 1_000, gpus: 0 };
+    Step { count, needs, estimate_ms: 500, after: after.to_vec(), ..Step::default() }
+}
+
+pub(super) fn spec(steps: Vec<Step>) -> JobSpec {
+    JobSpec {
+        queue: queue(),
+        spec: "print".into(),
+        steps,
+        times: 0,
+        first_run_unix_ms: 0,
+        interval_ms: 0,
+        accepted_unix_ms: START_UNIX_MS,
+    }
+}
+
+pub(super) fn worker_entry(number: usize, born_unix_ms: u64) -> WorkerEntry {
+    WorkerEntry {
+        id: format!("w{number}").into(),
+        address: ([10, 0, 0, 1], 1_000 + number as u16).into(),
+        pool: "press".into(),
+        zone: "hall-a".into(),
+        born_unix_ms,
+        draining: false,
+        capacity: Resources { cpu_milli: 16_000, mem_mb: 64_000, gpus: 0 },
+        labels: vec!["a".into(), format!("r{}", number / 4).into()],
+        host: Some(format!("h{number}").into()),
+    }
+}
+
+impl Sim {
+    /// Starts workers and a leader.
+    pub(super) fn new(seed: u64, worker_count: usize, faults: Faults) -> Sim {
+        let now_us = 1_000_000;
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut workers = BTreeMap::new();
+        for number in 0..worker_count {
+            let entry = worker_entry(number, START_UNIX_MS);
+            workers.insert(entry.id.clone(), sim_worker(now_us, entry, rng.random_range(0.98..1.0)));
+        }
+        let mut sim = Sim {
+            now_us,
+            rng,
+            faults,
+            workers,
+            scheduler: Scheduler::new(now_us, settings()),
+            leader: 1,
+            token: 1,
+            leader_down_until_us: None,
+            messages: Vec::new(),
+            holding: HashSet::new(),
+            commit_under_way: false,
+            specs: BTreeMap::new(),
+            cancelled: HashMap::new(),
+            records: HashMap::new(),
+            done: HashSet::new(),
+            noted_done: HashSet::new(),
+            noted_failures: HashMap::new(),
+            starts: 0,
+            broken: Vec::new(),
+            duration_us: 500 * US_PER_MS,
+            reborn: 0,
+        };
+        sim.lead();
+        sim
+    }
+
+    fn unix_ms(&self) -> u64 {
+        START_UNIX_MS + self.now_us / US_PER_MS
+    }
+
+    /// A leader begins with nothing but what the store holds.
+    fn lead(&mut self) {
+        self.scheduler = Scheduler::new(self.now_us, settings());
+        self.scheduler.configure(catalog());
+        let entries = self.workers.values().filter(|worker| worker.is_up).map(|worker| worker.entry.clone());
+        self.scheduler.workers_listed(self.now_us, entries.collect());
+        for (id, spec) in &self.specs {
+            let record = self.records.get(id).map(Vec::as_slice);
+            let unix_ms = START_UNIX_MS + self.now_us / US_PER_MS;
+            self.scheduler.restore(self.now_us, unix_ms, id.clone(), spec.clone(), record).expect("our own record");
+        }
+        for id in self.cancelled.keys() {
+            self.scheduler.cancel(self.now_us, id);
+        }
+        self.holding.clear();
+        self.commit_under_way = false;
+    }
+
+    /// A caller's job is stored and the leader hears of it.
+    pub(super) fn submit(&mut self, name: &str, spec: JobSpec) -> JobId {
+        let id: JobId = name.into();
+        self.specs.insert(id.clone(), spec.clone());
+        let unix_ms = self.unix_ms();
+        self.scheduler.submit(self.now_us, unix_ms, id.clone(), spec);
+        id
+    }
+
+    /// A caller's wish to cancel is stored and the leader hears of it.
+    pub(super) fn cancel(&mut self, id: &JobId) {
+        self.cancelled.insert(id.clone(), self.now_us);
+        self.scheduler.cancel(self.now_us, id);
+    }
+
+    /// Ends the leader; the next one starts after `pause_ms`.
+    pub(super) fn end_leader(&mut self, pause_ms: u64) {
+        self.leader_down_until_us = Some(self.now_us + pause_ms * US_PER_MS);
+        self.leader += 1;
+    }
+
+    /// Crashes a worker; a new life of it comes back at once.
+    pub(super) fn crash(&mut self, number: usize) {
+        let id = worker_entry(number, 0).id;
+        self.reborn += 1;
+        let mut entry = worker_entry(number, START_UNIX_MS + u64::from(self.reborn));
+        entry.id = id.clone();
+        let rate = self.rng.random_range(0.98..1.0);
+        self.workers.insert(id, sim_worker(self.now_us, entry.clone(), rate));
+        if self.leader_down_until_us.is_none() {
+            self.scheduler.worker_listed(self.now_us, entry);
+        }
+    }
+
+    /// Cuts a worker off; it runs on.
+    pub(super) fn cut(&mut self, number: usize, for_ms: u64) {
+        let id = worker_entry(number, 0).id;
+        let until_us = self.now_us + for_ms * US_PER_MS;
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.cut_until_us = until_us;
+        }
+    }
+
+    /// Plays `for_ms` milliseconds.
+    pub(super) fn play(&mut self, for_ms: u64) {
+        let end_us = self.now_us + for_ms * US_PER_MS;
+        while self.now_us < end_us {
+            self.now_us += STEP_US;
+            self.strike();
+            self.deliver();
+            self.run_workers();
+            self.run_leader();
+        }
+    }
+
+    /// Plays on without new faults, until every job is over or `for_ms` milliseconds have passed.
+    pub(super) fn settle(&mut self, for_ms: u64) {
+        self.faults = Faults::default();
+        let end_us = self.now_us + for_ms * US_PER_MS;
+        while self.now_us < end_us && !self.is_settled() {
+            self.play(100);
+        }
+    }
+
+    fn is_settled(&self) -> bool {
+        let is_over = |id: &JobId| self.scheduler.jobs.get(id).is_some_and(|job| job.phase.is_final());
+        self.leader_down_until_us.is_none() && self.specs.keys().all(is_over)
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.random_bool(share.min(1.0))
+    }
+
+    fn strike(&mut self) {
+        let step_s = STEP_US as f64 / 1e6;
+        let count = self.workers.len();
+        if self.chance(self.faults.crashes_per_s * step_s) {
+            let number = self.rng.random_range(0..count);
+            self.crash(number);
+        }
+        if self.chance(self.faults.cuts_per_s * step_s) {
+            let number = self.rng.random_range(0..count);
+            let for_ms = self.rng.random_range(500..9_000);
+            self.cut(number, for_ms);
+        }
+        if self.leader_down_until_us.is_none() && self.chance(self.faults.takeovers_per_s * step_s) {
+            let pause_ms = self.rng.random_range(50..6_000);
+            self.end_leader(pause_ms);
+        }
+        if self.leader_down_until_us.is_some_and(|until_us| self.now_us >= until_us) {
+            self.leader_down_until_us = None;
+            self.token += 1;
+            self.lead();
+        }
+    }
+
+    fn send(&mut self, after_us: u64, message: Message) {
+        self.messages.push((self.now_us + after_us, message));
+    }
+
+    fn deliver(&mut self) {
+        let (due, later) = std::mem::take(&mut self.messages).into_iter().partition(|(at_us, _)| *at_us <= self.now_us);
+        self.messages = later;
+        let mut due: Vec<(u64, Message)> = due;
+        due.sort_by_key(|(at_us, _)| *at_us);
+        for (_, message) in due {
+            self.take(message);
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Start { start, token, answered, late_in } => {
+                let life = self.workers.get(&start.worker).map(|worker| worker.entry.born_unix_ms);
+                if late_in.is_some() && late_in != life {
+                    return;
+                }
+                let end = self.start_arrives(&start, token, late_in.is_some());
+                if answered {
+                    self.send(WAY_US, Message::StartAnswer { start, leader: self.leader, end });
+                }
+            }
+            Message::Stop { worker, task, run, token, answered } => {
+                let end = self.stop_arrives(&worker, &task, run, token);
+                if answered {
+                    self.send(WAY_US, Message::StopAnswer { worker, task, run, leader: self.leader, end });
+                }
+            }
+            Message::Hold { worker, lease_end_ms, acknowledged, until_us, asked_us, token } => {
+                self.hold_arrives(worker, lease_end_ms, acknowledged, until_us, asked_us, token);
+            }
+            Message::Commit { leader, token, batch, sent_us } => self.commit_arrives(leader, token, batch, sent_us),
+            Message::StartAnswer { start, leader, end } => {
+                if self.leads(leader) {
+                    self.scheduler.start_ended(self.now_us, &start, &end);
+                }
+            }
+            Message::StopAnswer { worker, task, run, leader, end } => {
+                if self.leads(leader) {
+                    self.scheduler.stop_ended(self.now_us, &worker, &task, run, &end);
+                }
+            }
+            Message::HoldAnswer { worker, asked_us, leader, answer } => {
+                if !self.leads(leader) {
+                    return;
+                }
+                self.holding.remove(&worker);
+                match answer {
+                    Some(answer) => self.scheduler.worker_answered(self.now_us, asked_us, &worker, &answer),
+                    None => self.scheduler.worker_silent(self.now_us, &worker, &OrderEnd::Unanswered),
+                }
+            }
+            Message::CommitAnswer { leader, batch, sent_us, is_written } => {
+                if !self.leads(leader) {
+                    return;
+                }
+                if is_written {
+                    self.commit_under_way = false;
+                    self.scheduler.batch_written(self.now_us, sent_us, &batch);
+                } else {
+                    // The leader repeats the batch until it is told that it stands.
+                    self.send(WAY_US, Message::Commit { leader, token: self.token, batch, sent_us: self.now_us });
+                }
+            }
+        }
+    }
+
+    fn leads(&self, leader: u32) -> bool {
+        leader == self.leader && self.leader_down_until_us.is_none()
+    }
+
+    fn reachable(&self, id: &Arc<str>) -> bool {
+        self.workers.get(id).is_some_and(|worker| worker.is_up && self.now_us >= worker.cut_until_us)
+    }
+
+    fn start_arrives(&mut self, start: &StartRun, token: u64, is_late: bool) -> OrderEnd {
+        let now_us = self.now_us;
+        if !self.reachable(&start.worker) {
+            return OrderEnd::Unanswered;
+        }
+        let fails = self.chance(self.faults.run_fails);
+        let step = self.specs.get(&start.task.job).and_then(|spec| spec.steps.get(start.task.step as usize));
+        let lasts = step.is_some_and(|step| step.long_running);
+        let duration_us = if lasts { u64::MAX / 2 } else { self.duration_us };
+        let Some(worker) = self.workers.get_mut(&start.worker) else { return OrderEnd::Unanswered };
+        let clock_ms = worker.clock_ms(now_us);
+        if token < worker.token {
+            return OrderEnd::Refused(OrderRefusal::Fenced);
+        }
+        worker.token = token;
+        worker.lease_end_ms = worker.lease_end_ms.max(start.lease_end_ms);
+        if worker.runs.get(&start.task).is_some_and(|run| run.run == start.run) {
+            return OrderEnd::Accepted { clock_ms: Some(clock_ms) };
+        }
+        if worker.highest_over.get(&start.task).is_some_and(|over| start.run <= *over) {
+            return OrderEnd::Refused(OrderRefusal::OldRun);
+        }
+        if start.lease_end_ms <= clock_ms {
+            return OrderEnd::Refused(OrderRefusal::Late);
+        }
+        worker.runs.insert(start.task.clone(), Run { run: start.run, ends_us: now_us + duration_us, fails });
+        self.starts += 1;
+        self.check_start(start, token, is_late);
+        OrderEnd::Accepted { clock_ms: Some(clock_ms) }
+    }
+
+    fn check_start(&mut self, start: &StartRun, token: u64, is_late: bool) {
+        let at = &start.task;
+        let mut broken = Vec::new();
+        for worker in self.workers.values() {
+            if worker.is_up && worker.entry.id != start.worker && worker.runs.contains_key(at) {
+                broken.push(format!("TWICE: {at:?} runs on {} and {}", worker.entry.id, start.worker));
+            }
+        }
+        if self.noted_done.contains(at) {
+            broken.push(format!("TWICE: {at:?} starts after it was done"));
+        }
+        if self.noted_failures.get(at).copied().unwrap_or(0) >= MAX_ATTEMPTS {
+            broken.push(format!("BUDGET: {at:?} starts after {MAX_ATTEMPTS} failures"));
+        }
+        match self.specs.get(&at.job) {
+            None => broken.push(format!("UNASKED: {at:?}")),
+            Some(spec) => {
+                for after in &spec.steps[at.step as usize].after {
+                    for index in 0..spec.steps[*after as usize].count {
+                        let before = TaskRef { step: *after, index, ..at.clone() };
+                        if !self.done.contains(&before) {
+                            broken.push(format!("ORDER: {at:?} starts before {before:?}"));
+                        }
+                    }
+                }
+            }
+        }
+        let is_cancelled = self.cancelled.get(&at.job).is_some_and(|at_us| self.now_us > at_us + 3_000_000);
+        if is_cancelled && token == self.token && !is_late {
+            broken.push(format!("UNASKED: {at:?} starts after it was cancelled"));
+        }
+        self.broken.extend(broken.into_iter().map(Broken));
+    }
+
+    fn stop_arrives(&mut self, id: &Arc<str>, task: &TaskRef, run: u32, token: u64) -> OrderEnd {
+        if !self.reachable(id) {
+            return OrderEnd::Unanswered;
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return OrderEnd::Unanswered };
+        if token < worker.token {
+            return OrderEnd::Refused(OrderRefusal::Fenced);
+        }
+        worker.token = token;
+        if worker.runs.get(task).is_some_and(|known| known.run <= run) {
+            worker.runs.remove(task);
+            worker.end(task, run, EndKind::Stopped);
+        }
+        let highest = worker.highest_over.entry(task.clone()).or_default();
+        *highest = (*highest).max(run);
+        OrderEnd::Accepted { clock_ms: None }
+    }
+
+    fn hold_arrives(
+        &mut self,
+        id: Arc<str>,
+        lease_end_ms: Option<u64>,
+        acknowledged: u64,
+        until_us: u64,
+        asked_us: u64,
+        token: u64,
+    ) {
+        let now_us = self.now_us;
+        let leader = self.leader;
+        if !self.reachable(&id) {
+            let answer = Message::HoldAnswer { worker: id, asked_us, leader, answer: None };
+            self.send(ORDER_TIMEOUT_US, answer);
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if token < worker.token {
+            return;
+        }
+        worker.token = token;
+        worker.lease_end_ms = worker.lease_end_ms.max(lease_end_ms.unwrap_or(0));
+        for row in &worker.ended {
+            if row.number <= acknowledged && row.number > worker.noted.max(worker.lapsed_end) {
+                match row.kind {
+                    EndKind::Done => {
+                        self.noted_done.insert(row.task.clone());
+                    }
+                    EndKind::Failed => *self.noted_failures.entry(row.task.clone()).or_default() += 1,
+                    _ => {}
+                }
+            }
+        }
+        worker.noted = worker.noted.max(acknowledged);
+        worker.ended.retain(|row| row.number > acknowledged);
+        if worker.ended.is_empty() && now_us < until_us {
+            let again = Message::Hold { worker: id, lease_end_ms, acknowledged, until_us, asked_us, token };
+            self.send(STEP_US, again);
+            return;
+        }
+        let running = worker.runs.iter().map(|(task, run)| RunningRow {
+            task: task.clone(),
+            run: run.run,
+            checkpoint: Arc::from(""),
+            percent: 0,
+            load: None,
+        });
+        let answer = HoldAnswer {
+            clock_ms: worker.clock_ms(now_us),
+            born_unix_ms: Some(worker.entry.born_unix_ms),
+            running: running.collect(),
+            ended: worker.ended.clone(),
+        };
+        self.send(WAY_US, Message::HoldAnswer { worker: id, asked_us, leader, answer: Some(answer) });
+    }
+
+    fn commit_arrives(&mut self, leader: u32, token: u64, batch: Batch, sent_us: u64) {
+        if token != self.token || leader != self.leader {
+            return;
+        }
+        for (id, record) in &batch.records {
+            self.records.insert(id.clone(), record.clone());
+        }
+        let is_written = !self.chance(self.faults.commit_lost);
+        let answer = Message::CommitAnswer { leader, batch, sent_us, is_written };
+        self.send(5 * US_PER_MS, answer);
+    }
+
+    fn run_workers(&mut self) {
+        let now_us = self.now_us;
+        for worker in self.workers.values_mut() {
+            if !worker.is_up {
+                continue;
+            }
+            let lapsed = worker.clock_ms(now_us) > worker.lease_end_ms;
+            if lapsed {
+                worker.lapsed_end = worker.next_end;
+            }
+            let over: Vec<(TaskRef, Run)> = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| lapsed || now_us >= run.ends_us)
+                .map(|(task, run)| (task.clone(), run.clone()))
+                .collect();
+            for (task, run) in over {
+                worker.runs.remove(&task);
+                let kind = match (now_us >= run.ends_us, run.fails) {
+                    (true, false) => EndKind::Done,
+                    (true, true) => EndKind::Failed,
+                    (false, _) => EndKind::LeaseExpired,
+                };
+                if kind == EndKind::Done {
+                    self.done.insert(task.clone());
+                }
+                worker.end(&task, run.run, kind);
+            }
+        }
+    }
+
+    fn run_leader(&mut self) {
+        if self.leader_down_until_us.is_some() {
+            return;
+        }
+        let unix_ms = self.unix_ms();
+        self.scheduler.tick(self.now_us, unix_ms);
+        for action in self.scheduler.take_actions() {
+            self.perform(action);
+        }
+        let idle: Vec<Arc<str>> = self.workers.keys().filter(|id| !self.holding.contains(*id)).cloned().collect();
+        for id in idle {
+            let plan = self.scheduler.plan_hold(self.now_us, &id);
+            let HoldPlan::Send { lease_end_ms, acknowledged, wait_ms, .. } = plan else { continue };
+            self.holding.insert(id.clone());
+            let until_us = self.now_us + wait_ms * US_PER_MS;
+            let (asked_us, token) = (self.now_us, self.token);
+            self.send(WAY_US, Message::Hold { worker: id, lease_end_ms, acknowledged, until_us, asked_us, token });
+        }
+        self.scheduler.acknowledge_without_writing();
+        if !self.commit_under_way {
+            // An empty batch renews leadership.
+            self.commit_under_way = true;
+            let batch = self.scheduler.take_batch(self.now_us);
+            let commit = Message::Commit { leader: self.leader, token: self.token, batch, sent_us: self.now_us };
+            self.send(WAY_US, commit);
+        }
+    }
+
+    fn perform(&mut self, action: Action) {
+        let (token, leader) = (self.token, self.leader);
+        let fate = self.rng.random::<f64>();
+        let late = self.faults.applied_late;
+        let lost = late + self.faults.order_lost;
+        let silent = lost + self.faults.answer_lost;
+        let after_us = if fate < late { self.rng.random_range(2_000_000..12_000_000) } else { WAY_US };
+        let (arrives, answered) = (fate < late || fate >= lost, fate >= silent);
+        match action {
+            Action::Start(start) => {
+                if arrives {
+                    let life = self.workers.get(&start.worker).map(|worker| worker.entry.born_unix_ms);
+                    let late_in = if fate < late { life } else { None };
+                    self.send(after_us, Message::Start { start: start.clone(), token, answered, late_in });
+                }
+                if !answered {
+                    let answer = Message::StartAnswer { start, leader, end: OrderEnd::Unanswered };
+                    self.send(ORDER_TIMEOUT_US, answer);
+                }
+            }
+            Action::Stop { worker, task, run } => {
+                if arrives {
+                    let stop = Message::Stop { worker: worker.clone(), task: task.clone(), run, token, answered };
+                    self.send(after_us, stop);
+                }
+                if !answered {
+                    let answer = Message::StopAnswer { worker, task, run, leader, end: OrderEnd::Unanswered };
+                    self.send(ORDER_TIMEOUT_US, answer);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn sim_worker(now_us: u64, entry: WorkerEntry, clock_rate: f64) -> SimWorker {
+    SimWorker {
+        entry,
+        is_up: true,
+        cut_until_us: 0,
+        started_us: now_us.saturating_sub(1_000_000),
+        clock_rate,
+        token: 0,
+        lease_end_ms: 0,
+        runs: BTreeMap::new(),
+        highest_over: HashMap::new(),
+        ended: Vec::new(),
+        next_end: 0,
+        noted: 0,
+        lapsed_end: 0,
+    }
+}
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -84,12 +84,6 @@
         stages.any(|stage| !matches!(stage, HostStage::Waiting { .. } | HostStage::Over))
     }
 
-    /// Whether this host is still to be maintained.
-    pub(super) fn awaits(&self, host: &str) -> bool {
-        let mut stages = self.states.values().filter_map(|wave| wave.stages.get(host));
-        stages.any(|stage| *stage != HostStage::Over)
-    }
-
     fn note_begun(&mut self, number: u64, host: &Arc<str>) {
         if self.begun.entry(number).or_default().insert(host.clone()) {
             self.changed.insert(number);
