Size pools by arriving work; take no connections without the store

Cause: both incidents lost their first seconds of each turn: hosts moved only once work waited, and the old turn's pool kept its hosts for two seconds of past demand. Change: core-seconds that arrive in 600 ms, corrected by learned run times, count as demand; past demand counts for 800 ms; a daemon without an answer of the store for 1.6 s is not ready and closes connections on 503.

--- a/src/control.rs
+++ b/src/control.rs
@@ -65,6 +65,8 @@
 const IDLE_TIMEOUT_MS: u64 = 30_000;
 /// Time between sweeps of idle connections to workers and services.
 const SWEEP_MS: u64 = 2_000;
+/// A daemon that has had no answer from the store for so long takes no new connections.
+const STORE_LOST_AFTER_MS: u64 = 1_600;
 /// Part of the time that the platform grants for a stop in which answers are finished.
 const STOP_SHARE: f64 = 0.75;
 
@@ -113,6 +115,7 @@
     intake: Intake,
     leader: RefCell<Option<Rc<leader::Leader>>>,
     is_stopping: Cell<bool>,
+    store_answered_us: Cell<u64>,
     front_control: Rc<ServerControl>,
 }
 
@@ -121,6 +124,16 @@
         self.clock.now_us()
     }
 
+    /// Notes that the store has answered.
+    fn store_answered(&self) {
+        self.store_answered_us.set(self.now_us());
+    }
+
+    /// Whether the store has answered lately; without it nothing can be accepted.
+    fn store_is_near(&self) -> bool {
+        self.now_us() < self.store_answered_us.get() + STORE_LOST_AFTER_MS * crate::clock::US_PER_MS
+    }
+
     async fn sleep_ms(&self, wait_ms: u64) {
         sleep_until(Instant::now() + Duration::from_millis(wait_ms)).await;
     }
@@ -156,6 +169,7 @@
         intake: Intake::default(),
         leader: RefCell::default(),
         is_stopping: Cell::new(false),
+        store_answered_us: Cell::new(0),
         front_control: Rc::default(),
         clock,
         settings,
--- a/src/control/front.rs
+++ b/src/control/front.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -31,7 +31,7 @@
 pub(super) fn readiness_handler(node: &Rc<Node>) -> Handler {
     let node = node.clone();
     Rc::new(move |_| {
-        let is_ready = node.catalog.borrow().is_some() && !node.is_stopping.get();
+        let is_ready = node.catalog.borrow().is_some() && !node.is_stopping.get() && node.store_is_near();
         let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         Box::pin(async move { plain(status, "") })
     })
@@ -158,6 +158,8 @@
 fn unavailable(reason: &str) -> Response<Body> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, reason);
     response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
+    // The caller's next connection may reach a daemon that can serve it.
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -80,6 +80,7 @@
         };
         match read {
             Ok(page) => {
+                node.store_answered();
                 let mut status = node.status.borrow_mut();
                 for row in &page.rows {
                     status.take(row);
--- a/src/control/watch.rs
+++ b/src/control/watch.rs
@@ -22,6 +22,7 @@
         };
         match read {
             Ok(page) => {
+                node.store_answered();
                 for row in &page.rows {
                     take(&node, row);
                 }
--- a/src/sched/duties.rs
+++ b/src/sched/duties.rs
@@ -4,7 +4,7 @@
 //! room, first from the spare pool; hosts that nobody needs go to the spare pool, where they cost nothing.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use super::action::Action;
@@ -21,7 +21,11 @@
 /// Time between two decisions.
 const DECIDE_MS: u64 = 100;
 /// A pool's demand counts for so long after it was seen.
-const DEMAND_KEPT_MS: u64 = 2_000;
+const DEMAND_KEPT_MS: u64 = 800;
+/// Arrivals of this time tell what a pool is about to need: work that arrives in a second keeps so many cores busy.
+const ARRIVALS_MS: u64 = 600;
+/// Weight of the latest run in a queue's average of true to estimated run time.
+const STRETCH_WEIGHT: f64 = 0.05;
 /// Room wanted beyond the demand: work items do not fill workers to the last core.
 const HEADROOM: f64 = 1.2;
 /// A host without work and without need goes to the spare pool after this time.
@@ -62,6 +66,10 @@
     emptying: BTreeMap<Arc<str>, (Arc<str>, u64)>,
     /// Recent demand of each pool in thousandths of a core, newest last.
     demand: BTreeMap<Arc<str>, VecDeque<(u64, u64)>>,
+    /// Work that arrived lately for each pool, in thousandths of a core times milliseconds, newest last.
+    arrivals: BTreeMap<Arc<str>, VecDeque<(u64, u64)>>,
+    /// True run time of each queue's work items, as a multiple of their estimates.
+    run_time_ratio: HashMap<Arc<str>, f64>,
     /// Pools that a host cannot join.
     impossible: HashSet<(Arc<str>, Arc<str>)>,
     /// Jobs whose work is owed or can be done in time.
@@ -79,6 +87,8 @@
             moving: BTreeMap::new(),
             emptying: BTreeMap::new(),
             demand: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
+            run_time_ratio: HashMap::new(),
             impossible: HashSet::new(),
             claims: HashSet::new(),
             not_before_us: BTreeMap::new(),
@@ -89,6 +99,37 @@
         self.moving.contains_key(host) || self.emptying.contains_key(host)
     }
 
+    /// Counts the work of a job that arrived.
+    pub(super) fn note_arrival(&mut self, now_us: u64, pool: &Arc<str>, job: &Job) {
+        let mut work = 0;
+        for step in &job.spec.steps {
+            if !step.long_running {
+                work += u64::from(step.count) * step.reserved().cpu_milli * step.estimate_ms;
+            }
+        }
+        let ratio = self.run_time_ratio.get(&job.spec.queue.name).copied().unwrap_or(1.0);
+        let recent = self.arrivals.entry(pool.clone()).or_default();
+        recent.push_back((now_us, (work as f64 * ratio) as u64));
+    }
+
+    /// Takes the true run time of a work item into account.
+    pub(super) fn note_run_time(&mut self, queue: &Arc<str>, estimate_ms: u64, run_ms: u64) {
+        if estimate_ms == 0 {
+            return;
+        }
+        let ratio = self.run_time_ratio.entry(queue.clone()).or_insert(1.0);
+        *ratio += STRETCH_WEIGHT * (run_ms as f64 / estimate_ms as f64 - *ratio);
+    }
+
+    /// Processor that a pool's present arrivals keep busy, in thousandths of a core.
+    fn arriving_work(&mut self, now_us: u64, pool: &str) -> u64 {
+        let Some(recent) = self.arrivals.get_mut(pool) else { return 0 };
+        while recent.front().is_some_and(|(at_us, _)| now_us > at_us + ARRIVALS_MS * US_PER_MS) {
+            recent.pop_front();
+        }
+        recent.iter().map(|(_, work)| work).sum::<u64>() / ARRIVALS_MS
+    }
+
     /// Highest demand of a pool in the last moments.
     fn recent_demand(&self, pool: &str) -> u64 {
         let demand = self.demand.get(pool);
@@ -215,7 +256,9 @@
             }
         }
         for (pool, balance) in &mut balances {
-            self.duties.note_demand(now_us, pool, balance.demand);
+            let lasting = self.lasting_cpu_milli(pool);
+            let arriving = self.duties.arriving_work(now_us, pool) + lasting;
+            self.duties.note_demand(now_us, pool, balance.demand.max(arriving));
             balance.demand = (self.duties.recent_demand(pool) as f64 * HEADROOM) as u64;
             balance.room += self.duties.arriving(now_us, pool);
         }
@@ -260,6 +303,23 @@
         self.actions.extend(again);
     }
 
+    /// Processor in use by work that lasts, in thousandths of a core.
+    fn lasting_cpu_milli(&self, pool: &str) -> u64 {
+        let mut milli = 0;
+        for worker in self.workers.values() {
+            if &*worker.entry.pool != pool || worker.lasting == 0 {
+                continue;
+            }
+            for at in &worker.tasks {
+                let Some(step) = self.step_of(at) else { continue };
+                if step.long_running {
+                    milli += step.reserved().cpu_milli;
+                }
+            }
+        }
+        milli
+    }
+
     /// Notes which jobs' work claims hosts.
     fn note_claims(&mut self, now_us: u64) {
         let mut claims = HashSet::new();
--- a/src/sched/progress.rs
+++ b/src/sched/progress.rs
@@ -133,11 +133,20 @@
         if row.run <= task.settled_run && !is_here {
             return;
         }
+        let ran_since_us = match &task.state {
+            TaskState::Placed { phase: RunPhase::Running { since_us }, .. } if is_here => Some(*since_us),
+            _ => None,
+        };
         task.settled_run = task.settled_run.max(row.run);
         if !row.checkpoint.is_empty() {
             task.checkpoint = row.checkpoint.clone();
         }
         let long_running = job.spec.steps[at.step as usize].long_running;
+        if let (EndKind::Done, Some(since_us)) = (row.kind, ran_since_us) {
+            let estimate_ms = job.spec.steps[at.step as usize].estimate_ms;
+            let queue = job.spec.queue.name.clone();
+            self.duties.note_run_time(&queue, estimate_ms, now_us.saturating_sub(since_us) / US_PER_MS);
+        }
         self.mark_dirty(&at.job);
         match row.kind {
             EndKind::Done if !long_running => self.task_done(now_us, at),
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -187,6 +187,8 @@
             job.deadline_us.saturating_sub(now_us) / US_PER_MS
         );
         self.pending_moved = true;
+        let pool = self.queue_of(&job).pool.clone();
+        self.duties.note_arrival(now_us, &pool, &job);
         if job.is_scheduled() {
             self.timed.insert(id.clone());
         }
