Count only workers that answer; a leader that is cut off steps down

Cause: in a zone cut, the cut zone's workers counted as room, and a leader inside the cut zone kept leading a third of the workers.

--- a/src/control.rs
+++ b/src/control.rs
@@ -116,6 +116,8 @@
     leader: RefCell<Option<Rc<leader::Leader>>>,
     is_stopping: Cell<bool>,
     store_answered_us: Cell<u64>,
+    /// A leader that reached too few workers lets others lead until then.
+    no_claim_until_us: Cell<u64>,
     front_control: Rc<ServerControl>,
 }
 
@@ -170,6 +172,7 @@
         leader: RefCell::default(),
         is_stopping: Cell::new(false),
         store_answered_us: Cell::new(0),
+        no_claim_until_us: Cell::new(0),
         front_control: Rc::default(),
         clock,
         settings,
--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -83,6 +83,9 @@
         // An earlier claim of this process took effect although its answer was lost.
         return Some(Claim { token: owner_version, sequence: sequence_version, claimed_us: now_us });
     }
+    if now_us < node.no_claim_until_us.get() {
+        return None;
+    }
     let released = sequence.is_some_and(|row| row.value.as_deref() == Some(RELEASED));
     if owner.is_some() && !released {
         if sequence_version != sight.sequence || sight.looks == 0 {
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -35,6 +35,11 @@
 /// The same for changes of workers.
 const WORKER_PAUSE_MS: u64 = 100;
 const WATCH_RETRY_MS: u64 = 100;
+/// Share of workers without an answer at which a leader steps down, after what time, and for how long it does not
+/// lead again.
+const CUT_OFF_SHARE: f64 = 0.5;
+const CUT_OFF_MS: u64 = 1_200;
+const CUT_OFF_PAUSE_MS: u64 = 6_000;
 /// Time between readings of the provider's list of hosts.
 const HOSTS_MS: u64 = 500;
 
@@ -273,10 +278,20 @@
 }
 
 async fn tick(leader: Rc<Leader>) {
+    let mut cut_off_since_us = None;
     while !leader.is_over.get() {
+        let now_us = leader.now_us();
         let unix_ms = leader.node.clock.unix_ms();
-        leader.scheduler.borrow_mut().tick(leader.now_us(), unix_ms);
+        leader.scheduler.borrow_mut().tick(now_us, unix_ms);
         leader.pump();
+        if leader.scheduler.borrow().silent_share() <= CUT_OFF_SHARE {
+            cut_off_since_us = None;
+        } else if now_us > *cut_off_since_us.get_or_insert(now_us) + CUT_OFF_MS * US_PER_MS {
+            // Another daemon may reach more workers.
+            log::warn!("daemon={} outcome=cut_off_from_workers", leader.node.settings.daemon);
+            leader.node.no_claim_until_us.set(now_us + CUT_OFF_PAUSE_MS * US_PER_MS);
+            resign(&leader.node).await;
+        }
         leader.node.sleep_ms(TICK_MS).await;
     }
 }
--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -28,6 +28,8 @@
     machine: Arc<str>,
     pool: Arc<str>,
     state: MachineState,
+    #[serde(default)]
+    zone: Arc<str>,
     capacity: Option<CapacityBody>,
     // The worker on it; absent while the machine is not up.
     id: Option<Arc<str>>,
@@ -142,6 +144,7 @@
             MachineState::Down => HostPhase::Down,
         },
         worker: body.id,
+        zone: body.zone,
         capacity: body.capacity.map(|capacity| capacity.resources()).unwrap_or_default(),
     }
 }
--- a/src/sched/duties.rs
+++ b/src/sched/duties.rs
@@ -74,6 +74,8 @@
     impossible: HashSet<(Arc<str>, Arc<str>)>,
     /// Jobs whose work is owed or can be done in time.
     claims: HashSet<JobId>,
+    /// Zones whose workers mostly do not answer.
+    silent_zones: HashSet<Arc<str>>,
     not_before_us: BTreeMap<Arc<str>, u64>,
 }
 
@@ -91,6 +93,7 @@
             run_time_ratio: HashMap::new(),
             impossible: HashSet::new(),
             claims: HashSet::new(),
+            silent_zones: HashSet::new(),
             not_before_us: BTreeMap::new(),
         }
     }
@@ -236,9 +239,10 @@
             }
         }
         self.note_claims(now_us);
+        self.note_silent_zones();
         for worker in self.workers.values() {
             let Some(balance) = balances.get_mut(&worker.entry.pool) else { continue };
-            if worker.is_listed && !worker.entry.draining && !worker.is_cordoned {
+            if worker.is_usable() {
                 balance.room += worker.entry.capacity.cpu_milli;
             }
             let firm = self.firm_cpu_milli(worker);
@@ -303,6 +307,33 @@
         self.actions.extend(again);
     }
 
+    /// Finds the zones that are cut off from here.
+    fn note_silent_zones(&mut self) {
+        let mut counts: BTreeMap<Arc<str>, (u32, u32)> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let (silent, all) = counts.entry(worker.entry.zone.clone()).or_default();
+            *silent += u32::from(worker.is_silent);
+            *all += 1;
+        }
+        let mostly_silent = |(_, (silent, all)): &(Arc<str>, (u32, u32))| silent * 2 > *all;
+        self.duties.silent_zones = counts.into_iter().filter(mostly_silent).map(|(zone, _)| zone).collect();
+    }
+
+    /// Share of the registered workers that do not answer.
+    pub(crate) fn silent_share(&self) -> f64 {
+        let listed = self.workers.values().filter(|worker| worker.is_listed);
+        let (mut silent, mut all) = (0.0, 0.0);
+        for worker in listed {
+            silent += f64::from(u8::from(worker.is_silent));
+            all += 1.0;
+        }
+        if all == 0.0 {
+            0.0
+        } else {
+            silent / all
+        }
+    }
+
     /// Processor in use by work that lasts, in thousandths of a core.
     fn lasting_cpu_milli(&self, pool: &str) -> u64 {
         let mut milli = 0;
@@ -476,6 +507,7 @@
 
     fn may_move(&self, now_us: u64, name: &Arc<str>, host: &HostRecord, pool: &Arc<str>) -> bool {
         host.phase == HostPhase::Up
+            && !self.duties.silent_zones.contains(&host.zone)
             && !self.duties.is_moving(name)
             && self.is_settled(now_us, name)
             && !self.waves.holds(name)
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -296,6 +296,7 @@
     pub(crate) phase: HostPhase,
     pub(crate) worker: Option<Arc<str>>,
     pub(crate) capacity: Resources,
+    pub(crate) zone: Arc<str>,
 }
 
 /// An operator's order to maintain hosts.
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -67,6 +67,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.read_clock(now_us, answer.clock_ms);
         worker.last_answer_us = now_us;
+        worker.is_silent = false;
         if !worker.is_synced {
             worker.is_synced = true;
             self.wants_placement = true;
@@ -182,6 +183,7 @@
     pub(crate) fn worker_silent(&mut self, now_us: u64, id: &Arc<str>, end: &OrderEnd) {
         self.judge_refusal(now_us, id, end);
         let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.is_silent = true;
         worker.block(now_us, UNREACHABLE_PAUSE_MS);
         log::debug!("worker={id} end={end:?} outcome=hold_failed");
         self.schedule_hold(now_us, id, true);
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -136,6 +136,7 @@
         phase: super::model::HostPhase::Up,
         worker: None,
         capacity: super::model::Resources::default(),
+        zone: "hall-a".into(),
     };
     scheduler.hosts_listed(SECOND_US, vec![host]);
     let written = |scheduler: &mut super::scheduler::Scheduler, now_us| {
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -49,6 +49,8 @@
     pub(crate) serving: u32,
     pub(crate) filling: u32,
     pub(crate) last_answer_us: u64,
+    /// The latest look at it got no answer.
+    pub(crate) is_silent: bool,
     pub(crate) next_hold_us: u64,
     /// No new work before this time.
     pub(crate) blocked_until_us: u64,
@@ -78,6 +80,7 @@
             serving: 0,
             filling: 0,
             last_answer_us: 0,
+            is_silent: false,
             next_hold_us: 0,
             blocked_until_us: 0,
             failure_average: 0.0,
@@ -186,6 +189,11 @@
         }
     }
 
+    /// Whether its capacity can be counted on.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.is_listed && !self.entry.draining && !self.is_cordoned && !self.is_silent
+    }
+
     /// Keeps new work away for a while.
     pub(crate) fn block(&mut self, now_us: u64, wait_ms: u64) {
         self.blocked_until_us = self.blocked_until_us.max(now_us + wait_ms * US_PER_MS);
