--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -16,6 +16,8 @@
 const NO_ROOM_PAUSE_MS: u64 = 200;
 /// No new work for a worker that could not be reached.
 const UNREACHABLE_PAUSE_MS: u64 = 500;
+/// A worker that has answered something in this time is there.
+const LATELY_MS: u64 = 700;
 /// No new work for a worker that refuses as unhealthy.
 const UNHEALTHY_PAUSE_MS: u64 = 700;
 /// Time between looks for runs whose worker is not known any more.
@@ -200,6 +202,20 @@
         }
     }
 
+    fn answered_lately(&self, now_us: u64, id: &Arc<str>) -> bool {
+        self.workers.get(id).is_some_and(|worker| now_us < worker.last_answer_us + LATELY_MS * US_PER_MS)
+    }
+
+    /// An answer to an order shows that the worker is there.
+    fn note_answer(&mut self, now_us: u64, id: &Arc<str>, end: &OrderEnd) {
+        if !matches!(end, OrderEnd::Accepted { .. } | OrderEnd::Refused(_)) {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.last_answer_us = worker.last_answer_us.max(now_us);
+        }
+    }
+
     fn block_worker(&mut self, now_us: u64, id: &Arc<str>, wait_ms: u64) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.block(now_us, wait_ms);
@@ -213,6 +229,7 @@
         if !matches!(end, OrderEnd::Accepted { .. }) {
             log::info!("job={} worker={} run={} end={end:?} outcome=start_refused", at.job, start.worker, start.run);
         }
+        self.note_answer(now_us, &start.worker, end);
         self.judge_refusal(now_us, &start.worker, end);
         let Some(job) = self.jobs.get_mut(&at.job) else { return };
         let was_queued = job.phase == JobPhase::Queued;
@@ -235,7 +252,10 @@
             }
             (OrderEnd::Unanswered, RunPhase::Ordered) => {
                 *phase = RunPhase::Unanswered { since_us: now_us };
-                self.block_worker(now_us, &start.worker, UNREACHABLE_PAUSE_MS);
+                // One lost answer says little about a worker that answers others.
+                if !self.answered_lately(now_us, &start.worker) {
+                    self.block_worker(now_us, &start.worker, UNREACHABLE_PAUSE_MS);
+                }
             }
             (OrderEnd::Refused(_) | OrderEnd::NotSent, RunPhase::Ordered | RunPhase::Stopping { .. }) => {
                 if *end == OrderEnd::NotSent {
@@ -252,6 +272,7 @@
 
     /// An order to stop was answered, or was not.
     pub(crate) fn stop_ended(&mut self, now_us: u64, worker: &Arc<str>, at: &TaskRef, run: u32, end: &OrderEnd) {
+        self.note_answer(now_us, worker, end);
         self.judge_refusal(now_us, worker, end);
         let Some(task) = self.jobs.get_mut(&at.job).and_then(|job| job.task_mut(at)) else { return };
         if task.run != run {
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -188,7 +188,7 @@
         );
         self.pending_moved = true;
         let pool = self.queue_of(&job).pool.clone();
-        self.duties.note_arrival(now_us, &pool, &job);
+        self.duties.note_arrival(accepted_us(now_us, now_unix_ms, &job), &pool, &job);
         if job.is_scheduled() {
             self.timed.insert(id.clone());
         }
@@ -202,12 +202,8 @@
     }
 
     fn set_deadline(&self, now_us: u64, now_unix_ms: u64, job: &mut Job) {
-        /// A clock that is further off than that tells nothing about the job's age.
-        const MAX_AGE_MS: u64 = 60_000;
-        let age_ms = now_unix_ms.saturating_sub(job.spec.accepted_unix_ms).min(MAX_AGE_MS);
         let queue = self.queue_of(job);
-        let begin_us = now_us.saturating_sub(age_ms * US_PER_MS);
-        job.set_deadline(begin_us, queue.stretch, queue.target_latency_ms);
+        job.set_deadline(accepted_us(now_us, now_unix_ms, job), queue.stretch, queue.target_latency_ms);
     }
 
     /// Takes a caller's wish to end a job.
@@ -575,3 +571,11 @@
         self.workers.get(&life.id).is_some_and(|worker| worker.life() == *life)
     }
 }
+
+/// When a job was accepted, on our clock.
+fn accepted_us(now_us: u64, now_unix_ms: u64, job: &Job) -> u64 {
+    /// A clock that is further off than that tells nothing about the job's age.
+    const MAX_AGE_MS: u64 = 60_000;
+    let age_ms = now_unix_ms.saturating_sub(job.spec.accepted_unix_ms).min(MAX_AGE_MS);
+    now_us.saturating_sub(age_ms * US_PER_MS)
+}
