Remove submissions of ended jobs; renew leadership while reading; cheaper choice of workers

Cause: on the grown sites a new leader read megabytes of ended jobs over 10 Mbit/s for longer than others waited for a sign of it, so each takeover was followed by another; choosing a worker looked each one up by name. Change: ended jobs leave a mark of one byte; the sequence row is renewed from the claim on; daemons with less than 0.2 of a core lead only when no larger one does; a round keeps its candidates in one list.

--- a/src/control.rs
+++ b/src/control.rs
@@ -7,6 +7,7 @@
 //! |---|---|---|---|
 //! | `job` | by the job's name | job | submission |
 //! | `job` | by the job's name | job, `/x` | wish to cancel it |
+//! | `over` | by the job's name | job | final phase of a job whose submission was removed |
 //! | `record` | `sched` | job | its work items, written by the leader |
 //! | `phase` | `sched` | number of a transaction | jobs whose callers are told something new by it |
 //! | `phase` | `sched` | `/pending` | jobs of each queue that have not begun |
@@ -49,6 +50,7 @@
 /// Partition that only the leader writes.
 const LEADER_PARTITION: &str = "sched";
 const JOB_TABLE: &str = "job";
+const OVER_TABLE: &str = "over";
 const RECORD_TABLE: &str = "record";
 const PHASE_TABLE: &str = "phase";
 const WAVE_TABLE: &str = "wave";
@@ -89,6 +91,8 @@
     pub advice: Option<SocketAddr>,
     /// Whether workers fetch their orders with their heartbeats instead of being called.
     pub orders_by_heartbeat: bool,
+    /// Share of a processor core that this daemon may use.
+    pub cpu_share: f64,
     /// Longest lease that workers accept, in milliseconds.
     pub max_lease_ms: u64,
     /// Longest time that a stop of a run takes, in milliseconds.
--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -14,6 +14,9 @@
 
 /// Time without any sign of the leader after which another daemon takes over.
 const TAKEOVER_AFTER_MS: u64 = 2_000;
+/// Daemons with less of a core than this lead only when no larger one does.
+const LARGE_SHARE: f64 = 0.2;
+const SMALL_DELAY_MS: u64 = 1_500;
 /// Looks at the leader's row that must agree before a takeover.
 const MIN_LOOKS: u32 = 3;
 const LOOK_MS: u64 = 400;
@@ -86,14 +89,18 @@
     if now_us < node.no_claim_until_us.get() {
         return None;
     }
+    let is_small = node.settings.cpu_share < LARGE_SHARE;
     let released = sequence.is_some_and(|row| row.value.as_deref() == Some(RELEASED));
-    if owner.is_some() && !released {
+    if is_small || (owner.is_some() && !released) {
         if sequence_version != sight.sequence || sight.looks == 0 {
             *sight = Sight { sequence: sequence_version, since_us: now_us, looks: 1 };
             return None;
         }
         sight.looks += 1;
-        if sight.looks < MIN_LOOKS || now_us < sight.since_us + TAKEOVER_AFTER_MS * US_PER_MS {
+        let delay_ms = if is_small { SMALL_DELAY_MS } else { 0 };
+        let is_free = owner.is_none() || released;
+        let wait_ms = if is_free { delay_ms } else { TAKEOVER_AFTER_MS + delay_ms };
+        if sight.looks < MIN_LOOKS || now_us < sight.since_us + wait_ms * US_PER_MS {
             return None;
         }
     }
--- a/src/control/front.rs
+++ b/src/control/front.rs
@@ -10,13 +10,14 @@
 use hyper::body::Incoming;
 
 use super::intake::{self, Stored};
-use super::{job_partition, Node, JOB_TABLE};
+use super::{job_partition, Node, JOB_TABLE, OVER_TABLE};
 use crate::clock::US_PER_MS;
 use crate::held_body::{collect, ByteBudget};
 use crate::http_server::{Body, Handler};
 use crate::platform::callers::{is_job_id, job_spec, pending_body, phase_body, DEADLINE_MS};
 use crate::sched::model::{Catalog, JobId, JobPhase, Queue};
-use crate::sched::record::encode_spec;
+use crate::sched::record::{decode_phase, encode_spec};
+use crate::store::StoreError;
 
 const MAX_BODY_BYTES: usize = 262_144;
 const MAX_HELD_BYTES: usize = 24 << 20;
@@ -116,14 +117,8 @@
     if let Some(phase) = node.status.borrow().phase(id) {
         return Ok(Some(phase));
     }
-    match node.store.read(JOB_TABLE, &job_partition(id), id, 1).await {
-        Ok(page) => {
-            if !page.rows.iter().any(|row| row.at.key == *id && row.value.is_some()) {
-                return Ok(None);
-            }
-            node.status.borrow_mut().note_stored(id);
-            Ok(Some(JobPhase::Queued))
-        }
+    match read_phase(node, id).await {
+        Ok(phase) => Ok(phase),
         Err(error) => {
             log::info!("job={id} error={error} outcome=state_unknown");
             Err(unavailable("the store cannot be read now"))
@@ -131,6 +126,20 @@
     }
 }
 
+/// A job's phase as the store alone tells it.
+async fn read_phase(node: &Rc<Node>, id: &JobId) -> Result<Option<JobPhase>, StoreError> {
+    let partition = job_partition(id);
+    let stored = node.store.read(JOB_TABLE, &partition, id, 1).await?;
+    if stored.rows.iter().any(|row| row.at.key == *id && row.value.is_some()) {
+        node.status.borrow_mut().note_stored(id);
+        return Ok(Some(JobPhase::Queued));
+    }
+    let over = node.store.read(OVER_TABLE, &partition, id, 1).await?;
+    let Some(row) = over.rows.iter().find(|row| row.at.key == *id) else { return Ok(None) };
+    let Some(value) = &row.value else { return Ok(None) };
+    decode_phase(value).map(Some).map_err(|error| StoreError::Protocol(error.to_string()))
+}
+
 async fn tell(node: &Rc<Node>, id: &JobId) -> Response<Body> {
     match find(node, id).await {
         Ok(Some(phase)) => json(StatusCode::OK, phase_body(phase)),
--- a/src/control/intake.rs
+++ b/src/control/intake.rs
@@ -6,14 +6,15 @@
 
 use futures::channel::oneshot;
 
-use super::{job_partition, Node, CANCEL_SUFFIX, JOB_PARTITIONS, JOB_TABLE};
+use super::{job_partition, Node, CANCEL_SUFFIX, JOB_PARTITIONS, JOB_TABLE, OVER_TABLE};
 use crate::clock::US_PER_MS;
 use crate::reactor::{spawn, Signal};
-use crate::sched::model::JobId;
+use crate::sched::model::{JobId, JobPhase};
+use crate::sched::record::encode_phase;
 use crate::store::{CommitEnd, RowKey, StoreError, StoreTransaction, ABSENT};
 
-/// Submissions in one transaction, each of which takes two of its hundred entries.
-const MAX_GROUP: usize = 45;
+/// Submissions in one transaction, each of which takes three of its hundred entries.
+const MAX_GROUP: usize = 30;
 /// Largest size of one transaction's values; the store takes 1 MB.
 const MAX_GROUP_BYTES: usize = 500_000;
 const RETRY_MS: u64 = 60;
@@ -105,6 +106,7 @@
     for submission in &group {
         let at = RowKey::new(JOB_TABLE, partition, &submission.id);
         transaction.expected.push((at.clone(), ABSENT));
+        transaction.expected.push((RowKey::new(OVER_TABLE, partition, &submission.id), ABSENT));
         transaction.writes.push((at, submission.value.clone()));
     }
     match node.store.commit(&transaction).await {
@@ -174,3 +176,35 @@
         }
     }
 }
+
+/// Removes the submissions of jobs that are over; a mark stays, so that a submission that is sent again is known.
+/// Returns the jobs that are still there.
+pub(super) async fn remove_over(node: &Rc<Node>, jobs: &[(JobId, JobPhase)]) -> Vec<(JobId, JobPhase)> {
+    let mut by_partition: BTreeMap<String, Vec<(JobId, JobPhase)>> = BTreeMap::new();
+    for (id, phase) in jobs {
+        by_partition.entry(job_partition(id)).or_default().push((id.clone(), *phase));
+    }
+    let mut left = Vec::new();
+    for (partition, jobs) in by_partition {
+        for group in jobs.chunks(MAX_GROUP) {
+            let mut transaction = StoreTransaction::default();
+            for (id, phase) in group {
+                let mark = RowKey::new(OVER_TABLE, &partition, id);
+                transaction.writes.push((mark, encode_phase(*phase)));
+                transaction.removals.push(RowKey::new(JOB_TABLE, &partition, id));
+                if *phase == JobPhase::Cancelled {
+                    transaction.removals.push(RowKey::new(JOB_TABLE, &partition, &format!("{id}{CANCEL_SUFFIX}")));
+                }
+            }
+            match node.store.commit(&transaction).await {
+                Ok(CommitEnd::Applied { .. }) => {}
+                Ok(CommitEnd::Conflict { .. }) => left.extend(group.iter().cloned()),
+                Err(error) => {
+                    log::debug!("partition={partition} jobs={} error={error} outcome=not_removed", group.len());
+                    left.extend(group.iter().cloned());
+                }
+            }
+        }
+    }
+    left
+}
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -1,14 +1,15 @@
 //! The leader's part: feeds the scheduler and does what it asks.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use super::election::{owner_row, sequence_row, RELEASED};
 use super::orders::Orders;
 use super::{
-    sessions, Node, CANCEL_SUFFIX, JOB_TABLE, LEADER_PARTITION, PENDING_KEY, PHASE_TABLE, RECORD_TABLE, WAVE_TABLE,
+    intake, sessions, Node, CANCEL_SUFFIX, JOB_TABLE, LEADER_PARTITION, PENDING_KEY, PHASE_TABLE, RECORD_TABLE,
+    WAVE_TABLE,
 };
 use crate::clock::US_PER_MS;
 use crate::platform::advice::AdviceClient;
@@ -40,6 +41,8 @@
 const CUT_OFF_SHARE: f64 = 0.5;
 const CUT_OFF_MS: u64 = 1_200;
 const CUT_OFF_PAUSE_MS: u64 = 6_000;
+/// Time between removals of submissions of jobs that are over.
+const REMOVE_MS: u64 = 600;
 /// Time between readings of the provider's list of hosts.
 const HOSTS_MS: u64 = 500;
 
@@ -78,27 +81,60 @@
     };
     let leader = Rc::new(Leader::new(node, claim));
     leader.configure(catalog);
+    // Leadership is renewed from the start: reading everything may take longer than others wait for a sign.
+    let writer = write(&leader);
+    spawn(take_over(leader.clone()));
+    writer.await;
+    leader.is_over.set(true);
+    leader.wake_all();
+    node.leader.borrow_mut().take();
+    log::warn!("daemon={} token={} outcome=no_longer_leading", node.settings.daemon, claim.token);
+}
+
+/// Reads what is stored and begins to lead.
+async fn take_over(leader: Rc<Leader>) {
+    let node = &leader.node;
     let versions = match leader.load().await {
         Ok(versions) => versions,
         Err(error) => {
             log::warn!("daemon={} error={error} outcome=takeover_failed", node.settings.daemon);
+            leader.is_over.set(true);
+            leader.changed.notify();
             return;
         }
     };
+    if leader.is_over.get() {
+        return;
+    }
     for wave in node.waves.borrow().iter() {
         leader.wave_ordered(wave.clone());
     }
+    if let Some(catalog) = node.catalog.borrow().clone() {
+        leader.configure(catalog);
+    }
     *node.leader.borrow_mut() = Some(leader.clone());
     spawn(follow_jobs(leader.clone(), versions.jobs));
     spawn(follow_workers(leader.clone(), versions.workers));
     spawn(follow_hosts(leader.clone()));
+    spawn(remove_over(leader.clone()));
     spawn(tick(leader.clone()));
     leader.pump();
-    write(&leader).await;
-    leader.is_over.set(true);
-    leader.wake_all();
-    node.leader.borrow_mut().take();
-    log::warn!("daemon={} token={} outcome=no_longer_leading", node.settings.daemon, claim.token);
+}
+
+/// Removes the submissions of jobs that are over, so that a later leader has little to read.
+async fn remove_over(leader: Rc<Leader>) {
+    while !leader.is_over.get() {
+        leader.node.sleep_ms(REMOVE_MS).await;
+        let mut jobs = leader.scheduler.borrow_mut().take_over();
+        if jobs.is_empty() {
+            continue;
+        }
+        let left = intake::remove_over(&leader.node, &jobs).await;
+        jobs.retain(|job| !left.contains(job));
+        let mut scheduler = leader.scheduler.borrow_mut();
+        scheduler.submissions_removed(&jobs);
+        scheduler.keep_over(left);
+    }
 }
 
 /// Steps down at once, so that another daemon need not wait for silence.
@@ -181,6 +217,8 @@
         let now_us = self.now_us();
         let unix_ms = self.node.clock.unix_ms();
         let mut scheduler = self.scheduler.borrow_mut();
+        let stored: HashSet<&Arc<str>> = jobs.iter().map(|row| &row.at.key).collect();
+        scheduler.forget_records(records.keys().filter(|id| !stored.contains(id)).cloned().collect());
         scheduler.workers_listed(now_us, workers.rows.iter().filter_map(worker_entry).collect());
         for row in &jobs {
             if row.at.key.ends_with(CANCEL_SUFFIX) {
@@ -539,6 +577,9 @@
         writes: vec![(sequence_row(), Vec::new())],
         removals: Vec::new(),
     };
+    for id in &batch.forgotten {
+        transaction.removals.push(RowKey::new(RECORD_TABLE, LEADER_PARTITION, id));
+    }
     for (id, record) in &batch.records {
         transaction.writes.push((RowKey::new(RECORD_TABLE, LEADER_PARTITION, id), record.clone()));
     }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -42,6 +42,7 @@
         provider: fields.optional_address("cloudApi.addr")?,
         advice: fields.optional_address("advice")?,
         orders_by_heartbeat: fields.optional_text("orders")? == Some("heartbeat".into()),
+        cpu_share: fields.ratio("limits.cpuShare")?,
         max_lease_ms: fields.number("bounds.holdMaxMs")?,
         stop_grace_ms: fields.number("bounds.stopGraceMs")?,
         holder_change_ms: fields.number("bounds.leaseMs")?,
--- a/src/sched/action.rs
+++ b/src/sched/action.rs
@@ -86,6 +86,8 @@
     pub(crate) pending: Option<Vec<(Arc<str>, u64)>>,
     /// Hosts of each wave whose maintenance has begun, where that changed.
     pub(crate) waves: Vec<(u64, Vec<Arc<str>>)>,
+    /// Jobs whose records are needed no more.
+    pub(crate) forgotten: Vec<JobId>,
     /// Runs that may be ordered once the batch is written.
     pub(crate) intents: Vec<(TaskRef, u32)>,
     /// Ends that workers may forget once the batch is written.
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -163,6 +163,8 @@
     pub(crate) worthless_us: u64,
     /// Phase that callers are told.
     pub(crate) told: JobPhase,
+    /// Nothing is left to run or to stop.
+    pub(crate) is_over: bool,
     /// For each step, the longest chain of estimated work from it to the end.
     chains_ms: Vec<u64>,
 }
@@ -194,6 +196,7 @@
             deadline_us: 0,
             worthless_us: 0,
             told: JobPhase::Queued,
+            is_over: false,
         }
     }
 
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -30,6 +30,30 @@
     id: JobId,
 }
 
+/// A worker among which a round chooses.
+#[derive(Debug, Clone)]
+struct Candidate {
+    id: Arc<str>,
+    room: Resources,
+    /// The kind comes first, the rack last.
+    labels: Vec<Arc<str>>,
+    lasting: u32,
+    serving: u32,
+    filling: u32,
+    failure_tenths: u32,
+    is_allowed: bool,
+}
+
+impl Candidate {
+    /// Takes the room of one work item.
+    fn take(&mut self, step: &Step) {
+        self.room = self.room.minus(&step.reserved());
+        self.lasting += u32::from(step.long_running);
+        self.serving += u32::from(step.target_ms.is_some());
+        self.filling += u32::from(step.fills);
+    }
+}
+
 /// One round of placing in one pool.
 #[derive(Debug)]
 struct Round {
@@ -54,19 +78,14 @@
             by_pool.entry(queue.pool.clone()).or_default().push(self.urgency(now_us, job, queue.priority));
         }
         for (pool, mut jobs) in by_pool {
-            let mut workers: Vec<Arc<str>> = Vec::new();
-            for worker in self.workers.values() {
-                if worker.entry.pool == pool && worker.takes_work(now_us) {
-                    workers.push(worker.entry.id.clone());
-                }
-            }
+            let mut workers = self.candidates(now_us, &pool);
             if workers.is_empty() {
                 continue;
             }
             jobs.sort();
             let mut round = Round { left: MAX_PLACED_PER_ROUND, too_large: Vec::new() };
             for urgency in jobs {
-                self.place_job(now_us, &urgency.id, &workers, &mut round);
+                self.place_job(now_us, &urgency.id, &mut workers, &mut round);
                 if round.left == 0 {
                     self.wants_placement = true;
                     break;
@@ -80,7 +99,28 @@
         Urgency { priority_of_late: (!prospect.claims_hosts(), priority), prospect, id: job.id.clone() }
     }
 
-    fn place_job(&mut self, now_us: u64, id: &JobId, workers: &[Arc<str>], round: &mut Round) {
+    /// Workers of a pool that take work, with what matters for a choice.
+    fn candidates(&self, now_us: u64, pool: &str) -> Vec<Candidate> {
+        let mut candidates = Vec::new();
+        for worker in self.workers.values() {
+            if &*worker.entry.pool != pool || !worker.takes_work(now_us) {
+                continue;
+            }
+            candidates.push(Candidate {
+                id: worker.entry.id.clone(),
+                room: worker.room(),
+                labels: worker.entry.labels.clone(),
+                lasting: worker.lasting,
+                serving: worker.serving,
+                filling: worker.filling,
+                failure_tenths: (worker.failure_average() * 10.0) as u32,
+                is_allowed: true,
+            });
+        }
+        candidates
+    }
+
+    fn place_job(&mut self, now_us: u64, id: &JobId, workers: &mut Vec<Candidate>, round: &mut Round) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
         let needs_advice = self.queue_of(job).advice.is_some();
@@ -96,14 +136,19 @@
                 if waiting.is_empty() {
                     continue;
                 }
-                let allowed = match needs_advice {
-                    true => self.advised(now_us, id, number, index, workers),
-                    false => workers.to_vec(),
-                };
+                if needs_advice {
+                    let allowed = self.advised(now_us, id, number, index, workers);
+                    for worker in workers.iter_mut() {
+                        worker.is_allowed = allowed.contains(&worker.id);
+                    }
+                }
                 if step.gang {
-                    self.place_gang(now_us, &waiting, step, &allowed);
+                    self.place_gang(now_us, &waiting, step, workers);
                 } else {
-                    self.place_tasks(now_us, &waiting, step, &allowed, round);
+                    self.place_tasks(now_us, &waiting, step, workers, round);
+                }
+                if needs_advice {
+                    workers.iter_mut().for_each(|worker| worker.is_allowed = true);
                 }
                 if round.left == 0 {
                     return;
@@ -119,24 +164,33 @@
         self.wants_placement = wants_placement;
     }
 
-    fn place_tasks(&mut self, now_us: u64, waiting: &[TaskRef], step: &Step, workers: &[Arc<str>], round: &mut Round) {
+    fn place_tasks(
+        &mut self,
+        now_us: u64,
+        waiting: &[TaskRef],
+        step: &Step,
+        workers: &mut [Candidate],
+        round: &mut Round,
+    ) {
         let needs = step.reserved();
         if round.too_large.iter().any(|failed| failed.fits_in(&needs)) {
             return;
         }
         let mut placed = 0;
-        let mut per_worker = self.members_per_worker(&waiting[0]);
+        let mut members = self.members(&waiting[0], step);
         for at in waiting {
             if round.left == 0 {
                 break;
             }
-            let Some(worker) = self.choose(at, step, workers, &per_worker) else {
-                if step.has_no_wishes() {
+            let Some(index) = self.choose(at, step, workers, &members) else {
+                if step.has_no_wishes() && workers.iter().all(|worker| worker.is_allowed) {
                     round.too_large.push(needs);
                 }
                 break;
             };
-            *per_worker.entry(worker.clone()).or_default() += 1;
+            workers[index].take(step);
+            let worker = workers[index].id.clone();
+            *members.entry(worker.clone()).or_default() += 1;
             let run = self.jobs.get(&at.job).and_then(|job| job.task(at)).map_or(1, |task| task.run + 1);
             self.assign(now_us, at, &worker, run);
             round.left -= 1;
@@ -144,7 +198,10 @@
         }
         if placed > 0 {
             let at = &waiting[0];
-            log::info!(
+            // Partial placements are as many as there are ends in a full pool.
+            let level = if placed == waiting.len() { log::Level::Info } else { log::Level::Debug };
+            log::log!(
+                level,
                 "job={} step={}.{} placed={placed} waiting={} outcome=placed",
                 at.job,
                 at.occurrence,
@@ -155,53 +212,38 @@
     }
 
     /// Places all members of a gang, or none.
-    fn place_gang(&mut self, now_us: u64, waiting: &[TaskRef], step: &Step, workers: &[Arc<str>]) {
+    fn place_gang(&mut self, now_us: u64, waiting: &[TaskRef], step: &Step, workers: &mut Vec<Candidate>) {
         if waiting.len() < step.count as usize {
             return;
         }
-        let racks = self.racks(step, workers);
-        for workers in racks {
-            if self.try_gang(now_us, waiting, step, &workers) {
-                return;
+        for rack in racks(step, workers) {
+            let mut trial = workers.clone();
+            for worker in &mut trial {
+                worker.is_allowed &= rack.is_none() || worker.labels.last() == rack.as_ref();
             }
-        }
-    }
-
-    /// Sets of workers on which a gang may be placed, best first.
-    fn racks(&self, step: &Step, workers: &[Arc<str>]) -> Vec<Vec<Arc<str>>> {
-        let mut sets = Vec::new();
-        if step.same_rack {
-            let mut by_rack: BTreeMap<Option<Arc<str>>, Vec<Arc<str>>> = BTreeMap::new();
-            for id in workers {
-                let rack = self.workers.get(id).and_then(|worker| worker.rack().cloned());
-                by_rack.entry(rack).or_default().push(id.clone());
+            let Some(chosen) = self.choose_gang(waiting, step, &mut trial) else { continue };
+            self.assign_gang(now_us, waiting, &chosen);
+            for (worker, tried) in workers.iter_mut().zip(trial) {
+                *worker = Candidate { is_allowed: worker.is_allowed, ..tried };
             }
-            sets.extend(by_rack.into_values());
+            return;
         }
-        sets.push(workers.to_vec());
-        sets
     }
 
-    fn try_gang(&mut self, now_us: u64, waiting: &[TaskRef], step: &Step, workers: &[Arc<str>]) -> bool {
-        let mut per_worker = HashMap::new();
+    fn choose_gang(&self, waiting: &[TaskRef], step: &Step, workers: &mut [Candidate]) -> Option<Vec<Arc<str>>> {
+        let mut members = HashMap::new();
         let mut chosen = Vec::new();
-        let saved: Vec<(Arc<str>, Worker)> =
-            workers.iter().filter_map(|id| Some((id.clone(), self.workers.get(id)?.clone()))).collect();
         for at in waiting {
-            let Some(worker) = self.choose(at, step, workers, &per_worker) else { break };
-            *per_worker.entry(worker.clone()).or_default() += 1;
-            if let Some(state) = self.workers.get_mut(&worker) {
-                state.reserved.add(&step.reserved());
-            }
-            chosen.push(worker);
-        }
-        for (id, worker) in saved {
-            self.workers.insert(id, worker);
+            let index = self.choose(at, step, workers, &members)?;
+            workers[index].take(step);
+            *members.entry(workers[index].id.clone()).or_default() += 1;
+            chosen.push(workers[index].id.clone());
         }
-        if chosen.len() < waiting.len() {
-            return false;
-        }
-        let Some(job) = self.jobs.get(&waiting[0].job) else { return false };
+        Some(chosen)
+    }
+
+    fn assign_gang(&mut self, now_us: u64, waiting: &[TaskRef], chosen: &[Arc<str>]) {
+        let Some(job) = self.jobs.get(&waiting[0].job) else { return };
         let run = waiting.iter().filter_map(|at| job.task(at)).map(|task| task.run + 1).max().unwrap_or(1);
         // All members resume from the same point.
         let checkpoint = waiting.iter().filter_map(|at| job.task(at)).map(|task| task.checkpoint.clone());
@@ -210,14 +252,16 @@
             if let Some(task) = self.jobs.get_mut(&at.job).and_then(|job| job.task_mut(at)) {
                 task.checkpoint = checkpoint.clone();
             }
-            self.assign(now_us, at, &worker, run);
+            self.assign(now_us, at, worker, run);
         }
-        true
     }
 
-    /// How many work items of the same step and occurrence each worker has.
-    fn members_per_worker(&self, at: &TaskRef) -> HashMap<Arc<str>, u32> {
+    /// How many work items of the same step and occurrence each worker has, where that matters.
+    fn members(&self, at: &TaskRef, step: &Step) -> HashMap<Arc<str>, u32> {
         let mut counts = HashMap::new();
+        if step.max_per_worker.is_none() && !step.long_running {
+            return counts;
+        }
         let Some(job) = self.jobs.get(&at.job) else { return counts };
         let Some(occurrence) = job.occurrences.get(&at.occurrence) else { return counts };
         for task in &occurrence.steps[at.step as usize].tasks {
@@ -233,21 +277,20 @@
         &self,
         at: &TaskRef,
         step: &Step,
-        workers: &[Arc<str>],
-        per_worker: &HashMap<Arc<str>, u32>,
-    ) -> Option<Arc<str>> {
+        workers: &[Candidate],
+        members: &HashMap<Arc<str>, u32>,
+    ) -> Option<usize> {
         let task = self.jobs.get(&at.job)?.task(at)?;
         let reserved = step.reserved();
-        let mut best: Option<(Score, &Arc<str>)> = None;
-        for id in workers {
-            let Some(worker) = self.workers.get(id) else { continue };
-            if !reserved.fits_in(&worker.room()) {
+        let mut best: Option<(Score, usize)> = None;
+        for (index, worker) in workers.iter().enumerate() {
+            if !worker.is_allowed || !reserved.fits_in(&worker.room) {
                 continue;
             }
-            if step.required_label.as_ref().is_some_and(|label| !worker.entry.labels.contains(label)) {
+            if step.required_label.as_ref().is_some_and(|label| !worker.labels.contains(label)) {
                 continue;
             }
-            let members = per_worker.get(id).copied().unwrap_or(0);
+            let members = if members.is_empty() { 0 } else { members.get(&worker.id).copied().unwrap_or(0) };
             if step.max_per_worker.is_some_and(|most| members >= most) {
                 continue;
             }
@@ -255,12 +298,12 @@
             if (step.fills && worker.serving > 0) || (step.target_ms.is_some() && worker.filling > 0) {
                 continue;
             }
-            let score = score(worker, step, task.avoid.contains(id), members);
+            let score = score(worker, step, task.avoid.contains(&worker.id), members);
             if best.as_ref().is_none_or(|(known, _)| score < *known) {
-                best = Some((score, id));
+                best = Some((score, index));
             }
         }
-        best.map(|(_, id)| id.clone())
+        best.map(|(_, index)| index)
     }
 
     /// Places a work item; its order goes out once that is written.
@@ -277,7 +320,7 @@
     }
 
     /// Workers whose tickets for a step hold; asks for advice about others.
-    fn advised(&mut self, now_us: u64, id: &JobId, number: u32, step: usize, workers: &[Arc<str>]) -> Vec<Arc<str>> {
+    fn advised(&mut self, now_us: u64, id: &JobId, number: u32, step: usize, workers: &[Candidate]) -> Vec<Arc<str>> {
         let mut ask = Vec::new();
         let Some(job) = self.jobs.get_mut(id) else { return Vec::new() };
         let Some(occurrence) = job.occurrences.get_mut(&number) else { return Vec::new() };
@@ -285,11 +328,11 @@
         let advice = &mut occurrence.steps[step].advice;
         advice.tickets.retain(|(_, _, until_us)| *until_us > now_us + TICKET_MARGIN_MS * US_PER_MS);
         let allowed: Vec<Arc<str>> = advice.tickets.iter().map(|(worker, _, _)| worker.clone()).collect();
-        let has_room = |id: &Arc<str>| self.workers.get(id).is_some_and(|worker| needs.fits_in(&worker.room()));
-        let usable: Vec<Arc<str>> = allowed.into_iter().filter(|id| workers.contains(id)).collect();
-        if !usable.iter().any(has_room) && !advice.asking && now_us >= advice.ask_again_us {
-            for id in workers {
-                if !advice.refused.contains(id) && !usable.contains(id) && has_room(id) && ask.len() < MAX_ADVISED {
+        let with_room = workers.iter().filter(|worker| needs.fits_in(&worker.room)).map(|worker| &worker.id);
+        let has_allowed = with_room.clone().any(|id| allowed.contains(id));
+        if !has_allowed && !advice.asking && now_us >= advice.ask_again_us {
+            for id in with_room {
+                if !advice.refused.contains(id) && ask.len() < MAX_ADVISED {
                     ask.push(id.clone());
                 }
             }
@@ -303,7 +346,7 @@
                 workers: ask,
             });
         }
-        usable
+        allowed
     }
 
     /// Takes the advice service's answer, or the fact that there is none.
@@ -362,16 +405,28 @@
     room_left_milli: u64,
 }
 
-fn score(worker: &Worker, step: &Step, is_avoided: bool, members: u32) -> Score {
-    let is_far_from_data = step.data_rack.as_ref().is_some_and(|rack| worker.rack() != Some(rack));
+fn score(worker: &Candidate, step: &Step, is_avoided: bool, members: u32) -> Score {
     Score {
         is_avoided,
-        is_far_from_data,
+        is_far_from_data: step.data_rack.as_ref().is_some_and(|rack| worker.labels.last() != Some(rack)),
         members: if step.long_running { members } else { 0 },
         lasting: Reverse(if step.long_running { worker.lasting.min(1) } else { 0 }),
-        failure_tenths: (worker.failure_average() * 10.0) as u32,
-        room_left_milli: worker.room().cpu_milli.saturating_sub(step.reserved().cpu_milli),
+        failure_tenths: worker.failure_tenths,
+        room_left_milli: worker.room.cpu_milli.saturating_sub(step.reserved().cpu_milli),
+    }
+}
+
+/// Racks to which a gang may be confined, `None` for no confinement, best first.
+fn racks(step: &Step, workers: &[Candidate]) -> Vec<Option<Arc<str>>> {
+    let mut racks: Vec<Option<Arc<str>>> = Vec::new();
+    if step.same_rack {
+        let mut known: Vec<Arc<str>> = workers.iter().filter_map(|worker| worker.labels.last().cloned()).collect();
+        known.sort();
+        known.dedup();
+        racks.extend(known.into_iter().map(Some));
     }
+    racks.push(None);
+    racks
 }
 
 /// Work items of a step that wait, and whether others wait for a pause to end.
--- a/src/sched/record.rs
+++ b/src/sched/record.rs
@@ -64,6 +64,16 @@
     decode(bytes)
 }
 
+/// Encodes the final phase of a job whose submission is removed.
+pub(crate) fn encode_phase(phase: JobPhase) -> Vec<u8> {
+    encode(&phase)
+}
+
+/// Decodes the final phase of a job whose submission is removed.
+pub(crate) fn decode_phase(bytes: &[u8]) -> Result<JobPhase, BadRecord> {
+    decode(bytes)
+}
+
 /// Encodes the phases that callers are told from now on.
 pub(crate) fn encode_phases(phases: &[(JobId, JobPhase)]) -> Vec<u8> {
     encode(&phases)
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -68,6 +68,10 @@
     cancelled_early: HashSet<JobId>,
     dirty: BTreeSet<JobId>,
     intents: Vec<(TaskRef, u32)>,
+    /// Jobs that are over, with nothing left to run or stop.
+    over: Vec<(JobId, JobPhase)>,
+    /// Jobs whose submissions are gone; their records can go.
+    forgettable: Vec<JobId>,
     pub(super) duties: Duties,
     pub(super) waves: Waves,
     /// When this leader took over.
@@ -104,6 +108,8 @@
             cancelled_early: HashSet::new(),
             dirty: BTreeSet::new(),
             intents: Vec::new(),
+            over: Vec::new(),
+            forgettable: Vec::new(),
             lead_since_us: now_us,
             renewed_us: now_us,
             pending_told: Vec::new(),
@@ -166,6 +172,7 @@
         self.pending_moved = true;
         self.jobs.insert(id.clone(), job);
         self.after_restore(now_us, &id);
+        self.forget_work(&id);
         Ok(())
     }
 
@@ -237,7 +244,10 @@
 
     /// Whether there is something to write.
     pub(crate) fn wants_commit(&self, now_us: u64) -> bool {
-        !self.dirty.is_empty() || self.waves.has_changed() || self.pending_changed(now_us)
+        !self.dirty.is_empty()
+            || !self.forgettable.is_empty()
+            || self.waves.has_changed()
+            || self.pending_changed(now_us)
     }
 
     fn pending_changed(&self, now_us: u64) -> bool {
@@ -269,6 +279,9 @@
             }
         }
         let chosen: HashSet<JobId> = chosen.into_iter().collect();
+        let room = MAX_BATCH_JOBS - batch.records.len();
+        let forgotten = self.forgettable.len().min(room);
+        batch.forgotten = self.forgettable.drain(..forgotten).collect();
         let intents = std::mem::take(&mut self.intents);
         let (now, later) = intents.into_iter().partition(|(task, _)| chosen.contains(&task.job));
         batch.intents = now;
@@ -321,14 +334,39 @@
         }
     }
 
-    /// A job that needs no more work keeps only its phase.
+    /// A job that needs no more work keeps only its phase, and is put aside.
     fn forget_work(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        if job.phase.is_final() && !job.has_placed() {
+        if job.phase.is_final() && !job.is_over && !job.has_placed() {
             job.occurrences.clear();
+            job.is_over = true;
+            self.over.push((id.clone(), job.phase));
         }
     }
 
+    /// Takes the jobs that are over since the last call.
+    pub(crate) fn take_over(&mut self) -> Vec<(JobId, JobPhase)> {
+        std::mem::take(&mut self.over)
+    }
+
+    /// The submissions of these jobs could not be removed yet.
+    pub(crate) fn keep_over(&mut self, jobs: Vec<(JobId, JobPhase)>) {
+        self.over.extend(jobs);
+    }
+
+    /// The submissions of these jobs are removed: nothing reminds a later leader of them.
+    pub(crate) fn submissions_removed(&mut self, jobs: &[(JobId, JobPhase)]) {
+        for (id, _) in jobs {
+            self.jobs.remove(id);
+            self.forgettable.push(id.clone());
+        }
+    }
+
+    /// Records without a submission: a former leader did not come to remove them.
+    pub(crate) fn forget_records(&mut self, jobs: Vec<JobId>) {
+        self.forgettable.extend(jobs);
+    }
+
     fn order_start(&mut self, now_us: u64, task: &TaskRef, run: u32) {
         let Some(job) = self.jobs.get(&task.job) else { return };
         let Some(state) = job.task(task) else { return };
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -203,9 +203,4 @@
     pub(crate) fn failure_average(&self) -> f64 {
         self.failure_average
     }
-
-    pub(crate) fn rack(&self) -> Option<&Arc<str>> {
-        // The kind comes first, the rack last.
-        self.entry.labels.last()
-    }
 }
