Order as many moves as the provider takes

Cause: at most 40 moves under way let a turn of 2,300 cores wait for ten seconds on the grown sites. Change: moves are bound by four fifths of the provider's rate.

--- a/src/control.rs
+++ b/src/control.rs
@@ -103,6 +103,8 @@
     pub host_move_ms: u64,
     /// Time that a host is away for maintenance, in milliseconds.
     pub upkeep_ms: u64,
+    /// Orders about hosts that the provider takes in a second.
+    pub host_orders_per_s: u32,
     /// Time between a stop signal and the kill, in milliseconds.
     pub grace_ms: u64,
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -12,6 +12,9 @@
 /// Environment variable that holds the path of the settings file.
 const PATH_VARIABLE: &str = "SARDINESEAM_BOOT";
 
+/// Orders about hosts in a second, where the provider names no rate.
+const DEFAULT_HOST_ORDERS_PER_S: u64 = 16;
+
 /// Reads the settings file that the environment names.
 ///
 /// # Errors
@@ -48,6 +51,7 @@
         holder_change_ms: fields.number("bounds.leaseMs")?,
         host_move_ms: fields.seconds_as_ms("bounds.moveS")?,
         upkeep_ms: fields.seconds_as_ms("bounds.upkeepS")?,
+        host_orders_per_s: fields.number("cloudApi.dutyPerS").unwrap_or(DEFAULT_HOST_ORDERS_PER_S) as u32,
         grace_ms: fields.seconds_as_ms("bounds.graceS")?,
     })
 }
--- a/src/sched/duties.rs
+++ b/src/sched/duties.rs
@@ -12,7 +12,7 @@
 use super::model::{DutyEnd, HostPhase, HostRecord, JobId, Resources};
 use super::scheduler::Scheduler;
 use super::worker::Worker;
-use crate::clock::US_PER_MS;
+use crate::clock::{US_PER_MS, US_PER_S};
 
 /// Margin beyond the time that must pass between two holders' orders.
 const HOLDER_CHANGE_MARGIN_MS: u64 = 1_000;
@@ -32,8 +32,8 @@
 const SPARE_AFTER_MS: u64 = 3_000;
 /// A host without work may go to a pool that needs it after this time.
 const LEND_AFTER_MS: u64 = 150;
-/// Moves under way at once.
-const MAX_MOVING: usize = 40;
+/// Part of the provider's rate of orders that moves may use; the rest is for maintenance and repetitions.
+const MOVE_RATE_SHARE: f64 = 0.8;
 /// Longest time for which a host's work may end before it moves.
 const EMPTY_MS: u64 = 2_500;
 /// Time after which a move that brought no worker no longer counts as room on its way.
@@ -60,6 +60,9 @@
     /// When the provider's list was read last.
     pub(super) hosts_read_us: u64,
     decide_at_us: u64,
+    /// Moves that may be ordered in this second, and when the next one begins.
+    moves_left: u32,
+    next_second_us: u64,
     report_at_us: u64,
     moving: BTreeMap<Arc<str>, Move>,
     /// Hosts whose work may end before they move to a pool, and for how long.
@@ -85,6 +88,8 @@
             quiet_until_us: now_us + (holder_change_ms + HOLDER_CHANGE_MARGIN_MS) * US_PER_MS,
             hosts_read_us: 0,
             decide_at_us: 0,
+            moves_left: 0,
+            next_second_us: 0,
             report_at_us: 0,
             moving: BTreeMap::new(),
             emptying: BTreeMap::new(),
@@ -224,6 +229,10 @@
         if !self.may_order_hosts(now_us) {
             return;
         }
+        if now_us >= self.duties.next_second_us {
+            self.duties.next_second_us = now_us + US_PER_S;
+            self.duties.moves_left = (f64::from(self.settings.host_orders_per_s) * MOVE_RATE_SHARE) as u32;
+        }
         self.repeat_unanswered(now_us);
         self.move_emptied(now_us);
         self.fill_gaps(now_us, &balances);
@@ -408,7 +417,7 @@
         balances: &mut BTreeMap<Arc<str>, Balance>,
         taken: &mut BTreeSet<Arc<str>>,
     ) {
-        while gap > 0 && self.duties.moving.len() < MAX_MOVING {
+        while gap > 0 && self.duties.moves_left > 0 {
             let Some(donor) = self.donor(now_us, pool, firm, balances, taken) else { return };
             taken.insert(donor.host.clone());
             let capacity = self.hosts.get(&donor.host).map_or(0, |record| record.capacity.cpu_milli);
@@ -543,7 +552,7 @@
         let mut balances = balances.clone();
         let names: Vec<Arc<str>> = self.hosts.keys().cloned().collect();
         for name in names {
-            if self.duties.moving.len() >= MAX_MOVING {
+            if self.duties.moves_left == 0 {
                 return;
             }
             let host = &self.hosts[&name];
@@ -566,6 +575,7 @@
 
     fn order_move(&mut self, now_us: u64, host: &Arc<str>, pool: &Arc<str>) {
         self.cordon(host, true);
+        self.duties.moves_left = self.duties.moves_left.saturating_sub(1);
         let capacity = self.hosts.get(host).map(|record| record.capacity).unwrap_or_default();
         let counts_until_us = now_us + (self.settings.host_move_ms + ARRIVAL_MS) * US_PER_MS;
         let one = Move { pool: pool.clone(), capacity, counts_until_us, is_answered: false, again_us: None };
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -52,6 +52,8 @@
     pub(crate) holder_change_ms: u64,
     pub(crate) host_move_ms: u64,
     pub(crate) upkeep_ms: u64,
+    /// Orders about hosts that the provider takes in a second.
+    pub(crate) host_orders_per_s: u32,
 }
 
 /// See the module.
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -177,6 +177,7 @@
         holder_change_ms: 3_000,
         host_move_ms: 1_500,
         upkeep_ms: 2_000,
+        host_orders_per_s: 64,
     }
 }
 
