--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -38,8 +38,8 @@
 const WATCH_RETRY_MS: u64 = 100;
 /// Share of workers without an answer at which a leader steps down, after what time, and for how long it does not
 /// lead again.
-const CUT_OFF_SHARE: f64 = 0.5;
-const CUT_OFF_MS: u64 = 1_200;
+const CUT_OFF_SHARE: f64 = 0.6;
+const CUT_OFF_MS: u64 = 500;
 const CUT_OFF_PAUSE_MS: u64 = 6_000;
 /// Time between removals of submissions of jobs that are over.
 const REMOVE_MS: u64 = 600;
@@ -451,9 +451,9 @@
     if let Err(reason) = &answer {
         log::info!("job={job} step={step} error={reason} outcome=no_advice");
     }
-    let tickets = answer.as_ref().ok().map(|advice| (advice.tickets.as_slice(), advice.valid_ms));
+    let answer = answer.ok();
     let now_us = leader.now_us();
-    leader.scheduler.borrow_mut().advice_ended(now_us, (&job, occurrence, step), &workers, tickets);
+    leader.scheduler.borrow_mut().advice_ended(now_us, (&job, occurrence, step), &workers, answer.as_ref());
     leader.pump();
 }
 
@@ -533,7 +533,10 @@
 /// Repeats one batch until it is written; `false` if leadership is lost.
 async fn write_batch(leader: &Rc<Leader>, batch: &Batch) -> bool {
     let transaction = transaction(leader, batch);
-    while !leader.is_over.get() {
+    for attempts in 0_u64.. {
+        if leader.is_over.get() {
+            return false;
+        }
         let sent_us = leader.now_us();
         match leader.node.store.commit(&transaction).await {
             Ok(CommitEnd::Applied { version }) => {
@@ -548,7 +551,12 @@
                 leader.scheduler.borrow_mut().batch_written(leader.now_us(), sent_us, batch);
                 return true;
             }
-            Err(StoreError::AnswerLost(reason)) => log::warn!("error={reason} outcome=batch_unanswered"),
+            Err(StoreError::AnswerLost(reason)) => {
+                // One line for each batch: a store that resets connections does so many times a second.
+                let level = if attempts == 0 { log::Level::Warn } else { log::Level::Debug };
+                log::log!(level, "error={reason} outcome=batch_unanswered");
+                leader.node.sleep_ms(COMMIT_RETRY_MS).await;
+            }
             Err(error) => {
                 log::debug!("error={error} outcome=batch_not_written");
                 leader.node.sleep_ms(COMMIT_RETRY_MS).await;
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -42,6 +42,12 @@
         self.pending.get(queue).copied().unwrap_or(0)
     }
 
+    fn take_all(&mut self, rows: &[StoredRow]) {
+        for row in rows {
+            self.take(row);
+        }
+    }
+
     /// Takes what the leader wrote. A final phase stands.
     pub(super) fn take(&mut self, row: &StoredRow) {
         let Some(value) = &row.value else { return };
@@ -81,11 +87,7 @@
         match read {
             Ok(page) => {
                 node.store_answered();
-                let mut status = node.status.borrow_mut();
-                for row in &page.rows {
-                    status.take(row);
-                }
-                drop(status);
+                node.status.borrow_mut().take_all(&page.rows);
                 version = Some(page.version.max(version.unwrap_or(0)));
                 node.sleep_ms(PAUSE_MS).await;
             }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -11,6 +11,9 @@
 pub(crate) mod store;
 pub(crate) mod workers;
 
+#[cfg(test)]
+mod platform_tests;
+
 pub(crate) use call::Caller;
 
 use std::net::SocketAddr;
--- a/src/platform/advice.rs
+++ b/src/platform/advice.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::call::Caller;
+use crate::sched::model::Advice;
 
 /// The service answers one call at a time, so a call may wait for those before it.
 const CALL_TIMEOUT_MS: u64 = 4_000;
@@ -24,14 +25,6 @@
     valid_ms: Option<u64>,
 }
 
-/// Tickets for the workers that may run a step.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Advice {
-    /// Worker and its ticket.
-    pub(crate) tickets: Vec<(Arc<str>, Arc<str>)>,
-    pub(crate) valid_ms: Option<u64>,
-}
-
 /// See the module.
 #[derive(Clone)]
 pub(crate) struct AdviceClient {
--- /dev/null
+++ b/src/platform/platform_tests.rs
@@ -0,0 +1,195 @@
+//! What is read from the platform's wire, and what is refused.
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+
+use super::callers::{is_job_id, job_spec, BadJob};
+use super::settings::parse;
+use super::workers::{hold_answer, worker_entry};
+use super::{names, operator};
+use crate::sched::model::{EndKind, Queue};
+use crate::store::{RowKey, StoredRow};
+
+const SETTINGS: &str = r#"{
+    "node": "front-a-1", "zone": "a", "unknown": {"x": 1},
+    "listen": {"front": "10.1.0.9:8624", "readiness": "10.1.0.9:8622"},
+    "limits": {"cpuShare": 0.25},
+    "bounds": {"holdMaxMs": 10000, "stopGraceMs": 200, "leaseMs": 3000, "moveS": 1.5, "upkeepS": 2, "graceS": 6},
+    "orders": "call",
+    "platform": {"addr": "10.200.1.7:8621"},
+    "cloudApi": {"addr": "10.200.0.107:8621", "dutyPerS": 64.0}
+}"#;
+
+fn queue() -> Arc<Queue> {
+    let config = r#"{"version":7,"routes":[{"name":"r-1","host":"pule25.example","pathPrefix":"/puxa400/","kind":"unsafe",
+        "timeoutMs":3000,"targetLatencyMs":600,"priority":1,"service":"huvo11a","attempts":4,"stretch":1.6}],
+        "services":[{"name":"huvo11a","spare":false},{"name":"lohu93e","spare":true}]}"#;
+    operator::catalog(config.as_bytes()).expect("a configuration").queues[0].clone()
+}
+
+fn row(key: &str, value: &str) -> StoredRow {
+    StoredRow { at: RowKey::new("servers", "", key), version: 1, value: Some(value.as_bytes().to_vec()) }
+}
+
+#[test]
+fn settings_are_read_and_unknown_fields_ignored() {
+    let settings = parse(SETTINGS.as_bytes()).expect("settings");
+
+    assert_eq!(&*settings.daemon, "front-a-1");
+    assert_eq!((settings.host_move_ms, settings.upkeep_ms, settings.host_orders_per_s), (1_500, 2_000, 64));
+    assert!(!settings.orders_by_heartbeat);
+}
+
+#[test]
+fn a_bad_setting_is_named() {
+    let cases = [
+        ("\"zone\": \"a\",", "", "zone is missing"),
+        ("\"10.1.0.9:8622\"", "\"10.1.0.9\"", "listen.readiness must be IP:PORT"),
+        ("\"holdMaxMs\": 10000", "\"holdMaxMs\": \"long\"", "bounds.holdMaxMs must be a number"),
+        ("\"dutyPerS\": 64.0", "\"dutyPerS\": -1", "cloudApi.dutyPerS must be a number"),
+        ("\"orders\": \"call\"", "\"orders\": 3", "orders must be a text"),
+        ("\"platform\"", "\"platfor\"", "platform.addr is missing"),
+    ];
+
+    for (from, to, expected) in cases {
+        let error = parse(SETTINGS.replace(from, to).as_bytes()).expect_err(expected).to_string();
+        assert!(error.contains(expected), "{error}");
+    }
+    assert!(parse(b"{").expect_err("half a file").to_string().contains("must be JSON"));
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let config = r#"{"version":1,"routes":[
+        {"name":"short","host":"h.example","pathPrefix":"/a/","service":"s"},
+        {"name":"long","host":"h.example","pathPrefix":"/a/b/","service":"s"}]}"#;
+    let catalog = operator::catalog(config.as_bytes()).expect("a configuration");
+    let name = |host, path| catalog.queue_for(host, path).map(|queue| queue.name.to_string());
+
+    assert_eq!(name("h.example", "/a/b/x").as_deref(), Some("long"));
+    assert_eq!(name("H.example", "/a/x").as_deref(), Some("short"));
+    assert_eq!(name("other.example", "/a/x"), None);
+}
+
+#[test]
+fn a_job_is_read_with_all_its_wishes() {
+    let body = r#"{"spec":"s","steps":[{"count":2,"cpu":500,"memMb":256,"estimateMs":900,"dataRack":"r1-3"},
+        {"count":1,"after":[0],"checkpoint":true,"longRunning":true,"antiAffinity":1,"optional":1,"targetMs":40,
+         "requiredLabel":"b","image":"i"}]}"#;
+
+    let spec = job_spec(&queue(), body.as_bytes(), 5).expect("a job");
+
+    assert_eq!(spec.steps[0].data_rack.as_deref(), Some("r1-3"));
+    let last = &spec.steps[1];
+    assert_eq!((last.after.as_slice(), last.max_per_worker, last.max_away), ([0].as_slice(), Some(1), Some(1)));
+    assert!(last.checkpoints && last.long_running && last.target_ms == Some(40));
+}
+
+#[test]
+fn bad_jobs_are_refused_with_the_place() {
+    let refused = |body: &str| job_spec(&queue(), body.as_bytes(), 0).expect_err("a bad job");
+
+    assert!(matches!(refused("{"), BadJob::Syntax(_)));
+    assert_eq!(refused(r#"{"steps":[]}"#), BadJob::Empty);
+    assert_eq!(refused(r#"{"steps":[{"count":1,"after":[0]}]}"#), BadJob::AfterLater(0));
+    assert_eq!(refused(r#"{"steps":[{"count":4000000000},{"count":4000000000}]}"#), BadJob::TooLarge);
+    let long = format!(r#"{{"spec":"{}","steps":[{{"count":1}}]}}"#, "x".repeat(4_001));
+    assert_eq!(refused(&long), BadJob::SpecTooLong);
+    assert!(is_job_id("5c0e7a21d94b36f8") && !is_job_id("5c0e7a21d94b36f") && !is_job_id("5c0e7a21d94b36fx"));
+}
+
+#[test]
+fn entries_of_other_writers_name_no_worker() {
+    let good = r#"{"service":"huvo11a","addr":"10.128.0.9:8080","zone":"hall-a","state":"ready","born":7,
+        "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"machine":"m-1","seq":4}"#;
+    assert_eq!(worker_entry(&row("i-1", good)).map(|entry| entry.born_unix_ms), Some(7));
+
+    let cases = [
+        "no json".to_owned(),
+        good.replace("\"addr\":\"10.128.0.9:8080\"", "\"addr\":3"),
+        good.replace("\"state\":\"ready\"", "\"state\":\"sleeping\""),
+        good.replace("\"zone\":\"hall-a\",", ""),
+        good.replace("16000", "\"many\""),
+    ];
+    for value in cases {
+        assert_eq!(worker_entry(&row("i-1", &value)), None, "{value}");
+    }
+}
+
+#[test]
+fn lists_of_runs_are_read() {
+    let body = r#"{"clockMs":482113,"born":9,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41],
+        ["5c0e7a21d94b36f8.0.1.18",1,"",100,37]],"endedRuns":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]}"#;
+
+    let answer = hold_answer(body.as_bytes()).expect("lists");
+
+    assert_eq!((answer.clock_ms, answer.born_unix_ms), (482_113, Some(9)));
+    assert_eq!((answer.running[0].percent, answer.running[0].load, answer.running[1].load), (41, None, Some(37)));
+    assert_eq!((answer.ended[0].number, answer.ended[0].kind), (58, EndKind::Done));
+    assert!(hold_answer(body.replace("done", "vanished").as_bytes()).is_err());
+}
+
+#[test]
+fn no_other_module_knows_the_platforms_names() {
+    const NAMES: [&str; 14] = [
+        "rows-tx",
+        "rows-get",
+        "rows-feed",
+        "expectedRev",
+        "run-start",
+        "run-stop",
+        "endedRuns",
+        "ackCursor",
+        "enforcesCapacity",
+        "SARDINESEAM_BOOT",
+        "machine-move",
+        "machine-upkeep",
+        "lastCheckpoint",
+        "cloudApi",
+    ];
+    let mut folders = vec![std::path::PathBuf::from("src")];
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(&folder).expect("a folder") {
+            let path = entry.expect("an entry").path();
+            if path.is_dir() {
+                if path != std::path::Path::new("src/platform") {
+                    folders.push(path);
+                }
+                continue;
+            }
+            let text = std::fs::read_to_string(&path).expect("a source file");
+            // A setting of our own.
+            let text = text.replace("SARDINESEAM_BOOTSTRAP_TOKEN", "");
+            for name in NAMES {
+                assert!(!text.contains(name), "{} says {name}", path.display());
+            }
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+
+        let _ = hold_answer(&bytes);
+        let _ = job_spec(&queue(), &bytes, 0);
+        let _ = operator::catalog(&bytes);
+        let _ = operator::wave(&bytes);
+        let _ = parse(&bytes);
+        let _ = worker_entry(&row("i-1", &text));
+        let _ = crate::sched::record::decode_spec(&bytes);
+        let _ = crate::sched::record::decode_phases(&bytes);
+        let _ = crate::sched::record::decode_begun(&bytes);
+    }
+
+    #[test]
+    fn names_of_work_items_come_back(job in "[0-9a-f]{16}", occurrence: u32, step: u32, index: u32) {
+        let name = format!("{job}.{occurrence}.{step}.{index}");
+
+        let task = names::parse_task(&name).expect("a name");
+
+        prop_assert_eq!(names::task_name(&task), name);
+    }
+}
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -51,7 +51,7 @@
         holder_change_ms: fields.number("bounds.leaseMs")?,
         host_move_ms: fields.seconds_as_ms("bounds.moveS")?,
         upkeep_ms: fields.seconds_as_ms("bounds.upkeepS")?,
-        host_orders_per_s: fields.number("cloudApi.dutyPerS").unwrap_or(DEFAULT_HOST_ORDERS_PER_S) as u32,
+        host_orders_per_s: fields.number_or("cloudApi.dutyPerS", DEFAULT_HOST_ORDERS_PER_S)? as u32,
         grace_ms: fields.seconds_as_ms("bounds.graceS")?,
     })
 }
@@ -102,6 +102,13 @@
         self.ratio(path).map(|number| number as u64)
     }
 
+    fn number_or(&self, path: &str, default: u64) -> Result<u64> {
+        if self.find(path).is_none() {
+            return Ok(default);
+        }
+        self.number(path)
+    }
+
     fn seconds_as_ms(&self, path: &str) -> Result<u64> {
         self.ratio(path).map(|seconds| (seconds * 1_000.0) as u64)
     }
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -17,7 +17,7 @@
 use crate::store::StoredRow;
 
 /// Time after which an order counts as unanswered.
-const ORDER_TIMEOUT_MS: u64 = 800;
+const ORDER_TIMEOUT_MS: u64 = 600;
 /// Header that names the life of the worker that an order is for.
 const EXPECT_WORKER: &str = "x-expect-instance";
 
--- a/src/sched/duties.rs
+++ b/src/sched/duties.rs
@@ -16,6 +16,8 @@
 
 /// Margin beyond the time that must pass between two holders' orders.
 const HOLDER_CHANGE_MARGIN_MS: u64 = 1_000;
+/// Fewer workers say nothing about being cut off.
+const MIN_KNOWN: f64 = 4.0;
 /// Time between two reports of the pools.
 const REPORT_MS: u64 = 1_000;
 /// Time between two decisions.
@@ -130,7 +132,7 @@
     }
 
     /// Processor that a pool's present arrivals keep busy, in thousandths of a core.
-    fn arriving_work(&mut self, now_us: u64, pool: &str) -> u64 {
+    pub(super) fn arriving_work(&mut self, now_us: u64, pool: &str) -> u64 {
         let Some(recent) = self.arrivals.get_mut(pool) else { return 0 };
         while recent.front().is_some_and(|(at_us, _)| now_us > at_us + ARRIVALS_MS * US_PER_MS) {
             recent.pop_front();
@@ -328,18 +330,20 @@
         self.duties.silent_zones = counts.into_iter().filter(mostly_silent).map(|(zone, _)| zone).collect();
     }
 
-    /// Share of the registered workers that do not answer.
+    /// Share of the workers that do not answer.
     pub(crate) fn silent_share(&self) -> f64 {
-        let listed = self.workers.values().filter(|worker| worker.is_listed);
-        let (mut silent, mut all) = (0.0, 0.0);
-        for worker in listed {
+        let (mut silent, mut known) = (0.0, 0.0);
+        for worker in self.workers.values() {
+            if !worker.is_listed || !(worker.is_silent || worker.is_synced) {
+                continue;
+            }
             silent += f64::from(u8::from(worker.is_silent));
-            all += 1.0;
+            known += 1.0;
         }
-        if all == 0.0 {
+        if known < MIN_KNOWN {
             0.0
         } else {
-            silent / all
+            silent / known
         }
     }
 
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -323,3 +323,12 @@
     /// It may have been done.
     Unanswered,
 }
+
+/// Tickets for the workers that may run a step.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Advice {
+    /// Worker and its ticket.
+    pub(crate) tickets: Vec<(Arc<str>, Arc<str>)>,
+    /// How long they hold; the queue's rule if the service does not say.
+    pub(crate) valid_ms: Option<u64>,
+}
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -6,7 +6,7 @@
 
 use super::action::Action;
 use super::job::{Job, Prospect, RunPhase, TaskState};
-use super::model::{JobId, Resources, Step, TaskRef};
+use super::model::{Advice, JobId, Resources, Step, TaskRef};
 use super::scheduler::Scheduler;
 use super::worker::Worker;
 use crate::clock::US_PER_MS;
@@ -19,6 +19,10 @@
 const TICKET_MARGIN_MS: u64 = 150;
 /// Least time between two rounds, in which ends and arrivals gather.
 const ROUND_GAP_MS: u64 = 8;
+/// A longer list of jobs is gone through less often.
+const READY_JOBS_PER_MS: u64 = 16;
+/// Jobs in a row for which there was no room, after which a round ends.
+const MAX_WITHOUT_ROOM: u32 = 48;
 /// Work items that one round places at most, so that a round stays short.
 const MAX_PLACED_PER_ROUND: usize = 400;
 
@@ -63,6 +67,19 @@
     too_large: Vec<Resources>,
 }
 
+impl Round {
+    /// Whether some worker may have room for these needs.
+    fn may_fit(&self, needs: &Resources) -> bool {
+        !self.too_large.iter().any(|failed| failed.fits_in(needs))
+    }
+
+    /// Notes that no worker has room for these needs.
+    fn note_too_large(&mut self, needs: Resources) {
+        self.too_large.retain(|known| !needs.fits_in(known));
+        self.too_large.push(needs);
+    }
+}
+
 impl Scheduler {
     /// Places what can start now.
     pub(super) fn place(&mut self, now_us: u64) {
@@ -70,7 +87,8 @@
             return;
         }
         self.wants_placement = false;
-        self.place_at_us = now_us + ROUND_GAP_MS * US_PER_MS;
+        let gap_ms = ROUND_GAP_MS + self.ready.len() as u64 / READY_JOBS_PER_MS;
+        self.place_at_us = now_us + gap_ms * US_PER_MS;
         let mut by_pool: BTreeMap<Arc<str>, Vec<Urgency>> = BTreeMap::new();
         for id in &self.ready {
             let Some(job) = self.jobs.get(id) else { continue };
@@ -84,8 +102,14 @@
             }
             jobs.sort();
             let mut round = Round { left: MAX_PLACED_PER_ROUND, too_large: Vec::new() };
+            let mut without_room = 0;
             for urgency in jobs {
+                let left = round.left;
                 self.place_job(now_us, &urgency.id, &mut workers, &mut round);
+                without_room = if round.left < left { 0 } else { without_room + 1 };
+                if without_room >= MAX_WITHOUT_ROOM {
+                    break;
+                }
                 if round.left == 0 {
                     self.wants_placement = true;
                     break;
@@ -120,7 +144,7 @@
         candidates
     }
 
-    fn place_job(&mut self, now_us: u64, id: &JobId, workers: &mut Vec<Candidate>, round: &mut Round) {
+    fn place_job(&mut self, now_us: u64, id: &JobId, workers: &mut [Candidate], round: &mut Round) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
         let needs_advice = self.queue_of(job).advice.is_some();
@@ -128,7 +152,7 @@
         for number in numbers {
             for (index, step) in spec.steps.iter().enumerate() {
                 let Some(job) = self.jobs.get(id) else { return };
-                if !job.is_step_open(number, index) {
+                if !job.is_step_open(number, index) || (!step.gang && !round.may_fit(&step.reserved())) {
                     continue;
                 }
                 let (waiting, has_paused) = waiting_tasks(job, number, index, now_us);
@@ -173,9 +197,6 @@
         round: &mut Round,
     ) {
         let needs = step.reserved();
-        if round.too_large.iter().any(|failed| failed.fits_in(&needs)) {
-            return;
-        }
         let mut placed = 0;
         let mut members = self.members(&waiting[0], step);
         for at in waiting {
@@ -184,7 +205,7 @@
             }
             let Some(index) = self.choose(at, step, workers, &members) else {
                 if step.has_no_wishes() && workers.iter().all(|worker| worker.is_allowed) {
-                    round.too_large.push(needs);
+                    round.note_too_large(needs);
                 }
                 break;
             };
@@ -212,12 +233,12 @@
     }
 
     /// Places all members of a gang, or none.
-    fn place_gang(&mut self, now_us: u64, waiting: &[TaskRef], step: &Step, workers: &mut Vec<Candidate>) {
+    fn place_gang(&mut self, now_us: u64, waiting: &[TaskRef], step: &Step, workers: &mut [Candidate]) {
         if waiting.len() < step.count as usize {
             return;
         }
         for rack in racks(step, workers) {
-            let mut trial = workers.clone();
+            let mut trial = workers.to_vec();
             for worker in &mut trial {
                 worker.is_allowed &= rack.is_none() || worker.labels.last() == rack.as_ref();
             }
@@ -355,7 +376,7 @@
         now_us: u64,
         step: (&JobId, u32, u32),
         asked: &[Arc<str>],
-        tickets: Option<(&[(Arc<str>, Arc<str>)], Option<u64>)>,
+        answer: Option<&Advice>,
     ) {
         let (id, number, step) = step;
         let valid_ms = self.jobs.get(id).and_then(|job| self.queue_of(job).advice).map_or(0, |advice| advice.valid_ms);
@@ -363,10 +384,10 @@
         let advice = &mut occurrence.steps[step as usize].advice;
         advice.asking = false;
         advice.ask_again_us = now_us + ADVICE_PAUSE_MS * US_PER_MS;
-        let Some((tickets, told_valid_ms)) = tickets else { return };
-        let until_us = now_us + told_valid_ms.unwrap_or(valid_ms) * US_PER_MS;
+        let Some(answer) = answer else { return };
+        let until_us = now_us + answer.valid_ms.unwrap_or(valid_ms) * US_PER_MS;
         for worker in asked {
-            match tickets.iter().find(|(id, _)| id == worker) {
+            match answer.tickets.iter().find(|(id, _)| id == worker) {
                 Some((_, ticket)) => advice.tickets.push((worker.clone(), ticket.clone(), until_us)),
                 None => advice.refused.push(worker.clone()),
             }
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -16,6 +16,8 @@
 const NO_ROOM_PAUSE_MS: u64 = 200;
 /// No new work for a worker that could not be reached.
 const UNREACHABLE_PAUSE_MS: u64 = 500;
+/// After a worker fell silent, workers without work are asked more often for this time.
+const ALARM_MS: u64 = 3_000;
 /// A worker that has answered something in this time is there.
 const LATELY_MS: u64 = 700;
 /// No new work for a worker that refuses as unhealthy.
@@ -185,6 +187,10 @@
     pub(crate) fn worker_silent(&mut self, now_us: u64, id: &Arc<str>, end: &OrderEnd) {
         self.judge_refusal(now_us, id, end);
         let Some(worker) = self.workers.get_mut(id) else { return };
+        if !worker.is_silent {
+            // Others may be behind the same cut: they are asked soon, too.
+            self.alarm_until_us = now_us + ALARM_MS * US_PER_MS;
+        }
         worker.is_silent = true;
         worker.block(now_us, UNREACHABLE_PAUSE_MS);
         log::debug!("worker={id} end={end:?} outcome=hold_failed");
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -24,6 +24,8 @@
 const HOLD_PAUSE_MS: u64 = 60;
 /// Pause between looks at a worker without work, which only keep its clock known.
 const IDLE_HOLD_PAUSE_MS: u64 = 6_000;
+/// The same after another worker fell silent.
+const ALARM_HOLD_PAUSE_MS: u64 = 900;
 /// Pause after a look that failed.
 const HOLD_RETRY_MS: u64 = 250;
 /// Part of the longest lease that a leader gives beyond its last confirmed renewal of leadership.
@@ -91,6 +93,7 @@
     /// Worker on each host.
     pub(super) on_host: HashMap<Arc<str>, Arc<str>>,
     pub(super) place_at_us: u64,
+    pub(super) alarm_until_us: u64,
     /// Something happened that may let work start.
     pub(super) wants_placement: bool,
 }
@@ -122,6 +125,7 @@
             next_orphans_us: 0,
             on_host: HashMap::new(),
             place_at_us: 0,
+            alarm_until_us: 0,
             wants_placement: true,
         }
     }
@@ -547,6 +551,14 @@
             self.workers.remove(id);
             return HoldPlan::Close;
         }
+        let mut hold_at_us = worker.next_hold_us;
+        if now_us < self.alarm_until_us && !worker.is_silent {
+            hold_at_us = hold_at_us.min(worker.last_answer_us + ALARM_HOLD_PAUSE_MS * US_PER_MS);
+        }
+        if now_us < hold_at_us && worker.is_synced {
+            // An alarm may bring the time forward.
+            return HoldPlan::WaitUntil { at_us: hold_at_us.min(now_us + ALARM_HOLD_PAUSE_MS * US_PER_MS) };
+        }
         if now_us < worker.next_hold_us {
             return HoldPlan::WaitUntil { at_us: worker.next_hold_us };
         }
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -173,3 +173,28 @@
     assert_eq!(job.prospect(9 * SECOND_US), Prospect::Worthless { deadline_us: 3 * SECOND_US });
     assert!(!job.prospect(3 * SECOND_US).claims_hosts());
 }
+
+#[test]
+fn arrivals_call_for_hosts_before_work_waits() {
+    let mut duties = super::duties::Duties::new(0, 3_000);
+    let mut job = Job::new("job".into(), Arc::new(spec(two_steps())));
+    job.begin_occurrence(0);
+
+    for number in 0..6 {
+        duties.note_arrival(SECOND_US + number * 100_000, &"press".into(), &job);
+    }
+
+    // Seven work items of 2 cores and 0.5 s each, ten jobs a second.
+    assert_eq!(duties.arriving_work(SECOND_US + 550_000, "press"), 70_000);
+    assert_eq!(duties.arriving_work(9 * SECOND_US, "press"), 0);
+}
+
+#[test]
+fn a_failed_work_item_starts_again_although_nothing_else_happens() {
+    let mut sim = Sim::new(3, 1, Faults { run_fails: 1.0, ..Faults::default() });
+    sim.submit("job", spec(vec![step(1, &[])]));
+
+    sim.play(4_000);
+
+    assert_eq!((phase(&sim, "job"), sim.starts), (Some(JobPhase::Failed), 3));
+}
