--- a/src/bin/sardineseamd/args.rs
+++ b/src/bin/sardineseamd/args.rs
@@ -8,6 +8,8 @@
     cmd sardineseamd {
         /// Run jobs on the users' platform; all settings come from the file that it places on the machine.
         optional --control
+        /// Port of the metrics with --control, on the address for callers. Default: none
+        optional --metrics-port port: String
         /// Unique name of this daemon. Default: zone and peer address.
         optional --name name: String
         /// Availability zone of this daemon. Default: local
--- a/src/bin/sardineseamd/config.rs
+++ b/src/bin/sardineseamd/config.rs
@@ -87,6 +87,19 @@
     })
 }
 
+/// The port of the metrics in the control role, if there is to be one.
+///
+/// # Errors
+/// Names the flag if its value is no port.
+pub(crate) fn metrics_port(value: Option<String>) -> Result<Option<u16>> {
+    let Some(value) = value else { return Ok(None) };
+    let fix = "must be a port from 1 to 65535".to_owned();
+    match value.parse() {
+        Ok(0) | Err(_) => Err(Error::Setting { name: "metrics-port", value, fix }),
+        Ok(port) => Ok(Some(port)),
+    }
+}
+
 /// Names become parts of row keys and header values.
 fn check_name(name: &'static str, value: &str) -> Result<()> {
     let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:[]".contains(c);
--- a/src/bin/sardineseamd/main.rs
+++ b/src/bin/sardineseamd/main.rs
@@ -5,7 +5,9 @@
 
 use std::process::ExitCode;
 
-use sardineseam::{load_deployment_settings, run, run_control, start_logging, BoundDaemon, LogFormat, Result};
+use sardineseam::{
+    load_deployment_settings, run, run_control, start_bounded_logging, start_logging, BoundDaemon, LogFormat, Result,
+};
 
 use args::Sardineseamd;
 
@@ -39,8 +41,9 @@
 
 fn serve(args: Sardineseamd) -> Result<()> {
     if args.control {
-        start_logging(LogFormat::Json)?;
-        return run_control(load_deployment_settings()?);
+        let metrics_port = config::metrics_port(args.metrics_port)?;
+        start_bounded_logging(LogFormat::Json)?;
+        return run_control(load_deployment_settings()?, metrics_port);
     }
     let settings = config::settings(args, &|name| std::env::var(name).ok())?;
     start_logging(settings.log_format)?;
--- a/src/control.rs
+++ b/src/control.rs
@@ -43,6 +43,7 @@
 use crate::platform::Caller;
 use crate::reactor::{self, sleep_until, spawn, Listener, Reactor};
 use crate::sched::model::Catalog;
+use crate::telemetry;
 use boot_clock::BootClock;
 use intake::Intake;
 use status::StatusView;
@@ -157,7 +158,9 @@
 ///
 /// # Errors
 /// Fails if an address is taken or the event loop cannot start.
-pub fn run(settings: ControlSettings) -> Result<()> {
+pub fn run(settings: ControlSettings, metrics_port: Option<u16>) -> Result<()> {
+    // Installed before anything is counted.
+    let metrics = telemetry::metrics_handle();
     if settings.orders_by_heartbeat {
         let fix = "heartbeat is not supported; must be call".to_owned();
         return Err(Error::DeploymentSetting { field: "orders".to_owned(), fix });
@@ -166,6 +169,10 @@
     let mut reactor = Reactor::new().map_err(Error::io("start the event loop"))?;
     let callers = bind(settings.callers_listen)?;
     let readiness = bind(settings.readiness_listen)?;
+    let metrics_listener = match metrics_port {
+        Some(port) => Some(bind(SocketAddr::new(settings.callers_listen.ip(), port))?),
+        None => None,
+    };
     let caller = Rc::new(Caller::new());
     let clock = BootClock::new();
     let node = Rc::new(Node {
@@ -191,13 +198,18 @@
     };
     spawn(serve(callers, limits, node.front_control.clone(), front::handler(&node)));
     spawn(serve(readiness, limits, Rc::default(), front::readiness_handler(&node)));
+    if let Some(listener) = metrics_listener {
+        spawn(serve(listener, limits, Rc::default(), front::metrics_handler(metrics)));
+    }
     spawn(watch::follow_operator(node.clone()));
     spawn(status::follow(node.clone()));
     spawn(election::take_part(node.clone()));
     spawn(sweep(node.clone()));
     spawn(stop_on_signal(node.clone(), signals));
     intake::start(&node);
-    reactor.run().map_err(Error::io("run the event loop"))
+    let ended = reactor.run().map_err(Error::io("run the event loop"));
+    telemetry::flush_logs();
+    ended
 }
 
 fn bind(address: SocketAddr) -> Result<Listener> {
--- a/src/control/front.rs
+++ b/src/control/front.rs
@@ -8,10 +8,11 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use metrics_exporter_prometheus::PrometheusHandle;
 
 use super::intake::{self, Stored};
 use super::{job_partition, Node, JOB_TABLE, OVER_TABLE};
-use crate::clock::US_PER_MS;
+use crate::clock::{US_PER_MS, US_PER_S};
 use crate::held_body::{collect, ByteBudget};
 use crate::http_server::{Body, Handler};
 use crate::platform::callers::{is_job_id, job_spec, pending_body, phase_body, DEADLINE_MS};
@@ -38,6 +39,14 @@
     })
 }
 
+/// Shows the process's metrics.
+pub(super) fn metrics_handler(metrics: PrometheusHandle) -> Handler {
+    Rc::new(move |_| {
+        let text = metrics.render();
+        Box::pin(async move { Response::new(Full::new(text.into())) })
+    })
+}
+
 /// Answers callers' requests.
 pub(super) fn handler(node: &Rc<Node>) -> Handler {
     let node = node.clone();
@@ -103,8 +112,11 @@
     if node.status.borrow().phase(&id).is_some() {
         return json(StatusCode::OK, "{}".to_owned());
     }
+    let began_us = node.now_us();
     let stored = node.intake.submit(id.clone(), encode_spec(&spec), deadline_us).await;
     log::info!("job={id} queue={} stored={stored:?} outcome=submitted", queue.name);
+    metrics::counter!("submissions_total", "stored" => stored.name()).increment(1);
+    metrics::histogram!("submission_seconds").record((node.now_us() - began_us) as f64 / US_PER_S as f64);
     match stored {
         Stored::Yes => json(StatusCode::OK, "{}".to_owned()),
         Stored::No => unavailable("the store does not take the job now"),
--- a/src/control/intake.rs
+++ b/src/control/intake.rs
@@ -30,6 +30,17 @@
     Unknown,
 }
 
+impl Stored {
+    /// Name in metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Stored::Yes => "yes",
+            Stored::No => "no",
+            Stored::Unknown => "unknown",
+        }
+    }
+}
+
 struct Submission {
     id: JobId,
     value: Vec<u8>,
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -11,7 +11,7 @@
     intake, sessions, Node, CANCEL_SUFFIX, JOB_TABLE, LEADER_PARTITION, PENDING_KEY, PHASE_TABLE, RECORD_TABLE,
     WAVE_TABLE,
 };
-use crate::clock::US_PER_MS;
+use crate::clock::{US_PER_MS, US_PER_S};
 use crate::platform::advice::AdviceClient;
 use crate::platform::hosts::HostClient;
 use crate::platform::workers::{worker_entry, WorkerClient};
@@ -74,6 +74,7 @@
 /// Leads until another daemon takes over or this one stops.
 pub(super) async fn lead(node: &Rc<Node>, claim: Claim) {
     log::info!("daemon={} token={} outcome=leading", node.settings.daemon, claim.token);
+    metrics::counter!("leaderships_total").increment(1);
     let Some(catalog) = node.catalog.borrow().clone() else {
         // Without a configuration nothing can be placed; the claim is found again at the next look.
         log::warn!("daemon={} outcome=leading_without_configuration", node.settings.daemon);
@@ -463,6 +464,7 @@
         _ => DutyEnd::NotDone,
     };
     log::info!("host={host} pool={pool} end={end:?} outcome=move_ended");
+    metrics::counter!("host_orders_total", "kind" => "move", "done" => (end == DutyEnd::Done).to_string()).increment(1);
     leader.scheduler.borrow_mut().move_ended(leader.now_us(), &host, &pool, end);
     leader.pump();
 }
@@ -473,6 +475,8 @@
         _ => DutyEnd::NotDone,
     };
     log::info!("host={host} wave={wave} end={end:?} outcome=maintenance_ended");
+    metrics::counter!("host_orders_total", "kind" => "maintain", "done" => (end == DutyEnd::Done).to_string())
+        .increment(1);
     leader.scheduler.borrow_mut().maintenance_ended(leader.now_us(), &host, wave, end);
     leader.pump();
 }
@@ -540,6 +544,8 @@
         let sent_us = leader.now_us();
         match leader.node.store.commit(&transaction).await {
             Ok(CommitEnd::Applied { version }) => {
+                let taken_us = leader.now_us() - sent_us;
+                metrics::histogram!("leader_commit_seconds").record(taken_us as f64 / US_PER_S as f64);
                 leader.sequence.set(version);
                 leader.scheduler.borrow_mut().batch_written(leader.now_us(), sent_us, batch);
                 return true;
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -94,6 +94,7 @@
         return;
     }
     let now_us = leader.now_us();
+    metrics::counter!("worker_orders_total", "kind" => kind(&order), "end" => end_name(&end)).increment(1);
     {
         let mut scheduler = leader.scheduler.borrow_mut();
         match &order {
@@ -108,3 +109,21 @@
     leader.wake_session(worker);
     leader.pump();
 }
+
+fn kind(order: &Action) -> &'static str {
+    match order {
+        Action::Start(_) => "start",
+        Action::Stop { .. } => "stop",
+        Action::Pace { .. } => "pace",
+        _ => "other",
+    }
+}
+
+fn end_name(end: &OrderEnd) -> &'static str {
+    match end {
+        OrderEnd::Accepted { .. } => "accepted",
+        OrderEnd::Refused(_) => "refused",
+        OrderEnd::NotSent => "not_sent",
+        OrderEnd::Unanswered => "unanswered",
+    }
+}
