--- a/src/control/intake.rs
+++ b/src/control/intake.rs
@@ -139,13 +139,15 @@
             return left;
         }
         Err(StoreError::AnswerLost(reason)) => {
-            log::warn!("partition={partition} jobs={} error={reason} outcome=submission_unanswered", group.len());
             for submission in &mut group {
+                log::warn!("job={} error={reason} outcome=submission_unanswered", submission.id);
                 submission.may_be_stored = true;
             }
         }
         Err(error) => {
-            log::debug!("partition={partition} jobs={} error={error} outcome=submission_not_stored", group.len());
+            for submission in &group {
+                log::info!("job={} error={error} outcome=submission_not_stored", submission.id);
+            }
         }
     }
     let retry_at_us = node.now_us() + RETRY_MS * US_PER_MS;
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -197,7 +197,7 @@
         round: &mut Round,
     ) {
         let needs = step.reserved();
-        let mut placed = 0;
+        let mut chosen: Vec<Arc<str>> = Vec::new();
         let mut members = self.members(&waiting[0], step);
         for at in waiting {
             if round.left == 0 {
@@ -215,19 +215,17 @@
             let run = self.jobs.get(&at.job).and_then(|job| job.task(at)).map_or(1, |task| task.run + 1);
             self.assign(now_us, at, &worker, run);
             round.left -= 1;
-            placed += 1;
+            chosen.push(worker);
         }
-        if placed > 0 {
-            let at = &waiting[0];
-            // Partial placements are as many as there are ends in a full pool.
-            let level = if placed == waiting.len() { log::Level::Info } else { log::Level::Debug };
-            log::log!(
-                level,
-                "job={} step={}.{} placed={placed} waiting={} outcome=placed",
+        if let Some(at) = waiting.first().filter(|_| !chosen.is_empty()) {
+            log::info!(
+                "job={} step={}.{} placed={} waiting={} workers={} outcome=placed",
                 at.job,
                 at.occurrence,
                 at.step,
-                waiting.len() - placed
+                chosen.len(),
+                waiting.len() - chosen.len(),
+                chosen.join(",")
             );
         }
     }
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -350,10 +350,18 @@
     pub(super) fn lose_all(&mut self, now_us: u64, id: &Arc<str>) {
         let Some(worker) = self.workers.get(id) else { return };
         let lost: Vec<TaskRef> = worker.tasks.iter().cloned().collect();
+        let silent_ms = now_us.saturating_sub(worker.last_answer_us) / US_PER_MS;
         if !lost.is_empty() {
             log::warn!("worker={id} tasks={} outcome=leases_over", lost.len());
         }
         for at in lost {
+            log::info!(
+                "job={} task={}.{}.{} worker={id} silent_ms={silent_ms} outcome=lease_over",
+                at.job,
+                at.occurrence,
+                at.step,
+                at.index
+            );
             self.release(now_us, &at);
             self.mark_dirty(&at.job);
         }
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -71,6 +71,8 @@
     /// Cancelled before they were known.
     cancelled_early: HashSet<JobId>,
     dirty: BTreeSet<JobId>,
+    /// A batch was taken and is not written yet.
+    is_writing: bool,
     intents: Vec<(TaskRef, u32)>,
     /// Jobs that are over, with nothing left to run or stop.
     over: Vec<(JobId, JobPhase)>,
@@ -112,6 +114,7 @@
             ready: BTreeSet::new(),
             cancelled_early: HashSet::new(),
             dirty: BTreeSet::new(),
+            is_writing: false,
             intents: Vec::new(),
             over: Vec::new(),
             forgettable: Vec::new(),
@@ -273,6 +276,7 @@
 
     /// Takes the next batch to write; exactly one may be under way.
     pub(crate) fn take_batch(&mut self, now_us: u64) -> Batch {
+        self.is_writing = true;
         let mut batch = Batch::default();
         let chosen: Vec<JobId> = self.dirty.iter().take(MAX_BATCH_JOBS).cloned().collect();
         for id in &chosen {
@@ -315,6 +319,7 @@
 
     /// The batch is written: its runs may be ordered and its ends forgotten.
     pub(crate) fn batch_written(&mut self, now_us: u64, sent_us: u64, batch: &Batch) {
+        self.is_writing = false;
         self.renewed_us = self.renewed_us.max(sent_us);
         for (id, born_unix_ms, end) in &batch.acknowledged {
             let Some(worker) = self.workers.get_mut(id) else { continue };
@@ -332,7 +337,7 @@
 
     /// Ends that changed nothing need no writing before they are forgotten.
     pub(crate) fn acknowledge_without_writing(&mut self) {
-        if !self.dirty.is_empty() {
+        if self.is_writing || !self.dirty.is_empty() {
             return;
         }
         for worker in self.workers.values_mut() {
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -63,10 +63,12 @@
         Faults { cuts_per_s: 0.5, ..Faults::default() },
         Faults { takeovers_per_s: 0.3, ..Faults::default() },
         Faults { commit_lost: 0.3, ..Faults::default() },
+        Faults { commit_late_ms: 200, takeovers_per_s: 0.6, ..Faults::default() },
+        Faults { commit_late_ms: 200, takeovers_per_s: 0.6, run_fails: 0.3, ..Faults::default() },
     ];
 
     for faults in cases {
-        for seed in 0..8 {
+        for seed in 0..16 {
             assert_kept(seed, faults);
         }
     }
@@ -83,6 +85,7 @@
         cuts_per_s: 0.2,
         takeovers_per_s: 0.15,
         commit_lost: 0.1,
+        commit_late_ms: 20,
     };
 
     for seed in 100..400 {
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -42,6 +42,8 @@
     pub(super) takeovers_per_s: f64,
     /// Share of the store's answers that are lost after the effect.
     pub(super) commit_lost: f64,
+    /// How much later than usual the store takes a transaction and answers.
+    pub(super) commit_late_ms: u64,
 }
 
 /// A rule that was broken.
@@ -613,7 +615,7 @@
         }
         let is_written = !self.chance(self.faults.commit_lost);
         let answer = Message::CommitAnswer { leader, batch, sent_us, is_written };
-        self.send(5 * US_PER_MS, answer);
+        self.send((5 + self.faults.commit_late_ms) * US_PER_MS, answer);
     }
 
     fn run_workers(&mut self) {
@@ -671,7 +673,7 @@
             self.commit_under_way = true;
             let batch = self.scheduler.take_batch(self.now_us);
             let commit = Message::Commit { leader: self.leader, token: self.token, batch, sent_us: self.now_us };
-            self.send(WAY_US, commit);
+            self.send(WAY_US + self.faults.commit_late_ms * US_PER_MS, commit);
         }
     }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,8 @@
 
 pub mod endpoint;
 pub mod group;
+pub mod proxy;
+pub mod wire;
 
 use std::io::{BufRead, BufReader, Read};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -133,11 +135,22 @@
 
 /// Sends one request on a connection of its own; `None` if no whole answer came.
 pub fn try_http(method: &str, url: &str, headers: &[(&str, &str)], body: &[u8]) -> Option<Answer> {
+    try_http_within(GIVE_UP, method, url, headers, body)
+}
+
+/// The same with a bound on the time it may take.
+pub fn try_http_within(
+    timeout: Duration,
+    method: &str,
+    url: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<Answer> {
     let config = ureq::Agent::config_builder()
         .http_status_as_error(false)
         .allow_non_standard_methods(true)
         .max_idle_connections(0)
-        .timeout_global(Some(GIVE_UP))
+        .timeout_global(Some(timeout))
         .build();
     let agent: ureq::Agent = config.into();
     let mut request = ureq::http::Request::builder().method(method).uri(url);
