--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -38,6 +38,8 @@
     for id in sim.specs.keys() {
         let phase = phase(&sim, id);
         assert!(phase.is_some_and(JobPhase::is_final), "seed {seed}, {faults:?}: {id} is {phase:?}");
+        let has_cause = phase != Some(JobPhase::Failed) || sim.has_cause_to_fail(id);
+        assert!(has_cause, "seed {seed}, {faults:?}: {id} failed without cause");
     }
 }
 
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -166,6 +166,8 @@
     /// Work items whose good end was taken note of.
     noted_done: HashSet<TaskRef>,
     noted_failures: HashMap<TaskRef, u32>,
+    /// Runs of each work item that failed.
+    failures: HashMap<TaskRef, u32>,
     pub(super) starts: u32,
     pub(super) broken: Vec<Broken>,
     duration_us: u64,
@@ -261,6 +263,7 @@
             done: HashSet::new(),
             noted_done: HashSet::new(),
             noted_failures: HashMap::new(),
+            failures: HashMap::new(),
             starts: 0,
             broken: Vec::new(),
             duration_us: 500 * US_PER_MS,
@@ -356,6 +359,11 @@
         }
     }
 
+    /// Whether a work item of the job failed as often as allowed.
+    pub(super) fn has_cause_to_fail(&self, id: &JobId) -> bool {
+        self.failures.iter().any(|(task, count)| task.job == *id && *count >= MAX_ATTEMPTS)
+    }
+
     fn is_settled(&self) -> bool {
         let is_over = |id: &JobId| self.scheduler.jobs.get(id).is_some_and(|job| job.phase.is_final());
         self.leader_down_until_us.is_none() && self.specs.keys().all(is_over)
@@ -641,8 +649,12 @@
                     (true, true) => EndKind::Failed,
                     (false, _) => EndKind::LeaseExpired,
                 };
-                if kind == EndKind::Done {
-                    self.done.insert(task.clone());
+                match kind {
+                    EndKind::Done => {
+                        self.done.insert(task.clone());
+                    }
+                    EndKind::Failed => *self.failures.entry(task.clone()).or_default() += 1,
+                    _ => {}
                 }
                 worker.end(&task, run.run, kind);
             }
