--- a/src/control.rs
+++ b/src/control.rs
@@ -16,7 +16,9 @@
 //! | `lead` | `sched` | `sequence` | changes with each of the leader's transactions |
 
 mod boot_clock;
+mod calls;
 mod election;
+mod feeds;
 mod front;
 mod intake;
 mod leader;
@@ -24,6 +26,7 @@
 mod sessions;
 mod status;
 mod watch;
+mod writer;
 
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener};
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -8,34 +8,21 @@
 use super::election::{owner_row, sequence_row, RELEASED};
 use super::orders::Orders;
 use super::{
-    intake, sessions, Node, CANCEL_SUFFIX, JOB_TABLE, LEADER_PARTITION, PENDING_KEY, PHASE_TABLE, RECORD_TABLE,
-    WAVE_TABLE,
+    calls, feeds, intake, sessions, writer, Node, CANCEL_SUFFIX, JOB_TABLE, LEADER_PARTITION, RECORD_TABLE, WAVE_TABLE,
 };
-use crate::clock::{US_PER_MS, US_PER_S};
+use crate::clock::US_PER_MS;
 use crate::platform::advice::AdviceClient;
 use crate::platform::hosts::HostClient;
 use crate::platform::workers::{worker_entry, WorkerClient};
 use crate::reactor::{spawn, Signal};
-use crate::sched::action::{Action, Batch};
-use crate::sched::model::{Catalog, DutyEnd, JobId, WaveOrder};
-use crate::sched::record::{decode_begun, decode_spec, encode_begun, encode_pending, encode_phases};
+use crate::sched::action::Action;
+use crate::sched::model::{Catalog, WaveOrder};
+use crate::sched::record::{decode_begun, decode_spec};
 use crate::sched::scheduler::{SchedSettings, Scheduler};
-use crate::store::{CommitEnd, RowKey, RowPage, StoreError, StoreTransaction, StoredRow};
+use crate::store::{CommitEnd, StoreError, StoreTransaction, StoredRow};
 
 /// Time between the scheduler's looks at the clock.
 const TICK_MS: u64 = 50;
-/// Least time between the beginnings of two transactions, in which changes gather.
-const COMMIT_GAP_MS: u64 = 12;
-/// Longest time without a transaction: each one tells the other daemons that the leader lives.
-const RENEW_MS: u64 = 500;
-const COMMIT_RETRY_MS: u64 = 40;
-/// Longest wait for new jobs or changed workers.
-const WATCH_MS: u64 = 1_000;
-/// Pause between two looks at new jobs, in which further ones gather.
-const JOB_PAUSE_MS: u64 = 10;
-/// The same for changes of workers.
-const WORKER_PAUSE_MS: u64 = 100;
-const WATCH_RETRY_MS: u64 = 100;
 /// Share of workers without an answer at which a leader steps down, after what time, and for how long it does not
 /// lead again.
 const CUT_OFF_SHARE: f64 = 0.6;
@@ -43,8 +30,6 @@
 const CUT_OFF_PAUSE_MS: u64 = 6_000;
 /// Time between removals of submissions of jobs that are over.
 const REMOVE_MS: u64 = 600;
-/// Time between readings of the provider's list of hosts.
-const HOSTS_MS: u64 = 500;
 
 /// A successful claim to lead.
 #[derive(Debug, Clone, Copy)]
@@ -60,15 +45,15 @@
 pub(super) struct Leader {
     pub(super) node: Rc<Node>,
     pub(super) token: u64,
-    sequence: Cell<u64>,
+    pub(super) sequence: Cell<u64>,
     pub(super) scheduler: RefCell<Scheduler>,
     pub(super) is_over: Cell<bool>,
-    changed: Signal,
+    pub(super) changed: Signal,
     pub(super) session_signals: RefCell<HashMap<Arc<str>, Rc<Signal>>>,
     pub(super) workers: WorkerClient,
     pub(super) orders: Orders,
-    hosts: Option<HostClient>,
-    advice: Option<AdviceClient>,
+    pub(super) hosts: Option<HostClient>,
+    pub(super) advice: Option<AdviceClient>,
 }
 
 /// Leads until another daemon takes over or this one stops.
@@ -83,9 +68,9 @@
     let leader = Rc::new(Leader::new(node, claim));
     leader.configure(catalog);
     // Leadership is renewed from the start: reading everything may take longer than others wait for a sign.
-    let writer = write(&leader);
+    let writing = writer::write(&leader);
     spawn(take_over(leader.clone()));
-    writer.await;
+    writing.await;
     leader.is_over.set(true);
     leader.wake_all();
     node.leader.borrow_mut().take();
@@ -114,9 +99,9 @@
         leader.configure(catalog);
     }
     *node.leader.borrow_mut() = Some(leader.clone());
-    spawn(follow_jobs(leader.clone(), versions.jobs));
-    spawn(follow_workers(leader.clone(), versions.workers));
-    spawn(follow_hosts(leader.clone()));
+    spawn(feeds::follow_jobs(leader.clone(), versions.jobs));
+    spawn(feeds::follow_workers(leader.clone(), versions.workers));
+    spawn(feeds::follow_hosts(leader.clone()));
     spawn(remove_over(leader.clone()));
     spawn(tick(leader.clone()));
     leader.pump();
@@ -246,7 +231,7 @@
             }
         }
         for row in &jobs {
-            take_cancel(&mut scheduler, now_us, row);
+            feeds::take_cancel(&mut scheduler, now_us, row);
         }
         log::info!("jobs={} records={} workers={} outcome=restored", jobs.len(), records.len(), workers.rows.len());
         let from = if version == u64::MAX { workers.version } else { version };
@@ -281,11 +266,11 @@
             }
             Action::Start(_) | Action::Stop { .. } | Action::Pace { .. } => self.orders.push(self, action),
             Action::AskAdvice { job, occurrence, step, workers } => {
-                spawn(ask_advice(self.clone(), job, occurrence, step, workers));
+                spawn(calls::ask_advice(self.clone(), job, occurrence, step, workers));
             }
-            Action::MoveHost { host, pool } => spawn(move_host(self.clone(), host, pool)),
-            Action::MaintainHost { host, wave } => spawn(maintain_host(self.clone(), host, wave)),
-            Action::ReportWave { wave, complete } => spawn(report_wave(self.clone(), wave, complete)),
+            Action::MoveHost { host, pool } => spawn(calls::move_host(self.clone(), host, pool)),
+            Action::MaintainHost { host, wave } => spawn(calls::maintain_host(self.clone(), host, wave)),
+            Action::ReportWave { wave, complete } => spawn(calls::report_wave(self.clone(), wave, complete)),
             Action::CheckLeadership => self.changed.notify(),
         }
     }
@@ -297,7 +282,7 @@
     }
 
     /// Whether an order about a host may be sent now.
-    fn may_order_hosts(&self) -> bool {
+    pub(super) fn may_order_hosts(&self) -> bool {
         !self.is_over.get() && self.scheduler.borrow().is_lately_confirmed(self.now_us())
     }
 
@@ -308,15 +293,6 @@
     }
 }
 
-fn take_cancel(scheduler: &mut Scheduler, now_us: u64, row: &StoredRow) {
-    if row.value.is_none() {
-        return;
-    }
-    if let Some(id) = row.at.key.strip_suffix(CANCEL_SUFFIX) {
-        scheduler.cancel(now_us, &JobId::from(id));
-    }
-}
-
 async fn tick(leader: Rc<Leader>) {
     let mut cut_off_since_us = None;
     while !leader.is_over.get() {
@@ -335,281 +311,3 @@
         leader.node.sleep_ms(TICK_MS).await;
     }
 }
-
-async fn follow_jobs(leader: Rc<Leader>, mut version: u64) {
-    while !leader.is_over.get() {
-        match leader.node.store.changes(JOB_TABLE, version, WATCH_MS).await {
-            Ok(page) => {
-                version = version.max(page.version);
-                take_jobs(&leader, &page);
-                leader.node.sleep_ms(JOB_PAUSE_MS).await;
-            }
-            Err(StoreError::HistoryGone) => match read_jobs(&leader).await {
-                Ok(read) => version = read,
-                Err(error) => log::warn!("error={error} outcome=jobs_unread"),
-            },
-            Err(error) => {
-                log::debug!("error={error} outcome=jobs_unread");
-                leader.node.sleep_ms(WATCH_RETRY_MS).await;
-            }
-        }
-    }
-}
-
-/// Reads all submissions again, where the history of their changes was dropped.
-async fn read_jobs(leader: &Rc<Leader>) -> Result<u64, StoreError> {
-    let mut version = u64::MAX;
-    for partition in leader.node.store.partitions(JOB_TABLE).await? {
-        let page = leader.node.store.read_all(JOB_TABLE, &partition).await?;
-        version = version.min(page.version);
-        take_jobs(leader, &page);
-    }
-    Ok(if version == u64::MAX { 0 } else { version })
-}
-
-fn take_jobs(leader: &Rc<Leader>, page: &RowPage) {
-    if leader.is_over.get() {
-        return;
-    }
-    let now_us = leader.now_us();
-    let unix_ms = leader.node.clock.unix_ms();
-    {
-        let mut scheduler = leader.scheduler.borrow_mut();
-        for row in &page.rows {
-            if row.at.key.ends_with(CANCEL_SUFFIX) {
-                take_cancel(&mut scheduler, now_us, row);
-                continue;
-            }
-            let Some(value) = &row.value else { continue };
-            if scheduler.knows(&row.at.key) {
-                continue;
-            }
-            match decode_spec(value) {
-                Ok(spec) => scheduler.submit(now_us, unix_ms, row.at.key.clone(), spec),
-                Err(error) => log::error!("job={} error={error} outcome=submission_unreadable", row.at.key),
-            }
-        }
-    }
-    leader.pump();
-}
-
-async fn follow_workers(leader: Rc<Leader>, version: u64) {
-    let mut version = Some(version);
-    while !leader.is_over.get() {
-        let store = &leader.node.store;
-        let read = match version {
-            Some(after) => store.worker_changes(after, WATCH_MS).await,
-            None => store.worker_rows().await,
-        };
-        match read {
-            Ok(page) => {
-                take_workers(&leader, &page, version.is_none());
-                version = Some(page.version.max(version.unwrap_or(0)));
-                leader.pump();
-                leader.node.sleep_ms(WORKER_PAUSE_MS).await;
-            }
-            Err(StoreError::HistoryGone) => version = None,
-            Err(error) => {
-                log::debug!("error={error} outcome=workers_unread");
-                leader.node.sleep_ms(WATCH_RETRY_MS).await;
-            }
-        }
-    }
-}
-
-fn take_workers(leader: &Rc<Leader>, page: &RowPage, is_whole: bool) {
-    let now_us = leader.now_us();
-    let mut scheduler = leader.scheduler.borrow_mut();
-    if is_whole {
-        scheduler.workers_listed(now_us, page.rows.iter().filter_map(worker_entry).collect());
-        return;
-    }
-    for row in &page.rows {
-        match worker_entry(row) {
-            Some(entry) => scheduler.worker_listed(now_us, entry),
-            None => scheduler.worker_unlisted(&row.at.key),
-        }
-    }
-}
-
-async fn follow_hosts(leader: Rc<Leader>) {
-    let Some(client) = leader.hosts.clone() else { return };
-    while !leader.is_over.get() {
-        match client.list().await {
-            Ok(hosts) => leader.scheduler.borrow_mut().hosts_listed(leader.now_us(), hosts),
-            Err(reason) => log::debug!("error={reason} outcome=hosts_unread"),
-        }
-        leader.pump();
-        leader.node.sleep_ms(HOSTS_MS).await;
-    }
-}
-
-async fn ask_advice(leader: Rc<Leader>, job: JobId, occurrence: u32, step: u32, workers: Vec<Arc<str>>) {
-    let answer = match &leader.advice {
-        Some(client) => client.ask(&job, occurrence, step, &workers).await,
-        None => Err("the settings name no advice service".to_owned()),
-    };
-    if let Err(reason) = &answer {
-        log::info!("job={job} step={step} error={reason} outcome=no_advice");
-    }
-    let answer = answer.ok();
-    let now_us = leader.now_us();
-    leader.scheduler.borrow_mut().advice_ended(now_us, (&job, occurrence, step), &workers, answer.as_ref());
-    leader.pump();
-}
-
-async fn move_host(leader: Rc<Leader>, host: Arc<str>, pool: Arc<str>) {
-    let end = match &leader.hosts {
-        Some(client) if leader.may_order_hosts() => client.move_to(&host, &pool, leader.token).await,
-        _ => DutyEnd::NotDone,
-    };
-    log::info!("host={host} pool={pool} end={end:?} outcome=move_ended");
-    metrics::counter!("host_orders_total", "kind" => "move", "done" => (end == DutyEnd::Done).to_string()).increment(1);
-    leader.scheduler.borrow_mut().move_ended(leader.now_us(), &host, &pool, end);
-    leader.pump();
-}
-
-async fn maintain_host(leader: Rc<Leader>, host: Arc<str>, wave: u64) {
-    let end = match &leader.hosts {
-        Some(client) if leader.may_order_hosts() => client.maintain(&host, wave, leader.token).await,
-        _ => DutyEnd::NotDone,
-    };
-    log::info!("host={host} wave={wave} end={end:?} outcome=maintenance_ended");
-    metrics::counter!("host_orders_total", "kind" => "maintain", "done" => (end == DutyEnd::Done).to_string())
-        .increment(1);
-    leader.scheduler.borrow_mut().maintenance_ended(leader.now_us(), &host, wave, end);
-    leader.pump();
-}
-
-async fn report_wave(leader: Rc<Leader>, wave: u64, complete: bool) {
-    let written = match leader.node.store.report_wave(wave, complete).await {
-        Ok(CommitEnd::Applied { .. }) => true,
-        Ok(CommitEnd::Conflict { .. }) => false,
-        Err(error) => {
-            log::warn!("wave={wave} error={error} outcome=wave_report_failed");
-            false
-        }
-    };
-    leader.scheduler.borrow_mut().wave_reported(leader.now_us(), wave, complete, written);
-}
-
-/// Writes the scheduler's batches one after the other, until leadership is lost.
-async fn write(leader: &Rc<Leader>) {
-    let mut last_begun_us = 0;
-    loop {
-        wait_for_work(leader, last_begun_us).await;
-        if leader.is_over.get() {
-            return;
-        }
-        let now_us = leader.now_us();
-        let batch = leader.scheduler.borrow_mut().take_batch(now_us);
-        last_begun_us = now_us;
-        if !write_batch(leader, &batch).await {
-            return;
-        }
-        leader.pump();
-    }
-}
-
-async fn wait_for_work(leader: &Rc<Leader>, last_begun_us: u64) {
-    let renew_at_us = last_begun_us + RENEW_MS * US_PER_MS;
-    loop {
-        let now_us = leader.now_us();
-        if leader.is_over.get() || now_us >= renew_at_us {
-            return;
-        }
-        leader.scheduler.borrow_mut().acknowledge_without_writing();
-        if leader.scheduler.borrow().wants_commit(now_us) {
-            let earliest_us = last_begun_us + COMMIT_GAP_MS * US_PER_MS;
-            if now_us < earliest_us {
-                leader.node.sleep_ms((earliest_us - now_us).div_ceil(US_PER_MS)).await;
-            }
-            return;
-        }
-        let wait_ms = (renew_at_us - now_us).div_ceil(US_PER_MS);
-        let deadline = std::time::Instant::now() + std::time::Duration::from_millis(wait_ms);
-        let woken =
-            leader.changed.until(|| leader.is_over.get() || leader.scheduler.borrow().wants_commit(leader.now_us()));
-        let _ = crate::endpoint_client::before(deadline, woken).await;
-    }
-}
-
-/// Repeats one batch until it is written; `false` if leadership is lost.
-async fn write_batch(leader: &Rc<Leader>, batch: &Batch) -> bool {
-    let transaction = transaction(leader, batch);
-    for attempts in 0_u64.. {
-        if leader.is_over.get() {
-            return false;
-        }
-        let sent_us = leader.now_us();
-        match leader.node.store.commit(&transaction).await {
-            Ok(CommitEnd::Applied { version }) => {
-                let taken_us = leader.now_us() - sent_us;
-                metrics::histogram!("leader_commit_seconds").record(taken_us as f64 / US_PER_S as f64);
-                leader.sequence.set(version);
-                leader.scheduler.borrow_mut().batch_written(leader.now_us(), sent_us, batch);
-                return true;
-            }
-            Ok(CommitEnd::Conflict { current }) => {
-                let Some(sequence) = unanswered_success(leader, &current) else { return false };
-                // Only this batch's own attempts are unaccounted for, so one of them was applied.
-                leader.sequence.set(sequence);
-                leader.scheduler.borrow_mut().batch_written(leader.now_us(), sent_us, batch);
-                return true;
-            }
-            Err(StoreError::AnswerLost(reason)) => {
-                // One line for each batch: a store that resets connections does so many times a second.
-                let level = if attempts == 0 { log::Level::Warn } else { log::Level::Debug };
-                log::log!(level, "error={reason} outcome=batch_unanswered");
-                leader.node.sleep_ms(COMMIT_RETRY_MS).await;
-            }
-            Err(error) => {
-                log::debug!("error={error} outcome=batch_not_written");
-                leader.node.sleep_ms(COMMIT_RETRY_MS).await;
-            }
-        }
-    }
-    false
-}
-
-/// The new version of the sequence row, if this daemon still leads.
-fn unanswered_success(leader: &Rc<Leader>, current: &[StoredRow]) -> Option<u64> {
-    let mut sequence = None;
-    for row in current {
-        if row.at == owner_row() && row.version != leader.token {
-            return None;
-        }
-        if row.at == sequence_row() && row.version > leader.sequence.get() {
-            sequence = Some(row.version);
-        }
-    }
-    sequence
-}
-
-fn transaction(leader: &Rc<Leader>, batch: &Batch) -> StoreTransaction {
-    let mut transaction = StoreTransaction {
-        expected: vec![(owner_row(), leader.token), (sequence_row(), leader.sequence.get())],
-        writes: vec![(sequence_row(), Vec::new())],
-        removals: Vec::new(),
-    };
-    for id in &batch.forgotten {
-        transaction.removals.push(RowKey::new(RECORD_TABLE, LEADER_PARTITION, id));
-    }
-    for (id, record) in &batch.records {
-        transaction.writes.push((RowKey::new(RECORD_TABLE, LEADER_PARTITION, id), record.clone()));
-    }
-    if !batch.phases.is_empty() {
-        // The row before this transaction's was written by this leader or the last one, so the number is new.
-        let key = format!("{:016x}", leader.sequence.get());
-        transaction.writes.push((RowKey::new(PHASE_TABLE, LEADER_PARTITION, &key), encode_phases(&batch.phases)));
-    }
-    for (wave, hosts) in &batch.waves {
-        let at = RowKey::new(WAVE_TABLE, LEADER_PARTITION, &wave.to_string());
-        transaction.writes.push((at, encode_begun(hosts)));
-    }
-    if let Some(pending) = &batch.pending {
-        let at = RowKey::new(PHASE_TABLE, LEADER_PARTITION, PENDING_KEY);
-        transaction.writes.push((at, encode_pending(pending)));
-    }
-    transaction
-}
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -5,6 +5,8 @@
 //! written first: a run before its order goes out, an end before the worker may forget it.
 
 pub(crate) mod action;
+mod batches;
+mod demand;
 mod duties;
 pub(crate) mod job;
 pub(crate) mod model;
@@ -13,6 +15,7 @@
 mod progress;
 mod reconcile;
 pub(crate) mod record;
+mod registry;
 pub(crate) mod scheduler;
 mod waves;
 pub(crate) mod worker;
--- a/src/sched/duties.rs
+++ b/src/sched/duties.rs
@@ -8,18 +8,14 @@
 use std::sync::Arc;
 
 use super::action::Action;
-use super::job::{Job, TaskState};
+use super::demand::Balance;
+use super::job::Job;
 use super::model::{DutyEnd, HostPhase, HostRecord, JobId, Resources};
 use super::scheduler::Scheduler;
-use super::worker::Worker;
 use crate::clock::{US_PER_MS, US_PER_S};
 
 /// Margin beyond the time that must pass between two holders' orders.
 const HOLDER_CHANGE_MARGIN_MS: u64 = 1_000;
-/// Fewer workers say nothing about being cut off.
-const MIN_KNOWN: f64 = 4.0;
-/// Time between two reports of the pools.
-const REPORT_MS: u64 = 1_000;
 /// Time between two decisions.
 const DECIDE_MS: u64 = 100;
 /// A pool's demand counts for so long after it was seen.
@@ -28,8 +24,6 @@
 const ARRIVALS_MS: u64 = 600;
 /// Weight of the latest run in a queue's average of true to estimated run time.
 const STRETCH_WEIGHT: f64 = 0.05;
-/// Room wanted beyond the demand: work items do not fill workers to the last core.
-const HEADROOM: f64 = 1.2;
 /// A host without work and without need goes to the spare pool after this time.
 const SPARE_AFTER_MS: u64 = 3_000;
 /// A host without work may go to a pool that needs it after this time.
@@ -65,7 +59,7 @@
     /// Moves that may be ordered in this second, and when the next one begins.
     moves_left: u32,
     next_second_us: u64,
-    report_at_us: u64,
+    pub(super) report_at_us: u64,
     moving: BTreeMap<Arc<str>, Move>,
     /// Hosts whose work may end before they move to a pool, and for how long.
     emptying: BTreeMap<Arc<str>, (Arc<str>, u64)>,
@@ -78,9 +72,9 @@
     /// Pools that a host cannot join.
     impossible: HashSet<(Arc<str>, Arc<str>)>,
     /// Jobs whose work is owed or can be done in time.
-    claims: HashSet<JobId>,
+    pub(super) claims: HashSet<JobId>,
     /// Zones whose workers mostly do not answer.
-    silent_zones: HashSet<Arc<str>>,
+    pub(super) silent_zones: HashSet<Arc<str>>,
     not_before_us: BTreeMap<Arc<str>, u64>,
 }
 
@@ -105,6 +99,11 @@
         }
     }
 
+    /// Hosts on their way.
+    pub(super) fn moving_count(&self) -> usize {
+        self.moving.len()
+    }
+
     pub(super) fn is_moving(&self, host: &str) -> bool {
         self.moving.contains_key(host) || self.emptying.contains_key(host)
     }
@@ -141,12 +140,12 @@
     }
 
     /// Highest demand of a pool in the last moments.
-    fn recent_demand(&self, pool: &str) -> u64 {
+    pub(super) fn recent_demand(&self, pool: &str) -> u64 {
         let demand = self.demand.get(pool);
         demand.and_then(|recent| recent.iter().map(|(_, milli)| *milli).max()).unwrap_or(0)
     }
 
-    fn note_demand(&mut self, now_us: u64, pool: &Arc<str>, milli: u64) {
+    pub(super) fn note_demand(&mut self, now_us: u64, pool: &Arc<str>, milli: u64) {
         let recent = self.demand.entry(pool.clone()).or_default();
         recent.push_back((now_us, milli));
         while recent.front().is_some_and(|(at_us, _)| now_us > at_us + DEMAND_KEPT_MS * US_PER_MS) {
@@ -155,7 +154,7 @@
     }
 
     /// Room that is on its way to a pool.
-    fn arriving(&self, now_us: u64, pool: &str) -> u64 {
+    pub(super) fn arriving(&self, now_us: u64, pool: &str) -> u64 {
         let mut milli = 0;
         for one in self.moving.values() {
             if &*one.pool == pool && now_us < one.counts_until_us {
@@ -174,27 +173,6 @@
     is_free: bool,
 }
 
-/// A pool's room and demand, in thousandths of a core.
-#[derive(Debug, Default, Clone)]
-struct Balance {
-    room: u64,
-    /// Work that is owed or can be done in time.
-    demand: u64,
-    /// Further work, for which room that nobody else needs is enough.
-    late_demand: u64,
-}
-
-impl Balance {
-    fn all_demand(&self) -> u64 {
-        self.demand + self.late_demand
-    }
-
-    /// Room beyond the demand that claims hosts.
-    fn surplus(&self) -> u64 {
-        self.room.saturating_sub(self.demand)
-    }
-}
-
 impl Scheduler {
     /// Takes a reading of the provider's list.
     pub(crate) fn hosts_listed(&mut self, now_us: u64, hosts: Vec<HostRecord>) {
@@ -241,72 +219,6 @@
         self.rest_idle(now_us, &balances);
     }
 
-    /// Room and demand of every pool.
-    fn balances(&mut self, now_us: u64) -> BTreeMap<Arc<str>, Balance> {
-        let mut balances: BTreeMap<Arc<str>, Balance> = BTreeMap::new();
-        for pool in &self.catalog.pools {
-            if !pool.spare {
-                balances.insert(pool.name.clone(), Balance::default());
-            }
-        }
-        self.note_claims(now_us);
-        self.note_silent_zones();
-        for worker in self.workers.values() {
-            let Some(balance) = balances.get_mut(&worker.entry.pool) else { continue };
-            if worker.is_usable() {
-                balance.room += worker.entry.capacity.cpu_milli;
-            }
-            let firm = self.firm_cpu_milli(worker);
-            balance.demand += firm;
-            balance.late_demand += worker.reserved.cpu_milli.saturating_sub(firm);
-        }
-        for id in &self.ready {
-            let Some(job) = self.jobs.get(id) else { continue };
-            let queue = self.queue_of(job);
-            let Some(balance) = balances.get_mut(&queue.pool) else { continue };
-            if self.duties.claims.contains(id) {
-                balance.demand += waiting_cpu_milli(job);
-            } else {
-                balance.late_demand += waiting_cpu_milli(job);
-            }
-        }
-        for (pool, balance) in &mut balances {
-            let lasting = self.lasting_cpu_milli(pool);
-            let arriving = self.duties.arriving_work(now_us, pool) + lasting;
-            self.duties.note_demand(now_us, pool, balance.demand.max(arriving));
-            balance.demand = (self.duties.recent_demand(pool) as f64 * HEADROOM) as u64;
-            balance.room += self.duties.arriving(now_us, pool);
-        }
-        balances
-    }
-
-    /// Writes one line for each pool now and then.
-    fn report_pools(&mut self, now_us: u64, balances: &BTreeMap<Arc<str>, Balance>) {
-        if now_us < self.duties.report_at_us {
-            return;
-        }
-        self.duties.report_at_us = now_us + REPORT_MS * US_PER_MS;
-        for (pool, balance) in balances {
-            let (mut workers, mut usable, mut used) = (0, 0, 0);
-            for worker in self.workers.values() {
-                if worker.entry.pool != *pool {
-                    continue;
-                }
-                workers += u32::from(worker.is_listed);
-                usable += u32::from(worker.takes_work(now_us));
-                used += worker.reserved.cpu_milli;
-            }
-            log::info!(
-                "pool={pool} workers={workers} usable={usable} used_milli={used} room_milli={} demand_milli={} late_milli={} moving={} \
-                 outcome=balance",
-                balance.room,
-                balance.demand,
-                balance.late_demand,
-                self.duties.moving.len()
-            );
-        }
-    }
-
     fn repeat_unanswered(&mut self, now_us: u64) {
         let mut again = Vec::new();
         for (host, one) in &mut self.duties.moving {
@@ -318,81 +230,6 @@
         self.actions.extend(again);
     }
 
-    /// Finds the zones that are cut off from here.
-    fn note_silent_zones(&mut self) {
-        let mut counts: BTreeMap<Arc<str>, (u32, u32)> = BTreeMap::new();
-        for worker in self.workers.values() {
-            let (silent, all) = counts.entry(worker.entry.zone.clone()).or_default();
-            *silent += u32::from(worker.is_silent);
-            *all += 1;
-        }
-        let mostly_silent = |(_, (silent, all)): &(Arc<str>, (u32, u32))| silent * 2 > *all;
-        self.duties.silent_zones = counts.into_iter().filter(mostly_silent).map(|(zone, _)| zone).collect();
-    }
-
-    /// Share of the workers that do not answer.
-    pub(crate) fn silent_share(&self) -> f64 {
-        let (mut silent, mut known) = (0.0, 0.0);
-        for worker in self.workers.values() {
-            if !worker.is_listed || !(worker.is_silent || worker.is_synced) {
-                continue;
-            }
-            silent += f64::from(u8::from(worker.is_silent));
-            known += 1.0;
-        }
-        if known < MIN_KNOWN {
-            0.0
-        } else {
-            silent / known
-        }
-    }
-
-    /// Processor in use by work that lasts, in thousandths of a core.
-    fn lasting_cpu_milli(&self, pool: &str) -> u64 {
-        let mut milli = 0;
-        for worker in self.workers.values() {
-            if &*worker.entry.pool != pool || worker.lasting == 0 {
-                continue;
-            }
-            for at in &worker.tasks {
-                let Some(step) = self.step_of(at) else { continue };
-                if step.long_running {
-                    milli += step.reserved().cpu_milli;
-                }
-            }
-        }
-        milli
-    }
-
-    /// Notes which jobs' work claims hosts.
-    fn note_claims(&mut self, now_us: u64) {
-        let mut claims = HashSet::new();
-        let placed = self.workers.values().flat_map(|worker| worker.tasks.iter().map(|at| &at.job));
-        for id in placed.chain(&self.ready) {
-            if claims.contains(id) {
-                continue;
-            }
-            if self.jobs.get(id).is_some_and(|job| job.prospect(now_us).claims_hosts()) {
-                claims.insert(id.clone());
-            }
-        }
-        self.duties.claims = claims;
-    }
-
-    /// Processor in use by work that is owed or can be done in time.
-    fn firm_cpu_milli(&self, worker: &Worker) -> u64 {
-        let mut milli = 0;
-        for at in &worker.tasks {
-            if !self.duties.claims.contains(&at.job) {
-                continue;
-            }
-            if let Some(job) = self.jobs.get(&at.job) {
-                milli += job.spec.steps[at.step as usize].reserved().cpu_milli;
-            }
-        }
-        milli
-    }
-
     /// Brings hosts to pools that lack room: first for work that is in time, then for the rest.
     fn fill_gaps(&mut self, now_us: u64, balances: &BTreeMap<Arc<str>, Balance>) {
         let mut balances = balances.clone();
@@ -621,18 +458,3 @@
         self.cordon(host, false);
     }
 }
-
-/// Processor need of work items that could start now.
-fn waiting_cpu_milli(job: &Job) -> u64 {
-    let mut milli = 0;
-    for (number, occurrence) in &job.occurrences {
-        for (index, step) in occurrence.steps.iter().enumerate() {
-            if !job.is_step_open(*number, index) {
-                continue;
-            }
-            let waiting = step.tasks.iter().filter(|task| task.state == TaskState::Waiting).count() as u64;
-            milli += waiting * job.spec.steps[index].reserved().cpu_milli;
-        }
-    }
-    milli
-}
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::action::{Action, Batch, HoldPlan};
+use super::action::Action;
 use super::duties::Duties;
-use super::job::{Job, RunPhase, TaskState, WorkerLife};
-use super::model::{Catalog, HostRecord, JobId, JobPhase, JobSpec, Queue, Step, TaskRef, WorkerEntry};
-use super::record::{encode_job, restore_job, BadRecord};
+use super::job::{Job, RunPhase, TaskState};
+use super::model::{Catalog, HostRecord, JobId, JobPhase, JobSpec, Queue, Step, TaskRef};
+use super::record::{restore_job, BadRecord};
 use super::waves::Waves;
 use super::worker::Worker;
 use crate::clock::US_PER_MS;
@@ -16,18 +16,6 @@
 /// Lease that each order gives. A worker that is cut off keeps its work for that long; a new leader has that long
 /// to be heard.
 const LEASE_MS: u64 = 4_500;
-/// How long a worker with work may wait for an end before it answers.
-const HOLD_WAIT_MS: u64 = 1_000;
-/// The same where work items serve users beside others that must be slowed down in time.
-const HOLD_WAIT_SHARED_MS: u64 = 400;
-/// Pause between two looks at a worker, in which further ends gather.
-const HOLD_PAUSE_MS: u64 = 60;
-/// Pause between looks at a worker without work, which only keep its clock known.
-const IDLE_HOLD_PAUSE_MS: u64 = 6_000;
-/// The same after another worker fell silent.
-const ALARM_HOLD_PAUSE_MS: u64 = 900;
-/// Pause after a look that failed.
-const HOLD_RETRY_MS: u64 = 250;
 /// Part of the longest lease that a leader gives beyond its last confirmed renewal of leadership.
 const LEASE_AFTER_RENEWAL: f64 = 0.85;
 /// An order that a former leader sent last is done by then, and the provider's list shows it.
@@ -37,12 +25,8 @@
 /// What a new leader waits beyond the longest lease, for clocks that run 2% slow and errors of reading them.
 const INHERITED_FACTOR: f64 = 1.03;
 const INHERITED_SLACK_MS: u64 = 300;
-/// Jobs written in one transaction, which holds at most 100 entries.
-const MAX_BATCH_JOBS: usize = 90;
 /// Time between looks at what time alone brings about.
 const SWEEP_MS: u64 = 100;
-/// Least time between two reports of queue lengths.
-const PENDING_REPORT_MS: u64 = 500;
 
 /// Bounds that the deployment sets.
 #[derive(Debug, Clone)]
@@ -69,25 +53,25 @@
     /// Jobs with work items that could start now.
     pub(super) ready: BTreeSet<JobId>,
     /// Cancelled before they were known.
-    cancelled_early: HashSet<JobId>,
-    dirty: BTreeSet<JobId>,
+    pub(super) cancelled_early: HashSet<JobId>,
+    pub(super) dirty: BTreeSet<JobId>,
     /// A batch was taken and is not written yet.
-    is_writing: bool,
-    intents: Vec<(TaskRef, u32)>,
+    pub(super) is_writing: bool,
+    pub(super) intents: Vec<(TaskRef, u32)>,
     /// Jobs that are over, with nothing left to run or stop.
-    over: Vec<(JobId, JobPhase)>,
+    pub(super) over: Vec<(JobId, JobPhase)>,
     /// Jobs whose submissions are gone; their records can go.
-    forgettable: Vec<JobId>,
+    pub(super) forgettable: Vec<JobId>,
     pub(super) duties: Duties,
     pub(super) waves: Waves,
     /// When this leader took over.
     lead_since_us: u64,
     /// When the latest confirmed renewal of leadership was sent.
     pub(super) renewed_us: u64,
-    pending_told: Vec<(Arc<str>, u64)>,
-    pending_told_us: u64,
+    pub(super) pending_told: Vec<(Arc<str>, u64)>,
+    pub(super) pending_told_us: u64,
     /// A job began to wait or no longer does.
-    pending_moved: bool,
+    pub(super) pending_moved: bool,
     /// Jobs on a timetable that are not over.
     pub(super) timed: BTreeSet<JobId>,
     next_sweep_us: u64,
@@ -238,147 +222,7 @@
         self.refresh(id);
     }
 
-    pub(super) fn mark_dirty(&mut self, id: &JobId) {
-        self.pending_moved = true;
-        if !self.dirty.contains(id) {
-            self.dirty.insert(id.clone());
-        }
-    }
-
-    /// Has a run written, and ordered after that.
-    pub(super) fn note_intent(&mut self, at: &TaskRef, run: u32) {
-        self.mark_dirty(&at.job);
-        self.intents.push((at.clone(), run));
-    }
-
-    /// Whether there is something to write.
-    pub(crate) fn wants_commit(&self, now_us: u64) -> bool {
-        !self.dirty.is_empty()
-            || !self.forgettable.is_empty()
-            || self.waves.has_changed()
-            || self.pending_changed(now_us)
-    }
-
-    fn pending_changed(&self, now_us: u64) -> bool {
-        self.pending_moved && now_us >= self.pending_told_us + PENDING_REPORT_MS * US_PER_MS
-    }
-
-    /// Jobs of each queue that have not begun.
-    fn pending(&self) -> Vec<(Arc<str>, u64)> {
-        let mut counts: BTreeMap<Arc<str>, u64> = BTreeMap::new();
-        for job in self.jobs.values() {
-            if job.phase == JobPhase::Queued {
-                *counts.entry(job.spec.queue.name.clone()).or_default() += 1;
-            }
-        }
-        counts.into_iter().collect()
-    }
-
-    /// Takes the next batch to write; exactly one may be under way.
-    pub(crate) fn take_batch(&mut self, now_us: u64) -> Batch {
-        self.is_writing = true;
-        let mut batch = Batch::default();
-        let chosen: Vec<JobId> = self.dirty.iter().take(MAX_BATCH_JOBS).cloned().collect();
-        for id in &chosen {
-            self.dirty.remove(id);
-            let Some(job) = self.jobs.get_mut(id) else { continue };
-            batch.records.push((id.clone(), encode_job(job)));
-            if job.told != job.phase {
-                job.told = job.phase;
-                batch.phases.push((id.clone(), job.phase));
-            }
-        }
-        let chosen: HashSet<JobId> = chosen.into_iter().collect();
-        let room = MAX_BATCH_JOBS - batch.records.len();
-        let forgotten = self.forgettable.len().min(room);
-        batch.forgotten = self.forgettable.drain(..forgotten).collect();
-        let intents = std::mem::take(&mut self.intents);
-        let (now, later) = intents.into_iter().partition(|(task, _)| chosen.contains(&task.job));
-        batch.intents = now;
-        self.intents = later;
-        if self.pending_changed(now_us) {
-            self.pending_moved = false;
-            self.pending_told_us = now_us;
-            let pending = self.pending();
-            if pending != self.pending_told {
-                self.pending_told.clone_from(&pending);
-                batch.pending = Some(pending);
-            }
-        }
-        batch.waves = self.waves.take_changed();
-        if self.dirty.is_empty() {
-            for worker in self.workers.values() {
-                if worker.seen_end > worker.stored_end {
-                    let born = worker.entry.born_unix_ms;
-                    batch.acknowledged.push((worker.entry.id.clone(), born, worker.seen_end));
-                }
-            }
-        }
-        batch
-    }
-
-    /// The batch is written: its runs may be ordered and its ends forgotten.
-    pub(crate) fn batch_written(&mut self, now_us: u64, sent_us: u64, batch: &Batch) {
-        self.is_writing = false;
-        self.renewed_us = self.renewed_us.max(sent_us);
-        for (id, born_unix_ms, end) in &batch.acknowledged {
-            let Some(worker) = self.workers.get_mut(id) else { continue };
-            if worker.entry.born_unix_ms == *born_unix_ms {
-                worker.stored_end = worker.stored_end.max(*end);
-            }
-        }
-        for (task, run) in &batch.intents {
-            self.order_start(now_us, task, *run);
-        }
-        for (id, _) in &batch.records {
-            self.forget_work(id);
-        }
-    }
-
-    /// Ends that changed nothing need no writing before they are forgotten.
-    pub(crate) fn acknowledge_without_writing(&mut self) {
-        if self.is_writing || !self.dirty.is_empty() {
-            return;
-        }
-        for worker in self.workers.values_mut() {
-            worker.stored_end = worker.seen_end;
-        }
-    }
-
-    /// A job that needs no more work keeps only its phase, and is put aside.
-    fn forget_work(&mut self, id: &JobId) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        if job.phase.is_final() && !job.is_over && !job.has_placed() {
-            job.occurrences.clear();
-            job.is_over = true;
-            self.over.push((id.clone(), job.phase));
-        }
-    }
-
-    /// Takes the jobs that are over since the last call.
-    pub(crate) fn take_over(&mut self) -> Vec<(JobId, JobPhase)> {
-        std::mem::take(&mut self.over)
-    }
-
-    /// The submissions of these jobs could not be removed yet.
-    pub(crate) fn keep_over(&mut self, jobs: Vec<(JobId, JobPhase)>) {
-        self.over.extend(jobs);
-    }
-
-    /// The submissions of these jobs are removed: nothing reminds a later leader of them.
-    pub(crate) fn submissions_removed(&mut self, jobs: &[(JobId, JobPhase)]) {
-        for (id, _) in jobs {
-            self.jobs.remove(id);
-            self.forgettable.push(id.clone());
-        }
-    }
-
-    /// Records without a submission: a former leader did not come to remove them.
-    pub(crate) fn forget_records(&mut self, jobs: Vec<JobId>) {
-        self.forgettable.extend(jobs);
-    }
-
-    fn order_start(&mut self, now_us: u64, task: &TaskRef, run: u32) {
+    pub(super) fn order_start(&mut self, now_us: u64, task: &TaskRef, run: u32) {
         let Some(job) = self.jobs.get(&task.job) else { return };
         let Some(state) = job.task(task) else { return };
         let TaskState::Placed { at, phase: RunPhase::Writing } = &state.state else { return };
@@ -444,156 +288,6 @@
         wait_ms * US_PER_MS
     }
 
-    /// Takes a worker's entry in the registry.
-    pub(crate) fn worker_listed(&mut self, now_us: u64, entry: WorkerEntry) {
-        self.wants_placement = true;
-        let id = entry.id.clone();
-        let Some(worker) = self.workers.get_mut(&id) else {
-            log::info!(
-                "worker={id} pool={} zone={} draining={} outcome=listed",
-                entry.pool,
-                entry.zone,
-                entry.draining
-            );
-            if let Some(host) = &entry.host {
-                self.on_host.insert(host.clone(), id.clone());
-            }
-            self.workers.insert(id.clone(), Worker::new(now_us, entry));
-            self.open_session(&id);
-            return;
-        };
-        if worker.entry.born_unix_ms != entry.born_unix_ms {
-            self.worker_reborn(now_us, entry);
-            return;
-        }
-        worker.is_listed = true;
-        let begins_draining = entry.draining && !worker.entry.draining;
-        worker.entry = entry;
-        self.open_session(&id);
-        if begins_draining {
-            log::info!("worker={id} outcome=draining");
-            self.evacuate(now_us, &id);
-        }
-    }
-
-    /// A new life of a worker: whatever ran in the former one is over. Orders that were not answered may still arrive
-    /// in the new one, so their runs are stopped there before they go elsewhere.
-    pub(super) fn worker_reborn(&mut self, now_us: u64, entry: WorkerEntry) {
-        let id = entry.id.clone();
-        log::warn!("worker={id} born_unix_ms={} outcome=new_life", entry.born_unix_ms);
-        let open_orders = self.open_orders(&id);
-        self.lose_all(now_us, &id);
-        let had_session = self.workers.get(&id).is_some_and(|worker| worker.has_session);
-        let mut worker = Worker::new(now_us, entry);
-        worker.has_session = had_session;
-        let life = worker.life();
-        self.workers.insert(id.clone(), worker);
-        for at in open_orders {
-            self.close_on(now_us, &at, &life);
-        }
-        self.open_session(&id);
-    }
-
-    /// Work items on a worker whose order to start may not have arrived yet.
-    fn open_orders(&self, id: &Arc<str>) -> Vec<TaskRef> {
-        let Some(worker) = self.workers.get(id) else { return Vec::new() };
-        let mut open = Vec::new();
-        for at in &worker.tasks {
-            let Some(task) = self.jobs.get(&at.job).and_then(|job| job.task(at)) else { continue };
-            let TaskState::Placed { phase, .. } = &task.state else { continue };
-            match phase {
-                RunPhase::Ordered | RunPhase::Unanswered { .. } | RunPhase::Stopping { .. } => open.push(at.clone()),
-                RunPhase::Writing | RunPhase::Running { .. } | RunPhase::Inherited => {}
-            }
-        }
-        open
-    }
-
-    /// Has a work item's latest run stopped in a life of a worker in which it may still begin.
-    fn close_on(&mut self, now_us: u64, at: &TaskRef, life: &WorkerLife) {
-        let Some(task) = self.jobs.get_mut(&at.job).and_then(|job| job.task_mut(at)) else { return };
-        task.state = TaskState::Placed { at: life.clone(), phase: RunPhase::Ordered };
-        self.attach(at, life);
-        self.order_stop(now_us, at);
-        self.refresh(&at.job);
-    }
-
-    fn open_session(&mut self, id: &Arc<str>) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        if worker.has_session {
-            return;
-        }
-        worker.has_session = true;
-        self.actions.push(Action::OpenSession { worker: id.clone() });
-    }
-
-    /// A worker's entry is gone from the registry. Its work may go on until its leases end.
-    pub(crate) fn worker_unlisted(&mut self, id: &Arc<str>) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        if worker.is_listed {
-            log::info!("worker={id} tasks={} outcome=unlisted", worker.tasks.len());
-        }
-        worker.is_listed = false;
-    }
-
-    /// Replaces the registry by a whole reading of it.
-    pub(crate) fn workers_listed(&mut self, now_us: u64, entries: Vec<WorkerEntry>) {
-        let present: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
-        let gone: Vec<Arc<str>> = self.workers.keys().filter(|id| !present.contains(*id)).cloned().collect();
-        for id in gone {
-            self.worker_unlisted(&id);
-        }
-        for entry in entries {
-            self.worker_listed(now_us, entry);
-        }
-    }
-
-    /// Tells the worker's session what to do next.
-    pub(crate) fn plan_hold(&mut self, now_us: u64, id: &Arc<str>) -> HoldPlan {
-        let lease_until_us = self.lease_until_us(now_us);
-        let Some(worker) = self.workers.get_mut(id) else { return HoldPlan::Close };
-        if !worker.is_listed && worker.tasks.is_empty() {
-            self.workers.remove(id);
-            return HoldPlan::Close;
-        }
-        let mut hold_at_us = worker.next_hold_us;
-        if now_us < self.alarm_until_us && !worker.is_silent {
-            hold_at_us = hold_at_us.min(worker.last_answer_us + ALARM_HOLD_PAUSE_MS * US_PER_MS);
-        }
-        if now_us < hold_at_us && worker.is_synced {
-            // An alarm may bring the time forward.
-            return HoldPlan::WaitUntil { at_us: hold_at_us.min(now_us + ALARM_HOLD_PAUSE_MS * US_PER_MS) };
-        }
-        if now_us < worker.next_hold_us {
-            return HoldPlan::WaitUntil { at_us: worker.next_hold_us };
-        }
-        let mut lease_end_ms = None;
-        // A worker that does not answer gets no longer lease: its work can go elsewhere once the last one is over.
-        if !worker.tasks.is_empty() && lease_until_us > now_us && worker.is_heard(now_us) {
-            lease_end_ms = worker.lease_end_for(lease_until_us);
-        }
-        worker.lease_end_ms = worker.lease_end_ms.max(lease_end_ms.unwrap_or(0));
-        worker.told_end = worker.stored_end;
-        let wait_ms = match (worker.is_synced, worker.tasks.is_empty()) {
-            (false, _) | (_, true) => 0,
-            (true, false) if worker.serving > 0 && worker.filling > 0 => HOLD_WAIT_SHARED_MS,
-            (true, false) => HOLD_WAIT_MS,
-        };
-        let acknowledged = worker.stored_end;
-        HoldPlan::Send { address: worker.entry.address, lease_end_ms, acknowledged, wait_ms }
-    }
-
-    /// Sets when a worker is looked at next.
-    pub(super) fn schedule_hold(&mut self, now_us: u64, id: &Arc<str>, failed: bool) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        let pause_ms = match (failed, worker.tasks.is_empty() && worker.stored_end == worker.told_end) {
-            (true, _) => HOLD_RETRY_MS,
-            (false, true) => IDLE_HOLD_PAUSE_MS,
-            (false, false) => HOLD_PAUSE_MS,
-        };
-        worker.next_hold_us = now_us + pause_ms * US_PER_MS;
-    }
-
     /// Does what time alone brings about.
     pub(crate) fn tick(&mut self, now_us: u64, now_unix_ms: u64) {
         if now_us >= self.next_sweep_us {
@@ -622,11 +316,6 @@
     pub(crate) fn worker_address(&self, id: &str) -> Option<SocketAddr> {
         self.workers.get(id).map(|worker| worker.entry.address)
     }
-
-    /// Whether any worker of this life is known.
-    pub(super) fn has_life(&self, life: &WorkerLife) -> bool {
-        self.workers.get(&life.id).is_some_and(|worker| worker.life() == *life)
-    }
 }
 
 /// When a job was accepted, on our clock.
