Send requests until the silent endpoint was tried in its test

Change: the six requests stand, with the same checks, and further ones follow (60 at most) until the silent one was tried. Whether the more frequent failures that the issue reports have another cause was not seen here. Conclusion: each answer is checked as before; the verdict no longer depends on six draws.

--- a/tests/request_tests.rs
+++ b/tests/request_tests.rs
@@ -324,7 +324,12 @@
     scene.standin.put_host("speaking", &speaking.address, "alpha", "live");
     eventually("both are known", || scene.daemons[0].live_hosts("alpha") == 2);
 
-    for _ in 0..6 {
+    // Endpoints of equal load are chosen at random: six requests miss the silent one once in 64 runs.
+    let is_enough = |sent| sent >= 6 && !scene.endpoint.seen().is_empty();
+    for sent in 0..60 {
+        if is_enough(sent) {
+            break;
+        }
         let answer = scene.daemons[0].call("GET", "/alpha/x", &[("sardineseam-deadline-ms", "3000")], b"");
         assert_eq!((answer.status, answer.outcome()), (200, "ran"), "{}", answer.body);
     }
