Keep room for work that lasts; move hosts by label; no job holds up others for a label

One job whose label no worker of its pool had stood first in the queue; 48 such jobs ended each round of placing, so a pool of 24 free workers ran nothing. Hosts moved by cores alone, never by label. Work that lasts needs a large piece of room on one worker; small work took every piece as it became free.

Ruled out: leases that never end, a worker whose runs are forgotten, and dropped log lines: the pool's own figures showed free room and waiting work.

Change: a round ends only after jobs in a row that lacked room; a worker is kept free for a work item that lasts and finds no room; need and room are known for each label, and hosts that have it come first and stay. A line a second for each pool says why its most urgent work waits.

--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -30,6 +30,8 @@
     state: MachineState,
     #[serde(default)]
     zone: Arc<str>,
+    #[serde(default)]
+    labels: Vec<Arc<str>>,
     capacity: Option<CapacityBody>,
     // The worker on it; absent while the machine is not up.
     id: Option<Arc<str>>,
@@ -145,6 +147,7 @@
         },
         worker: body.id,
         zone: body.zone,
+        labels: body.labels,
         capacity: body.capacity.map(|capacity| capacity.resources()).unwrap_or_default(),
     }
 }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -6,9 +6,13 @@
 
 pub(crate) mod action;
 mod batches;
+mod candidate;
 mod demand;
 mod duties;
+mod explain;
+mod gaps;
 pub(crate) mod job;
+mod labels;
 pub(crate) mod model;
 mod pace;
 mod placement;
--- a/src/sched/demand.rs
+++ b/src/sched/demand.rs
@@ -100,6 +100,7 @@
                 balance.late_demand,
                 self.duties.moving_count()
             );
+            self.report_waiting(now_us, pool);
         }
     }
 
--- a/src/sched/duties.rs
+++ b/src/sched/duties.rs
@@ -3,19 +3,19 @@
 //! Demand is what runs, what could run now, and what arrived a moment ago. Hosts without work go to pools that lack
 //! room, first from the spare pool; hosts that nobody needs go to the spare pool, where they cost nothing.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use super::action::Action;
 use super::demand::Balance;
 use super::job::Job;
+use super::labels::{is_needed_for_label, LabelBalances};
 use super::model::{DutyEnd, HostPhase, HostRecord, JobId, Resources};
 use super::scheduler::Scheduler;
 use crate::clock::{US_PER_MS, US_PER_S};
 
 /// Margin beyond the time that must pass between two holders' orders.
-const HOLDER_CHANGE_MARGIN_MS: u64 = 1_000;
+pub(super) const HOLDER_CHANGE_MARGIN_MS: u64 = 1_000;
 /// Time between two decisions.
 const DECIDE_MS: u64 = 100;
 /// A pool's demand counts for so long after it was seen.
@@ -26,8 +26,6 @@
 const STRETCH_WEIGHT: f64 = 0.05;
 /// A host without work and without need goes to the spare pool after this time.
 const SPARE_AFTER_MS: u64 = 3_000;
-/// A host without work may go to a pool that needs it after this time.
-const LEND_AFTER_MS: u64 = 150;
 /// Part of the provider's rate of orders that moves may use; the rest is for maintenance and repetitions.
 const MOVE_RATE_SHARE: f64 = 0.8;
 /// Longest time for which a host's work may end before it moves.
@@ -57,7 +55,7 @@
     pub(super) hosts_read_us: u64,
     decide_at_us: u64,
     /// Moves that may be ordered in this second, and when the next one begins.
-    moves_left: u32,
+    pub(super) moves_left: u32,
     next_second_us: u64,
     pub(super) report_at_us: u64,
     moving: BTreeMap<Arc<str>, Move>,
@@ -70,12 +68,12 @@
     /// True run time of each queue's work items, as a multiple of their estimates.
     run_time_ratio: HashMap<Arc<str>, f64>,
     /// Pools that a host cannot join.
-    impossible: HashSet<(Arc<str>, Arc<str>)>,
+    pub(super) impossible: HashSet<(Arc<str>, Arc<str>)>,
     /// Jobs whose work is owed or can be done in time.
     pub(super) claims: HashSet<JobId>,
     /// Zones whose workers mostly do not answer.
     pub(super) silent_zones: HashSet<Arc<str>>,
-    not_before_us: BTreeMap<Arc<str>, u64>,
+    pub(super) not_before_us: BTreeMap<Arc<str>, u64>,
 }
 
 impl Duties {
@@ -163,14 +161,12 @@
         }
         milli
     }
-}
 
-/// A host that could move.
-#[derive(Debug)]
-struct Donor {
-    host: Arc<str>,
-    /// It has no work.
-    is_free: bool,
+    /// Hosts on their way, and the pools that they join.
+    pub(super) fn hosts_on_their_way(&self, now_us: u64) -> impl Iterator<Item = (&Arc<str>, &Arc<str>)> {
+        let moving = self.moving.iter().filter(move |(_, one)| now_us < one.counts_until_us);
+        moving.map(|(host, one)| (host, &one.pool))
+    }
 }
 
 impl Scheduler {
@@ -215,8 +211,9 @@
         }
         self.repeat_unanswered(now_us);
         self.move_emptied(now_us);
-        self.fill_gaps(now_us, &balances);
-        self.rest_idle(now_us, &balances);
+        let labels = self.label_balances(now_us);
+        self.fill_gaps(now_us, &balances, &labels);
+        self.rest_idle(now_us, &balances, &labels);
     }
 
     fn repeat_unanswered(&mut self, now_us: u64) {
@@ -230,108 +227,8 @@
         self.actions.extend(again);
     }
 
-    /// Brings hosts to pools that lack room: first for work that is in time, then for the rest.
-    fn fill_gaps(&mut self, now_us: u64, balances: &BTreeMap<Arc<str>, Balance>) {
-        let mut balances = balances.clone();
-        let mut taken = BTreeSet::new();
-        for firm in [true, false] {
-            let mut gaps: Vec<(u64, Arc<str>)> = Vec::new();
-            for (pool, balance) in &balances {
-                let demand = if firm { balance.demand } else { balance.all_demand() };
-                if demand > balance.room {
-                    gaps.push((demand - balance.room, pool.clone()));
-                }
-            }
-            gaps.sort_by(|a, b| b.cmp(a));
-            for (gap, pool) in gaps {
-                self.fill_gap(now_us, &pool, gap, firm, &mut balances, &mut taken);
-            }
-        }
-    }
-
-    fn fill_gap(
-        &mut self,
-        now_us: u64,
-        pool: &Arc<str>,
-        mut gap: u64,
-        firm: bool,
-        balances: &mut BTreeMap<Arc<str>, Balance>,
-        taken: &mut BTreeSet<Arc<str>>,
-    ) {
-        while gap > 0 && self.duties.moves_left > 0 {
-            let Some(donor) = self.donor(now_us, pool, firm, balances, taken) else { return };
-            taken.insert(donor.host.clone());
-            let capacity = self.hosts.get(&donor.host).map_or(0, |record| record.capacity.cpu_milli);
-            if let Some(balance) = self.hosts.get(&donor.host).and_then(|record| balances.get_mut(&record.pool)) {
-                balance.room = balance.room.saturating_sub(capacity);
-            }
-            if let Some(balance) = balances.get_mut(pool) {
-                balance.room += capacity;
-            }
-            if donor.is_free {
-                self.order_move(now_us, &donor.host, pool);
-            } else {
-                self.begin_emptying(now_us, &donor.host, pool);
-            }
-            gap = gap.saturating_sub(capacity.max(1));
-        }
-    }
-
-    /// A host that another pool can do without.
-    fn donor(
-        &self,
-        now_us: u64,
-        pool: &Arc<str>,
-        firm: bool,
-        balances: &BTreeMap<Arc<str>, Balance>,
-        taken: &BTreeSet<Arc<str>>,
-    ) -> Option<Donor> {
-        let mut best: Option<(Reverse<u64>, bool, u64, &Arc<str>)> = None;
-        for (name, host) in &self.hosts {
-            if host.pool == *pool || taken.contains(name) || !self.may_move(now_us, name, host, pool) {
-                continue;
-            }
-            let is_spare = self.catalog.pool(&host.pool).is_some_and(|pool| pool.spare);
-            let (busy, surplus) = match balances.get(&host.pool) {
-                Some(balance) if firm => {
-                    let Some(busy) = self.busy_milli(now_us, name) else { continue };
-                    (busy, balance.surplus())
-                }
-                Some(balance) => {
-                    if !self.is_idle(now_us, name, LEND_AFTER_MS) {
-                        continue;
-                    }
-                    (0, balance.room.saturating_sub(balance.all_demand()))
-                }
-                None if is_spare => (0, u64::MAX),
-                None => continue,
-            };
-            if surplus < host.capacity.cpu_milli {
-                continue;
-            }
-            let candidate = (Reverse(busy), is_spare, surplus, name);
-            if best.as_ref().is_none_or(|known| candidate > *known) {
-                best = Some(candidate);
-            }
-        }
-        best.map(|(Reverse(busy), _, _, name)| Donor { host: name.clone(), is_free: busy == 0 })
-    }
-
-    /// Processor in use on a host that could be emptied soon; `None` if it should stay.
-    fn busy_milli(&self, now_us: u64, host: &str) -> Option<u64> {
-        let worker = self.worker_on(host).and_then(|id| self.workers.get(&id))?;
-        if !worker.is_synced || worker.entry.draining || worker.is_cordoned || worker.lasting > 0 {
-            return None;
-        }
-        if worker.tasks.is_empty() {
-            return (now_us >= worker.idle_since_us + LEND_AFTER_MS * US_PER_MS).then_some(0);
-        }
-        // Only hosts whose work is late anyway are emptied for others.
-        (self.firm_cpu_milli(worker) == 0).then_some(worker.reserved.cpu_milli.max(1))
-    }
-
     /// Lets a host's work end before it moves.
-    fn begin_emptying(&mut self, now_us: u64, host: &Arc<str>, pool: &Arc<str>) {
+    pub(super) fn begin_emptying(&mut self, now_us: u64, host: &Arc<str>, pool: &Arc<str>) {
         self.cordon(host, true);
         self.duties.emptying.insert(host.clone(), (pool.clone(), now_us + EMPTY_MS * US_PER_MS));
     }
@@ -355,38 +252,8 @@
         }
     }
 
-    fn may_move(&self, now_us: u64, name: &Arc<str>, host: &HostRecord, pool: &Arc<str>) -> bool {
-        host.phase == HostPhase::Up
-            && !self.duties.silent_zones.contains(&host.zone)
-            && !self.duties.is_moving(name)
-            && self.is_settled(now_us, name)
-            && !self.waves.holds(name)
-            && !self.duties.impossible.contains(&(name.clone(), pool.clone()))
-            && self.duties.not_before_us.get(name).is_none_or(|not_before_us| now_us >= *not_before_us)
-    }
-
-    /// Whether a former leader's orders about a host lie far enough back: time has passed, or the host's worker has
-    /// been running for longer than that.
-    pub(super) fn is_settled(&self, now_us: u64, host: &str) -> bool {
-        if now_us >= self.duties.quiet_until_us {
-            return true;
-        }
-        let worker = self.worker_on(host).and_then(|id| self.workers.get(&id));
-        let quiet_ms = self.settings.holder_change_ms + HOLDER_CHANGE_MARGIN_MS;
-        worker.is_some_and(|worker| worker.is_synced && worker.age_ms() >= quiet_ms)
-    }
-
-    /// Whether a host's worker has had no work for so long.
-    fn is_idle(&self, now_us: u64, host: &str, wait_ms: u64) -> bool {
-        let Some(worker) = self.worker_on(host).and_then(|id| self.workers.get(&id)) else { return false };
-        worker.tasks.is_empty()
-            && worker.is_synced
-            && !worker.entry.draining
-            && now_us >= worker.idle_since_us + wait_ms * US_PER_MS
-    }
-
     /// Sends hosts that nobody needs to the spare pool.
-    fn rest_idle(&mut self, now_us: u64, balances: &BTreeMap<Arc<str>, Balance>) {
+    fn rest_idle(&mut self, now_us: u64, balances: &BTreeMap<Arc<str>, Balance>, labels: &LabelBalances) {
         let Some(spare) = self.catalog.pools.iter().find(|pool| pool.spare).map(|pool| pool.name.clone()) else {
             return;
         };
@@ -401,7 +268,7 @@
             if host.pool == spare || !self.may_move(now_us, &name, host, &spare) {
                 continue;
             }
-            if !self.is_idle(now_us, &name, SPARE_AFTER_MS) {
+            if !self.is_idle(now_us, &name, SPARE_AFTER_MS) || is_needed_for_label(host, labels) {
                 continue;
             }
             let Some(balance) = balances.get_mut(&host.pool) else { continue };
@@ -414,7 +281,7 @@
         }
     }
 
-    fn order_move(&mut self, now_us: u64, host: &Arc<str>, pool: &Arc<str>) {
+    pub(super) fn order_move(&mut self, now_us: u64, host: &Arc<str>, pool: &Arc<str>) {
         self.cordon(host, true);
         self.duties.moves_left = self.duties.moves_left.saturating_sub(1);
         let capacity = self.hosts.get(host).map(|record| record.capacity).unwrap_or_default();
--- /dev/null
+++ b/src/sched/explain.rs
@@ -0,0 +1,105 @@
+//! Why a job's work waits.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+
+use super::job::{Job, TaskState};
+use super::model::{Step, TaskRef};
+use super::scheduler::Scheduler;
+use super::worker::Worker;
+
+/// For one work item that waits, how many workers of its pool cannot take it, each counted under the first cause.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct WaitCauses {
+    pub(crate) workers: u32,
+    /// Not listed, not heard, draining, or about to move.
+    pub(crate) not_usable: u32,
+    pub(crate) without_label: u32,
+    /// They have as many work items of the step as may be.
+    pub(crate) enough_of_step: u32,
+    pub(crate) without_room: u32,
+}
+
+impl fmt::Display for WaitCauses {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "workers={} not_usable={} without_label={} enough_of_step={} without_room={}",
+            self.workers, self.not_usable, self.without_label, self.enough_of_step, self.without_room
+        )
+    }
+}
+
+impl Scheduler {
+    /// Writes why the most urgent work that waits in a pool does so.
+    pub(super) fn report_waiting(&self, now_us: u64, pool: &str) {
+        let mut most_urgent: Option<&Job> = None;
+        for id in &self.ready {
+            let Some(job) = self.jobs.get(id) else { continue };
+            if &*self.queue_of(job).pool != pool {
+                continue;
+            }
+            if most_urgent.is_none_or(|known| job.prospect(now_us) < known.prospect(now_us)) {
+                most_urgent = Some(job);
+            }
+        }
+        let Some(job) = most_urgent else { return };
+        let Some((at, waiting)) = first_waiting(job) else { return };
+        let step = &job.spec.steps[at.step as usize];
+        let causes = self.wait_causes(now_us, pool, &at, step);
+        log::info!(
+            "job={} step={}.{} gang={} waiting={waiting} {causes} outcome=waiting",
+            job.id,
+            at.occurrence,
+            at.step,
+            step.gang
+        );
+    }
+
+    /// What keeps a work item off each worker of its pool.
+    pub(crate) fn wait_causes(&self, now_us: u64, pool: &str, at: &TaskRef, step: &Step) -> WaitCauses {
+        let members = self.members(at, step);
+        let mut causes = WaitCauses::default();
+        for worker in self.workers.values() {
+            if &*worker.entry.pool != pool {
+                continue;
+            }
+            causes.workers += 1;
+            if !worker.takes_work(now_us) {
+                causes.not_usable += 1;
+            } else if !has_label(worker, step) {
+                causes.without_label += 1;
+            } else if is_full_of_step(worker, step, &members) {
+                causes.enough_of_step += 1;
+            } else if !step.reserved().fits_in(&worker.room()) {
+                causes.without_room += 1;
+            }
+        }
+        causes
+    }
+}
+
+fn has_label(worker: &Worker, step: &Step) -> bool {
+    step.required_label.as_ref().is_none_or(|label| worker.entry.labels.contains(label))
+}
+
+fn is_full_of_step(worker: &Worker, step: &Step, members: &HashMap<Arc<str>, u32>) -> bool {
+    let here = members.get(&worker.entry.id).copied().unwrap_or(0);
+    step.max_per_worker.is_some_and(|most| here >= most)
+}
+
+/// The first work item that could start, and how many of its step wait.
+fn first_waiting(job: &Job) -> Option<(TaskRef, usize)> {
+    for (number, occurrence) in &job.occurrences {
+        for (step, state) in occurrence.steps.iter().enumerate() {
+            if !job.is_step_open(*number, step) {
+                continue;
+            }
+            let mut waits = state.tasks.iter().enumerate().filter(|(_, task)| task.state == TaskState::Waiting);
+            let Some((first, _)) = waits.next() else { continue };
+            return Some((job.task_ref(*number, step, first), waits.count() + 1));
+        }
+    }
+    None
+}
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -297,6 +297,8 @@
     pub(crate) worker: Option<Arc<str>>,
     pub(crate) capacity: Resources,
     pub(crate) zone: Arc<str>,
+    /// The kind comes first, the rack last.
+    pub(crate) labels: Vec<Arc<str>>,
 }
 
 /// An operator's order to maintain hosts.
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -1,10 +1,10 @@
 //! Which work item starts next, and on which worker.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use super::action::Action;
+use super::candidate::{racks, score, Candidate, Round, Score};
 use super::job::{Job, Prospect, RunPhase, TaskState};
 use super::model::{Advice, JobId, Resources, Step, TaskRef};
 use super::scheduler::Scheduler;
@@ -34,52 +34,6 @@
     id: JobId,
 }
 
-/// A worker among which a round chooses.
-#[derive(Debug, Clone)]
-struct Candidate {
-    id: Arc<str>,
-    room: Resources,
-    /// The kind comes first, the rack last.
-    labels: Vec<Arc<str>>,
-    lasting: u32,
-    serving: u32,
-    filling: u32,
-    failure_tenths: u32,
-    is_allowed: bool,
-}
-
-impl Candidate {
-    /// Takes the room of one work item.
-    fn take(&mut self, step: &Step) {
-        self.room = self.room.minus(&step.reserved());
-        self.lasting += u32::from(step.long_running);
-        self.serving += u32::from(step.target_ms.is_some());
-        self.filling += u32::from(step.fills);
-    }
-}
-
-/// One round of placing in one pool.
-#[derive(Debug)]
-struct Round {
-    /// Work items that may still be placed.
-    left: usize,
-    /// Needs for which no worker had room.
-    too_large: Vec<Resources>,
-}
-
-impl Round {
-    /// Whether some worker may have room for these needs.
-    fn may_fit(&self, needs: &Resources) -> bool {
-        !self.too_large.iter().any(|failed| failed.fits_in(needs))
-    }
-
-    /// Notes that no worker has room for these needs.
-    fn note_too_large(&mut self, needs: Resources) {
-        self.too_large.retain(|known| !needs.fits_in(known));
-        self.too_large.push(needs);
-    }
-}
-
 impl Scheduler {
     /// Places what can start now.
     pub(super) fn place(&mut self, now_us: u64) {
@@ -101,13 +55,10 @@
                 continue;
             }
             jobs.sort();
-            let mut round = Round { left: MAX_PLACED_PER_ROUND, too_large: Vec::new() };
-            let mut without_room = 0;
+            let mut round = Round { left: MAX_PLACED_PER_ROUND, too_large: Vec::new(), without_room: 0 };
             for urgency in jobs {
-                let left = round.left;
                 self.place_job(now_us, &urgency.id, &mut workers, &mut round);
-                without_room = if round.left < left { 0 } else { without_room + 1 };
-                if without_room >= MAX_WITHOUT_ROOM {
+                if round.without_room >= MAX_WITHOUT_ROOM {
                     break;
                 }
                 if round.left == 0 {
@@ -120,6 +71,8 @@
 
     fn urgency(&self, now_us: u64, job: &Job, priority: u32) -> Urgency {
         let prospect = job.prospect(now_us);
+        // Work that lasts is owed at all times, whatever its queue.
+        let priority = if prospect == Prospect::Owed { 0 } else { priority };
         Urgency { priority_of_late: (!prospect.claims_hosts(), priority), prospect, id: job.id.clone() }
     }
 
@@ -133,6 +86,7 @@
             candidates.push(Candidate {
                 id: worker.entry.id.clone(),
                 room: worker.room(),
+                room_beside_lasting: worker.room_beside_lasting(),
                 labels: worker.entry.labels.clone(),
                 lasting: worker.lasting,
                 serving: worker.serving,
@@ -152,7 +106,11 @@
         for number in numbers {
             for (index, step) in spec.steps.iter().enumerate() {
                 let Some(job) = self.jobs.get(id) else { return };
-                if !job.is_step_open(number, index) || (!step.gang && !round.may_fit(&step.reserved())) {
+                if !job.is_step_open(number, index) {
+                    continue;
+                }
+                if !step.gang && !round.may_fit(&step.reserved()) {
+                    round.without_room += 1;
                     continue;
                 }
                 let (waiting, has_paused) = waiting_tasks(job, number, index, now_us);
@@ -204,8 +162,12 @@
                 break;
             }
             let Some(index) = self.choose(at, step, workers, &members) else {
+                if step.long_running {
+                    keep_room(step, workers, &members);
+                }
                 if step.has_no_wishes() && workers.iter().all(|worker| worker.is_allowed) {
                     round.note_too_large(needs);
+                    round.without_room += 1;
                 }
                 break;
             };
@@ -214,7 +176,7 @@
             *members.entry(worker.clone()).or_default() += 1;
             let run = self.jobs.get(&at.job).and_then(|job| job.task(at)).map_or(1, |task| task.run + 1);
             self.assign(now_us, at, &worker, run);
-            round.left -= 1;
+            round.note_placed();
             chosen.push(worker);
         }
         if let Some(at) = waiting.first().filter(|_| !chosen.is_empty()) {
@@ -235,11 +197,16 @@
         if waiting.len() < step.count as usize {
             return;
         }
+        let needed_milli = step.reserved().cpu_milli * u64::from(step.count);
         for rack in racks(step, workers) {
             let mut trial = workers.to_vec();
             for worker in &mut trial {
                 worker.is_allowed &= rack.is_none() || worker.labels.last() == rack.as_ref();
             }
+            let allowed = trial.iter().filter(|worker| worker.is_allowed);
+            if allowed.map(|worker| worker.room.cpu_milli).sum::<u64>() < needed_milli {
+                continue;
+            }
             let Some(chosen) = self.choose_gang(waiting, step, &mut trial) else { continue };
             self.assign_gang(now_us, waiting, &chosen);
             for (worker, tried) in workers.iter_mut().zip(trial) {
@@ -276,7 +243,7 @@
     }
 
     /// How many work items of the same step and occurrence each worker has, where that matters.
-    fn members(&self, at: &TaskRef, step: &Step) -> HashMap<Arc<str>, u32> {
+    pub(super) fn members(&self, at: &TaskRef, step: &Step) -> HashMap<Arc<str>, u32> {
         let mut counts = HashMap::new();
         if step.max_per_worker.is_none() && !step.long_running {
             return counts;
@@ -303,18 +270,8 @@
         let reserved = step.reserved();
         let mut best: Option<(Score, usize)> = None;
         for (index, worker) in workers.iter().enumerate() {
-            if !worker.is_allowed || !reserved.fits_in(&worker.room) {
-                continue;
-            }
-            if step.required_label.as_ref().is_some_and(|label| !worker.labels.contains(label)) {
-                continue;
-            }
-            let members = if members.is_empty() { 0 } else { members.get(&worker.id).copied().unwrap_or(0) };
-            if step.max_per_worker.is_some_and(|most| members >= most) {
-                continue;
-            }
-            // Work that fills disturbs work that serves: they are kept apart.
-            if (step.fills && worker.serving > 0) || (step.target_ms.is_some() && worker.filling > 0) {
+            let members = members.get(&worker.id).copied().unwrap_or(0);
+            if !reserved.fits_in(&worker.room) || !worker.admits(step, members) {
                 continue;
             }
             let score = score(worker, step, task.avoid.contains(&worker.id), members);
@@ -409,43 +366,23 @@
     }
 }
 
-/// Smaller is better.
-#[derive(Debug, PartialEq, PartialOrd)]
-struct Score {
-    /// It failed there before.
-    is_avoided: bool,
-    is_far_from_data: bool,
-    /// Members of the same step there; a loss of one worker should not take many.
-    members: u32,
-    /// Work that lasts keeps a host from being moved: it gathers where there is some already.
-    lasting: Reverse<u32>,
-    failure_tenths: u32,
-    /// Room left afterwards: full workers leave others free to be moved away.
-    room_left_milli: u64,
-}
-
-fn score(worker: &Candidate, step: &Step, is_avoided: bool, members: u32) -> Score {
-    Score {
-        is_avoided,
-        is_far_from_data: step.data_rack.as_ref().is_some_and(|rack| worker.labels.last() != Some(rack)),
-        members: if step.long_running { members } else { 0 },
-        lasting: Reverse(if step.long_running { worker.lasting.min(1) } else { 0 }),
-        failure_tenths: worker.failure_tenths,
-        room_left_milli: worker.room.cpu_milli.saturating_sub(step.reserved().cpu_milli),
+/// Keeps all other work off the worker that will soonest have room for a work item that lasts. Small work would take
+/// each piece of room as it becomes free, and the work item would wait for as long as there is any.
+fn keep_room(step: &Step, workers: &mut [Candidate], members: &HashMap<Arc<str>, u32>) {
+    let reserved = step.reserved();
+    let mut best: Option<&mut Candidate> = None;
+    for worker in workers {
+        let members = members.get(&worker.id).copied().unwrap_or(0);
+        if !reserved.fits_in(&worker.room_beside_lasting) || !worker.admits(step, members) {
+            continue;
+        }
+        if best.as_ref().is_none_or(|known| worker.room.cpu_milli > known.room.cpu_milli) {
+            best = Some(worker);
+        }
     }
-}
-
-/// Racks to which a gang may be confined, `None` for no confinement, best first.
-fn racks(step: &Step, workers: &[Candidate]) -> Vec<Option<Arc<str>>> {
-    let mut racks: Vec<Option<Arc<str>>> = Vec::new();
-    if step.same_rack {
-        let mut known: Vec<Arc<str>> = workers.iter().filter_map(|worker| worker.labels.last().cloned()).collect();
-        known.sort();
-        known.dedup();
-        racks.extend(known.into_iter().map(Some));
+    if let Some(worker) = best {
+        worker.room = Resources::default();
     }
-    racks.push(None);
-    racks
 }
 
 /// Work items of a step that wait, and whether others wait for a pause to end.
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -142,6 +142,7 @@
         worker: None,
         capacity: super::model::Resources::default(),
         zone: "hall-a".into(),
+        labels: Vec::new(),
     };
     scheduler.hosts_listed(SECOND_US, vec![host]);
     let written = |scheduler: &mut super::scheduler::Scheduler, now_us| {
@@ -203,3 +204,84 @@
 
     assert_eq!((phase(&sim, "job"), sim.starts), (Some(JobPhase::Failed), 3));
 }
+
+/// Submits small jobs at such a rate that no worker is ever free of them.
+fn play_crowded(sim: &mut Sim, rounds: u32) {
+    for _ in 0..rounds {
+        let id = format!("small-{:04}", sim.specs.len());
+        sim.submit(&id, spec(vec![step(3, &[])]));
+        sim.play(25);
+    }
+}
+
+#[test]
+fn work_that_lasts_gets_room_on_workers_that_are_never_empty() {
+    let mut sim = Sim::new(1, 2, Faults::default());
+    play_crowded(&mut sim, 80);
+    let mut lasting = step(1, &[]);
+    lasting.long_running = true;
+    lasting.needs.cpu_milli = 13_000;
+    lasting.required_label = Some("r0".into());
+    sim.submit("lasting", spec(vec![lasting]));
+
+    play_crowded(&mut sim, 120);
+
+    assert_eq!(phase(&sim, "lasting"), Some(JobPhase::Running));
+    assert_eq!(sim.broken, []);
+}
+
+#[test]
+fn jobs_for_which_no_worker_has_the_label_hold_up_no_others() {
+    let mut sim = Sim::new(1, 2, Faults::default());
+    let mut labelled = step(1, &[]);
+    labelled.required_label = Some("b".into());
+    for number in 0..60 {
+        sim.submit(&format!("labelled-{number:02}"), spec(vec![labelled.clone()]));
+    }
+    sim.submit("plain", spec(vec![step(1, &[])]));
+
+    sim.play(2_000);
+
+    assert_eq!(phase(&sim, "plain"), Some(JobPhase::Completed));
+}
+
+/// A leader whose one pool has a worker of kind `a`, with one spare host of kind `a` and one of kind `b`.
+fn leader_with_spare_hosts() -> super::scheduler::Scheduler {
+    let mut scheduler = super::scheduler::Scheduler::new(0, settings());
+    let mut rules = (*catalog()).clone();
+    rules.pools.push(super::model::PoolRules { name: "spare".into(), spare: true });
+    scheduler.configure(Arc::new(rules));
+    scheduler.worker_listed(0, worker_entry(0, 1));
+    let answer =
+        super::model::HoldAnswer { clock_ms: 20_000, born_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+    scheduler.worker_answered(0, 0, &"w0".into(), &answer);
+    let host = |name: &str, pool: &str, kind: &str| super::model::HostRecord {
+        name: name.into(),
+        pool: pool.into(),
+        phase: super::model::HostPhase::Up,
+        worker: None,
+        capacity: worker_entry(0, 1).capacity,
+        zone: "hall-a".into(),
+        labels: vec![kind.into(), "r0".into()],
+    };
+    scheduler.hosts_listed(0, vec![host("h0", "press", "a"), host("h8", "spare", "a"), host("h9", "spare", "b")]);
+    scheduler
+}
+
+#[test]
+fn a_host_with_the_label_comes_to_the_pool_whose_work_needs_it() {
+    let mut scheduler = leader_with_spare_hosts();
+    let mut labelled = step(1, &[]);
+    labelled.required_label = Some("b".into());
+    scheduler.submit(10 * SECOND_US, 0, "job".into(), spec(vec![labelled]));
+
+    let batch = scheduler.take_batch(10 * SECOND_US);
+    scheduler.batch_written(10 * SECOND_US, 10 * SECOND_US, &batch);
+    scheduler.tick(10 * SECOND_US + 200_000, 0);
+
+    let moved = scheduler.take_actions().into_iter().filter_map(|action| match action {
+        super::action::Action::MoveHost { host, pool } => Some((host.to_string(), pool.to_string())),
+        _ => None,
+    });
+    assert_eq!(moved.collect::<Vec<_>>(), [("h9".to_owned(), "press".to_owned())]);
+}
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -44,6 +44,8 @@
     pub(crate) told_end: u64,
     pub(crate) tasks: BTreeSet<TaskRef>,
     pub(crate) reserved: Resources,
+    /// The part of it that work items that last hold.
+    lasting_reserved: Resources,
     /// Work items there that last, that serve users under a target, and that fill unused capacity.
     pub(crate) lasting: u32,
     pub(crate) serving: u32,
@@ -76,6 +78,7 @@
             told_end: 0,
             tasks: BTreeSet::new(),
             reserved: Resources::default(),
+            lasting_reserved: Resources::default(),
             lasting: 0,
             serving: 0,
             filling: 0,
@@ -100,6 +103,9 @@
             return;
         }
         self.reserved.add(&step.reserved());
+        if step.long_running {
+            self.lasting_reserved.add(&step.reserved());
+        }
         self.lasting += u32::from(step.long_running);
         self.serving += u32::from(step.target_ms.is_some());
         self.filling += u32::from(step.fills);
@@ -111,6 +117,9 @@
             return;
         }
         self.reserved = self.reserved.minus(&step.reserved());
+        if step.long_running {
+            self.lasting_reserved = self.lasting_reserved.minus(&step.reserved());
+        }
         self.lasting -= u32::from(step.long_running);
         self.serving -= u32::from(step.target_ms.is_some());
         self.filling -= u32::from(step.fills);
@@ -123,6 +132,11 @@
         self.entry.capacity.minus(&self.reserved)
     }
 
+    /// Room there would be if all work that ends by itself had ended.
+    pub(crate) fn room_beside_lasting(&self) -> Resources {
+        self.entry.capacity.minus(&self.lasting_reserved)
+    }
+
     /// Whether it may get new work.
     pub(crate) fn takes_work(&self, now_us: u64) -> bool {
         self.is_listed
