Runs that are no longer ours hold their room; work that lasts keeps its host until another could run it

A work item whose former run ended well on a worker that came back was done at once and given off its present worker, where its later run still held room. A list with runs that are not ours told to stop them, but their room was given away at the same moment.

Ruled out: orders of a former leader (fenced), late orders (their room is held until the stop is confirmed).

Change: a done work item with a later run keeps its place until that run has been stopped; runs that are not ours count against room; a host with a label that no worker of a pool has may be emptied; work that lasts stays on a host of a wave for up to 8 s while no other worker could run it.

--- a/src/sched/candidate.rs
+++ b/src/sched/candidate.rs
@@ -31,7 +31,8 @@
             return false;
         }
         // Work that fills disturbs work that serves: they are kept apart.
-        !(step.fills && self.serving > 0) && !(step.target_ms.is_some() && self.filling > 0)
+        let is_disturbed = (step.fills && self.serving > 0) || (step.target_ms.is_some() && self.filling > 0);
+        !is_disturbed
     }
 
     /// Takes the room of one work item.
--- a/src/sched/duties.rs
+++ b/src/sched/duties.rs
@@ -165,7 +165,8 @@
     /// Hosts on their way, and the pools that they join.
     pub(super) fn hosts_on_their_way(&self, now_us: u64) -> impl Iterator<Item = (&Arc<str>, &Arc<str>)> {
         let moving = self.moving.iter().filter(move |(_, one)| now_us < one.counts_until_us);
-        moving.map(|(host, one)| (host, &one.pool))
+        let emptying = self.emptying.iter().map(|(host, (pool, _))| (host, pool));
+        moving.map(|(host, one)| (host, &one.pool)).chain(emptying)
     }
 }
 
--- a/src/sched/explain.rs
+++ b/src/sched/explain.rs
@@ -49,11 +49,12 @@
         let step = &job.spec.steps[at.step as usize];
         let causes = self.wait_causes(now_us, pool, &at, step);
         log::info!(
-            "job={} step={}.{} gang={} waiting={waiting} {causes} outcome=waiting",
+            "job={} step={}.{} gang={} label={} waiting={waiting} {causes} outcome=waiting",
             job.id,
             at.occurrence,
             at.step,
-            step.gang
+            step.gang,
+            step.required_label.as_deref().unwrap_or("none")
         );
     }
 
--- a/src/sched/gaps.rs
+++ b/src/sched/gaps.rs
@@ -6,7 +6,7 @@
 
 use super::demand::Balance;
 use super::duties::HOLDER_CHANGE_MARGIN_MS;
-use super::labels::{is_needed_for_label, LabelBalances};
+use super::labels::{is_last_with_label, is_needed_for_label, LabelBalances};
 use super::model::{HostPhase, HostRecord};
 use super::scheduler::Scheduler;
 use crate::clock::US_PER_MS;
@@ -22,14 +22,24 @@
     is_free: bool,
 }
 
+/// How much a pool wants a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Urge {
+    /// For work that is late anyway; only hosts without work are taken.
+    Late,
+    /// For work that is owed or can be in time; hosts whose own work is late may be emptied for it.
+    Firm,
+    /// No worker of the pool could run the work; any host without work that lasts may be emptied for it.
+    Barred,
+}
+
 /// What a pool wants.
 #[derive(Debug)]
 struct Wish<'a> {
     pool: &'a Arc<str>,
     /// Label that the host must have.
     label: Option<&'a Arc<str>>,
-    /// It is for work that is owed or can be in time: hosts whose own work is late anyway may be emptied for it.
-    firm: bool,
+    urge: Urge,
 }
 
 /// What one search for hosts has taken so far.
@@ -45,20 +55,21 @@
     pub(super) fn fill_gaps(&mut self, now_us: u64, balances: &BTreeMap<Arc<str>, Balance>, labels: &LabelBalances) {
         let mut search = Search { balances: balances.clone(), labels, taken: BTreeSet::new() };
         for ((pool, label), balance) in labels {
-            let wish = Wish { pool, label: Some(label), firm: true };
+            let urge = if balance.has_no_room() { Urge::Barred } else { Urge::Firm };
+            let wish = Wish { pool, label: Some(label), urge };
             self.fill_gap(now_us, &wish, balance.gap(), &mut search);
         }
-        for firm in [true, false] {
+        for urge in [Urge::Firm, Urge::Late] {
             let mut gaps: Vec<(u64, Arc<str>)> = Vec::new();
             for (pool, balance) in &search.balances {
-                let demand = if firm { balance.demand } else { balance.all_demand() };
+                let demand = if urge == Urge::Firm { balance.demand } else { balance.all_demand() };
                 if demand > balance.room {
                     gaps.push((demand - balance.room, pool.clone()));
                 }
             }
             gaps.sort_by(|a, b| b.cmp(a));
             for (gap, pool) in gaps {
-                let wish = Wish { pool: &pool, label: None, firm };
+                let wish = Wish { pool: &pool, label: None, urge };
                 self.fill_gap(now_us, &wish, gap, &mut search);
             }
         }
@@ -95,13 +106,21 @@
             if search.taken.contains(name) || !self.may_move(now_us, name, host, wish.pool) {
                 continue;
             }
-            if is_needed_for_label(host, search.labels) {
+            let is_kept = match wish.urge {
+                Urge::Barred => is_last_with_label(host, search.labels),
+                Urge::Firm | Urge::Late => is_needed_for_label(host, search.labels),
+            };
+            if is_kept {
                 continue;
             }
             let is_spare = self.catalog.pool(&host.pool).is_some_and(|pool| pool.spare);
             let (busy, surplus) = match search.balances.get(&host.pool) {
-                Some(balance) if wish.firm => {
-                    let Some(busy) = self.busy_milli(now_us, name) else { continue };
+                Some(_) if wish.urge == Urge::Barred => {
+                    let Some(busy) = self.busy_milli(now_us, name, wish.urge) else { continue };
+                    (busy, u64::MAX)
+                }
+                Some(balance) if wish.urge == Urge::Firm => {
+                    let Some(busy) = self.busy_milli(now_us, name, wish.urge) else { continue };
                     (busy, balance.surplus())
                 }
                 Some(balance) => {
@@ -125,7 +144,7 @@
     }
 
     /// Processor in use on a host that could be emptied soon; `None` if it should stay.
-    fn busy_milli(&self, now_us: u64, host: &str) -> Option<u64> {
+    fn busy_milli(&self, now_us: u64, host: &str, urge: Urge) -> Option<u64> {
         let worker = self.worker_on(host).and_then(|id| self.workers.get(&id))?;
         if !worker.is_synced || worker.entry.draining || worker.is_cordoned || worker.lasting > 0 {
             return None;
@@ -134,7 +153,7 @@
             return (now_us >= worker.idle_since_us + LEND_AFTER_MS * US_PER_MS).then_some(0);
         }
         // Only hosts whose work is late anyway are emptied for others.
-        (self.firm_cpu_milli(worker) == 0).then_some(worker.reserved.cpu_milli.max(1))
+        (urge == Urge::Barred || self.firm_cpu_milli(worker) == 0).then_some(worker.reserved.cpu_milli.max(1))
     }
 
     pub(super) fn may_move(&self, now_us: u64, name: &Arc<str>, host: &HostRecord, pool: &Arc<str>) -> bool {
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -53,6 +53,8 @@
     pub(crate) run: u32,
     /// Highest run whose end has been taken into account.
     pub(crate) settled_run: u32,
+    /// It is done. A later run of it may still have to be stopped.
+    pub(crate) is_done: bool,
     pub(crate) failures: u32,
     pub(crate) checkpoint: Arc<str>,
     /// Workers on which it failed.
@@ -74,6 +76,7 @@
             state: TaskState::Waiting,
             run: 0,
             settled_run: 0,
+            is_done: false,
             failures: 0,
             checkpoint: Arc::from(""),
             avoid: Vec::new(),
--- a/src/sched/labels.rs
+++ b/src/sched/labels.rs
@@ -16,6 +16,11 @@
 }
 
 impl LabelBalance {
+    /// Whether no worker there could run the work.
+    pub(super) fn has_no_room(&self) -> bool {
+        self.room == 0
+    }
+
     /// Room that is missing. Any work at all needs at least one worker with the label.
     pub(super) fn gap(&self) -> u64 {
         match self.room {
@@ -89,8 +94,16 @@
 
 /// Whether a host's pool cannot do without it, as too few others there have one of its labels.
 pub(super) fn is_needed_for_label(host: &HostRecord, balances: &LabelBalances) -> bool {
-    host.labels.iter().any(|label| {
-        let balance = balances.get(&(host.pool.clone(), label.clone()));
-        balance.is_some_and(|balance| balance.need + host.capacity.cpu_milli > balance.room)
-    })
+    let milli = host.capacity.cpu_milli;
+    host.labels.iter().any(|label| balance(host, label, balances).is_some_and(|known| known.need + milli > known.room))
+}
+
+/// Whether it is the last host of its pool with a label that work there asks for.
+pub(super) fn is_last_with_label(host: &HostRecord, balances: &LabelBalances) -> bool {
+    let milli = host.capacity.cpu_milli;
+    host.labels.iter().any(|label| balance(host, label, balances).is_some_and(|known| known.room <= milli))
+}
+
+fn balance<'a>(host: &HostRecord, label: &Arc<str>, balances: &'a LabelBalances) -> Option<&'a LabelBalance> {
+    balances.get(&(host.pool.clone(), label.clone()))
 }
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -82,14 +82,17 @@
 }
 
 impl Resources {
+    /// More than any worker has.
+    pub(crate) const MAX: Resources = Resources { cpu_milli: u64::MAX, mem_mb: u64::MAX, gpus: u64::MAX };
+
     pub(crate) fn fits_in(&self, room: &Resources) -> bool {
         self.cpu_milli <= room.cpu_milli && self.mem_mb <= room.mem_mb && self.gpus <= room.gpus
     }
 
     pub(crate) fn add(&mut self, other: &Resources) {
-        self.cpu_milli += other.cpu_milli;
-        self.mem_mb += other.mem_mb;
-        self.gpus += other.gpus;
+        self.cpu_milli = self.cpu_milli.saturating_add(other.cpu_milli);
+        self.mem_mb = self.mem_mb.saturating_add(other.mem_mb);
+        self.gpus = self.gpus.saturating_add(other.gpus);
     }
 
     pub(crate) fn minus(&self, other: &Resources) -> Resources {
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -77,7 +77,7 @@
     }
 
     /// Workers of a pool that take work, with what matters for a choice.
-    fn candidates(&self, now_us: u64, pool: &str) -> Vec<Candidate> {
+    pub(super) fn candidates(&self, now_us: u64, pool: &str) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         for worker in self.workers.values() {
             if &*worker.entry.pool != pool || !worker.takes_work(now_us) {
--- a/src/sched/progress.rs
+++ b/src/sched/progress.rs
@@ -80,17 +80,18 @@
         let spec = job.spec.clone();
         let Some(task) = job.task_mut(at) else { return };
         let Some(life) = task.life().cloned() else { return };
-        task.state = TaskState::Waiting;
+        task.state = if task.is_done { TaskState::Done } else { TaskState::Waiting };
         task.percent = 0;
         task.load = None;
         task.pace_percent = 100;
+        let is_done = task.is_done;
         let step = &spec.steps[at.step as usize];
         if let Some(worker) = self.workers.get_mut(&life.id) {
             if worker.life() == life {
                 worker.detach(now_us, at, step);
             }
         }
-        if step.gang {
+        if step.gang && !is_done {
             self.stop_gang(now_us, at);
         }
         self.wants_placement = true;
@@ -149,7 +150,7 @@
         }
         self.mark_dirty(&at.job);
         match row.kind {
-            EndKind::Done if !long_running => self.task_done(now_us, at),
+            EndKind::Done if !long_running => self.task_done(now_us, at, row.run),
             EndKind::Done | EndKind::Failed => self.task_failed(now_us, worker, at, is_here),
             EndKind::Stopped | EndKind::LeaseExpired | EndKind::Broken | EndKind::Alone => {
                 if is_here {
@@ -166,34 +167,36 @@
         }
     }
 
-    fn task_done(&mut self, now_us: u64, at: &TaskRef) {
+    fn task_done(&mut self, now_us: u64, at: &TaskRef, run: u32) {
         let Some(job) = self.jobs.get(&at.job) else { return };
         let step = &job.spec.steps[at.step as usize];
         // One end of a gang's member stands for all members.
         let members = if step.gang { 0..step.count } else { at.index..at.index + 1 };
         for index in members {
-            self.finish_task(now_us, &TaskRef { index, ..at.clone() });
+            self.finish_task(now_us, &TaskRef { index, ..at.clone() }, run);
         }
         self.refresh(&at.job);
     }
 
-    fn finish_task(&mut self, now_us: u64, at: &TaskRef) {
+    fn finish_task(&mut self, now_us: u64, at: &TaskRef, run: u32) {
         let Some(job) = self.jobs.get_mut(&at.job) else { return };
-        let spec = job.spec.clone();
         let Some(task) = job.task_mut(at) else { return };
-        if task.state == TaskState::Done {
+        if task.is_done {
             return;
         }
-        let life = task.life().cloned();
-        task.state = TaskState::Done;
+        task.is_done = true;
+        let has_later_run = task.run != run && task.life().is_some();
+        if task.life().is_none() {
+            task.state = TaskState::Done;
+        }
         if let Some(occurrence) = job.occurrences.get_mut(&at.occurrence) {
             occurrence.steps[at.step as usize].done += 1;
         }
-        let Some(life) = life else { return };
-        if let Some(worker) = self.workers.get_mut(&life.id) {
-            if worker.life() == life {
-                worker.detach(now_us, at, &spec.steps[at.step as usize]);
-            }
+        if has_later_run {
+            // It holds its worker's room until it has been stopped.
+            self.order_stop(now_us, at);
+        } else {
+            self.release(now_us, at);
         }
         self.wants_placement = true;
     }
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -5,7 +5,9 @@
 
 use super::action::{Action, StartRun};
 use super::job::{RunPhase, TaskState, WorkerLife};
-use super::model::{EndedRow, HoldAnswer, JobId, JobPhase, OrderEnd, OrderRefusal, RunningRow, TaskRef};
+use super::model::{
+    EndedRow, HoldAnswer, JobId, JobPhase, OrderEnd, OrderRefusal, Resources, RunningRow, Step, TaskRef,
+};
 use super::progress::STOP_RETRY_MS;
 use super::scheduler::Scheduler;
 use crate::clock::US_PER_MS;
@@ -101,14 +103,19 @@
                 None => {}
             }
         }
+        let mut stray = Resources::default();
         for row in rows {
             let known = self.jobs.get(&row.task.job).and_then(|job| job.task(&row.task));
             let is_ours = known.is_some_and(|task| task.life() == Some(&life) && task.run == row.run);
             if !is_ours {
                 log::warn!("job={} worker={id} run={} outcome=stop_unexpected_run", row.task.job, row.run);
                 self.actions.push(Action::Stop { worker: id.clone(), task: row.task.clone(), run: row.run });
+                stray.add(&self.step_of(&row.task).map_or(Resources::MAX, Step::reserved));
             }
         }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.stray = stray;
+        }
     }
 
     fn run_listed(&mut self, now_us: u64, id: &Arc<str>, at: &TaskRef, row: &RunningRow) {
--- a/src/sched/record.rs
+++ b/src/sched/record.rs
@@ -110,6 +110,8 @@
         JobRecord { phase: job.phase, next_occurrence: job.next_occurrence, lives: Vec::new(), tasks: Vec::new() };
     for (at, task) in job.tasks() {
         let state = match &task.state {
+            // A run that still has to be stopped is found again in its worker's list.
+            TaskState::Placed { .. } if task.is_done => StateRecord::Done,
             TaskState::Waiting if task.run == 0 => continue,
             TaskState::Waiting => StateRecord::Waiting,
             TaskState::Done => StateRecord::Done,
@@ -165,6 +167,7 @@
             },
         };
         if matches!(task.state, TaskState::Done) {
+            task.is_done = true;
             if let Some(occurrence) = job.occurrences.get_mut(&at.occurrence) {
                 occurrence.steps[at.step as usize].done += 1;
             }
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -275,13 +275,66 @@
     labelled.required_label = Some("b".into());
     scheduler.submit(10 * SECOND_US, 0, "job".into(), spec(vec![labelled]));
 
-    let batch = scheduler.take_batch(10 * SECOND_US);
-    scheduler.batch_written(10 * SECOND_US, 10 * SECOND_US, &batch);
-    scheduler.tick(10 * SECOND_US + 200_000, 0);
+    let moved = moves_at(&mut scheduler, 10 * SECOND_US);
 
-    let moved = scheduler.take_actions().into_iter().filter_map(|action| match action {
+    assert_eq!(moved, [("h9".to_owned(), "press".to_owned())]);
+}
+
+/// Moves that a leader orders whose leadership has just been confirmed.
+fn moves_at(scheduler: &mut super::scheduler::Scheduler, now_us: u64) -> Vec<(String, String)> {
+    let batch = scheduler.take_batch(now_us);
+    scheduler.batch_written(now_us, now_us, &batch);
+    scheduler.tick(now_us + 200_000, 0);
+    let moves = scheduler.take_actions().into_iter().filter_map(|action| match action {
         super::action::Action::MoveHost { host, pool } => Some((host.to_string(), pool.to_string())),
         _ => None,
     });
-    assert_eq!(moved.collect::<Vec<_>>(), [("h9".to_owned(), "press".to_owned())]);
+    moves.collect()
+}
+
+#[test]
+fn work_that_lasts_stays_on_a_host_of_a_wave_until_another_worker_could_run_it() {
+    for (other_kind, is_stopped) in [("b", false), ("a", true)] {
+        let mut scheduler = leader_with_spare_hosts();
+        let mut other = worker_entry(1, 1);
+        other.labels[0] = other_kind.into();
+        scheduler.worker_listed(0, other);
+        let answer =
+            super::model::HoldAnswer { clock_ms: 20_000, born_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+        let mut lasting = step(1, &[]);
+        lasting.long_running = true;
+        lasting.required_label = Some("a".into());
+        scheduler.submit(10 * SECOND_US, 0, "lasting".into(), spec(vec![lasting]));
+        moves_at(&mut scheduler, 10 * SECOND_US);
+        scheduler.worker_answered(10 * SECOND_US, 10 * SECOND_US, &"w1".into(), &answer);
+        let host = scheduler.workers["w0"].entry.host.clone().expect("it has a host");
+
+        let hosts = vec![host];
+        scheduler.wave_ordered(super::model::WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: 1 });
+        let at = super::model::TaskRef { job: "lasting".into(), occurrence: 0, step: 0, index: 0 };
+        let row = super::model::RunningRow { task: at, run: 1, checkpoint: "".into(), percent: 100, load: None };
+        let runs = super::model::HoldAnswer { running: vec![row], ..answer };
+        for second in 11..14 {
+            moves_at(&mut scheduler, second * SECOND_US);
+            scheduler.worker_answered(second * SECOND_US, second * SECOND_US, &"w0".into(), &runs);
+        }
+
+        let stopped = scheduler.jobs["lasting"].tasks().all(|(_, task)| !task.is_at_work());
+        assert_eq!(stopped, is_stopped, "the other worker is of kind {other_kind}");
+    }
+}
+
+#[test]
+fn a_run_that_is_not_ours_holds_its_room_until_it_has_ended() {
+    let mut scheduler = leader_with_spare_hosts();
+    scheduler.submit(SECOND_US, 0, "job".into(), spec(vec![step(8, &[])]));
+    let at = |job: &str| super::model::TaskRef { job: job.into(), occurrence: 0, step: 0, index: 0 };
+    let running =
+        vec![super::model::RunningRow { task: at("job"), run: 3, checkpoint: "".into(), percent: 10, load: None }];
+    let answer = super::model::HoldAnswer { clock_ms: 21_000, born_unix_ms: None, running, ended: Vec::new() };
+
+    scheduler.worker_answered(SECOND_US, SECOND_US, &"w0".into(), &answer);
+    let room = scheduler.workers["w0"].room();
+
+    assert_eq!(room.cpu_milli, 14_000);
 }
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -514,6 +514,10 @@
                 broken.push(format!("TWICE: {at:?} runs on {} and {}", worker.entry.id, start.worker));
             }
         }
+        let used_milli = self.cpu_in_use_milli(&start.worker);
+        if used_milli > self.workers[&start.worker].entry.capacity.cpu_milli {
+            broken.push(format!("LIMIT: {} has {used_milli} in use with {at:?}", start.worker));
+        }
         if self.noted_done.contains(at) {
             broken.push(format!("TWICE: {at:?} starts after it was done"));
         }
@@ -540,6 +544,16 @@
         self.broken.extend(broken.into_iter().map(Broken));
     }
 
+    /// Processor that runs on a worker hold; these workers take whatever they are told to start.
+    fn cpu_in_use_milli(&self, id: &Arc<str>) -> u64 {
+        let mut used_milli = 0;
+        for at in self.workers[id].runs.keys() {
+            let step = self.specs.get(&at.job).and_then(|spec| spec.steps.get(at.step as usize));
+            used_milli += step.map_or(0, |step| step.reserved().cpu_milli);
+        }
+        used_milli
+    }
+
     fn stop_arrives(&mut self, id: &Arc<str>, task: &TaskRef, run: u32, token: u64) -> OrderEnd {
         if !self.reachable(id) {
             return OrderEnd::Unanswered;
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -8,12 +8,14 @@
 
 use super::action::Action;
 use super::job::{RunPhase, TaskState};
-use super::model::{DutyEnd, HostPhase, TaskRef, WaveOrder};
+use super::model::{DutyEnd, HostPhase, Step, TaskRef, WaveOrder};
 use super::scheduler::Scheduler;
 use crate::clock::US_PER_MS;
 
 /// How long work that ends by itself may keep a host of a wave waiting.
 const DRAIN_MS: u64 = 3_000;
+/// Work that lasts stays for so long on a host to be maintained while no other worker could run it.
+const OTHER_PLACE_MS: u64 = 8_000;
 /// Pause before an order about a host is repeated.
 const DUTY_RETRY_MS: u64 = 600;
 /// Margin beyond the time that a host is away, for the provider's list to tell of its return.
@@ -239,8 +241,8 @@
             }
         }
         for (host, since_us) in emptying {
-            let is_pressed = now_us >= since_us + DRAIN_MS * US_PER_MS;
-            if self.empty(now_us, &host, is_pressed) {
+            let waited_ms = now_us.saturating_sub(since_us) / US_PER_MS;
+            if self.empty(now_us, &host, waited_ms) {
                 again.push(host);
             }
         }
@@ -251,7 +253,7 @@
     }
 
     /// Brings a host's work to an end; whether it has none.
-    fn empty(&mut self, now_us: u64, host: &str, is_pressed: bool) -> bool {
+    fn empty(&mut self, now_us: u64, host: &str, waited_ms: u64) -> bool {
         let Some(id) = self.worker_on(host) else { return true };
         let Some(worker) = self.workers.get_mut(&id) else { return true };
         worker.is_cordoned = true;
@@ -260,8 +262,11 @@
             let Some(step) = self.step_of(at) else { continue };
             let (long_running, checkpoints) = (step.long_running, step.checkpoints);
             let may_stop = match long_running {
-                true => self.may_be_away(now_us, at),
-                false => is_pressed || checkpoints,
+                true => {
+                    self.may_be_away(now_us, at)
+                        && (waited_ms >= OTHER_PLACE_MS || self.has_other_place(now_us, at, step))
+                }
+                false => waited_ms >= DRAIN_MS || checkpoints,
             };
             if may_stop {
                 self.order_stop(now_us, at);
@@ -270,6 +275,17 @@
         tasks.is_empty()
     }
 
+    /// Whether another worker could run a work item once its own work that ends by itself has ended.
+    fn has_other_place(&self, now_us: u64, at: &TaskRef, step: &Step) -> bool {
+        let Some(job) = self.jobs.get(&at.job) else { return true };
+        let pool = &self.queue_of(job).pool;
+        let members = self.members(at, step);
+        self.candidates(now_us, pool).iter().any(|worker| {
+            let members = members.get(&worker.id).copied().unwrap_or(0);
+            worker.admits(step, members) && step.reserved().fits_in(&worker.room_beside_lasting)
+        })
+    }
+
     /// Whether one more work item of its step may be away.
     pub(super) fn may_be_away(&self, now_us: u64, at: &TaskRef) -> bool {
         let Some(step) = self.step_of(at) else { return true };
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -43,8 +43,11 @@
     /// Highest end that it has been told to forget.
     pub(crate) told_end: u64,
     pub(crate) tasks: BTreeSet<TaskRef>,
+    /// Room that our work items hold.
     pub(crate) reserved: Resources,
-    /// The part of it that work items that last hold.
+    /// Room that runs hold which are not ours any more, until they have ended.
+    pub(crate) stray: Resources,
+    /// The part of `reserved` that work items that last hold.
     lasting_reserved: Resources,
     /// Work items there that last, that serve users under a target, and that fill unused capacity.
     pub(crate) lasting: u32,
@@ -78,6 +81,7 @@
             told_end: 0,
             tasks: BTreeSet::new(),
             reserved: Resources::default(),
+            stray: Resources::default(),
             lasting_reserved: Resources::default(),
             lasting: 0,
             serving: 0,
@@ -129,7 +133,7 @@
     }
 
     pub(crate) fn room(&self) -> Resources {
-        self.entry.capacity.minus(&self.reserved)
+        self.entry.capacity.minus(&self.reserved).minus(&self.stray)
     }
 
     /// Room there would be if all work that ends by itself had ended.
