Record orders about hosts before they go out; spread waiting work over 1.5 s

Cause: a new leader ordered no host for 4 s, as its predecessor might have. Waiting work counted as if all of it ran at once: pools asked for three times the cores that they then used.

Ruled out: reading work back (done 20 ms after the takeover), workers that do not answer (all synced within a second).

Change: the leader's transaction names the hosts that it orders, and keeps each for 6 s; orders go out once that is written. A new leader leaves these hosts alone as before, and orders all others after 1 s. Hosts that a former leader sent on their way count as room. Waiting work counts by its estimated time over 1.5 s.

--- a/src/control.rs
+++ b/src/control.rs
@@ -58,6 +58,9 @@
 const RECORD_TABLE: &str = "record";
 const PHASE_TABLE: &str = "phase";
 const WAVE_TABLE: &str = "wave";
+/// Hosts about which orders went out lately.
+const HOST_TABLE: &str = "host";
+const ORDERED_KEY: &str = "ordered";
 const LEAD_TABLE: &str = "lead";
 const PENDING_KEY: &str = "/pending";
 /// Ending of the key under which a wish to cancel a job is kept.
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -8,7 +8,7 @@
 use super::election::{owner_row, sequence_row, RELEASED};
 use super::orders::Orders;
 use super::{
-    calls, feeds, intake, sessions, writer, Node, CANCEL_SUFFIX, JOB_TABLE, LEADER_PARTITION, RECORD_TABLE, WAVE_TABLE,
+    calls, feeds, intake, sessions, writer, Node, CANCEL_SUFFIX, HOST_TABLE, JOB_TABLE, LEADER_PARTITION, RECORD_TABLE, WAVE_TABLE,
 };
 use crate::clock::US_PER_MS;
 use crate::platform::advice::AdviceClient;
@@ -17,7 +17,7 @@
 use crate::reactor::{spawn, Signal};
 use crate::sched::action::Action;
 use crate::sched::model::{Catalog, WaveOrder};
-use crate::sched::record::{decode_begun, decode_spec};
+use crate::sched::record::{decode_hosts, decode_spec};
 use crate::sched::scheduler::{SchedSettings, Scheduler};
 use crate::store::{CommitEnd, StoreError, StoreTransaction, StoredRow};
 
@@ -194,6 +194,7 @@
         let records: HashMap<Arc<str>, Vec<u8>> =
             records.rows.into_iter().filter_map(|row| Some((row.at.key, row.value?))).collect();
         let waves = store.read_all(WAVE_TABLE, LEADER_PARTITION).await?;
+        let ordered = store.read_all(HOST_TABLE, LEADER_PARTITION).await?;
         let mut jobs: Vec<StoredRow> = Vec::new();
         let mut version = u64::MAX;
         for partition in store.partitions(JOB_TABLE).await? {
@@ -225,11 +226,21 @@
         }
         for row in &waves.rows {
             let (Ok(number), Some(value)) = (row.at.key.parse(), &row.value) else { continue };
-            match decode_begun(value) {
+            match decode_hosts(value) {
                 Ok(hosts) => scheduler.restore_wave(number, hosts),
                 Err(error) => log::error!("wave={number} error={error} outcome=record_unreadable"),
             }
         }
+        for row in &ordered.rows {
+            let Some(value) = &row.value else { continue };
+            match decode_hosts(value) {
+                Ok(hosts) => scheduler.restore_host_orders(Some(hosts)),
+                Err(error) => {
+                    log::error!("key={} error={error} outcome=record_unreadable", row.at.key);
+                    scheduler.restore_host_orders(None);
+                }
+            }
+        }
         for row in &jobs {
             feeds::take_cancel(&mut scheduler, now_us, row);
         }
--- a/src/control/writer.rs
+++ b/src/control/writer.rs
@@ -4,10 +4,10 @@
 
 use super::election::{owner_row, sequence_row};
 use super::leader::Leader;
-use super::{LEADER_PARTITION, PENDING_KEY, PHASE_TABLE, RECORD_TABLE, WAVE_TABLE};
+use super::{HOST_TABLE, LEADER_PARTITION, ORDERED_KEY, PENDING_KEY, PHASE_TABLE, RECORD_TABLE, WAVE_TABLE};
 use crate::clock::{US_PER_MS, US_PER_S};
 use crate::sched::action::Batch;
-use crate::sched::record::{encode_begun, encode_pending, encode_phases};
+use crate::sched::record::{encode_hosts, encode_pending, encode_phases};
 use crate::store::{CommitEnd, RowKey, StoreError, StoreTransaction, StoredRow};
 
 /// Least time between the beginnings of two transactions, in which changes gather.
@@ -128,7 +128,11 @@
     }
     for (wave, hosts) in &batch.waves {
         let at = RowKey::new(WAVE_TABLE, LEADER_PARTITION, &wave.to_string());
-        transaction.writes.push((at, encode_begun(hosts)));
+        transaction.writes.push((at, encode_hosts(hosts)));
+    }
+    if let Some(hosts) = &batch.ordered_hosts {
+        let at = RowKey::new(HOST_TABLE, LEADER_PARTITION, ORDERED_KEY);
+        transaction.writes.push((at, encode_hosts(hosts)));
     }
     if let Some(pending) = &batch.pending {
         let at = RowKey::new(PHASE_TABLE, LEADER_PARTITION, PENDING_KEY);
--- a/src/platform/platform_tests.rs
+++ b/src/platform/platform_tests.rs
@@ -181,7 +181,7 @@
         let _ = worker_entry(&row("i-1", &text));
         let _ = crate::sched::record::decode_spec(&bytes);
         let _ = crate::sched::record::decode_phases(&bytes);
-        let _ = crate::sched::record::decode_begun(&bytes);
+        let _ = crate::sched::record::decode_hosts(&bytes);
     }
 
     #[test]
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -11,6 +11,7 @@
 mod duties;
 mod explain;
 mod gaps;
+pub(crate) mod host_orders;
 pub(crate) mod job;
 mod labels;
 pub(crate) mod model;
--- a/src/sched/action.rs
+++ b/src/sched/action.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::host_orders::HostOrder;
 use super::model::{JobId, JobPhase, TaskRef};
 
 /// One request of the scheduler. The answer comes back through the scheduler's method of the same subject.
@@ -86,6 +87,10 @@
     pub(crate) pending: Option<Vec<(Arc<str>, u64)>>,
     /// Hosts of each wave whose maintenance has begun, where that changed.
     pub(crate) waves: Vec<(u64, Vec<Arc<str>>)>,
+    /// Hosts about which an order went out lately or will once the batch is written, if they changed.
+    pub(crate) ordered_hosts: Option<Vec<Arc<str>>>,
+    /// Orders about hosts that may go out once the batch is written.
+    pub(crate) host_orders: Vec<HostOrder>,
     /// Jobs whose records are needed no more.
     pub(crate) forgotten: Vec<JobId>,
     /// Runs that may be ordered once the batch is written.
--- a/src/sched/batches.rs
+++ b/src/sched/batches.rs
@@ -33,6 +33,7 @@
         !self.dirty.is_empty()
             || !self.forgettable.is_empty()
             || self.waves.has_changed()
+            || self.host_orders.wants_commit()
             || self.pending_changed(now_us)
     }
 
@@ -83,6 +84,7 @@
             }
         }
         batch.waves = self.waves.take_changed();
+        (batch.ordered_hosts, batch.host_orders) = self.host_orders.take(now_us);
         if self.dirty.is_empty() {
             for worker in self.workers.values() {
                 if worker.seen_end > worker.stored_end {
@@ -107,6 +109,7 @@
         for (task, run) in &batch.intents {
             self.order_start(now_us, task, *run);
         }
+        self.host_orders_written(&batch.host_orders);
         for (id, _) in &batch.records {
             self.forget_work(id);
         }
--- a/src/sched/demand.rs
+++ b/src/sched/demand.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::job::{Job, TaskState};
+use super::model::HostPhase;
 use super::scheduler::Scheduler;
 use super::worker::Worker;
 use crate::clock::US_PER_MS;
@@ -15,6 +16,9 @@
 /// Room wanted beyond the demand: work items do not fill workers to the last core.
 const HEADROOM: f64 = 1.2;
 
+/// Time over which waiting work is spread when it is counted as demand: workers are free again and again until then.
+const SPREAD_MS: u64 = 1_500;
+
 /// A pool's room and demand, in thousandths of a core.
 #[derive(Debug, Default, Clone)]
 pub(super) struct Balance {
@@ -66,16 +70,28 @@
                 balance.late_demand += waiting_cpu_milli(job);
             }
         }
+        let inherited = self.inherited_moves();
         for (pool, balance) in &mut balances {
             let lasting = self.lasting_cpu_milli(pool);
             let arriving = self.duties.arriving_work(now_us, pool) + lasting;
             self.duties.note_demand(now_us, pool, balance.demand.max(arriving));
             balance.demand = (self.duties.recent_demand(pool) as f64 * HEADROOM) as u64;
-            balance.room += self.duties.arriving(now_us, pool);
+            balance.room += self.duties.arriving(now_us, pool) + inherited.get(pool).copied().unwrap_or(0);
         }
         balances
     }
 
+    /// Room on its way to each pool that a former leader ordered.
+    fn inherited_moves(&self) -> BTreeMap<Arc<str>, u64> {
+        let mut milli = BTreeMap::new();
+        for (name, host) in &self.hosts {
+            if host.phase == HostPhase::Moving && !self.duties.is_moving(name) {
+                *milli.entry(host.pool.clone()).or_default() += host.capacity.cpu_milli;
+            }
+        }
+        milli
+    }
+
     /// Writes one line for each pool now and then.
     pub(super) fn report_pools(&mut self, now_us: u64, balances: &BTreeMap<Arc<str>, Balance>) {
         if now_us < self.duties.report_at_us {
@@ -189,7 +205,9 @@
                 continue;
             }
             let waiting = step.tasks.iter().filter(|task| task.state == TaskState::Waiting).count() as u64;
-            milli += waiting * job.spec.steps[index].reserved().cpu_milli;
+            let spec = &job.spec.steps[index];
+            let share_ms = if spec.long_running { SPREAD_MS } else { spec.estimate_ms.min(SPREAD_MS) };
+            milli += waiting * spec.reserved().cpu_milli * share_ms / SPREAD_MS;
         }
     }
     milli
--- a/src/sched/duties.rs
+++ b/src/sched/duties.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
-use super::action::Action;
+use super::host_orders::HostOrder;
 use super::demand::Balance;
 use super::job::Job;
 use super::labels::{is_needed_for_label, LabelBalances};
@@ -222,10 +222,12 @@
         for (host, one) in &mut self.duties.moving {
             if one.again_us.is_some_and(|again_us| now_us >= again_us) {
                 one.again_us = None;
-                again.push(Action::MoveHost { host: host.clone(), pool: one.pool.clone() });
+                again.push(HostOrder::Move { host: host.clone(), pool: one.pool.clone() });
             }
         }
-        self.actions.extend(again);
+        for order in again {
+            self.host_orders.push(now_us, order);
+        }
     }
 
     /// Lets a host's work end before it moves.
@@ -290,7 +292,7 @@
         let one = Move { pool: pool.clone(), capacity, counts_until_us, is_answered: false, again_us: None };
         self.duties.moving.insert(host.clone(), one);
         log::info!("host={host} pool={pool} outcome=move_ordered");
-        self.actions.push(Action::MoveHost { host: host.clone(), pool: pool.clone() });
+        self.host_orders.push(now_us, HostOrder::Move { host: host.clone(), pool: pool.clone() });
     }
 
     /// An order to move a host was answered, or was not.
--- a/src/sched/gaps.rs
+++ b/src/sched/gaps.rs
@@ -166,10 +166,10 @@
             && self.duties.not_before_us.get(name).is_none_or(|not_before_us| now_us >= *not_before_us)
     }
 
-    /// Whether a former leader's orders about a host lie far enough back: time has passed, or the host's worker has
-    /// been running for longer than that.
+    /// Whether a former leader's orders about a host lie far enough back: it recorded none, time has passed, or the
+    /// host's worker has been running for longer than that.
     pub(super) fn is_settled(&self, now_us: u64, host: &str) -> bool {
-        if now_us >= self.duties.quiet_until_us {
+        if !self.host_orders.is_inherited(host) || now_us >= self.duties.quiet_until_us {
             return true;
         }
         let worker = self.worker_on(host).and_then(|id| self.workers.get(&id));
--- /dev/null
+++ b/src/sched/host_orders.rs
@@ -0,0 +1,94 @@
+//! Orders about hosts, each of which is recorded before it goes out.
+//!
+//! Two leaders must not order the same host within a short time. A new leader reads which hosts its predecessor may
+//! have ordered lately and leaves these alone for a while; all others it may order at once.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use super::action::Action;
+use super::scheduler::Scheduler;
+use crate::clock::US_PER_MS;
+
+/// How long a host stays in the record after an order about it. Orders go out within little more than a second of their
+/// record; the rest is the time that must lie between two holders.
+const KEPT_MS: u64 = 6_000;
+
+/// An order about one host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum HostOrder {
+    Move { host: Arc<str>, pool: Arc<str> },
+    Maintain { host: Arc<str>, wave: u64 },
+}
+
+impl HostOrder {
+    fn host(&self) -> &Arc<str> {
+        match self {
+            HostOrder::Move { host, .. } | HostOrder::Maintain { host, .. } => host,
+        }
+    }
+
+    fn action(self) -> Action {
+        match self {
+            HostOrder::Move { host, pool } => Action::MoveHost { host, pool },
+            HostOrder::Maintain { host, wave } => Action::MaintainHost { host, wave },
+        }
+    }
+}
+
+/// See the module.
+#[derive(Debug)]
+pub(super) struct HostOrders {
+    /// Hosts ordered lately, and until when they stay in the record.
+    recent: BTreeMap<Arc<str>, u64>,
+    unwritten: Vec<HostOrder>,
+    /// Hosts that a former leader may have ordered lately; `None` if that is not known of any.
+    inherited: Option<BTreeSet<Arc<str>>>,
+    has_changed: bool,
+}
+
+impl HostOrders {
+    pub(super) fn new() -> HostOrders {
+        HostOrders {
+            recent: BTreeMap::new(),
+            unwritten: Vec::new(),
+            inherited: Some(BTreeSet::new()),
+            has_changed: false,
+        }
+    }
+
+    pub(super) fn push(&mut self, now_us: u64, order: HostOrder) {
+        self.recent.insert(order.host().clone(), now_us + KEPT_MS * US_PER_MS);
+        self.unwritten.push(order);
+        self.has_changed = true;
+    }
+
+    pub(super) fn wants_commit(&self) -> bool {
+        !self.unwritten.is_empty()
+    }
+
+    /// Hosts to be recorded, if they changed, and the orders that may go out once they are.
+    pub(super) fn take(&mut self, now_us: u64) -> (Option<Vec<Arc<str>>>, Vec<HostOrder>) {
+        let known = self.recent.len();
+        self.recent.retain(|_, until_us| now_us < *until_us);
+        self.has_changed |= self.recent.len() != known;
+        let record = std::mem::take(&mut self.has_changed).then(|| self.recent.keys().cloned().collect());
+        (record, std::mem::take(&mut self.unwritten))
+    }
+
+    pub(super) fn is_inherited(&self, host: &str) -> bool {
+        self.inherited.as_ref().is_none_or(|hosts| hosts.contains(host))
+    }
+}
+
+impl Scheduler {
+    /// Takes a former leader's record of the hosts that it ordered lately; `None` if it cannot be read.
+    pub(crate) fn restore_host_orders(&mut self, hosts: Option<Vec<Arc<str>>>) {
+        self.host_orders.inherited = hosts.map(|hosts| hosts.into_iter().collect());
+    }
+
+    /// Orders that are recorded may go out.
+    pub(super) fn host_orders_written(&mut self, orders: &[HostOrder]) {
+        self.actions.extend(orders.iter().cloned().map(HostOrder::action));
+    }
+}
--- a/src/sched/record.rs
+++ b/src/sched/record.rs
@@ -94,13 +94,13 @@
     decode(bytes)
 }
 
-/// Encodes the hosts of a wave whose maintenance has begun.
-pub(crate) fn encode_begun(hosts: &[Arc<str>]) -> Vec<u8> {
+/// Encodes a list of hosts.
+pub(crate) fn encode_hosts(hosts: &[Arc<str>]) -> Vec<u8> {
     encode(&hosts)
 }
 
-/// Decodes the hosts of a wave whose maintenance has begun.
-pub(crate) fn decode_begun(bytes: &[u8]) -> Result<Vec<Arc<str>>, BadRecord> {
+/// Decodes a list of hosts.
+pub(crate) fn decode_hosts(bytes: &[u8]) -> Result<Vec<Arc<str>>, BadRecord> {
     decode(bytes)
 }
 
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -6,6 +6,7 @@
 
 use super::action::Action;
 use super::duties::Duties;
+use super::host_orders::HostOrders;
 use super::job::{Job, RunPhase, TaskState};
 use super::model::{Catalog, HostRecord, JobId, JobPhase, JobSpec, Queue, Step, TaskRef};
 use super::record::{restore_job, BadRecord};
@@ -64,6 +65,7 @@
     pub(super) forgettable: Vec<JobId>,
     pub(super) duties: Duties,
     pub(super) waves: Waves,
+    pub(super) host_orders: HostOrders,
     /// When this leader took over.
     lead_since_us: u64,
     /// When the latest confirmed renewal of leadership was sent.
@@ -89,6 +91,7 @@
         Scheduler {
             duties: Duties::new(now_us, settings.holder_change_ms),
             waves: Waves::default(),
+            host_orders: HostOrders::new(),
             settings,
             catalog: Arc::default(),
             jobs: HashMap::new(),
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -282,9 +282,19 @@
 
 /// Moves that a leader orders whose leadership has just been confirmed.
 fn moves_at(scheduler: &mut super::scheduler::Scheduler, now_us: u64) -> Vec<(String, String)> {
+    write_batch(scheduler, now_us);
+    scheduler.tick(now_us + 200_000, 0);
+    assert_eq!(moves_asked_for(scheduler), [], "a move is recorded first");
+    write_batch(scheduler, now_us + 200_000);
+    moves_asked_for(scheduler)
+}
+
+fn write_batch(scheduler: &mut super::scheduler::Scheduler, now_us: u64) {
     let batch = scheduler.take_batch(now_us);
     scheduler.batch_written(now_us, now_us, &batch);
-    scheduler.tick(now_us + 200_000, 0);
+}
+
+fn moves_asked_for(scheduler: &mut super::scheduler::Scheduler) -> Vec<(String, String)> {
     let moves = scheduler.take_actions().into_iter().filter_map(|action| match action {
         super::action::Action::MoveHost { host, pool } => Some((host.to_string(), pool.to_string())),
         _ => None,
@@ -338,3 +348,40 @@
 
     assert_eq!(room.cpu_milli, 14_000);
 }
+
+#[test]
+fn a_new_leader_leaves_alone_only_the_hosts_that_its_predecessor_may_have_ordered() {
+    let cases = [(Some(vec![]), true), (Some(vec!["h9".into()]), false), (None, false)];
+    for (recorded, is_moved) in cases {
+        let mut scheduler = leader_with_spare_hosts();
+        let mut labelled = step(1, &[]);
+        labelled.required_label = Some("b".into());
+        scheduler.restore_host_orders(recorded.clone());
+        scheduler.submit(SECOND_US, 0, "job".into(), spec(vec![labelled]));
+
+        let soon = moves_at(&mut scheduler, 1_500_000);
+        let later = moves_at(&mut scheduler, 6 * SECOND_US);
+
+        let moved = vec![("h9".to_owned(), "press".to_owned())];
+        assert_eq!(soon == moved, is_moved, "recorded {recorded:?}: {soon:?}");
+        assert_eq!(later == moved, !is_moved, "recorded {recorded:?}: {later:?}");
+    }
+}
+
+#[test]
+fn the_record_names_each_host_for_as_long_as_another_leader_must_not_order_it() {
+    let mut scheduler = leader_with_spare_hosts();
+    let mut labelled = step(1, &[]);
+    labelled.required_label = Some("b".into());
+    scheduler.submit(SECOND_US, 0, "job".into(), spec(vec![labelled]));
+    write_batch(&mut scheduler, 10 * SECOND_US);
+
+    scheduler.tick(10 * SECOND_US + 200_000, 0);
+    let with_order = scheduler.take_batch(10 * SECOND_US + 200_000);
+    let soon = scheduler.take_batch(14 * SECOND_US);
+    let later = scheduler.take_batch(17 * SECOND_US);
+
+    assert_eq!(with_order.ordered_hosts, Some(vec!["h9".into()]));
+    assert_eq!(soon.ordered_hosts, None, "nothing changed");
+    assert_eq!(later.ordered_hosts, Some(Vec::new()));
+}
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use super::action::Action;
+use super::host_orders::HostOrder;
 use super::job::{RunPhase, TaskState};
 use super::model::{DutyEnd, HostPhase, Step, TaskRef, WaveOrder};
 use super::scheduler::Scheduler;
@@ -248,7 +249,7 @@
         }
         for host in again {
             self.set_stage(number, &host, HostStage::Ordered);
-            self.actions.push(Action::MaintainHost { host, wave: number });
+            self.host_orders.push(now_us, HostOrder::Maintain { host, wave: number });
         }
     }
 
