Hand jobs in by the command line, run them over a stand-in inside the daemon

Cause: a job ran end to end only on the users' machines or in the soak; a newcomer could not see one run.

The command's part has a parser of its own, as names of subcommands must differ within one.

--- a/src/bin/sardineseam/args.rs
+++ b/src/bin/sardineseam/args.rs
@@ -23,6 +23,8 @@
 xflags::xflags! {
     /// Command line of sardineseam. It speaks to a daemon's administration API.
     ///
+    /// Jobs of the users' platform: see sardineseam job --help.
+    ///
     /// The token is taken from SARDINESEAM_TOKEN. Exit status: 0 done, 1 refused or failed, 2 usage.
     cmd sardineseam {
         /// Administration address of a daemon. Default: SARDINESEAM_ADMIN, or 127.0.0.1:7081
--- a/src/bin/sardineseam/main.rs
+++ b/src/bin/sardineseam/main.rs
@@ -3,32 +3,38 @@
 mod app;
 mod args;
 mod client;
+mod job_args;
+mod jobs;
 mod output;
 
+use std::ffi::OsString;
 use std::process::ExitCode;
 
 use args::Sardineseam;
+use job_args::Job;
 
 const FAILED: u8 = 1;
 const USAGE: u8 = 2;
 
 fn main() -> ExitCode {
-    let args = match Sardineseam::from_env() {
-        Ok(args) => args,
+    let words: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let done = match words.first().is_some_and(|word| word == "job") {
+        true => Job::from_vec(words[1..].to_vec()).map(jobs::run),
+        false => Sardineseam::from_vec(words).map(app::run),
+    };
+    match done {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(error)) => {
+            eprintln!("sardineseam: {error}");
+            ExitCode::from(FAILED)
+        }
         Err(help) if help.is_help() => {
             println!("{help}");
-            return ExitCode::SUCCESS;
+            ExitCode::SUCCESS
         }
         Err(error) => {
             eprintln!("sardineseam: {error}; see sardineseam --help");
-            return ExitCode::from(USAGE);
-        }
-    };
-    match app::run(args) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("sardineseam: {error}");
-            ExitCode::from(FAILED)
+            ExitCode::from(USAGE)
         }
     }
 }
--- a/src/bin/sardineseam/output.rs
+++ b/src/bin/sardineseam/output.rs
@@ -3,8 +3,8 @@
 use std::io::Write;
 
 use sardineseam::{
-    Applied, Error, HostEntry, IssuedToken, PoolView, Result, Sheet, SheetRejected, SheetSummary, StatusView, Wave,
-    WithdrawnTokens,
+    Applied, Error, HostEntry, IssuedToken, JobState, PoolView, Result, Sheet, SheetRejected, SheetSummary, StatusView,
+    Wave, WithdrawnTokens,
 };
 use serde::Serialize;
 
@@ -37,6 +37,15 @@
         write(shown.trim_end().as_bytes(), b"\n")
     }
 
+    pub(crate) fn job(&self, id: &str, state: JobState) -> Result<()> {
+        let shown = serde_json::json!({ "id": id, "state": state });
+        self.print(&shown, || format!("{id} {}", state.as_str()))
+    }
+
+    pub(crate) fn waiting(&self, count: u64) -> Result<()> {
+        self.print(&serde_json::json!({ "waiting": count }), || format!("{count} jobs wait"))
+    }
+
     pub(crate) fn status(&self, status: &StatusView) -> Result<()> {
         self.print(status, || {
             let peers: Vec<&str> = status.peers.iter().map(|peer| &*peer.name).collect();
--- a/src/bin/sardineseamd/args.rs
+++ b/src/bin/sardineseamd/args.rs
@@ -8,6 +8,9 @@
     cmd sardineseamd {
         /// Run jobs on the users' platform; all settings come from the file that it places on the machine.
         optional --control
+        /// With --control: a stand-in for the users' platform inside the process, with one queue, print.example/jobs/,
+        /// and four workers. Callers are served on the address of --listen.
+        optional --stand-in
         /// Port of the metrics with --control, on the address for callers. Default: none
         optional --metrics-port port: String
         /// Unique name of this daemon. Default: zone and peer address.
--- a/src/bin/sardineseamd/config.rs
+++ b/src/bin/sardineseamd/config.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
-use sardineseam::{Error, LogFormat, PlatformSetting, Result, Settings};
+use sardineseam::{
+    parse_deployment_settings, ControlSettings, Error, LogFormat, PlatformSetting, PlatformStandIn, Result, Settings,
+};
 
 use super::args::Sardineseamd;
 
@@ -100,6 +102,20 @@
     }
 }
 
+/// Settings of a daemon in the control role that uses the stand-in.
+///
+/// # Errors
+/// Names the flag if its value is no address.
+pub(crate) fn stand_in(platform: &PlatformStandIn, listen: Option<String>) -> Result<ControlSettings> {
+    let value = listen.unwrap_or_else(|| "127.0.0.1:7080".to_owned());
+    let Ok(callers) = value.parse() else {
+        return Err(Error::Setting { name: "listen", value, fix: "must be IP:PORT".to_owned() });
+    };
+    let readiness = ([127, 0, 0, 1], 0).into();
+    let text = platform.settings("stand-in", callers, readiness, platform.store);
+    parse_deployment_settings(text.as_bytes())
+}
+
 /// Names become parts of row keys and header values.
 fn check_name(name: &'static str, value: &str) -> Result<()> {
     let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:[]".contains(c);
--- a/src/error.rs
+++ b/src/error.rs
@@ -48,6 +48,14 @@
         /// The reason, from the daemon.
         message: String,
     },
+    /// The daemon's address for callers could not be reached, or it broke its answer off.
+    #[error("no answer from the daemon at {address}: {reason}; check --front")]
+    NoAnswer {
+        /// Address that was called.
+        address: String,
+        /// Why there is no answer.
+        reason: String,
+    },
     /// The daemon's administration API could not be reached.
     #[error("cannot reach the daemon at {address}: {reason}; check --admin or SARDINESEAM_ADMIN")]
     AdminUnreachable {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -5,9 +5,11 @@
 mod call;
 pub(crate) mod callers;
 pub(crate) mod hosts;
+pub mod job_client;
 mod names;
 pub(crate) mod operator;
 pub mod settings;
+pub mod standin;
 pub(crate) mod store;
 pub(crate) mod workers;
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -30,7 +30,10 @@
 }
 
 /// Decodes settings; fields that this program does not know are ignored.
-pub(crate) fn parse(text: &[u8]) -> Result<ControlSettings> {
+///
+/// # Errors
+/// Names the field that is missing or not usable.
+pub fn parse(text: &[u8]) -> Result<ControlSettings> {
     let value: Value = serde_json::from_slice(text).map_err(|error| Error::DeploymentSetting {
         field: "(whole file)".to_owned(),
         fix: format!("must be JSON: {error}"),
--- a/tests/support/wire.rs
+++ b/src/platform/standin.rs
@@ -1,5 +1,7 @@
-//! The users' platform on loopback: its store, workers and registry, speaking its protocol, with checks of what its
-//! workers see.
+//! A stand-in for the users' platform on loopback: its store, workers and registry, speaking its protocol, with checks
+//! of what its workers see. For trying the daemon out, and for tests.
+
+mod worker;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io::{Read, Write};
@@ -10,6 +12,8 @@
 
 use serde_json::{json, Value};
 
+use worker::Worker;
+
 type RowAt = (String, String, String);
 
 #[derive(Default)]
@@ -18,31 +22,15 @@
     rows: BTreeMap<RowAt, (u64, Option<String>)>,
 }
 
-struct Run {
-    number: u64,
-    ends: Instant,
-}
-
-/// One worker: it runs what it is told to and remembers how that ended.
-struct Worker {
-    id: String,
-    started: Instant,
-    lease_end_ms: u64,
-    token: u64,
-    runs: BTreeMap<String, Run>,
-    over: HashMap<String, u64>,
-    ended: Vec<Value>,
-    next_end: u64,
-    acknowledged: u64,
-}
-
 /// What the workers saw.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct Seen {
+    /// Runs that began.
     pub starts: u64,
     /// Work items with a run that ended well.
     pub done: HashSet<String>,
     noted_done: HashSet<String>,
+    /// Rules that were broken, each with what was seen.
     pub broken: Vec<String>,
 }
 
@@ -55,13 +43,21 @@
 
 /// See the module.
 #[derive(Clone)]
-pub struct Platform {
+pub struct StandIn {
     state: Arc<(Mutex<State>, Condvar)>,
+    /// Address of the store.
     pub store: SocketAddr,
+    /// Address of the provider's interface to hosts; it has none.
     pub provider: SocketAddr,
     run_time: Duration,
 }
 
+impl std::fmt::Debug for StandIn {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("StandIn").field("store", &self.store).field("provider", &self.provider).finish_non_exhaustive()
+    }
+}
+
 struct Call {
     method: String,
     path: String,
@@ -74,14 +70,14 @@
     base64::engine::general_purpose::STANDARD.encode(bytes)
 }
 
-impl Platform {
+impl StandIn {
     /// Starts the services with a configuration of one queue, `/jobs/` of `print.example`.
-    pub fn start(worker_count: usize, run_time: Duration) -> Platform {
+    pub fn start(worker_count: usize, run_time: Duration) -> StandIn {
         let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
         let (store, provider) = (bind(), bind());
         let address = |listener: &TcpListener| listener.local_addr().expect("an address");
         let platform =
-            Platform { state: Arc::default(), store: address(&store), provider: address(&provider), run_time };
+            StandIn { state: Arc::default(), store: address(&store), provider: address(&provider), run_time };
         platform.serve(store, |platform, call| platform.store_call(call));
         platform.serve(provider, |_, _| (200, json!({ "machines": [], "nextToken": null })));
         let config = json!({
@@ -105,17 +101,7 @@
             "state": "ready", "born": 1, "capacity": { "cpu": 8_000, "memMb": 32_000, "gpu": 0 },
             "labels": ["a", "r1"], "machine": format!("m{number}"), "seq": 1,
         });
-        self.lock().workers.push(Worker {
-            id: id.clone(),
-            started: Instant::now(),
-            lease_end_ms: 0,
-            token: 0,
-            runs: BTreeMap::new(),
-            over: HashMap::new(),
-            ended: Vec::new(),
-            next_end: 0,
-            acknowledged: 0,
-        });
+        self.lock().workers.push(Worker::new());
         self.put("servers", &id, &entry);
         self.serve(listener, move |platform, call| platform.worker_call(number, call));
     }
@@ -133,6 +119,20 @@
         self.state.1.notify_all();
     }
 
+    /// Text of the settings file of a daemon that uses this stand-in and listens at these addresses.
+    pub fn settings(&self, daemon: &str, callers: SocketAddr, readiness: SocketAddr, store: SocketAddr) -> String {
+        let settings = json!({
+            "node": daemon, "zone": "a",
+            "listen": { "front": callers.to_string(), "readiness": readiness.to_string() },
+            "limits": { "cpuShare": 0.5 }, "orders": "call",
+            "bounds": { "holdMaxMs": 10_000, "stopGraceMs": 100, "leaseMs": 3_000, "moveS": 1.5, "upkeepS": 2,
+                "graceS": 6 },
+            "platform": { "addr": store.to_string() },
+            "cloudApi": { "addr": self.provider.to_string(), "dutyPerS": 64 },
+        });
+        settings.to_string()
+    }
+
     /// The daemon that leads, as the store tells it.
     pub fn leader(&self) -> Option<String> {
         use base64::Engine;
@@ -148,7 +148,7 @@
         look(&self.lock().seen)
     }
 
-    fn serve(&self, listener: TcpListener, answer: impl Fn(&Platform, &Call) -> (u16, Value) + Send + Sync + 'static) {
+    fn serve(&self, listener: TcpListener, answer: impl Fn(&StandIn, &Call) -> (u16, Value) + Send + Sync + 'static) {
         let platform = self.clone();
         let answer = Arc::new(answer);
         thread::spawn(move || {
@@ -245,160 +245,6 @@
             state = self.state.1.wait_timeout(state, left).expect("lock").0;
         }
     }
-
-    fn worker_call(&self, number: usize, call: &Call) -> (u16, Value) {
-        match call.path.as_str() {
-            "/run-start" => self.start_run(number, &call.body),
-            "/run-stop" => self.stop_run(number, &call.body),
-            "/hold" => self.hold(number, &call.body),
-            _ => (404, json!({})),
-        }
-    }
-
-    fn start_run(&self, number: usize, body: &Value) -> (u16, Value) {
-        let task = body["task"].as_str().unwrap_or("").to_owned();
-        let run = body["run"].as_u64().unwrap_or(0);
-        let mut state = self.lock();
-        state.settle();
-        let clock = state.workers[number].clock_ms();
-        let refuse = |reason: &str| (409, json!({ "clockMs": clock, "reason": reason }));
-        let worker = &mut state.workers[number];
-        if !worker.admits(body) {
-            return refuse("fence");
-        }
-        worker.extend(body);
-        if worker.runs.get(&task).is_some_and(|known| known.number == run) {
-            return (200, json!({ "clockMs": clock }));
-        }
-        if worker.over.get(&task).is_some_and(|over| run <= *over) {
-            return refuse("old");
-        }
-        if body["deadlineMs"].as_u64().unwrap_or(0) <= clock {
-            return refuse("late");
-        }
-        worker.runs.insert(task.clone(), Run { number: run, ends: Instant::now() + self.run_time });
-        state.seen.starts += 1;
-        let elsewhere = state.workers.iter().filter(|worker| worker.runs.contains_key(&task)).count();
-        if elsewhere > 1 {
-            state.seen.broken.push(format!("TWICE: {task} runs on {elsewhere} workers"));
-        }
-        if state.seen.noted_done.contains(&task) {
-            state.seen.broken.push(format!("TWICE: {task} starts after it was done"));
-        }
-        self.state.1.notify_all();
-        (200, json!({ "clockMs": clock }))
-    }
-
-    fn stop_run(&self, number: usize, body: &Value) -> (u16, Value) {
-        let task = body["task"].as_str().unwrap_or("").to_owned();
-        let run = body["run"].as_u64().unwrap_or(0);
-        let mut state = self.lock();
-        state.settle();
-        let worker = &mut state.workers[number];
-        let clock = worker.clock_ms();
-        if !worker.admits(body) {
-            return (409, json!({ "clockMs": clock, "reason": "fence" }));
-        }
-        if worker.runs.get(&task).is_some_and(|known| known.number <= run) {
-            worker.end(&task, "stopped");
-        }
-        let over = worker.over.entry(task).or_default();
-        *over = (*over).max(run);
-        self.state.1.notify_all();
-        (200, json!({ "clockMs": clock }))
-    }
-
-    fn hold(&self, number: usize, body: &Value) -> (u16, Value) {
-        let deadline = Instant::now() + Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0));
-        let mut state = self.lock();
-        state.settle();
-        if !state.workers[number].admits(body) {
-            let clock = state.workers[number].clock_ms();
-            return (409, json!({ "clockMs": clock, "reason": "fence" }));
-        }
-        state.workers[number].extend(body);
-        state.note(number, body["ackCursor"].as_u64().unwrap_or(0));
-        loop {
-            state.settle();
-            let worker = &state.workers[number];
-            let left = deadline.saturating_duration_since(Instant::now());
-            if !worker.ended.is_empty() || left.is_zero() {
-                let running: Vec<Value> =
-                    worker.runs.iter().map(|(task, run)| json!([task, run.number, "", 50])).collect();
-                let answer = json!({ "clockMs": worker.clock_ms(), "born": 1, "running": running,
-                    "endedRuns": worker.ended });
-                return (200, answer);
-            }
-            let next_end = worker.runs.values().map(|run| run.ends).min();
-            let until_end = next_end.map_or(left, |ends| ends.saturating_duration_since(Instant::now()));
-            state = self.state.1.wait_timeout(state, left.min(until_end)).expect("lock").0;
-        }
-    }
-}
-
-impl Worker {
-    fn clock_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64 + 1
-    }
-
-    fn admits(&mut self, body: &Value) -> bool {
-        let token = body["fence"].as_u64().unwrap_or(0);
-        if token < self.token {
-            return false;
-        }
-        self.token = token;
-        true
-    }
-
-    fn extend(&mut self, body: &Value) {
-        self.lease_end_ms = self.lease_end_ms.max(body["deadlineMs"].as_u64().unwrap_or(0));
-    }
-
-    fn end(&mut self, task: &str, how: &str) {
-        let Some(run) = self.runs.remove(task) else { return };
-        self.next_end += 1;
-        self.ended.push(json!([self.next_end, task, run.number, how, ""]));
-        let over = self.over.entry(task.to_owned()).or_default();
-        *over = (*over).max(run.number);
-    }
-}
-
-impl State {
-    /// Ends the runs whose time or lease is over.
-    fn settle(&mut self) {
-        let now = Instant::now();
-        for worker in &mut self.workers {
-            let lapsed = worker.clock_ms() > worker.lease_end_ms;
-            let over: Vec<(String, bool)> = worker
-                .runs
-                .iter()
-                .filter(|(_, run)| lapsed || now >= run.ends)
-                .map(|(task, run)| (task.clone(), now >= run.ends))
-                .collect();
-            for (task, is_done) in over {
-                worker.end(&task, if is_done { "done" } else { "lapsed" });
-                if is_done {
-                    self.seen.done.insert(task);
-                }
-            }
-        }
-    }
-
-    /// Forgets ends up to `acknowledged`.
-    fn note(&mut self, number: usize, acknowledged: u64) {
-        let worker = &mut self.workers[number];
-        worker.acknowledged = worker.acknowledged.max(acknowledged);
-        let lapsed = worker.clock_ms() > worker.lease_end_ms;
-        let (noted, left) =
-            std::mem::take(&mut worker.ended).into_iter().partition(|row| row[0].as_u64().unwrap_or(0) <= acknowledged);
-        worker.ended = left;
-        let noted: Vec<Value> = noted;
-        for row in noted {
-            if row[3] == "done" && !lapsed {
-                self.seen.noted_done.insert(row[1].as_str().unwrap_or("").to_owned());
-            }
-        }
-    }
 }
 
 fn serve_connection(mut stream: TcpStream, answer: impl Fn(&Call) -> (u16, Value)) {
--- a/tests/soak_tests.rs
+++ b/tests/soak_tests.rs
@@ -14,8 +14,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use sardineseam::PlatformStandIn;
 use support::proxy::{Mode, Proxy};
-use support::wire::Platform;
 use support::{eventually, try_http_within};
 
 const DAEMONS: usize = 3;
@@ -38,20 +38,15 @@
     TcpListener::bind("127.0.0.1:0").expect("a free port").local_addr().expect("an address").port()
 }
 
-fn daemon(seed: u64, number: usize, platform: &Platform) -> Daemon {
+fn daemon(seed: u64, number: usize, platform: &PlatformStandIn) -> Daemon {
     let proxy = Proxy::start(platform.store);
     let name = format!("daemon-{number}");
     let front = format!("127.0.0.1:{}", free_port());
     let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}-{name}.json"));
-    let text = serde_json::json!({
-        "node": name, "zone": "a",
-        "listen": { "front": front, "readiness": format!("127.0.0.1:{}", free_port()) },
-        "limits": { "cpuShare": 0.5 }, "orders": "call",
-        "bounds": { "holdMaxMs": 10_000, "stopGraceMs": 100, "leaseMs": 3_000, "moveS": 1.5, "upkeepS": 2, "graceS": 6 },
-        "platform": { "addr": proxy.address.to_string() },
-        "cloudApi": { "addr": platform.provider.to_string(), "dutyPerS": 64 },
-    });
-    std::fs::write(&settings, text.to_string()).expect("a settings file");
+    let readiness = ([127, 0, 0, 1], free_port()).into();
+    let callers = front.parse().expect("an address");
+    let text = platform.settings(&name, callers, readiness, proxy.address);
+    std::fs::write(&settings, text).expect("a settings file");
     Daemon { name, front, settings, proxy, child: None }
 }
 
@@ -121,7 +116,7 @@
     Store(usize),
 }
 
-fn strike(daemons: &mut [Daemon], platform: &Platform, rng: &mut SmallRng) -> Fault {
+fn strike(daemons: &mut [Daemon], platform: &PlatformStandIn, rng: &mut SmallRng) -> Fault {
     let leader = platform.leader();
     let leading = daemons.iter().position(|daemon| Some(&daemon.name) == leader.as_ref());
     let target = match leading {
@@ -162,7 +157,7 @@
 
 fn play(seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let platform = Platform::start(WORKERS, RUN_TIME);
+    let platform = PlatformStandIn::start(WORKERS, RUN_TIME);
     let mut daemons: Vec<Daemon> = (0..DAEMONS).map(|number| daemon(seed, number, &platform)).collect();
     daemons.iter_mut().for_each(Daemon::start);
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,7 +5,6 @@
 pub mod endpoint;
 pub mod group;
 pub mod proxy;
-pub mod wire;
 
 use std::io::{BufRead, BufReader, Read};
 use std::process::{Child, Command, ExitStatus, Stdio};
