--- /dev/null
+++ b/src/sched/sim/fixtures.rs
@@ -0,0 +1,68 @@
+//! Settings, queues, jobs and workers for tests.
+
+use std::sync::Arc;
+
+use super::super::model::{Catalog, JobSpec, PoolRules, Queue, Resources, Step, WorkerEntry};
+use super::super::scheduler::SchedSettings;
+use super::{MAX_ATTEMPTS, START_UNIX_MS};
+
+pub(in crate::sched) fn settings() -> SchedSettings {
+    SchedSettings {
+        max_lease_ms: 10_000,
+        stop_grace_ms: 200,
+        holder_change_ms: 3_000,
+        host_move_ms: 1_500,
+        upkeep_ms: 2_000,
+        host_orders_per_s: 64,
+    }
+}
+
+pub(in crate::sched) fn queue() -> Arc<Queue> {
+    Arc::new(Queue {
+        name: "proofs".into(),
+        host: "studio.example".into(),
+        path_prefix: "/proofs/".into(),
+        pool: "press".into(),
+        priority: 0,
+        max_attempts: MAX_ATTEMPTS,
+        stretch: 2.0,
+        target_latency_ms: 1_000,
+        advice: None,
+    })
+}
+
+pub(in crate::sched) fn catalog() -> Arc<Catalog> {
+    let pools = vec![PoolRules { name: "press".into(), spare: false }];
+    Arc::new(Catalog { version: 1, queues: vec![queue()], pools })
+}
+
+pub(in crate::sched) fn step(count: u32, after: &[u32]) -> Step {
+    let needs = Resources { cpu_milli: 2_000, mem_mb: 1_000, gpus: 0 };
+    Step { count, needs, estimate_ms: 500, after: after.to_vec(), ..Step::default() }
+}
+
+pub(in crate::sched) fn spec(steps: Vec<Step>) -> JobSpec {
+    JobSpec {
+        queue: queue(),
+        spec: "print".into(),
+        steps,
+        times: 0,
+        first_run_unix_ms: 0,
+        interval_ms: 0,
+        accepted_unix_ms: START_UNIX_MS,
+    }
+}
+
+pub(in crate::sched) fn worker_entry(number: usize, born_unix_ms: u64) -> WorkerEntry {
+    WorkerEntry {
+        id: format!("w{number}").into(),
+        address: ([10, 0, 0, 1], 1_000 + number as u16).into(),
+        pool: "press".into(),
+        zone: "hall-a".into(),
+        born_unix_ms,
+        draining: false,
+        capacity: Resources { cpu_milli: 16_000, mem_mb: 64_000, gpus: 0 },
+        labels: vec!["a".into(), format!("r{}", number / 4).into()],
+        host: Some(format!("h{number}").into()),
+    }
+}
--- /dev/null
+++ b/src/sched/sim/worker.rs
@@ -0,0 +1,260 @@
+//! Workers of the model, and checks of what they see.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use super::super::action::StartRun;
+use super::super::model::{EndKind, EndedRow, HoldAnswer, OrderEnd, OrderRefusal, RunningRow, TaskRef, WorkerEntry};
+use super::{Broken, Message, Sim, MAX_ATTEMPTS, ORDER_TIMEOUT_US, STEP_US, WAY_US};
+use crate::clock::US_PER_MS;
+
+#[derive(Debug, Clone)]
+pub(super) struct Run {
+    pub(super) run: u32,
+    pub(super) ends_us: u64,
+    pub(super) fails: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct SimWorker {
+    pub(super) entry: WorkerEntry,
+    pub(super) is_up: bool,
+    pub(super) cut_until_us: u64,
+    pub(super) started_us: u64,
+    pub(super) clock_rate: f64,
+    pub(super) token: u64,
+    pub(super) lease_end_ms: u64,
+    pub(super) runs: BTreeMap<TaskRef, Run>,
+    pub(super) highest_over: HashMap<TaskRef, u32>,
+    pub(super) ended: Vec<EndedRow>,
+    pub(super) next_end: u64,
+    pub(super) noted: u64,
+    /// Ends up to this one were listed when a lease ended; they do not count as taken note of.
+    pub(super) lapsed_end: u64,
+}
+
+impl SimWorker {
+    pub(super) fn clock_ms(&self, now_us: u64) -> u64 {
+        ((now_us - self.started_us) as f64 * self.clock_rate) as u64 / US_PER_MS
+    }
+
+    pub(super) fn end(&mut self, task: &TaskRef, run: u32, kind: EndKind) {
+        self.next_end += 1;
+        let row = EndedRow { number: self.next_end, task: task.clone(), run, kind, checkpoint: Arc::from("") };
+        self.ended.push(row);
+        let highest = self.highest_over.entry(task.clone()).or_default();
+        *highest = (*highest).max(run);
+    }
+}
+
+impl Sim {
+    pub(super) fn reachable(&self, id: &Arc<str>) -> bool {
+        self.workers.get(id).is_some_and(|worker| worker.is_up && self.now_us >= worker.cut_until_us)
+    }
+
+    pub(super) fn start_arrives(&mut self, start: &StartRun, token: u64, is_late: bool) -> OrderEnd {
+        let now_us = self.now_us;
+        if !self.reachable(&start.worker) {
+            return OrderEnd::Unanswered;
+        }
+        let fails = self.chance(self.faults.run_fails);
+        let step = self.specs.get(&start.task.job).and_then(|spec| spec.steps.get(start.task.step as usize));
+        let lasts = step.is_some_and(|step| step.long_running);
+        let duration_us = if lasts { u64::MAX / 2 } else { self.duration_us };
+        let Some(worker) = self.workers.get_mut(&start.worker) else { return OrderEnd::Unanswered };
+        let clock_ms = worker.clock_ms(now_us);
+        if token < worker.token {
+            return OrderEnd::Refused(OrderRefusal::Fenced);
+        }
+        worker.token = token;
+        worker.lease_end_ms = worker.lease_end_ms.max(start.lease_end_ms);
+        if worker.runs.get(&start.task).is_some_and(|run| run.run == start.run) {
+            return OrderEnd::Accepted { clock_ms: Some(clock_ms) };
+        }
+        if worker.highest_over.get(&start.task).is_some_and(|over| start.run <= *over) {
+            return OrderEnd::Refused(OrderRefusal::OldRun);
+        }
+        if start.lease_end_ms <= clock_ms {
+            return OrderEnd::Refused(OrderRefusal::Late);
+        }
+        worker.runs.insert(start.task.clone(), Run { run: start.run, ends_us: now_us + duration_us, fails });
+        self.starts += 1;
+        self.check_start(start, token, is_late);
+        OrderEnd::Accepted { clock_ms: Some(clock_ms) }
+    }
+
+    pub(super) fn check_start(&mut self, start: &StartRun, token: u64, is_late: bool) {
+        let at = &start.task;
+        let mut broken = Vec::new();
+        for worker in self.workers.values() {
+            if worker.is_up && worker.entry.id != start.worker && worker.runs.contains_key(at) {
+                broken.push(format!("TWICE: {at:?} runs on {} and {}", worker.entry.id, start.worker));
+            }
+        }
+        let used_milli = self.cpu_in_use_milli(&start.worker);
+        if used_milli > self.workers[&start.worker].entry.capacity.cpu_milli {
+            broken.push(format!("LIMIT: {} has {used_milli} in use with {at:?}", start.worker));
+        }
+        if self.noted_done.contains(at) {
+            broken.push(format!("TWICE: {at:?} starts after it was done"));
+        }
+        if self.noted_failures.get(at).copied().unwrap_or(0) >= MAX_ATTEMPTS {
+            broken.push(format!("BUDGET: {at:?} starts after {MAX_ATTEMPTS} failures"));
+        }
+        match self.specs.get(&at.job) {
+            None => broken.push(format!("UNASKED: {at:?}")),
+            Some(spec) => {
+                for after in &spec.steps[at.step as usize].after {
+                    for index in 0..spec.steps[*after as usize].count {
+                        let before = TaskRef { step: *after, index, ..at.clone() };
+                        if !self.done.contains(&before) {
+                            broken.push(format!("ORDER: {at:?} starts before {before:?}"));
+                        }
+                    }
+                }
+            }
+        }
+        let is_cancelled = self.cancelled.get(&at.job).is_some_and(|at_us| self.now_us > at_us + 3_000_000);
+        if is_cancelled && token == self.token && !is_late {
+            broken.push(format!("UNASKED: {at:?} starts after it was cancelled"));
+        }
+        self.broken.extend(broken.into_iter().map(Broken));
+    }
+
+    /// Processor that runs on a worker hold; these workers take whatever they are told to start.
+    pub(super) fn cpu_in_use_milli(&self, id: &Arc<str>) -> u64 {
+        let mut used_milli = 0;
+        for at in self.workers[id].runs.keys() {
+            let step = self.specs.get(&at.job).and_then(|spec| spec.steps.get(at.step as usize));
+            used_milli += step.map_or(0, |step| step.reserved().cpu_milli);
+        }
+        used_milli
+    }
+
+    pub(super) fn stop_arrives(&mut self, id: &Arc<str>, task: &TaskRef, run: u32, token: u64) -> OrderEnd {
+        if !self.reachable(id) {
+            return OrderEnd::Unanswered;
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return OrderEnd::Unanswered };
+        if token < worker.token {
+            return OrderEnd::Refused(OrderRefusal::Fenced);
+        }
+        worker.token = token;
+        if worker.runs.get(task).is_some_and(|known| known.run <= run) {
+            worker.runs.remove(task);
+            worker.end(task, run, EndKind::Stopped);
+        }
+        let highest = worker.highest_over.entry(task.clone()).or_default();
+        *highest = (*highest).max(run);
+        OrderEnd::Accepted { clock_ms: None }
+    }
+
+    pub(super) fn hold_arrives(
+        &mut self,
+        id: Arc<str>,
+        lease_end_ms: Option<u64>,
+        acknowledged: u64,
+        until_us: u64,
+        asked_us: u64,
+        token: u64,
+    ) {
+        let now_us = self.now_us;
+        let leader = self.leader;
+        if !self.reachable(&id) {
+            let answer = Message::HoldAnswer { worker: id, asked_us, leader, answer: None };
+            self.send(ORDER_TIMEOUT_US, answer);
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        if token < worker.token {
+            return;
+        }
+        worker.token = token;
+        worker.lease_end_ms = worker.lease_end_ms.max(lease_end_ms.unwrap_or(0));
+        for row in &worker.ended {
+            if row.number <= acknowledged && row.number > worker.noted.max(worker.lapsed_end) {
+                match row.kind {
+                    EndKind::Done => {
+                        self.noted_done.insert(row.task.clone());
+                    }
+                    EndKind::Failed => *self.noted_failures.entry(row.task.clone()).or_default() += 1,
+                    _ => {}
+                }
+            }
+        }
+        worker.noted = worker.noted.max(acknowledged);
+        worker.ended.retain(|row| row.number > acknowledged);
+        if worker.ended.is_empty() && now_us < until_us {
+            let again = Message::Hold { worker: id, lease_end_ms, acknowledged, until_us, asked_us, token };
+            self.send(STEP_US, again);
+            return;
+        }
+        let running = worker.runs.iter().map(|(task, run)| RunningRow {
+            task: task.clone(),
+            run: run.run,
+            checkpoint: Arc::from(""),
+            percent: 0,
+            load: None,
+        });
+        let answer = HoldAnswer {
+            clock_ms: worker.clock_ms(now_us),
+            born_unix_ms: Some(worker.entry.born_unix_ms),
+            running: running.collect(),
+            ended: worker.ended.clone(),
+        };
+        self.send(WAY_US, Message::HoldAnswer { worker: id, asked_us, leader, answer: Some(answer) });
+    }
+
+    pub(super) fn run_workers(&mut self) {
+        let now_us = self.now_us;
+        for worker in self.workers.values_mut() {
+            if !worker.is_up {
+                continue;
+            }
+            let lapsed = worker.clock_ms(now_us) > worker.lease_end_ms;
+            if lapsed {
+                worker.lapsed_end = worker.next_end;
+            }
+            let over: Vec<(TaskRef, Run)> = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| lapsed || now_us >= run.ends_us)
+                .map(|(task, run)| (task.clone(), run.clone()))
+                .collect();
+            for (task, run) in over {
+                worker.runs.remove(&task);
+                let kind = match (now_us >= run.ends_us, run.fails) {
+                    (true, false) => EndKind::Done,
+                    (true, true) => EndKind::Failed,
+                    (false, _) => EndKind::LeaseExpired,
+                };
+                match kind {
+                    EndKind::Done => {
+                        self.done.insert(task.clone());
+                    }
+                    EndKind::Failed => *self.failures.entry(task.clone()).or_default() += 1,
+                    _ => {}
+                }
+                worker.end(&task, run.run, kind);
+            }
+        }
+    }
+}
+
+pub(super) fn sim_worker(now_us: u64, entry: WorkerEntry, clock_rate: f64) -> SimWorker {
+    SimWorker {
+        entry,
+        is_up: true,
+        cut_until_us: 0,
+        started_us: now_us.saturating_sub(1_000_000),
+        clock_rate,
+        token: 0,
+        lease_end_ms: 0,
+        runs: BTreeMap::new(),
+        highest_over: HashMap::new(),
+        ended: Vec::new(),
+        next_end: 0,
+        noted: 0,
+        lapsed_end: 0,
+    }
+}
