An answer of another worker at an address does not count as a sign of the one asked

An order that is refused as meant for another worker counted as a sign of life; a stop repeated each 0.4 s, such as a wave's, so made the next lease longer, without end.

Change: only answers of the worker meant count. The test refuses stops for 14 s; the work stayed placed before the change and is released now.

--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -219,10 +219,12 @@
         self.workers.get(id).is_some_and(|worker| now_us < worker.last_answer_us + LATELY_MS * US_PER_MS)
     }
 
-    /// An answer to an order shows that the worker is there.
+    /// An answer to an order shows that the worker is there, unless another one gave it from the same address.
     fn note_answer(&mut self, now_us: u64, id: &Arc<str>, end: &OrderEnd) {
-        if !matches!(end, OrderEnd::Accepted { .. } | OrderEnd::Refused(_)) {
-            return;
+        match end {
+            OrderEnd::Accepted { .. } => {}
+            OrderEnd::Refused(refusal) if *refusal != OrderRefusal::OtherLife => {}
+            OrderEnd::Refused(_) | OrderEnd::NotSent | OrderEnd::Unanswered => return,
         }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.last_answer_us = worker.last_answer_us.max(now_us);
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -385,3 +385,33 @@
     assert_eq!(soon.ordered_hosts, None, "nothing changed");
     assert_eq!(later.ordered_hosts, Some(Vec::new()));
 }
+
+#[test]
+fn a_worker_at_whose_address_another_one_answers_loses_its_work_when_its_lease_is_over() {
+    let mut scheduler = leader_with_spare_hosts();
+    let mut lasting = step(1, &[]);
+    lasting.long_running = true;
+    scheduler.submit(10 * SECOND_US, 0, "lasting".into(), spec(vec![lasting]));
+    moves_at(&mut scheduler, 10 * SECOND_US);
+    let at = super::model::TaskRef { job: "lasting".into(), occurrence: 0, step: 0, index: 0 };
+    let row = super::model::RunningRow { task: at.clone(), run: 1, checkpoint: "".into(), percent: 100, load: None };
+    let runs =
+        super::model::HoldAnswer { clock_ms: 31_000, born_unix_ms: None, running: vec![row], ended: Vec::new() };
+    scheduler.worker_answered(11 * SECOND_US, 11 * SECOND_US, &"w0".into(), &runs);
+    let mut draining = worker_entry(0, 1);
+    draining.draining = true;
+    scheduler.worker_listed(11 * SECOND_US, draining);
+
+    let other = super::model::OrderEnd::Refused(super::model::OrderRefusal::OtherLife);
+    for tenth in 110..250_u64 {
+        let now_us = tenth * 100_000;
+        write_batch(&mut scheduler, now_us);
+        scheduler.worker_silent(now_us, &"w0".into(), &other);
+        scheduler.stop_ended(now_us, &"w0".into(), &at, 1, &other);
+        scheduler.plan_hold(now_us, &"w0".into());
+        scheduler.tick(now_us, 0);
+    }
+
+    let task = scheduler.jobs["lasting"].task(&at).expect("it is known");
+    assert_eq!(task.life(), None, "it waits for another worker: {:?}", task.state);
+}
