No work for a worker whose latest look failed

Cause: an order to start makes the lease of all that runs on a worker longer.

Ruled out: longer holds (they give no lease to a silent worker).

Change: a worker is chosen, and an order to start sent, only after its latest look was answered. The test fails with the condition taken out.

--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -395,8 +395,7 @@
     moves_at(&mut scheduler, 10 * SECOND_US);
     let at = super::model::TaskRef { job: "lasting".into(), occurrence: 0, step: 0, index: 0 };
     let row = super::model::RunningRow { task: at.clone(), run: 1, checkpoint: "".into(), percent: 100, load: None };
-    let runs =
-        super::model::HoldAnswer { clock_ms: 31_000, born_unix_ms: None, running: vec![row], ended: Vec::new() };
+    let runs = super::model::HoldAnswer { clock_ms: 31_000, born_unix_ms: None, running: vec![row], ended: Vec::new() };
     scheduler.worker_answered(11 * SECOND_US, 11 * SECOND_US, &"w0".into(), &runs);
     let mut draining = worker_entry(0, 1);
     draining.draining = true;
@@ -415,3 +414,17 @@
     let task = scheduler.jobs["lasting"].task(&at).expect("it is known");
     assert_eq!(task.life(), None, "it waits for another worker: {:?}", task.state);
 }
+
+#[test]
+fn a_worker_that_does_not_answer_gets_no_work_and_no_longer_lease() {
+    let mut worker = Worker::new(0, worker_entry(1, 0));
+    worker.is_synced = true;
+    worker.read_clock(0, 50_000);
+    worker.last_answer_us = 0;
+    assert!(worker.takes_work(SECOND_US) && worker.may_be_started(SECOND_US));
+
+    worker.is_silent = true;
+
+    assert!(!worker.takes_work(SECOND_US), "its look failed");
+    assert!(!worker.may_be_started(SECOND_US), "an order to start would make its lease longer");
+}
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -147,6 +147,7 @@
             && self.is_synced
             && !self.entry.draining
             && !self.is_cordoned
+            && !self.is_silent
             && self.clock.is_some()
             && now_us >= self.blocked_until_us
     }
@@ -168,7 +169,8 @@
 
     /// Whether an order to start may go out: it answers, or was free of work and therefore not asked.
     pub(crate) fn may_be_started(&self, now_us: u64) -> bool {
-        self.clock.is_some() && (self.is_heard(now_us) || now_us >= self.blocked_until_us)
+        let is_answering = self.is_heard(now_us) || now_us >= self.blocked_until_us;
+        self.clock.is_some() && !self.is_silent && is_answering
     }
 
     /// End of a lease that is given until our time `until_us`, on its clock; never later than that.
