--- a/src/bin/sardineseamd/main.rs
+++ b/src/bin/sardineseamd/main.rs
@@ -4,7 +4,6 @@
 mod config;
 
 use std::process::ExitCode;
-use std::time::Duration;
 
 use sardineseam::{
     load_deployment_settings, run, run_control, start_bounded_logging, start_logging, BoundDaemon, LogFormat,
@@ -15,7 +14,7 @@
 
 const STAND_IN_WORKERS: usize = 4;
 /// How long each work item runs on the stand-in's workers.
-const STAND_IN_RUN_TIME: Duration = Duration::from_millis(500);
+const STAND_IN_RUN_TIME_MS: u64 = 500;
 const FAILED: u8 = 1;
 const USAGE: u8 = 2;
 
@@ -51,7 +50,7 @@
         if !args.stand_in {
             return run_control(load_deployment_settings()?, metrics_port);
         }
-        let platform = PlatformStandIn::start(STAND_IN_WORKERS, STAND_IN_RUN_TIME);
+        let platform = PlatformStandIn::start(STAND_IN_WORKERS, STAND_IN_RUN_TIME_MS);
         return run_control(config::stand_in(&platform, args.listen)?, metrics_port);
     }
     let settings = config::settings(args, &|name| std::env::var(name).ok())?;
--- a/src/platform/standin.rs
+++ b/src/platform/standin.rs
@@ -49,7 +49,7 @@
     pub store: SocketAddr,
     /// Address of the provider's interface to hosts; it has none.
     pub provider: SocketAddr,
-    run_time: Duration,
+    run_time_ms: u64,
 }
 
 impl std::fmt::Debug for StandIn {
@@ -71,13 +71,14 @@
 }
 
 impl StandIn {
-    /// Starts the services with a configuration of one queue, `/jobs/` of `print.example`.
-    pub fn start(worker_count: usize, run_time: Duration) -> StandIn {
+    /// Starts the services with a configuration of one queue, `/jobs/` of `print.example`. Each work item runs for
+    /// `run_time_ms`.
+    pub fn start(worker_count: usize, run_time_ms: u64) -> StandIn {
         let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
         let (store, provider) = (bind(), bind());
         let address = |listener: &TcpListener| listener.local_addr().expect("an address");
         let platform =
-            StandIn { state: Arc::default(), store: address(&store), provider: address(&provider), run_time };
+            StandIn { state: Arc::default(), store: address(&store), provider: address(&provider), run_time_ms };
         platform.serve(store, |platform, call| platform.store_call(call));
         platform.serve(provider, |_, _| (200, json!({ "machines": [], "nextToken": null })));
         let config = json!({
--- a/src/platform/standin/worker.rs
+++ b/src/platform/standin/worker.rs
@@ -57,7 +57,9 @@
         if body["deadlineMs"].as_u64().unwrap_or(0) <= clock {
             return refuse("late");
         }
-        worker.runs.insert(task.clone(), Run { number: run, ends: Instant::now() + self.run_time });
+        worker
+            .runs
+            .insert(task.clone(), Run { number: run, ends: Instant::now() + Duration::from_millis(self.run_time_ms) });
         state.seen.starts += 1;
         let elsewhere = state.workers.iter().filter(|worker| worker.runs.contains_key(&task)).count();
         if elsewhere > 1 {
--- a/tests/soak_tests.rs
+++ b/tests/soak_tests.rs
@@ -21,7 +21,7 @@
 const DAEMONS: usize = 3;
 const WORKERS: usize = 4;
 const JOBS: usize = 40;
-const RUN_TIME: Duration = Duration::from_millis(300);
+const RUN_TIME_MS: u64 = 300;
 const TASKS_PER_JOB: usize = 4;
 /// How long a caller waits for a daemon, which may be paused.
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -157,7 +157,7 @@
 
 fn play(seed: u64) {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let platform = PlatformStandIn::start(WORKERS, RUN_TIME);
+    let platform = PlatformStandIn::start(WORKERS, RUN_TIME_MS);
     let mut daemons: Vec<Daemon> = (0..DAEMONS).map(|number| daemon(seed, number, &platform)).collect();
     daemons.iter_mut().for_each(Daemon::start);
 
