Order hosts ahead of rising load, and start only jobs that can still be on time

Cause: in the first 2 to 3 s of each turn jobs waited for hosts, since demand counted the arrivals of the last 0.6 s and a move takes 1.5 s more. Change: the growth of arrivals within the window is extended by the time that a host takes to move, to at most four times the present rate. The demand forecast is a part of its own now.

Cause: with a third of the workers cut off, jobs were started by least laxity, each at the last moment, and 70% of them completed 0.0 to 0.3 s late. Change: a job that has not begun counts as on time only if its critical path, 1.2 times, and 150 ms fit before its deadline.

The simulation now takes submission times as acceptance times, and can vary run times.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -10,6 +10,7 @@
 mod candidate;
 mod demand;
 mod explain;
+mod forecast;
 mod host_moves;
 pub(crate) mod host_orders;
 pub(crate) mod job;
@@ -23,10 +24,15 @@
 pub(crate) mod record;
 mod registry;
 pub(crate) mod scheduler;
+mod urgency;
 mod waves;
 pub(crate) mod worker;
 
+#[cfg(test)]
+mod forecast_tests;
 #[cfg(test)]
 mod scheduler_tests;
 #[cfg(test)]
 mod sim;
+#[cfg(test)]
+mod urgency_tests;
--- a/src/sched/demand.rs
+++ b/src/sched/demand.rs
@@ -75,9 +75,9 @@
         let former_leader_moves = self.former_leader_moves();
         for (pool, balance) in &mut balances {
             let long_running = self.long_running_cpu_milli(pool);
-            let arriving = self.host_moves.arriving_demand_milli(now_us, pool) + long_running;
-            self.host_moves.record_demand(now_us, pool, balance.on_time_demand.max(arriving));
-            balance.on_time_demand = (self.host_moves.recent_demand(pool) as f64 * DEMAND_HEADROOM) as u64;
+            let arriving = self.forecast.arriving_demand_milli(now_us, pool) + long_running;
+            self.forecast.record_demand(now_us, pool, balance.on_time_demand.max(arriving));
+            balance.on_time_demand = (self.forecast.recent_demand_milli(pool) as f64 * DEMAND_HEADROOM) as u64;
             balance.capacity += self.host_moves.incoming_capacity_milli(now_us, pool)
                 + former_leader_moves.get(pool).copied().unwrap_or(0);
         }
--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -1,15 +1,14 @@
 //! Moves hosts between pools to follow demand.
 //!
-//! Demand counts running tasks, tasks that could start now, and jobs that arrived recently. Idle hosts move to pools
+//! Demand counts running tasks, tasks that could start now, and the forecast for arriving jobs. Idle hosts move to pools
 //! that lack capacity, first those of the spare pool. Hosts that no pool needs move to the spare pool, where they cost
 //! nothing.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
 use super::demand::PoolBalance;
 use super::host_orders::HostOrder;
-use super::job::Job;
 use super::labels::{is_needed_for_label, LabelBalances};
 use super::model::{HostOrderOutcome, HostPhase, HostRecord, JobId, Resources};
 use super::scheduler::Scheduler;
@@ -19,12 +18,6 @@
 pub(super) const LEADER_CHANGE_MARGIN_MS: u64 = 1_000;
 /// Interval between decisions about moves.
 const DECISION_INTERVAL_MS: u64 = 100;
-/// A pool's demand is the maximum over this window.
-const DEMAND_WINDOW_MS: u64 = 800;
-/// Window over which arriving work is averaged: n core-seconds of work that arrive in each second keep n cores busy.
-const ARRIVAL_WINDOW_MS: u64 = 600;
-/// Weight of the latest run in a queue's moving average of actual to estimated run time.
-const RUN_TIME_RATIO_WEIGHT: f64 = 0.05;
 /// How long a host that its pool does not need must be idle before it moves to the spare pool.
 const IDLE_BEFORE_SPARE_MS: u64 = 3_000;
 /// Share of the provider's order rate that moves may use; the rest is left for maintenance and retries.
@@ -48,7 +41,7 @@
     retry_us: Option<u64>,
 }
 
-/// Demand of the pools and moves of hosts.
+/// Moves of hosts between pools.
 #[derive(Debug)]
 pub(crate) struct HostMoves {
     /// Until then, no order is sent for a host that a former leader may have sent an order for recently.
@@ -63,12 +56,6 @@
     moving: BTreeMap<Arc<str>, Move>,
     /// Hosts that are drained before a move, with the target pool and the time at which the drain is given up.
     draining: BTreeMap<Arc<str>, (Arc<str>, u64)>,
-    /// Recent demand of each pool as (time, thousandths of a core), newest last.
-    demand_samples: BTreeMap<Arc<str>, VecDeque<(u64, u64)>>,
-    /// Work that arrived recently for each pool as (time, thousandths of a core times milliseconds), newest last.
-    arrivals: BTreeMap<Arc<str>, VecDeque<(u64, u64)>>,
-    /// Moving average of each queue's actual run time as a multiple of the estimate.
-    run_time_ratio: HashMap<Arc<str>, f64>,
     /// Moves that the provider rejected as invalid, as (host, pool).
     pub(super) rejected_moves: HashSet<(Arc<str>, Arc<str>)>,
     /// Jobs that are long-running or can still meet their deadline.
@@ -90,9 +77,6 @@
             next_report_us: 0,
             moving: BTreeMap::new(),
             draining: BTreeMap::new(),
-            demand_samples: BTreeMap::new(),
-            arrivals: BTreeMap::new(),
-            run_time_ratio: HashMap::new(),
             rejected_moves: HashSet::new(),
             on_time_jobs: HashSet::new(),
             silent_zones: HashSet::new(),
@@ -108,51 +92,6 @@
         self.moving.contains_key(host) || self.draining.contains_key(host)
     }
 
-    /// Adds a new job's work to the arriving work of its pool.
-    pub(super) fn record_arrival(&mut self, now_us: u64, pool: &Arc<str>, job: &Job) {
-        let mut work = 0;
-        for step in &job.spec.steps {
-            if !step.long_running {
-                work += u64::from(step.count) * step.reserved().cpu_milli * step.estimate_ms;
-            }
-        }
-        let ratio = self.run_time_ratio.get(&job.spec.queue.name).copied().unwrap_or(1.0);
-        let recent = self.arrivals.entry(pool.clone()).or_default();
-        recent.push_back((now_us, (work as f64 * ratio) as u64));
-    }
-
-    /// Updates the queue's average ratio of actual to estimated run time.
-    pub(super) fn record_run_time(&mut self, queue: &Arc<str>, estimate_ms: u64, run_ms: u64) {
-        if estimate_ms == 0 {
-            return;
-        }
-        let ratio = self.run_time_ratio.entry(queue.clone()).or_insert(1.0);
-        *ratio += RUN_TIME_RATIO_WEIGHT * (run_ms as f64 / estimate_ms as f64 - *ratio);
-    }
-
-    /// CPU that jobs arriving at the present rate keep busy, in thousandths of a core.
-    pub(super) fn arriving_demand_milli(&mut self, now_us: u64, pool: &str) -> u64 {
-        let Some(recent) = self.arrivals.get_mut(pool) else { return 0 };
-        while recent.front().is_some_and(|(at_us, _)| now_us > at_us + ARRIVAL_WINDOW_MS * US_PER_MS) {
-            recent.pop_front();
-        }
-        recent.iter().map(|(_, work)| work).sum::<u64>() / ARRIVAL_WINDOW_MS
-    }
-
-    /// Highest demand of a pool within the demand window, in thousandths of a core.
-    pub(super) fn recent_demand(&self, pool: &str) -> u64 {
-        let demand = self.demand_samples.get(pool);
-        demand.and_then(|recent| recent.iter().map(|(_, milli)| *milli).max()).unwrap_or(0)
-    }
-
-    pub(super) fn record_demand(&mut self, now_us: u64, pool: &Arc<str>, milli: u64) {
-        let recent = self.demand_samples.entry(pool.clone()).or_default();
-        recent.push_back((now_us, milli));
-        while recent.front().is_some_and(|(at_us, _)| now_us > at_us + DEMAND_WINDOW_MS * US_PER_MS) {
-            recent.pop_front();
-        }
-    }
-
     /// Capacity of the hosts that are moving to a pool, in thousandths of a core.
     pub(super) fn incoming_capacity_milli(&self, now_us: u64, pool: &str) -> u64 {
         let mut milli = 0;
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -266,6 +266,12 @@
         })
     }
 
+    /// Whether a run of any of the job's tasks has been recorded.
+    pub(crate) fn has_begun(&self) -> bool {
+        let mut steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+        steps.any(|step| step.tasks.iter().any(|task| task.run > 0))
+    }
+
     /// Whether a worker may still have a run of the job.
     pub(crate) fn has_placed_tasks(&self) -> bool {
         self.tasks().any(|(_, task)| task.placed_on().is_some())
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -5,9 +5,10 @@
 
 use super::action::Action;
 use super::candidate::{racks, score, Candidate, PlacementRound, Score};
-use super::job::{DeadlineForecast, Job, RunPhase, TaskState};
+use super::job::{Job, RunPhase, TaskState};
 use super::model::{Advice, JobId, Resources, Step, TaskRef};
 use super::scheduler::Scheduler;
+use super::urgency::Urgency;
 use super::worker::Worker;
 use crate::clock::US_PER_MS;
 
@@ -26,15 +27,6 @@
 /// Maximum number of tasks placed in one round of a pool, to keep the round short. Tasks of gangs do not count.
 const MAX_PLACED_PER_ROUND: usize = 400;
 
-/// Order in which jobs get workers; smaller comes first.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct Urgency {
-    /// Jobs that cannot meet their deadline come after all others; then the lower priority number comes first.
-    lateness_and_priority: (bool, u32),
-    forecast: DeadlineForecast,
-    id: JobId,
-}
-
 impl Scheduler {
     /// Runs a placement round if one is wanted and due.
     pub(super) fn place(&mut self, now_us: u64) {
@@ -48,7 +40,7 @@
         for id in &self.ready_jobs {
             let Some(job) = self.jobs.get(id) else { continue };
             let queue = self.queue_of(job);
-            by_pool.entry(queue.pool.clone()).or_default().push(self.urgency(now_us, job, queue.priority));
+            by_pool.entry(queue.pool.clone()).or_default().push(Urgency::of(now_us, job, queue.priority));
         }
         for (pool, mut jobs) in by_pool {
             let mut workers = self.candidates(now_us, &pool);
@@ -74,13 +66,6 @@
         }
     }
 
-    fn urgency(&self, now_us: u64, job: &Job, priority: u32) -> Urgency {
-        let forecast = job.deadline_forecast(now_us);
-        // Long-running tasks must run at all times, whatever their queue's priority.
-        let priority = if forecast == DeadlineForecast::LongRunning { 0 } else { priority };
-        Urgency { lateness_and_priority: (!forecast.claims_hosts(), priority), forecast, id: job.id.clone() }
-    }
-
     /// Workers of a pool that may get new tasks.
     pub(super) fn candidates(&self, now_us: u64, pool: &str) -> Vec<Candidate> {
         let mut candidates = Vec::new();
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use super::action::Action;
+use super::forecast::DemandForecast;
 use super::host_moves::HostMoves;
 use super::host_orders::HostOrders;
 use super::job::{Job, RunPhase, TaskState};
@@ -69,6 +70,7 @@
     pub(super) finished_jobs: Vec<(JobId, JobPhase)>,
     /// Jobs whose submissions have been removed, so that their records can be removed.
     pub(super) records_to_remove: Vec<JobId>,
+    pub(super) forecast: DemandForecast,
     pub(super) host_moves: HostMoves,
     pub(super) waves: Waves,
     pub(super) host_orders: HostOrders,
@@ -99,6 +101,7 @@
 impl Scheduler {
     pub(crate) fn new(now_us: u64, settings: SchedSettings) -> Scheduler {
         Scheduler {
+            forecast: DemandForecast::new(settings.host_move_ms),
             host_moves: HostMoves::new(now_us, settings.leader_change_wait_ms),
             waves: Waves::default(),
             host_orders: HostOrders::new(),
@@ -202,7 +205,7 @@
         );
         self.is_pending_report_stale = true;
         let pool = self.queue_of(&job).pool.clone();
-        self.host_moves.record_arrival(accepted_us(now_us, now_unix_ms, &job), &pool, &job);
+        self.forecast.record_arrival(accepted_us(now_us, now_unix_ms, &job), &pool, &job);
         if job.is_recurring() {
             self.recurring_jobs.insert(id.clone());
         }
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -180,21 +180,6 @@
     assert!(!job.deadline_forecast(3 * SECOND_US).claims_hosts());
 }
 
-#[test]
-fn arriving_jobs_count_as_demand_before_their_tasks_wait() {
-    let mut host_moves = super::host_moves::HostMoves::new(0, 3_000);
-    let mut job = Job::new("job".into(), Arc::new(spec(two_steps())));
-    job.begin_occurrence(0);
-
-    for number in 0..6 {
-        host_moves.record_arrival(SECOND_US + number * 100_000, &"press".into(), &job);
-    }
-
-    // Ten jobs per second, each with seven tasks of 2 cores and 0.5 s.
-    assert_eq!(host_moves.arriving_demand_milli(SECOND_US + 550_000, "press"), 70_000);
-    assert_eq!(host_moves.arriving_demand_milli(9 * SECOND_US, "press"), 0);
-}
-
 #[test]
 fn failed_task_is_retried_without_any_other_event() {
     let mut sim = Sim::new(3, 1, Faults { run_failure_rate: 1.0, ..Faults::default() });
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -88,6 +88,8 @@
     pub(super) start_count: u32,
     pub(super) violations: Vec<Violation>,
     run_duration_us: u64,
+    /// Run times vary uniformly by up to this share of their average.
+    pub(super) run_time_spread: f64,
     restart_count: u32,
 }
 
@@ -123,6 +125,7 @@
             start_count: 0,
             violations: Vec::new(),
             run_duration_us: 500 * US_PER_MS,
+            run_time_spread: 0.0,
             restart_count: 0,
         };
         sim.start_leader();
@@ -152,10 +155,11 @@
     }
 
     /// Stores a caller's job and passes it to the leader.
-    pub(super) fn submit(&mut self, name: &str, spec: JobSpec) -> JobId {
+    pub(super) fn submit(&mut self, name: &str, mut spec: JobSpec) -> JobId {
         let id: JobId = name.into();
-        self.specs.insert(id.clone(), spec.clone());
         let unix_ms = self.unix_ms();
+        spec.accepted_unix_ms = unix_ms;
+        self.specs.insert(id.clone(), spec.clone());
         self.scheduler.submit(self.now_us, unix_ms, id.clone(), spec);
         id
     }
--- a/src/sched/sim/worker.rs
+++ b/src/sched/sim/worker.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use rand::Rng;
+
 use super::super::action::StartRun;
 use super::super::model::{
     ActiveRun, EndedRun, HoldAnswer, OrderOutcome, OrderRefusal, RunOutcome, TaskRef, WorkerEntry,
@@ -54,6 +56,14 @@
 }
 
 impl Sim {
+    fn draw_run_duration_us(&mut self) -> u64 {
+        if self.run_time_spread == 0.0 {
+            return self.run_duration_us;
+        }
+        let factor = self.rng.random_range(1.0 - self.run_time_spread..1.0 + self.run_time_spread);
+        (self.run_duration_us as f64 * factor) as u64
+    }
+
     pub(super) fn is_reachable(&self, id: &Arc<str>) -> bool {
         self.workers.get(id).is_some_and(|worker| worker.is_up && self.now_us >= worker.partitioned_until_us)
     }
@@ -66,7 +76,7 @@
         let fails = self.chance(self.faults.run_failure_rate);
         let step = self.specs.get(&start.task.job).and_then(|spec| spec.steps.get(start.task.step as usize));
         let is_long_running = step.is_some_and(|step| step.long_running);
-        let run_duration_us = if is_long_running { u64::MAX / 2 } else { self.run_duration_us };
+        let run_duration_us = if is_long_running { u64::MAX / 2 } else { self.draw_run_duration_us() };
         let Some(worker) = self.workers.get_mut(&start.worker) else { return OrderOutcome::Unanswered };
         let clock_ms = worker.clock_ms(now_us);
         if token < worker.token {
