Reach the store again as soon as it answers, and refuse at once while it does not

Cause: in an outage of the store that left calls without an answer, each call waited 1.5 s. After the store was back, commits and the feed of new jobs stayed stuck for up to that time, and 30 moves to the spare pool, decided before the outage, were then carried out just when another queue's turn began; its hosts came 5 s after the store. Daemons that were cut off from the store kept taking submissions and answered them after their connections timed out.

Change: a call without an answer is sent again over a new connection after 300 ms, or four times the store's recent response time; the first answer counts. While calls fail, the feeds ask without waiting. A daemon whose calls fail for 250 ms reports that it is not ready, and refuses submissions at once with 503, which is true: nothing has been sent. Host orders that could not be recorded for 1.5 s are dropped and decided anew.

--- a/src/control.rs
+++ b/src/control.rs
@@ -150,9 +150,10 @@
         self.last_store_answer_us.set(self.now_us());
     }
 
-    /// Whether the store has answered recently. While it does not, no job can be accepted.
+    /// Whether the store answers. While it does not, no job can be accepted.
     fn is_store_reachable(&self) -> bool {
-        self.now_us() < self.last_store_answer_us.get() + STORE_UNREACHABLE_AFTER_MS * crate::clock::US_PER_MS
+        self.store.is_reachable()
+            && self.now_us() < self.last_store_answer_us.get() + STORE_UNREACHABLE_AFTER_MS * crate::clock::US_PER_MS
     }
 
     async fn sleep_ms(&self, wait_ms: u64) {
--- a/src/control/http_api.rs
+++ b/src/control/http_api.rs
@@ -123,6 +123,10 @@
     if daemon.status.borrow().phase(&id).is_some() {
         return json(StatusCode::OK, "{}".to_owned());
     }
+    if !daemon.store.is_reachable() {
+        log::info!("job={id} queue={} outcome=refused_while_store_unreachable", queue.name);
+        return unavailable("the store does not answer now");
+    }
     let started_us = daemon.now_us();
     let stored = daemon.submissions.submit(id.clone(), encode_spec(&spec), deadline_us).await;
     log::info!("job={id} queue={} stored={stored:?} outcome=submitted", queue.name);
--- a/src/endpoint_client.rs
+++ b/src/endpoint_client.rs
@@ -173,6 +173,11 @@
         self.idle.borrow_mut().entry(address).or_default().push(idle);
     }
 
+    /// Closes the idle connections to an address, so that the next request opens a new one.
+    pub(crate) fn close_idle_to(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Closes connections that have been idle for longer than [`MAX_IDLE_MS`].
     pub(crate) fn close_idle(&self) {
         self.idle.borrow_mut().retain(|_, connections| {
--- /dev/null
+++ b/src/platform/repeated_call_tests.rs
@@ -0,0 +1,94 @@
+//! Tests of when store calls are repeated, in virtual time.
+
+use super::repeated_call::{RepeatedCall, StoreHealth};
+use crate::row_store::RowStoreError;
+
+const MS_US: u64 = 1_000;
+const TIMEOUT_US: u64 = 1_500 * MS_US;
+
+fn healthy_store(latency_ms: u64) -> StoreHealth {
+    let mut health = StoreHealth::default();
+    for _ in 0..50 {
+        health.record_answer();
+        health.record_latency(latency_ms * MS_US);
+    }
+    health
+}
+
+/// When the attempts of calls that follow each other are sent to a store that answers nothing.
+fn attempts_until(end_us: u64) -> Vec<u64> {
+    let health = healthy_store(4);
+    let mut sent_us = Vec::new();
+    let mut now_us = 0;
+    while now_us < end_us {
+        let deadline_us = now_us + TIMEOUT_US;
+        let mut call = RepeatedCall::new(now_us, 0, deadline_us, health.repeat_delay_us());
+        sent_us.push(now_us);
+        while call.next_attempt_us() < deadline_us {
+            let at_us = call.next_attempt_us();
+            if call.start_attempt(at_us).is_some() {
+                sent_us.push(at_us);
+            }
+        }
+        now_us = deadline_us;
+    }
+    sent_us
+}
+
+#[test]
+fn store_that_is_back_is_reached_within_the_repeat_delay() {
+    let sent_us = attempts_until(6_000 * MS_US);
+
+    for pair in sent_us.windows(2) {
+        assert!(pair[1] - pair[0] <= 300 * MS_US, "{pair:?}");
+    }
+    assert_eq!(sent_us.len(), 20, "five attempts of each call");
+}
+
+#[test]
+fn slow_store_gets_no_repeated_calls() {
+    for latency_ms in [4, 90, 360] {
+        let health = healthy_store(latency_ms);
+
+        let call = RepeatedCall::new(0, 0, TIMEOUT_US, health.repeat_delay_us());
+
+        assert!(call.next_attempt_us() >= 3 * latency_ms * MS_US, "response time {latency_ms} ms");
+    }
+}
+
+#[test]
+fn call_that_waits_for_changes_is_not_repeated_while_it_waits() {
+    let call = RepeatedCall::new(0, 1_000 * MS_US, 2_500 * MS_US, 300 * MS_US);
+
+    assert_eq!(call.next_attempt_us(), 1_300 * MS_US);
+}
+
+#[test]
+fn outcome_is_unknown_if_any_attempt_got_no_answer() {
+    let lost = || RowStoreError::ResponseLost("no answer in time".to_owned());
+    let refused = || RowStoreError::Unavailable("HTTP status 503".to_owned());
+    let cases = [(vec![lost(), refused()], true), (vec![refused(), lost()], true), (vec![refused(), refused()], false)];
+    for (errors, is_unknown) in cases {
+        let mut call = RepeatedCall::new(0, 0, TIMEOUT_US, 300 * MS_US);
+        call.start_attempt(300 * MS_US);
+
+        let mut outcomes = errors.into_iter().map(|error| call.fail_attempt(error));
+        let (first, last) = (outcomes.next().flatten(), outcomes.next().flatten());
+
+        assert!(first.is_none(), "the other attempt may still be answered");
+        assert_eq!(matches!(last, Some(RowStoreError::ResponseLost(_))), is_unknown, "{last:?}");
+    }
+}
+
+#[test]
+fn store_counts_as_unreachable_from_shortly_after_the_first_failure_to_the_next_answer() {
+    let mut health = healthy_store(4);
+
+    health.record_failure(1_000 * MS_US);
+    health.record_failure(1_200 * MS_US);
+
+    assert!(health.is_reachable(1_249 * MS_US), "one failure may have another cause");
+    assert!(!health.is_reachable(1_250 * MS_US));
+    health.record_answer();
+    assert!(health.is_reachable(1_250 * MS_US));
+}
--- a/src/platform/row_store.rs
+++ b/src/platform/row_store.rs
@@ -1,15 +1,20 @@
 //! Client of the row store of the users' platform. [`crate::row_store`] defines the types of its interface.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use bytes::Bytes;
+use futures::stream::{FuturesUnordered, StreamExt};
 use serde::{Deserialize, Serialize};
 
 use super::http_client::{HttpClient, HttpResponse};
-use crate::endpoint_client::CallOutcome;
+use super::repeated_call::{RepeatedCall, StoreHealth};
+use crate::clock::{Clock, US_PER_MS};
+use crate::endpoint_client::{timeout_at, CallOutcome};
 use crate::row_store::{RowId, RowPage, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction, StoredRow};
 
 /// Timeout of a call, in addition to the time for which it asks the store to wait for changes.
@@ -103,11 +108,13 @@
 pub(crate) struct RowStoreClient {
     http_client: Rc<HttpClient>,
     address: SocketAddr,
+    clock: Clock,
+    health: Rc<RefCell<StoreHealth>>,
 }
 
 impl RowStoreClient {
     pub(crate) fn new(http_client: Rc<HttpClient>, address: SocketAddr) -> RowStoreClient {
-        RowStoreClient { http_client, address }
+        RowStoreClient { http_client, address, clock: Clock::new(), health: Rc::default() }
     }
 
     /// Applies a transaction if every expected row has the expected version.
@@ -156,13 +163,15 @@
     }
 
     /// Returns the rows of a table that changed after version `after`. If there are none, waits up to `wait_ms` for a
-    /// change.
+    /// change, unless the latest call failed: a call that should be answered at once shows sooner whether the store is
+    /// back.
     pub(crate) async fn wait_for_changes(
         &self,
         table: &str,
         after: u64,
         wait_ms: u64,
     ) -> Result<RowPage, RowStoreError> {
+        let wait_ms = if self.health.borrow().is_failing() { 0 } else { wait_ms };
         let path = format!("/rows-feed?table={table}&after={after}&waitMs={wait_ms}");
         let response = self.send("GET", &path, Bytes::new(), wait_ms).await?;
         decode_page(&response)
@@ -220,16 +229,80 @@
         self.commit(&transaction).await
     }
 
+    /// Whether the store can be expected to answer this daemon.
+    pub(crate) fn is_reachable(&self) -> bool {
+        self.health.borrow().is_reachable(self.clock.now_us())
+    }
+
+    /// Sends a call, and sends it again while no answer arrives; the first answer counts.
     async fn send(&self, method: &str, path: &str, body: Bytes, wait_ms: u64) -> Result<HttpResponse, RowStoreError> {
-        let response =
-            match self.http_client.send(self.address, method, path, &[], body, wait_ms + CALL_TIMEOUT_MS).await {
-                Ok(response) => response,
-                Err(CallOutcome::NotSent(reason)) => return Err(RowStoreError::Unavailable(reason)),
-                Err(CallOutcome::Lost { reason, .. }) => return Err(RowStoreError::ResponseLost(reason)),
-                Err(CallOutcome::Answered(_)) => {
-                    return Err(RowStoreError::Protocol("response without a body".to_owned()))
+        let now_us = self.clock.now_us();
+        let timeout_us = (wait_ms + CALL_TIMEOUT_MS) * US_PER_MS;
+        let repeat_delay_us = self.health.borrow().repeat_delay_us();
+        let mut call = RepeatedCall::new(now_us, wait_ms * US_PER_MS, now_us + timeout_us, repeat_delay_us);
+        let mut attempts = FuturesUnordered::new();
+        attempts.push(self.attempt(method, path, body.clone(), wait_ms, timeout_us));
+        loop {
+            let wait_us = call.next_attempt_us().saturating_sub(self.clock.now_us());
+            let wait = Duration::from_micros(wait_us.min(timeout_us));
+            match timeout_at(Instant::now() + wait, attempts.select_next_some()).await {
+                Some(Ok(response)) => return Ok(response),
+                Some(Err(RowStoreError::HistoryGone)) => return Err(RowStoreError::HistoryGone),
+                Some(Err(error)) => {
+                    if let Some(error) = call.fail_attempt(error) {
+                        return Err(error);
+                    }
                 }
-            };
+                None => {
+                    let now_us = self.clock.now_us();
+                    self.health.borrow_mut().record_failure(now_us);
+                    let Some(left_us) = call.start_attempt(now_us) else { continue };
+                    self.http_client.close_idle_to(self.address);
+                    attempts.push(self.attempt(method, path, body.clone(), 0, left_us));
+                }
+            }
+        }
+    }
+
+    /// Sends a call once, and records what it shows about the store. The response time of a call that waits for changes
+    /// says nothing.
+    async fn attempt(
+        &self,
+        method: &str,
+        path: &str,
+        body: Bytes,
+        wait_ms: u64,
+        timeout_us: u64,
+    ) -> Result<HttpResponse, RowStoreError> {
+        let sent_us = self.clock.now_us();
+        let result = self.send_once(method, path, body, timeout_us.div_ceil(US_PER_MS)).await;
+        let now_us = self.clock.now_us();
+        let mut health = self.health.borrow_mut();
+        match &result {
+            Ok(_) | Err(RowStoreError::HistoryGone | RowStoreError::Protocol(_)) => {
+                health.record_answer();
+                if wait_ms == 0 {
+                    health.record_latency(now_us.saturating_sub(sent_us));
+                }
+            }
+            Err(RowStoreError::Unavailable(_) | RowStoreError::ResponseLost(_)) => health.record_failure(now_us),
+        }
+        result
+    }
+
+    async fn send_once(
+        &self,
+        method: &str,
+        path: &str,
+        body: Bytes,
+        timeout_ms: u64,
+    ) -> Result<HttpResponse, RowStoreError> {
+        let response = match self.http_client.send(self.address, method, path, &[], body, timeout_ms).await {
+            Ok(response) => response,
+            Err(CallOutcome::NotSent(reason)) => return Err(RowStoreError::Unavailable(reason)),
+            Err(CallOutcome::Lost { reason, .. }) => return Err(RowStoreError::ResponseLost(reason)),
+            Err(CallOutcome::Answered(_)) => return Err(RowStoreError::Protocol("response without a body".to_owned())),
+        };
         match response.status {
             200 | 412 => Ok(response),
             410 => Err(RowStoreError::HistoryGone),
--- a/src/sched/batches.rs
+++ b/src/sched/batches.rs
@@ -115,7 +115,7 @@
         for (task_ref, run) in &batch.starts {
             self.order_start(now_us, task_ref, *run);
         }
-        self.host_orders_committed(&batch.host_orders);
+        self.host_orders_committed(now_us, &batch.host_orders);
         for (id, _) in &batch.records {
             self.try_finish_job(id);
         }
--- a/src/sched/host_orders.rs
+++ b/src/sched/host_orders.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use super::action::Action;
+use super::model::HostOrderOutcome;
 use super::scheduler::Scheduler;
 use crate::clock::US_PER_MS;
 
@@ -15,6 +16,10 @@
 /// recorded; the rest is the time that must pass between the orders of two leaders.
 const RECORD_RETENTION_MS: u64 = 6_000;
 
+/// An order is dropped if it could not be recorded for this long, for example during an outage of the store: what it was
+/// decided on has changed.
+const MAX_ORDER_AGE_MS: u64 = 1_500;
+
 /// An order to the provider about one host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum HostOrder {
@@ -43,6 +48,8 @@
     /// Hosts with a recent order, and until when each stays in the record.
     recent: BTreeMap<Arc<str>, u64>,
     uncommitted: Vec<HostOrder>,
+    /// When the orders of the batch in flight were taken.
+    taken_us: u64,
     /// Hosts for which a former leader may have sent orders recently; `None` if its record was unreadable, so that it
     /// may be any host.
     former_leader_hosts: Option<BTreeSet<Arc<str>>>,
@@ -54,6 +61,7 @@
         HostOrders {
             recent: BTreeMap::new(),
             uncommitted: Vec::new(),
+            taken_us: 0,
             former_leader_hosts: Some(BTreeSet::new()),
             has_changed: false,
         }
@@ -71,6 +79,7 @@
 
     /// Takes the hosts to record, if they have changed, and the orders that may be sent once the record is committed.
     pub(super) fn take(&mut self, now_us: u64) -> (Option<Vec<Arc<str>>>, Vec<HostOrder>) {
+        self.taken_us = now_us;
         let previous_count = self.recent.len();
         self.recent.retain(|_, until_us| now_us < *until_us);
         self.has_changed |= self.recent.len() != previous_count;
@@ -90,8 +99,20 @@
         self.host_orders.former_leader_hosts = hosts.map(|hosts| hosts.into_iter().collect());
     }
 
-    /// Requests the host orders of a committed batch.
-    pub(super) fn host_orders_committed(&mut self, orders: &[HostOrder]) {
-        self.actions.extend(orders.iter().cloned().map(HostOrder::into_action));
+    /// Requests the host orders of a committed batch, or drops them if they are too old.
+    pub(super) fn host_orders_committed(&mut self, now_us: u64, orders: &[HostOrder]) {
+        if now_us <= self.host_orders.taken_us + MAX_ORDER_AGE_MS * US_PER_MS {
+            self.actions.extend(orders.iter().cloned().map(HostOrder::into_action));
+            return;
+        }
+        for order in orders {
+            log::info!("order={order:?} outcome=host_order_too_old");
+            match order {
+                HostOrder::Move { host, pool } => self.on_move_outcome(now_us, host, pool, HostOrderOutcome::NotDone),
+                HostOrder::Maintain { host, wave } => {
+                    self.on_maintenance_outcome(now_us, host, *wave, HostOrderOutcome::NotDone);
+                }
+            }
+        }
     }
 }
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -424,3 +424,22 @@
     assert!(!worker.accepts_new_tasks(SECOND_US), "the latest hold request failed");
     assert!(!worker.can_receive_start(SECOND_US), "a start order would extend the lease");
 }
+
+#[test]
+fn host_order_that_an_outage_delayed_is_dropped_and_decided_anew() {
+    let mut scheduler = leader_with_spare_hosts();
+    let mut labelled = step(1, &[]);
+    labelled.required_label = Some("b".into());
+    scheduler.submit(SECOND_US, 0, "job".into(), spec(vec![labelled]));
+    commit_batch(&mut scheduler, 10 * SECOND_US);
+    scheduler.tick(10 * SECOND_US + 200_000, 0);
+    let delayed = scheduler.take_batch(10 * SECOND_US + 200_000);
+
+    scheduler.batch_committed(14 * SECOND_US, 14 * SECOND_US, &delayed);
+    let sent = requested_moves(&mut scheduler);
+    let decided_anew = confirmed_moves_at(&mut scheduler, 15 * SECOND_US);
+
+    assert_eq!(delayed.host_orders.len(), 1);
+    assert_eq!(sent, []);
+    assert_eq!(decided_anew, [("h9".to_owned(), "press".to_owned())]);
+}
