Answer each submission before its caller's deadline

Change: each caller is answered at six tenths of the deadline it gives. A submission that has not been sent by then is withdrawn and answered with 503, which says truly that it is not stored; one that has been sent is answered with 504. What waits while the store is unreachable is refused without being sent.

The tests showed that the event loop, once stopped by a future, waited for one more event, for up to 60 s; it ends at once now.

--- a/src/control/http_api.rs
+++ b/src/control/http_api.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
@@ -13,7 +14,7 @@
 use super::submissions::{self, Stored};
 use super::{job_partition, ControlDaemon, FINISHED_TABLE, JOB_TABLE};
 use crate::buffered_body::{collect_body, ByteBudget};
-use crate::clock::{US_PER_MS, US_PER_S};
+use crate::clock::US_PER_S;
 use crate::http_server::{Body, Handler};
 use crate::platform::job_api::{decode_job, is_job_id, job_state_body, pending_count_body, DEADLINE_HEADER};
 use crate::row_store::RowStoreError;
@@ -25,6 +26,8 @@
 const MAX_HELD_BYTES: usize = 24 << 20;
 /// Deadline of requests that do not set one.
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
+/// A longer deadline that a caller gives is shortened to this.
+const MAX_DEADLINE_MS: u64 = 60_000;
 /// Share of the caller's deadline in which the store must confirm a submission.
 const STORE_DEADLINE_SHARE: f64 = 0.6;
 /// Value of the Retry-After header when the daemon or the store is temporarily unavailable.
@@ -60,7 +63,7 @@
 }
 
 async fn handle_request(daemon: &Rc<ControlDaemon>, request: Request<Incoming>, budget: &ByteBudget) -> Response<Body> {
-    let arrived_us = daemon.now_us();
+    let arrived = Instant::now();
     let (parts, body) = request.into_parts();
     let body = match collect_body(body, MAX_BODY_BYTES, budget).await {
         Ok(body) => body,
@@ -83,7 +86,7 @@
     }
     let id: JobId = job_id.into();
     match parts.method {
-        Method::POST => submit_job(daemon, &queue, id, &body.bytes, deadline_us(arrived_us, &parts.headers)).await,
+        Method::POST => submit_job(daemon, &queue, id, &body.bytes, answer_deadline(arrived, &parts.headers)).await,
         Method::GET => get_job(daemon, &id).await,
         Method::DELETE => cancel_job(daemon, &id).await,
         _ => status_response(StatusCode::METHOD_NOT_ALLOWED, "POST, GET or DELETE"),
@@ -97,12 +100,12 @@
     catalog.queue_for(host, path).cloned()
 }
 
-/// Time by which the store must confirm a submission.
-fn deadline_us(arrived_us: u64, headers: &HeaderMap) -> u64 {
+/// Time by which a submission is answered.
+fn answer_deadline(arrived: Instant, headers: &HeaderMap) -> Instant {
     let requested_ms =
         headers.get(DEADLINE_HEADER).and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
-    let allowed_ms: u64 = requested_ms.unwrap_or(DEFAULT_DEADLINE_MS);
-    arrived_us + (allowed_ms as f64 * STORE_DEADLINE_SHARE) as u64 * US_PER_MS
+    let allowed_ms: u64 = requested_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(MAX_DEADLINE_MS);
+    arrived + Duration::from_millis((allowed_ms as f64 * STORE_DEADLINE_SHARE) as u64)
 }
 
 async fn submit_job(
@@ -110,7 +113,7 @@
     queue: &Arc<Queue>,
     id: JobId,
     body: &[u8],
-    deadline_us: u64,
+    deadline: Instant,
 ) -> Response<Body> {
     let spec = match decode_job(queue, body, daemon.clock.unix_ms()) {
         Ok(spec) => spec,
@@ -128,7 +131,7 @@
         return unavailable("the store does not answer now");
     }
     let started_us = daemon.now_us();
-    let stored = daemon.submissions.submit(id.clone(), encode_spec(&spec), deadline_us).await;
+    let stored = daemon.submissions.submit(id.clone(), encode_spec(&spec), deadline).await;
     log::info!("job={id} queue={} stored={stored:?} outcome=submitted", queue.name);
     metrics::counter!("submissions_total", "stored" => stored.label()).increment(1);
     metrics::histogram!("submission_seconds").record((daemon.now_us() - started_us) as f64 / US_PER_S as f64);
--- a/src/control/submissions.rs
+++ b/src/control/submissions.rs
@@ -1,13 +1,17 @@
 //! Stores and removes submissions, in batches of one transaction each, and stores cancellation requests.
 
-use std::cell::RefCell;
+#[cfg(test)]
+mod submissions_tests;
+
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
 
 use super::{job_partition, ControlDaemon, CANCEL_SUFFIX, FINISHED_TABLE, JOB_PARTITIONS, JOB_TABLE};
-use crate::clock::US_PER_MS;
+use crate::endpoint_client::timeout_at;
 use crate::reactor::{spawn, Condvar};
 use crate::row_store::{RowId, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction, ABSENT_ROW_VERSION};
 use crate::sched::model::{JobId, JobPhase};
@@ -44,7 +48,10 @@
 struct Submission {
     id: JobId,
     value: Vec<u8>,
-    deadline_us: u64,
+    /// When its caller gets an answer, whatever is known then.
+    deadline: Instant,
+    /// Whether it has been sent to the store.
+    is_sent: Rc<Cell<bool>>,
     /// An earlier attempt was not answered and may have stored it.
     may_be_stored: bool,
     reply: oneshot::Sender<Stored>,
@@ -59,15 +66,21 @@
 }
 
 impl SubmissionQueue {
-    /// Queues a submission and waits for the result.
-    pub(super) async fn submit(&self, id: JobId, value: Vec<u8>, deadline_us: u64) -> Stored {
+    /// Queues a submission and waits for the result until `deadline`. A submission that has not been sent by then is
+    /// withdrawn.
+    pub(super) async fn submit(&self, id: JobId, value: Vec<u8>, deadline: Instant) -> Stored {
         let (reply, answer) = oneshot::channel();
         let partition = job_partition(&id);
-        let submission = Submission { id, value, deadline_us, may_be_stored: false, reply };
+        let is_sent = Rc::new(Cell::new(false));
+        let submission = Submission { id, value, deadline, is_sent: is_sent.clone(), may_be_stored: false, reply };
         self.waiting.borrow_mut().entry(partition).or_default().push(submission);
         self.arrival_condvar.notify();
-        // The sender is dropped without a result only when the daemon stops: the writers never end.
-        answer.await.unwrap_or(Stored::Unknown)
+        match timeout_at(deadline, answer).await {
+            // The sender is dropped without a result only when the daemon stops: the writers never end.
+            Some(answer) => answer.unwrap_or(Stored::Unknown),
+            None if is_sent.get() => Stored::Unknown,
+            None => Stored::No,
+        }
     }
 
     fn has_waiting(&self, partition: &str) -> bool {
@@ -77,6 +90,8 @@
     fn take_batch(&self, partition: &str) -> Vec<Submission> {
         let mut waiting = self.waiting.borrow_mut();
         let Some(waiting) = waiting.get_mut(partition) else { return Vec::new() };
+        // The callers of these have been told that they are not stored, or have disconnected.
+        waiting.retain(|submission| submission.is_sent.get() || !submission.reply.is_canceled());
         let mut bytes = 0;
         let mut count = 0;
         for submission in waiting.iter() {
@@ -86,7 +101,11 @@
             }
             count += 1;
         }
-        waiting.drain(..count).collect()
+        let batch: Vec<Submission> = waiting.drain(..count).collect();
+        for submission in &batch {
+            submission.is_sent.set(true);
+        }
+        batch
     }
 }
 
@@ -102,6 +121,13 @@
     loop {
         daemon.submissions.arrival_condvar.wait_until(|| daemon.submissions.has_waiting(&partition)).await;
         let mut batch = daemon.submissions.take_batch(&partition);
+        if !daemon.store.is_reachable() {
+            for submission in batch {
+                log::info!("job={} outcome=not_sent_while_store_unreachable", submission.id);
+                complete(&daemon, submission, Stored::No);
+            }
+            continue;
+        }
         // Concurrent requests may submit the same job; each batch contains it only once.
         let mut seen = HashSet::new();
         let (mut unique, duplicates): (Vec<_>, Vec<_>) =
@@ -153,12 +179,12 @@
             }
         }
     }
-    let retry_at_us = daemon.now_us() + RETRY_DELAY_MS * US_PER_MS;
+    let retry_at = Instant::now() + Duration::from_millis(RETRY_DELAY_MS);
     let mut remaining = Vec::new();
     for submission in batch {
         if !submission.may_be_stored {
             complete(daemon, submission, Stored::No);
-        } else if retry_at_us > submission.deadline_us {
+        } else if retry_at > submission.deadline {
             complete(daemon, submission, Stored::Unknown);
         } else {
             remaining.push(submission);
--- /dev/null
+++ b/src/control/submissions/submissions_tests.rs
@@ -0,0 +1,50 @@
+//! Tests of what callers are told about submissions that the store does not confirm in time.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Instant;
+
+use super::{Stored, SubmissionQueue};
+use crate::reactor::{self, Reactor};
+
+/// Submits a job whose deadline has come while no writer runs; `before` is called once the job waits.
+fn answer_at_deadline(queue: &Rc<SubmissionQueue>, before: impl FnOnce(&SubmissionQueue) + 'static) -> Stored {
+    let mut event_loop = Reactor::new().expect("an event loop");
+    let answer = Rc::new(Cell::new(None));
+    let (submitting_queue, submitting_answer) = (queue.clone(), answer.clone());
+    reactor::spawn(async move {
+        let submitted = submitting_queue.submit("00000000000000a1".into(), vec![1], Instant::now());
+        let queue = submitting_queue.clone();
+        let (stored, ()) = futures::join!(submitted, async move { before(&queue) });
+        submitting_answer.set(Some(stored));
+        reactor::stop();
+    });
+    event_loop.run().expect("the event loop runs");
+    answer.get().expect("an answer")
+}
+
+#[test]
+fn submission_that_was_never_sent_is_withdrawn_and_answered_as_not_stored() {
+    let queue = Rc::new(SubmissionQueue::default());
+
+    let stored = answer_at_deadline(&queue, |_| {});
+
+    assert_eq!(stored, Stored::No);
+    assert!(queue.take_batch("j0").is_empty(), "it must not be stored after its caller was told so");
+}
+
+#[test]
+fn submission_that_the_store_has_not_confirmed_is_answered_as_unknown() {
+    let queue = Rc::new(SubmissionQueue::default());
+    let in_flight = Rc::new(Cell::new(0));
+
+    let taken = in_flight.clone();
+    let stored = answer_at_deadline(&queue, move |queue| {
+        let batch = queue.take_batch("j0");
+        taken.set(batch.len());
+        // Keeps the reply open, as a writer does that waits for the store.
+        std::mem::forget(batch);
+    });
+
+    assert_eq!((in_flight.get(), stored), (1, Stored::Unknown));
+}
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -85,6 +85,10 @@
         while self.stakker.not_shutdown() {
             if self.schedule_executor() {
                 idle_pending = self.stakker.run(Instant::now(), false);
+                // A future may have stopped the event loop, which would otherwise wait for one more event.
+                if !self.stakker.not_shutdown() {
+                    break;
+                }
             }
             let busy = idle_pending || io_pending || self.has_work();
             let wait = self.stakker.next_wait_max(Instant::now(), MAX_POLL_WAIT, busy);
