Remove the fast interval of hold requests, which had no effect

The interval lowered a time that the next check replaced. A comment on the last host of a pool says what the condition does.

--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -216,7 +216,7 @@
                 continue;
             }
             let Some(balance) = balances.get_mut(&host.pool) else { continue };
-            // One host's capacity is kept beyond the demand, so that the pool's next job finds a worker at once.
+            // The rest covers the demand, and one host always stays, so that the pool's next job finds a worker at once.
             if balance.capacity < balance.total_demand() + capacity || balance.capacity <= capacity {
                 continue;
             }
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -18,8 +18,6 @@
 const INSUFFICIENT_CAPACITY_BLOCK_MS: u64 = 200;
 /// How long a worker gets no new tasks after it could not be reached.
 const UNREACHABLE_BLOCK_MS: u64 = 500;
-/// How long hold requests are sent at the fast interval after a worker has stopped answering.
-const FAST_HOLD_DURATION_MS: u64 = 3_000;
 /// A worker that does not answer a start order still counts as reachable for this long after its latest answer.
 const REACHABLE_AFTER_ANSWER_MS: u64 = 700;
 /// How long a worker gets no new tasks after it refused one as unhealthy.
@@ -223,10 +221,6 @@
     pub(crate) fn on_hold_failure(&mut self, now_us: u64, id: &Arc<str>, outcome: &OrderOutcome) {
         self.handle_refusal(now_us, id, outcome);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if !worker.is_silent {
-            // Other workers may be behind the same network partition, so they are checked soon as well.
-            self.fast_hold_until_us = now_us + FAST_HOLD_DURATION_MS * US_PER_MS;
-        }
         worker.is_silent = true;
         worker.block(now_us, UNREACHABLE_BLOCK_MS);
         log::debug!("worker={id} end={outcome:?} outcome=hold_failed");
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -23,9 +23,6 @@
 const HOLD_INTERVAL_MS: u64 = 60;
 /// Delay between hold requests to a worker without tasks, which only keep the estimate of its clock current.
 const IDLE_HOLD_INTERVAL_MS: u64 = 6_000;
-/// Fast interval between hold requests, in force for some time after any worker stopped answering, since the cause may
-/// affect more workers.
-const FAST_HOLD_INTERVAL_MS: u64 = 900;
 /// Delay before a failed hold request is repeated.
 const HOLD_RETRY_DELAY_MS: u64 = 250;
 
@@ -144,14 +141,6 @@
             self.workers.remove(id);
             return HoldPlan::Close;
         }
-        let mut hold_at_us = worker.next_hold_us;
-        if now_us < self.fast_hold_until_us && !worker.is_silent {
-            hold_at_us = hold_at_us.min(worker.last_answer_us + FAST_HOLD_INTERVAL_MS * US_PER_MS);
-        }
-        if now_us < hold_at_us && worker.is_synced {
-            // Wakes up early enough to notice that another worker has stopped answering in the meantime.
-            return HoldPlan::WaitUntil { at_us: hold_at_us.min(now_us + FAST_HOLD_INTERVAL_MS * US_PER_MS) };
-        }
         if now_us < worker.next_hold_us {
             return HoldPlan::WaitUntil { at_us: worker.next_hold_us };
         }
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -92,8 +92,6 @@
     /// Worker on each host, as last listed by the provider or the registry.
     pub(super) worker_by_host: HashMap<Arc<str>, Arc<str>>,
     pub(super) next_placement_us: u64,
-    /// Until then, hold requests are sent at the fast interval, because a worker stopped answering.
-    pub(super) fast_hold_until_us: u64,
     /// Whether something has changed that may let a task start.
     pub(super) wants_placement: bool,
 }
@@ -128,7 +126,6 @@
             next_orphan_check_us: 0,
             worker_by_host: HashMap::new(),
             next_placement_us: 0,
-            fast_hold_until_us: 0,
             wants_placement: true,
         }
     }
