A leader that was cut off from its workers leaves its claim to others

Cause, read in the code: a daemon that steps down because too few workers answer sets a pause of 6 s, but found its own claim still in the owner row with its next poll and led again at once, before the pause was looked at. Change: a claim that was released is not resumed during the pause. The new test failed before.

--- a/src/control/candidate.rs
+++ b/src/control/candidate.rs
@@ -77,7 +77,8 @@
         self.observed.polls > 1
     }
 
-    /// Decides from the rows as just read. Before `no_claim_until_us`, the daemon makes no new claim.
+    /// Decides from the rows as just read. Before `no_claim_until_us`, the daemon makes no new claim and does not resume
+    /// one that it has released.
     pub(super) fn decide(
         &mut self,
         now_us: u64,
@@ -88,13 +89,15 @@
         let owner_version = owner.map_or(ABSENT_ROW_VERSION, |row| row.version);
         let sequence_version = sequence.map_or(ABSENT_ROW_VERSION, |row| row.version);
         let owner_value = owner.and_then(|row| row.value.as_deref()).unwrap_or_default();
-        if owner_value == self.claim_value {
+        let is_released = sequence.is_some_and(|row| row.value.as_deref() == Some(RELEASED));
+        let may_claim = now_us >= no_claim_until_us;
+        // After a step-down, the claim is left to the other daemons for the time of the pause.
+        if owner_value == self.claim_value && (may_claim || !is_released) {
             return Decision::Lead { fencing_token: owner_version, sequence_version };
         }
-        if now_us < no_claim_until_us {
+        if !may_claim {
             return Decision::Wait;
         }
-        let is_released = sequence.is_some_and(|row| row.value.as_deref() == Some(RELEASED));
         // An earlier process of this daemon has ended, so nobody needs to be waited for.
         let is_vacant = owner.is_none() || is_released || owner_value.starts_with(&self.claim_prefix);
         if (self.is_small || !is_vacant) && !self.has_waited(now_us, sequence_version, is_vacant) {
--- a/src/control/candidate/candidate_tests.rs
+++ b/src/control/candidate/candidate_tests.rs
@@ -82,3 +82,15 @@
     assert_eq!(candidate.decide(0, 1_000_000, None, None), Decision::Wait);
     assert_eq!(candidate.decide(1_000_000, 1_000_000, None, None), Decision::Claim { owner_version: 0 });
 }
+
+#[test]
+fn daemon_that_stepped_down_leaves_leadership_to_others_during_its_pause() {
+    let mut candidate = large("d1");
+    let (owner, released) = (row(7, candidate.claim_value()), row(9, RELEASED));
+
+    let during = candidate.decide(0, 6_000_000, Some(&owner), Some(&released));
+    let after = candidate.decide(6_000_000, 6_000_000, Some(&owner), Some(&released));
+
+    assert_eq!(during, Decision::Wait);
+    assert_eq!(after, Decision::Lead { fencing_token: 7, sequence_version: 9 }, "no other daemon has claimed it");
+}
