--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -253,12 +253,17 @@
     scheduler
 }
 
+/// Submits a job whose only task needs a worker with a label.
+fn submit_job_with_label(scheduler: &mut super::scheduler::Scheduler, now_us: u64, label: &str) {
+    let mut labelled = step(1, &[]);
+    labelled.required_label = Some(label.into());
+    scheduler.submit(now_us, 0, "job".into(), spec(vec![labelled]));
+}
+
 #[test]
 fn host_with_a_required_label_moves_to_the_pool_that_needs_it() {
     let mut scheduler = leader_with_spare_hosts();
-    let mut labelled = step(1, &[]);
-    labelled.required_label = Some("b".into());
-    scheduler.submit(10 * SECOND_US, 0, "job".into(), spec(vec![labelled]));
+    submit_job_with_label(&mut scheduler, 10 * SECOND_US, "b");
 
     let moved = confirmed_moves_at(&mut scheduler, 10 * SECOND_US);
 
@@ -344,10 +349,8 @@
     let cases = [(Some(vec![]), true), (Some(vec!["h9".into()]), false), (None, false)];
     for (recorded, is_moved) in cases {
         let mut scheduler = leader_with_spare_hosts();
-        let mut labelled = step(1, &[]);
-        labelled.required_label = Some("b".into());
         scheduler.restore_host_orders(recorded.clone());
-        scheduler.submit(SECOND_US, 0, "job".into(), spec(vec![labelled]));
+        submit_job_with_label(&mut scheduler, SECOND_US, "b");
 
         let soon = confirmed_moves_at(&mut scheduler, 1_500_000);
         let later = confirmed_moves_at(&mut scheduler, 6 * SECOND_US);
@@ -361,9 +364,7 @@
 #[test]
 fn host_order_record_keeps_hosts_until_another_leader_may_order_them() {
     let mut scheduler = leader_with_spare_hosts();
-    let mut labelled = step(1, &[]);
-    labelled.required_label = Some("b".into());
-    scheduler.submit(SECOND_US, 0, "job".into(), spec(vec![labelled]));
+    submit_job_with_label(&mut scheduler, SECOND_US, "b");
     commit_batch(&mut scheduler, 10 * SECOND_US);
 
     scheduler.tick(10 * SECOND_US + 200_000, 0);
@@ -428,9 +429,7 @@
 #[test]
 fn host_order_that_an_outage_delayed_is_dropped_and_decided_anew() {
     let mut scheduler = leader_with_spare_hosts();
-    let mut labelled = step(1, &[]);
-    labelled.required_label = Some("b".into());
-    scheduler.submit(SECOND_US, 0, "job".into(), spec(vec![labelled]));
+    submit_job_with_label(&mut scheduler, SECOND_US, "b");
     commit_batch(&mut scheduler, 10 * SECOND_US);
     scheduler.tick(10 * SECOND_US + 200_000, 0);
     let delayed = scheduler.take_batch(10 * SECOND_US + 200_000);
