Tell callers to return when a daemon holds too many bodies

Every error of reading a body was answered 413, so that a caller of a busy daemon was told that its body is too large, and would not try again. Now 503 with Retry-After for the budget, 400 for a body that ended early, 413 only for its size.

--- a/src/control/http_api.rs
+++ b/src/control/http_api.rs
@@ -1,5 +1,8 @@
 //! HTTP handlers for callers' job requests, readiness checks and metrics.
 
+#[cfg(test)]
+mod http_api_tests;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,7 +16,7 @@
 
 use super::submissions::{self, Stored};
 use super::{job_partition, ControlDaemon, FINISHED_TABLE, JOB_TABLE};
-use crate::buffered_body::{collect_body, ByteBudget};
+use crate::buffered_body::{collect_body, BodyError, ByteBudget};
 use crate::clock::US_PER_S;
 use crate::http_server::{Body, Handler};
 use crate::platform::job_api::{decode_job, is_job_id, job_state_body, pending_count_body, DEADLINE_HEADER};
@@ -67,7 +70,7 @@
     let (parts, body) = request.into_parts();
     let body = match collect_body(body, MAX_BODY_BYTES, budget).await {
         Ok(body) => body,
-        Err(error) => return status_response(StatusCode::PAYLOAD_TOO_LARGE, &error.to_string()),
+        Err(error) => return body_error_response(&error),
     };
     let Some(catalog) = daemon.catalog.borrow().clone() else {
         return unavailable("no configuration yet");
@@ -197,6 +200,15 @@
     }
 }
 
+/// Response to a request whose body could not be read.
+fn body_error_response(error: &BodyError) -> Response<Body> {
+    match error {
+        BodyError::TooLarge { .. } => status_response(StatusCode::PAYLOAD_TOO_LARGE, &error.to_string()),
+        BodyError::BudgetExceeded => unavailable(&error.to_string()),
+        BodyError::ReadFailed(_) => status_response(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
+
 fn unavailable(reason: &str) -> Response<Body> {
     let mut response = status_response(StatusCode::SERVICE_UNAVAILABLE, reason);
     response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
