A pool without a worker gets a host whatever other pools expect; waves drain ahead

Starved pool. Now a pool that has demand and no worker gets one host, the least busy one without long-running tasks.

--- a/src/sched/rebalance.rs
+++ b/src/sched/rebalance.rs
@@ -51,7 +51,8 @@
 }
 
 impl Scheduler {
-    /// Moves hosts to pools that lack capacity: first for labels, then for on-time jobs, then for late jobs.
+    /// Moves hosts to pools that lack capacity: first for labels, then for pools without any worker, then for on-time
+    /// jobs, then for late jobs.
     pub(super) fn cover_shortfalls(
         &mut self,
         now_us: u64,
@@ -64,6 +65,14 @@
             let request = HostRequest { pool, label: Some(label), kind };
             self.cover_shortfall(now_us, &request, balance.shortfall(), &mut search);
         }
+        for (pool, balance) in balances {
+            if balance.capacity > 0 || balance.on_time_demand == 0 {
+                continue;
+            }
+            // Other pools may claim all hosts for the load that they expect.
+            let request = HostRequest { pool, label: None, kind: RequestKind::Unschedulable };
+            self.cover_shortfall(now_us, &request, 1, &mut search);
+        }
         for kind in [RequestKind::OnTime, RequestKind::Late] {
             let mut shortfalls: Vec<(u64, Arc<str>)> = Vec::new();
             for (pool, balance) in &search.balances {
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -442,3 +442,98 @@
     assert_eq!(sent, []);
     assert_eq!(decided_anew, [("h9".to_owned(), "press".to_owned())]);
 }
+
+#[test]
+fn hosts_with_long_running_tasks_drain_while_others_are_down_but_no_more_than_allowed_are_down() {
+    let mut scheduler = super::scheduler::Scheduler::new(0, settings());
+    scheduler.configure(catalog());
+    let host = |number: usize, pool: &str| super::model::HostRecord {
+        name: format!("h{number}").into(),
+        pool: pool.into(),
+        phase: super::model::HostPhase::Up,
+        worker: Some(format!("w{number}").into()),
+        capacity: worker_entry(number, 1).capacity,
+        zone: "hall-a".into(),
+        labels: worker_entry(number, 1).labels,
+    };
+    let answer =
+        super::model::HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+    for number in 0..4 {
+        scheduler.worker_listed(0, worker_entry(number, 1));
+        scheduler.on_hold_answer(10 * SECOND_US, 10 * SECOND_US, &format!("w{number}").into(), &answer);
+    }
+    scheduler.hosts_listed(10 * SECOND_US, (0..4).map(|number| host(number, "press")).collect());
+    let mut long_step = step(2, &[]);
+    long_step.long_running = true;
+    long_step.max_per_worker = Some(1);
+    scheduler.submit(10 * SECOND_US, 0, "long-running".into(), spec(vec![long_step]));
+    confirmed_moves_at(&mut scheduler, 10 * SECOND_US);
+    let loaded: Vec<Arc<str>> =
+        scheduler.workers.values().filter(|worker| !worker.tasks.is_empty()).map(host_of).collect();
+
+    let hosts = (0..4).map(|number| format!("h{number}").into()).collect();
+    scheduler.add_wave(super::model::WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: 2 });
+    commit_batch(&mut scheduler, 11 * SECOND_US);
+    scheduler.tick(11 * SECOND_US + 200_000, 0);
+    commit_batch(&mut scheduler, 11 * SECOND_US + 200_000);
+
+    let is_cordoned =
+        |host: &Arc<str>| scheduler.workers.values().any(|worker| worker.is_cordoned && host_of(worker) == *host);
+    assert_eq!(loaded.len(), 2);
+    assert!(loaded.iter().all(is_cordoned), "both are drained");
+    let maintained = scheduler
+        .take_actions()
+        .into_iter()
+        .filter(|action| matches!(action, super::action::Action::MaintainHost { .. }));
+    assert_eq!(maintained.count(), 2, "the two hosts without tasks go down, and no third one");
+}
+
+fn host_of(worker: &Worker) -> Arc<str> {
+    worker.entry.host.clone().expect("the worker has a host")
+}
+
+#[test]
+fn pool_without_a_worker_gets_a_host_of_a_pool_that_expects_more_load_than_it_has_hosts() {
+    let mut scheduler = super::scheduler::Scheduler::new(0, settings());
+    let mut config = (*catalog()).clone();
+    config.pools.push(super::model::PoolConfig { name: "sheets".into(), spare: false });
+    let mut sheets = (*config.queues[0]).clone();
+    (sheets.name, sheets.pool) = ("sheets".into(), "sheets".into());
+    let sheets = Arc::new(sheets);
+    config.queues.push(sheets.clone());
+    scheduler.configure(Arc::new(config));
+    let answer =
+        super::model::HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+    let mut hosts = Vec::new();
+    for number in 0..2 {
+        let entry = worker_entry(number, 1);
+        hosts.push(super::model::HostRecord {
+            name: host_of(&Worker::new(0, entry.clone())),
+            pool: entry.pool.clone(),
+            phase: super::model::HostPhase::Up,
+            worker: Some(entry.id.clone()),
+            capacity: entry.capacity,
+            zone: entry.zone.clone(),
+            labels: entry.labels.clone(),
+        });
+        scheduler.worker_listed(0, entry.clone());
+        scheduler.on_hold_answer(10 * SECOND_US, 10 * SECOND_US, &entry.id, &answer);
+    }
+    scheduler.hosts_listed(10 * SECOND_US, hosts);
+    for number in 0..20 {
+        scheduler.submit(10 * SECOND_US, 0, format!("job-{number}").into(), spec(vec![step(8, &[])]));
+    }
+    let mut long_step = step(1, &[]);
+    long_step.long_running = true;
+    scheduler.submit(
+        10 * SECOND_US,
+        0,
+        "long-running".into(),
+        super::model::JobSpec { queue: sheets, ..spec(vec![long_step]) },
+    );
+    confirmed_moves_at(&mut scheduler, 10 * SECOND_US);
+
+    let drained = scheduler.workers.values().filter(|worker| worker.is_cordoned).count();
+
+    assert_eq!(drained, 1, "one busy host is drained for the pool without a worker");
+}
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -16,6 +16,8 @@
 
 /// How long a host's maintenance waits for tasks that are not long-running and write no checkpoints.
 const MAINTENANCE_DRAIN_MS: u64 = 3_000;
+/// Hosts that are down or drained at the same time, as a multiple of those that may be down.
+const MAX_DRAINING_FACTOR: u32 = 2;
 /// How long a long-running task stays on a host to be maintained while no other worker could run it.
 const REPLACEMENT_WAIT_MS: u64 = 8_000;
 /// Delay before an order to maintain a host is repeated.
@@ -175,11 +177,13 @@
         }
     }
 
-    /// Starts to drain as many hosts as the wave allows at once, those with the least work first.
+    /// Starts to drain hosts, those with the least work first. Long-running tasks leave a host one after the other, so
+    /// hosts with such tasks are drained while others are down; the last hosts would otherwise come late.
     fn start_draining(&mut self, now_us: u64, number: u64) {
         let Some(wave) = self.waves.states.get(&number) else { return };
-        let mut slots = wave.order.max_down.saturating_sub(wave.down_count() + wave.draining_count());
-        if slots == 0 {
+        let max_down = wave.order.max_down;
+        let mut busy = wave.down_count() + wave.draining_count();
+        if busy >= max_down * MAX_DRAINING_FACTOR {
             return;
         }
         let mut candidates = Vec::new();
@@ -196,11 +200,12 @@
             candidates.push((self.load_on(host), host.clone()));
         }
         candidates.sort();
-        for (_, host) in candidates {
-            if slots == 0 {
-                return;
+        for ((long_running_count, _), host) in candidates {
+            let limit = if long_running_count > 0 { max_down * MAX_DRAINING_FACTOR } else { max_down };
+            if busy >= limit {
+                continue;
             }
-            slots -= 1;
+            busy += 1;
             self.set_cordoned(&host, true);
             self.set_stage(number, &host, HostStage::Draining { since_us: now_us });
         }
@@ -235,6 +240,7 @@
     /// Drains hosts, and orders maintenance for those without tasks and those whose order got no answer.
     fn drain_and_order(&mut self, now_us: u64, number: u64) {
         let Some(wave) = self.waves.states.get(&number) else { return };
+        let mut free_slots = wave.order.max_down.saturating_sub(wave.down_count());
         let mut draining = Vec::new();
         let mut to_order = Vec::new();
         for (host, stage) in &wave.stages {
@@ -246,7 +252,8 @@
         }
         for (host, since_us) in draining {
             let waited_ms = now_us.saturating_sub(since_us) / US_PER_MS;
-            if self.drain_host(now_us, &host, waited_ms) {
+            if self.drain_host(now_us, &host, waited_ms) && free_slots > 0 {
+                free_slots -= 1;
                 to_order.push(host);
             }
         }
