Move the decisions on repeated calls out of the platform's folder, and name the candidacy for leadership

src/platform/ only translates; when a call is repeated and what its outcome is are decisions of our own, now in src/row_store/. A candidate is a worker in src/sched/, so the daemon's one is a candidacy.

--- a/src/control.rs
+++ b/src/control.rs
@@ -20,7 +20,7 @@
 
 mod boot_clock;
 mod calls;
-mod candidate;
+mod candidacy;
 mod election;
 mod feeds;
 mod http_api;
--- a/src/control/candidate.rs
+++ b/src/control/candidacy.rs
@@ -1,7 +1,7 @@
 //! Decides when a daemon claims leadership, from what it reads in the leader rows.
 
 #[cfg(test)]
-mod candidate_tests;
+mod candidacy_tests;
 
 use crate::clock::US_PER_MS;
 use crate::row_store::{StoredRow, ABSENT_ROW_VERSION};
@@ -41,9 +41,9 @@
     polls: u32,
 }
 
-/// A daemon that may become the leader.
+/// A daemon's candidacy for leadership.
 #[derive(Debug)]
-pub(super) struct Candidate {
+pub(super) struct Candidacy {
     is_small: bool,
     /// The daemon's name and a space; every claim of a process with this name begins with it.
     claim_prefix: Vec<u8>,
@@ -51,10 +51,10 @@
     observed: LeaderObservation,
 }
 
-impl Candidate {
+impl Candidacy {
     /// `process_id` is a random number that distinguishes this process from earlier ones with the same name.
-    pub(super) fn new(name: &str, cpu_share: f64, process_id: u64) -> Candidate {
-        Candidate {
+    pub(super) fn new(name: &str, cpu_share: f64, process_id: u64) -> Candidacy {
+        Candidacy {
             is_small: cpu_share < SMALL_DAEMON_CPU_SHARE,
             claim_prefix: format!("{name} ").into_bytes(),
             claim_value: format!("{name} {process_id:016x}").into_bytes(),
--- a/src/control/candidate/candidate_tests.rs
+++ b/src/control/candidacy/candidacy_tests.rs
@@ -1,6 +1,6 @@
 //! Tests of when a daemon claims leadership.
 
-use super::{Candidate, Decision, RELEASED};
+use super::{Candidacy, Decision, RELEASED};
 use crate::row_store::{RowId, StoredRow};
 
 const POLL_US: u64 = 150_000;
@@ -10,10 +10,10 @@
 }
 
 /// Time of the first poll, in milliseconds, at which a candidate claims leadership while the rows do not change.
-fn claims_after_ms(mut candidate: Candidate, owner: Option<&StoredRow>, sequence: Option<&StoredRow>) -> Option<u64> {
+fn claims_after_ms(mut candidacy: Candidacy, owner: Option<&StoredRow>, sequence: Option<&StoredRow>) -> Option<u64> {
     for poll in 0..40 {
         let now_us = poll * POLL_US;
-        let decision = candidate.decide(now_us, 0, owner, sequence);
+        let decision = candidacy.decide(now_us, 0, owner, sequence);
         if let Decision::Claim { owner_version } = decision {
             assert_eq!(owner_version, owner.map_or(0, |row| row.version));
             return Some(now_us / 1_000);
@@ -22,8 +22,8 @@
     None
 }
 
-fn large(name: &str) -> Candidate {
-    Candidate::new(name, 0.25, 2)
+fn large(name: &str) -> Candidacy {
+    Candidacy::new(name, 0.25, 2)
 }
 
 #[test]
@@ -39,17 +39,17 @@
     let (owner, sequence) = (row(7, b"d2 01"), row(9, b""));
 
     assert_eq!(claims_after_ms(large("d1"), Some(&owner), Some(&sequence)), Some(1_500));
-    assert_eq!(claims_after_ms(Candidate::new("d1", 0.12, 2), Some(&owner), Some(&sequence)), Some(3_000));
+    assert_eq!(claims_after_ms(Candidacy::new("d1", 0.12, 2), Some(&owner), Some(&sequence)), Some(3_000));
 }
 
 #[test]
 fn active_leader_is_never_replaced() {
-    let mut candidate = large("d1");
+    let mut candidacy = large("d1");
     let owner = row(7, b"d2 01");
 
     for poll in 0..40 {
         let sequence = row(9 + poll, b"");
-        assert_eq!(candidate.decide(poll * POLL_US, 0, Some(&owner), Some(&sequence)), Decision::Wait);
+        assert_eq!(candidacy.decide(poll * POLL_US, 0, Some(&owner), Some(&sequence)), Decision::Wait);
     }
 }
 
@@ -67,29 +67,29 @@
 
 #[test]
 fn claim_of_this_process_is_found_again() {
-    let mut candidate = large("d1");
-    let owner = row(7, candidate.claim_value());
+    let mut candidacy = large("d1");
+    let owner = row(7, candidacy.claim_value());
 
-    let decision = candidate.decide(0, 1_000_000, Some(&owner), Some(&row(9, b"")));
+    let decision = candidacy.decide(0, 1_000_000, Some(&owner), Some(&row(9, b"")));
 
     assert_eq!(decision, Decision::Lead { fencing_token: 7, sequence_version: 9 });
 }
 
 #[test]
 fn daemon_that_was_cut_off_pauses_before_it_claims_again() {
-    let mut candidate = large("d1");
+    let mut candidacy = large("d1");
 
-    assert_eq!(candidate.decide(0, 1_000_000, None, None), Decision::Wait);
-    assert_eq!(candidate.decide(1_000_000, 1_000_000, None, None), Decision::Claim { owner_version: 0 });
+    assert_eq!(candidacy.decide(0, 1_000_000, None, None), Decision::Wait);
+    assert_eq!(candidacy.decide(1_000_000, 1_000_000, None, None), Decision::Claim { owner_version: 0 });
 }
 
 #[test]
 fn daemon_that_stepped_down_leaves_leadership_to_others_during_its_pause() {
-    let mut candidate = large("d1");
-    let (owner, released) = (row(7, candidate.claim_value()), row(9, RELEASED));
+    let mut candidacy = large("d1");
+    let (owner, released) = (row(7, candidacy.claim_value()), row(9, RELEASED));
 
-    let during = candidate.decide(0, 6_000_000, Some(&owner), Some(&released));
-    let after = candidate.decide(6_000_000, 6_000_000, Some(&owner), Some(&released));
+    let during = candidacy.decide(0, 6_000_000, Some(&owner), Some(&released));
+    let after = candidacy.decide(6_000_000, 6_000_000, Some(&owner), Some(&released));
 
     assert_eq!(during, Decision::Wait);
     assert_eq!(after, Decision::Lead { fencing_token: 7, sequence_version: 9 }, "no other daemon has claimed it");
--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -2,14 +2,14 @@
 //!
 //! Each transaction of the leader rewrites the sequence row, also when there is nothing else to write. A daemon that
 //! sees this row unchanged for long enough overwrites the owner row, on condition that its version is still the one it
-//! has read. Only one daemon succeeds, and the new version of the owner row is its fencing token. [`Candidate`] decides
+//! has read. Only one daemon succeeds, and the new version of the owner row is its fencing token. [`Candidacy`] decides
 //! when.
 
 use std::rc::Rc;
 
 use rand::Rng;
 
-use super::candidate::{Candidate, Decision};
+use super::candidacy::{Candidacy, Decision};
 use super::leader::{self, Claim};
 use super::{ControlDaemon, LEADER_PARTITION, LEADER_TABLE};
 use crate::row_store::{RowId, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction, StoredRow};
@@ -32,24 +32,24 @@
 
 /// Polls the leader rows until the daemon stops, and leads whenever it can claim leadership.
 pub(super) async fn run(daemon: Rc<ControlDaemon>) {
-    let mut candidate = Candidate::new(&daemon.settings.name, daemon.settings.cpu_share, rand::rng().random());
+    let mut candidacy = Candidacy::new(&daemon.settings.name, daemon.settings.cpu_share, rand::rng().random());
     while !daemon.is_stopping.get() {
         match daemon.store.read_partition(LEADER_TABLE, LEADER_PARTITION).await {
             Ok(page) => {
                 let owner = find_row(&page.rows, OWNER_KEY);
                 let sequence = find_row(&page.rows, SEQUENCE_KEY);
-                if let Some(claim) = try_claim(&daemon, &mut candidate, owner, sequence).await {
+                if let Some(claim) = try_claim(&daemon, &mut candidacy, owner, sequence).await {
                     leader::lead(&daemon, claim).await;
-                    candidate.forget_observation();
+                    candidacy.forget_observation();
                 }
             }
             Err(error) => {
                 log::debug!("error={error} outcome=leader_read_failed");
                 // The leader's inactivity counts only while this daemon can read the store.
-                candidate.forget_observation();
+                candidacy.forget_observation();
             }
         }
-        let interval_ms = if candidate.suspects_leader() { FAST_POLL_INTERVAL_MS } else { POLL_INTERVAL_MS };
+        let interval_ms = if candidacy.suspects_leader() { FAST_POLL_INTERVAL_MS } else { POLL_INTERVAL_MS };
         daemon.sleep_ms(interval_ms + rand::rng().random_range(0..POLL_JITTER_MS)).await;
     }
 }
@@ -61,17 +61,17 @@
 /// Claims leadership if there is no active leader.
 async fn try_claim(
     daemon: &Rc<ControlDaemon>,
-    candidate: &mut Candidate,
+    candidacy: &mut Candidacy,
     owner: Option<&StoredRow>,
     sequence: Option<&StoredRow>,
 ) -> Option<Claim> {
     let now_us = daemon.now_us();
-    match candidate.decide(now_us, daemon.no_claim_until_us.get(), owner, sequence) {
+    match candidacy.decide(now_us, daemon.no_claim_until_us.get(), owner, sequence) {
         Decision::Wait => None,
         Decision::Lead { fencing_token, sequence_version } => {
             Some(Claim { fencing_token, sequence_version, claimed_us: now_us })
         }
-        Decision::Claim { owner_version } => write_claim(daemon, owner_version, candidate.claim_value()).await,
+        Decision::Claim { owner_version } => write_claim(daemon, owner_version, candidacy.claim_value()).await,
     }
 }
 
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use super::candidate::RELEASED;
+use super::candidacy::RELEASED;
 use super::election::{owner_row, sequence_row};
 use super::orders::OrderQueues;
 use super::{
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -13,7 +13,6 @@
 pub(crate) mod job_api;
 pub mod job_client;
 pub(crate) mod operator;
-mod repeated_call;
 pub(crate) mod row_store;
 pub mod settings;
 mod task_names;
@@ -22,8 +21,6 @@
 
 #[cfg(test)]
 mod platform_tests;
-#[cfg(test)]
-mod repeated_call_tests;
 
 pub(crate) use http_client::HttpClient;
 
--- a/src/platform/row_store.rs
+++ b/src/platform/row_store.rs
@@ -12,9 +12,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::http_client::{HttpClient, HttpResponse};
-use super::repeated_call::{RepeatedCall, StoreHealth};
 use crate::clock::{Clock, US_PER_MS};
 use crate::endpoint_client::{timeout_at, CallOutcome};
+use crate::row_store::repeated_call::{RepeatedCall, StoreHealth};
 use crate::row_store::{RowId, RowPage, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction, StoredRow};
 
 /// Timeout of a call, in addition to the time for which it asks the store to wait for changes.
--- a/src/row_store.rs
+++ b/src/row_store.rs
@@ -1,6 +1,10 @@
 //! Rows, transactions and errors of the users' platform's row store, independent of its JSON messages.
 //! [`crate::platform::row_store`] is its client.
 
+pub(crate) mod repeated_call;
+#[cfg(test)]
+mod repeated_call_tests;
+
 use std::sync::Arc;
 
 /// Version that stands for a row that does not exist.
--- a/src/platform/repeated_call.rs
+++ b/src/row_store/repeated_call.rs
@@ -5,8 +5,8 @@
 //! counts. Repeating is safe: reads have no effect, and callers of transactions recognise their own effect in a
 //! conflict.
 
+use super::RowStoreError;
 use crate::clock::US_PER_MS;
-use crate::row_store::RowStoreError;
 
 /// Minimum time without an answer after which a call is sent again.
 const MIN_REPEAT_DELAY_MS: u64 = 300;
@@ -20,7 +20,7 @@
 
 /// Whether the store answers, as the calls of this process show.
 #[derive(Debug, Default)]
-pub(super) struct StoreHealth {
+pub(crate) struct StoreHealth {
     /// Moving average of the response time.
     latency_ms: f64,
     /// When the first call failed after the latest answer.
@@ -29,33 +29,33 @@
 
 impl StoreHealth {
     /// Records that the store answered.
-    pub(super) fn record_answer(&mut self) {
+    pub(crate) fn record_answer(&mut self) {
         self.failing_since_us = None;
     }
 
     /// Records the response time of a call that does not wait for changes.
-    pub(super) fn record_latency(&mut self, latency_us: u64) {
+    pub(crate) fn record_latency(&mut self, latency_us: u64) {
         let latency_ms = latency_us as f64 / US_PER_MS as f64;
         self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms);
     }
 
     /// Records that a call failed, or that an answer is overdue.
-    pub(super) fn record_failure(&mut self, now_us: u64) {
+    pub(crate) fn record_failure(&mut self, now_us: u64) {
         self.failing_since_us.get_or_insert(now_us);
     }
 
     /// Whether a call has failed since the latest answer.
-    pub(super) fn is_failing(&self) -> bool {
+    pub(crate) fn is_failing(&self) -> bool {
         self.failing_since_us.is_some()
     }
 
     /// Whether calls can be expected to be answered.
-    pub(super) fn is_reachable(&self, now_us: u64) -> bool {
+    pub(crate) fn is_reachable(&self, now_us: u64) -> bool {
         self.failing_since_us.is_none_or(|since_us| now_us < since_us + UNREACHABLE_AFTER_MS * US_PER_MS)
     }
 
     /// Time without an answer after which a call is sent again.
-    pub(super) fn repeat_delay_us(&self) -> u64 {
+    pub(crate) fn repeat_delay_us(&self) -> u64 {
         let delay_ms = (self.latency_ms * REPEAT_DELAY_FACTOR) as u64;
         delay_ms.max(MIN_REPEAT_DELAY_MS) * US_PER_MS
     }
@@ -63,7 +63,7 @@
 
 /// State of one call, of which several attempts may be in flight.
 #[derive(Debug)]
-pub(super) struct RepeatedCall {
+pub(crate) struct RepeatedCall {
     deadline_us: u64,
     next_attempt_us: u64,
     repeat_delay_us: u64,
@@ -75,18 +75,18 @@
 impl RepeatedCall {
     /// A call whose first attempt is sent now and may be answered after `wait_us`, when the store has nothing to report
     /// earlier.
-    pub(super) fn new(now_us: u64, wait_us: u64, deadline_us: u64, repeat_delay_us: u64) -> RepeatedCall {
+    pub(crate) fn new(now_us: u64, wait_us: u64, deadline_us: u64, repeat_delay_us: u64) -> RepeatedCall {
         let next_attempt_us = now_us + wait_us + repeat_delay_us;
         RepeatedCall { deadline_us, next_attempt_us, repeat_delay_us, in_flight: 1, is_unknown: false }
     }
 
     /// When [`RepeatedCall::start_attempt`] is to be called next.
-    pub(super) fn next_attempt_us(&self) -> u64 {
+    pub(crate) fn next_attempt_us(&self) -> u64 {
         self.next_attempt_us
     }
 
     /// Starts another attempt, and returns its timeout; `None` if too little time is left for an answer.
-    pub(super) fn start_attempt(&mut self, now_us: u64) -> Option<u64> {
+    pub(crate) fn start_attempt(&mut self, now_us: u64) -> Option<u64> {
         let left_us = self.deadline_us.saturating_sub(now_us);
         if left_us < self.repeat_delay_us {
             self.next_attempt_us = u64::MAX;
@@ -98,7 +98,7 @@
     }
 
     /// Records the failure of an attempt. Returns the outcome of the call if no other attempt is in flight.
-    pub(super) fn fail_attempt(&mut self, error: RowStoreError) -> Option<RowStoreError> {
+    pub(crate) fn fail_attempt(&mut self, error: RowStoreError) -> Option<RowStoreError> {
         self.in_flight -= 1;
         if self.in_flight > 0 {
             // What one attempt was told says nothing about the others.
--- a/src/platform/repeated_call_tests.rs
+++ b/src/row_store/repeated_call_tests.rs
@@ -1,7 +1,7 @@
 //! Tests of when store calls are repeated, in virtual time.
 
 use super::repeated_call::{RepeatedCall, StoreHealth};
-use crate::row_store::RowStoreError;
+use super::RowStoreError;
 
 const MS_US: u64 = 1_000;
 const TIMEOUT_US: u64 = 1_500 * MS_US;
