--- a/src/sched.rs
+++ b/src/sched.rs
@@ -31,6 +31,8 @@
 #[cfg(test)]
 mod forecast_tests;
 #[cfg(test)]
+mod host_tests;
+#[cfg(test)]
 mod scheduler_tests;
 #[cfg(test)]
 mod sim;
