Never call a job not stored that a concurrent request has sent; keep a wave's limits without overflow

Two requests for one job share a batch; the second waits for the first. Since the early refusal, it could be answered 503, which says that the job is not stored, although the first had been sent without an answer. It counts as possibly stored now and is answered 504 at worst. A wave with a very large limit overflowed when the limit was doubled for draining, and would not have advanced.

--- a/src/control/submissions.rs
+++ b/src/control/submissions.rs
@@ -52,11 +52,22 @@
     deadline: Instant,
     /// Whether it has been sent to the store.
     is_sent: Rc<Cell<bool>>,
-    /// An earlier attempt was not answered and may have stored it.
+    /// An earlier attempt was not answered and may have stored it, or a concurrent request has sent the same job.
     may_be_stored: bool,
     reply: oneshot::Sender<Stored>,
 }
 
+impl Submission {
+    /// What is known if the present attempt has certainly stored nothing.
+    fn outcome_without_answer(&self) -> Stored {
+        if self.may_be_stored {
+            Stored::Unknown
+        } else {
+            Stored::No
+        }
+    }
+}
+
 /// Submissions that wait for the next transaction of their partition.
 #[derive(Default)]
 pub(super) struct SubmissionQueue {
@@ -107,6 +118,16 @@
         }
         batch
     }
+
+    /// Puts back submissions of jobs that another submission of the same batch has just sent and may have stored.
+    fn requeue_duplicates(&self, partition: &str, duplicates: Vec<Submission>) {
+        let mut waiting = self.waiting.borrow_mut();
+        let waiting = waiting.entry(partition.to_owned()).or_default();
+        for mut submission in duplicates {
+            submission.may_be_stored = true;
+            waiting.push(submission);
+        }
+    }
 }
 
 /// Starts one writer for each partition.
@@ -124,7 +145,8 @@
         if !daemon.store.is_reachable() {
             for submission in batch {
                 log::info!("job={} outcome=not_sent_while_store_unreachable", submission.id);
-                complete(&daemon, submission, Stored::No);
+                let stored = submission.outcome_without_answer();
+                complete(&daemon, submission, stored);
             }
             continue;
         }
@@ -135,8 +157,7 @@
         while !unique.is_empty() {
             unique = store_batch(&daemon, &partition, unique).await;
         }
-        let mut waiting = daemon.submissions.waiting.borrow_mut();
-        waiting.entry(partition.clone()).or_default().extend(duplicates);
+        daemon.submissions.requeue_duplicates(&partition, duplicates);
     }
 }
 
--- a/src/control/submissions/submissions_tests.rs
+++ b/src/control/submissions/submissions_tests.rs
@@ -48,3 +48,19 @@
 
     assert_eq!((in_flight.get(), stored), (1, Stored::Unknown));
 }
+
+#[test]
+fn submission_of_a_job_that_another_request_has_sent_is_never_answered_as_not_stored() {
+    let queue = Rc::new(SubmissionQueue::default());
+    let outcome = Rc::new(Cell::new(None));
+
+    let found = outcome.clone();
+    answer_at_deadline(&queue, move |queue| {
+        queue.requeue_duplicates("j0", queue.take_batch("j0"));
+        let again = queue.take_batch("j0");
+        found.set(again.first().map(|submission| submission.outcome_without_answer()));
+        std::mem::forget(again);
+    });
+
+    assert_eq!(outcome.get(), Some(Stored::Unknown));
+}
--- a/src/sched/host_tests.rs
+++ b/src/sched/host_tests.rs
@@ -258,11 +258,34 @@
         |host: &Arc<str>| scheduler.workers.values().any(|worker| worker.is_cordoned && host_of(worker) == *host);
     assert_eq!(loaded.len(), 2);
     assert!(loaded.iter().all(is_cordoned), "both are drained");
-    let maintained = scheduler
-        .take_actions()
-        .into_iter()
-        .filter(|action| matches!(action, super::action::Action::MaintainHost { .. }));
-    assert_eq!(maintained.count(), 2, "the two hosts without tasks go down, and no third one");
+    assert_eq!(requested_maintenance(&mut scheduler), 2, "the hosts without tasks go down");
+
+    for worker in scheduler.workers.values_mut() {
+        worker.tasks.clear();
+    }
+    scheduler.tick(11 * SECOND_US + 400_000, 0);
+    commit_batch(&mut scheduler, 11 * SECOND_US + 400_000);
+
+    assert_eq!(requested_maintenance(&mut scheduler), 0, "the drained hosts wait until the first two are up again");
+}
+
+/// Takes the requested actions, and counts the orders to maintain a host among them.
+fn requested_maintenance(scheduler: &mut super::scheduler::Scheduler) -> usize {
+    let actions = scheduler.take_actions().into_iter();
+    actions.filter(|action| matches!(action, super::action::Action::MaintainHost { .. })).count()
+}
+
+#[test]
+fn wave_without_a_practical_limit_takes_its_hosts_down() {
+    let mut scheduler = leader_with_spare_hosts();
+    let hosts = vec!["h0".into()];
+    scheduler.add_wave(super::model::WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: u32::MAX });
+
+    commit_batch(&mut scheduler, 10 * SECOND_US);
+    scheduler.tick(10 * SECOND_US + 200_000, 0);
+    commit_batch(&mut scheduler, 10 * SECOND_US + 200_000);
+
+    assert_eq!(requested_maintenance(&mut scheduler), 1);
 }
 
 fn host_of(worker: &Worker) -> Arc<str> {
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -182,8 +182,9 @@
     fn start_draining(&mut self, now_us: u64, number: u64) {
         let Some(wave) = self.waves.states.get(&number) else { return };
         let max_down = wave.order.max_down;
+        let max_busy = max_down.saturating_mul(MAX_DRAINING_FACTOR);
         let mut busy = wave.down_count() + wave.draining_count();
-        if busy >= max_down * MAX_DRAINING_FACTOR {
+        if busy >= max_busy {
             return;
         }
         let mut candidates = Vec::new();
@@ -201,7 +202,7 @@
         }
         candidates.sort();
         for ((long_running_count, _), host) in candidates {
-            let limit = if long_running_count > 0 { max_down * MAX_DRAINING_FACTOR } else { max_down };
+            let limit = if long_running_count > 0 { max_busy } else { max_down };
             if busy >= limit {
                 continue;
             }
