Log why each waiting long-running job waits, cordoned workers, and restored runs on unknown workers

Three hypotheses could not be told apart by the log: a new leader's restored runs on workers that the registry does not list were not counted; of several waiting jobs of a pool only one was explained; a worker that is kept free for a move or a wave counted as 'not usable', like one that does not answer. No logic changes.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -259,7 +259,13 @@
         for row in &jobs {
             feeds::apply_cancellation(&mut scheduler, now_us, row);
         }
-        log::info!("jobs={} records={} workers={} outcome=restored", jobs.len(), records.len(), workers.rows.len());
+        log::info!(
+            "jobs={} records={} workers={} runs_on_unknown_workers={} outcome=restored",
+            jobs.len(),
+            records.len(),
+            workers.rows.len(),
+            scheduler.orphans().len()
+        );
         // `u64::MAX` if no job has been stored yet.
         let jobs_version = if jobs_version == u64::MAX { workers.version } else { jobs_version };
         Ok(FeedVersions { jobs: jobs_version.min(workers.version), workers: workers.version })
--- a/src/sched/explain.rs
+++ b/src/sched/explain.rs
@@ -4,17 +4,22 @@
 use std::fmt;
 use std::sync::Arc;
 
-use super::job::{Job, TaskState};
+use super::job::{DeadlineForecast, Job, TaskState};
 use super::model::{Step, TaskRef};
 use super::scheduler::Scheduler;
 use super::worker::Worker;
 
+/// Maximum number of long-running jobs of a pool that one report explains.
+const MAX_LOGGED_LONG_RUNNING: usize = 4;
+
 /// For one waiting task: how many workers of its pool cannot run it, each counted under the first cause that applies.
 /// [`fmt::Display`] writes the counts under the names that operators know from the log.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct WaitCauses {
     pub(crate) workers: u32,
-    /// Not in the registry, not answering, draining, blocked, or on a host that is about to be taken away.
+    /// On a host that is about to be taken away.
+    pub(crate) cordoned: u32,
+    /// Not in the registry, not answering, draining or blocked.
     pub(crate) not_usable: u32,
     pub(crate) without_label: u32,
     /// Already run as many tasks of the step as [`Step::max_per_worker`] allows.
@@ -26,26 +31,31 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "workers={} not_usable={} without_label={} enough_of_step={} without_room={}",
-            self.workers, self.not_usable, self.without_label, self.at_step_limit, self.without_capacity
+            "workers={} cordoned={} not_usable={} without_label={} enough_of_step={} without_room={}",
+            self.workers, self.cordoned, self.not_usable, self.without_label, self.at_step_limit, self.without_capacity
         )
     }
 }
 
 impl Scheduler {
-    /// Logs why the most urgent waiting job of a pool waits.
+    /// Logs why the most urgent waiting jobs of a pool wait: the long-running ones, otherwise one.
     pub(super) fn log_wait_causes(&self, now_us: u64, pool: &str) {
-        let mut most_urgent: Option<&Job> = None;
+        let mut waiting: Vec<(DeadlineForecast, &Job)> = Vec::new();
         for id in &self.ready_jobs {
             let Some(job) = self.jobs.get(id) else { continue };
             if &*self.queue_of(job).pool != pool {
                 continue;
             }
-            if most_urgent.is_none_or(|known| job.deadline_forecast(now_us) < known.deadline_forecast(now_us)) {
-                most_urgent = Some(job);
-            }
+            waiting.push((job.deadline_forecast(now_us), job));
+        }
+        waiting.sort_by(|(one, _), (other, _)| one.cmp(other));
+        let long_running = waiting.iter().filter(|(forecast, _)| *forecast == DeadlineForecast::LongRunning).count();
+        for (_, job) in waiting.iter().take(MAX_LOGGED_LONG_RUNNING.min(long_running).max(1)) {
+            self.log_wait_cause(now_us, pool, job);
         }
-        let Some(job) = most_urgent else { return };
+    }
+
+    fn log_wait_cause(&self, now_us: u64, pool: &str, job: &Job) {
         let Some((task_ref, waiting)) = first_waiting(job) else { return };
         let step = &job.spec.steps[task_ref.step as usize];
         let causes = self.wait_causes(now_us, pool, &task_ref, step);
@@ -68,7 +78,9 @@
                 continue;
             }
             causes.workers += 1;
-            if !worker.accepts_new_tasks(now_us) {
+            if worker.is_cordoned {
+                causes.cordoned += 1;
+            } else if !worker.accepts_new_tasks(now_us) {
                 causes.not_usable += 1;
             } else if !has_label(worker, step) {
                 causes.without_label += 1;
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -376,8 +376,8 @@
         }
     }
 
-    /// Releases tasks on workers, or incarnations of workers, that are no longer known.
-    fn release_orphans(&mut self, now_us: u64) {
+    /// Tasks placed on workers, or incarnations of workers, that are not known.
+    pub(crate) fn orphans(&self) -> Vec<TaskRef> {
         let mut orphans = Vec::new();
         for job in self.jobs.values() {
             if job.occurrences.is_empty() {
@@ -389,7 +389,11 @@
                 }
             }
         }
-        for task_ref in orphans {
+        orphans
+    }
+
+    fn release_orphans(&mut self, now_us: u64) {
+        for task_ref in self.orphans() {
             log::warn!("job={} task={}.{} outcome=worker_gone", task_ref.job, task_ref.step, task_ref.index);
             self.release_task(now_us, &task_ref);
             self.mark_dirty(&task_ref.job);
