--- a/src/sched.rs
+++ b/src/sched.rs
@@ -31,10 +31,14 @@
 #[cfg(test)]
 mod forecast_tests;
 #[cfg(test)]
+mod host_demand_tests;
+#[cfg(test)]
 mod host_tests;
 #[cfg(test)]
 mod scheduler_tests;
 #[cfg(test)]
 mod sim;
 #[cfg(test)]
+mod takeover_tests;
+#[cfg(test)]
 mod urgency_tests;
--- /dev/null
+++ b/src/sched/takeover_tests.rs
@@ -0,0 +1,146 @@
+//! Tests of a new leader that restores runs on workers which have gone in the meantime.
+
+use std::sync::Arc;
+
+use super::action::Batch;
+use super::job::Task;
+use super::model::{HoldAnswer, HostPhase, HostRecord, JobSpec, TaskRef, WorkerEntry};
+use super::scheduler::Scheduler;
+use super::sim::{catalog, settings, spec, step, worker_entry};
+
+const SECOND_US: u64 = 1_000_000;
+/// Time after the takeover within which tasks of a worker that is gone run elsewhere.
+const REPLACED_WITHIN_MS: u64 = 1_000;
+
+fn long_running_job() -> JobSpec {
+    let mut long_step = step(1, &[]);
+    long_step.long_running = true;
+    spec(vec![long_step])
+}
+
+fn only_task() -> TaskRef {
+    TaskRef { job: "long-running".into(), occurrence: 0, step: 0, index: 0 }
+}
+
+fn host(entry: &WorkerEntry, worker: Option<&str>) -> HostRecord {
+    HostRecord {
+        name: entry.host.clone().expect("the worker has a host"),
+        pool: entry.pool.clone(),
+        phase: if worker.is_some() { HostPhase::Up } else { HostPhase::Down },
+        worker: worker.map(Arc::from),
+        capacity: entry.capacity,
+        zone: entry.zone.clone(),
+        labels: entry.labels.clone(),
+    }
+}
+
+fn answer(scheduler: &mut Scheduler, now_us: u64, worker: &str) {
+    let answer = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+    scheduler.on_hold_answer(now_us, now_us, &worker.into(), &answer);
+}
+
+fn commit(scheduler: &mut Scheduler, now_us: u64) -> Batch {
+    let batch = scheduler.take_batch(now_us);
+    scheduler.batch_committed(now_us, now_us, &batch);
+    batch
+}
+
+/// The record of a job whose only task a leader has placed on the worker `w0`.
+fn record_of_task_on_w0() -> Vec<u8> {
+    let mut leader = Scheduler::new(0, settings());
+    leader.configure(catalog());
+    leader.worker_listed(0, worker_entry(0, 1));
+    answer(&mut leader, 0, "w0");
+    leader.submit(0, 0, "long-running".into(), long_running_job());
+    leader.tick(SECOND_US, 0);
+    let batch = commit(&mut leader, SECOND_US);
+    batch.records.into_iter().map(|(_, record)| record).next().expect("the placement is recorded")
+}
+
+/// A leader that takes over at `now_us` with the worker `w1` registered, and restores the task on `w0`.
+fn new_leader(now_us: u64, registered: Vec<WorkerEntry>) -> Scheduler {
+    let record = record_of_task_on_w0();
+    let mut leader = Scheduler::new(now_us, settings());
+    leader.configure(catalog());
+    leader.replace_registry(now_us, registered);
+    leader.restore(now_us, 0, "long-running".into(), long_running_job(), Some(&record)).expect("the record is valid");
+    leader
+}
+
+/// Runs the leader for `for_ms`, with its leadership confirmed all the while and `w1` answering.
+fn run_for(leader: &mut Scheduler, now_us: u64, for_ms: u64) {
+    for elapsed_ms in (0..for_ms).step_by(100) {
+        let tick_us = now_us + elapsed_ms * 1_000;
+        answer(leader, tick_us, "w1");
+        leader.tick(tick_us, 0);
+        commit(leader, tick_us);
+    }
+}
+
+fn placed_on(leader: &Scheduler) -> Option<&str> {
+    let task: &Task = leader.jobs["long-running"].task(&only_task()).expect("the task is known");
+    task.placed_on().map(|incarnation| &*incarnation.id)
+}
+
+#[test]
+fn long_running_task_does_not_wait_for_the_lease_of_a_worker_that_left_before_the_takeover() {
+    let now_us = 20 * SECOND_US;
+    let mut leader = new_leader(now_us, vec![worker_entry(1, 1)]);
+
+    let hosts = vec![host(&worker_entry(0, 1), None), host(&worker_entry(1, 1), Some("w1"))];
+    leader.hosts_listed(now_us, hosts);
+    run_for(&mut leader, now_us, REPLACED_WITHIN_MS);
+
+    assert_eq!(placed_on(&leader), Some("w1"));
+}
+
+#[test]
+fn long_running_task_does_not_wait_for_the_lease_of_a_worker_whose_entry_lapses_after_the_takeover() {
+    let now_us = 20 * SECOND_US;
+    let mut leader = new_leader(now_us, vec![worker_entry(0, 1), worker_entry(1, 1)]);
+    let hosts = || vec![host(&worker_entry(0, 1), None), host(&worker_entry(1, 1), Some("w1"))];
+    leader.hosts_listed(now_us, hosts());
+    run_for(&mut leader, now_us, 2_000);
+    assert_eq!(placed_on(&leader), Some("w0"), "the registry may be ahead of the host list");
+
+    leader.worker_unlisted(&"w0".into());
+    leader.hosts_listed(now_us + 2 * SECOND_US, hosts());
+    run_for(&mut leader, now_us + 2 * SECOND_US, REPLACED_WITHIN_MS);
+
+    assert_eq!(placed_on(&leader), Some("w1"));
+}
+
+#[test]
+fn task_restored_on_an_earlier_incarnation_of_a_worker_does_not_wait_for_the_lease() {
+    let now_us = 20 * SECOND_US;
+    let mut leader = new_leader(now_us, vec![worker_entry(0, 2), worker_entry(1, 1)]);
+
+    leader.hosts_listed(now_us, vec![host(&worker_entry(0, 1), Some("w0")), host(&worker_entry(1, 1), Some("w1"))]);
+    answer(&mut leader, now_us, "w0");
+    run_for(&mut leader, now_us, REPLACED_WITHIN_MS);
+
+    let task = leader.jobs["long-running"].task(&only_task()).expect("the task is known");
+    assert_eq!(task.run, 2, "a new run has been placed: {:?}", task.state);
+}
+
+#[test]
+fn restored_task_waits_for_the_lease_while_its_worker_may_be_running() {
+    let now_us = 20 * SECOND_US;
+    let cases = [
+        (
+            "the host list names the worker",
+            vec![host(&worker_entry(0, 1), Some("w0")), host(&worker_entry(1, 1), Some("w1"))],
+        ),
+        ("the provider does not list the hosts of all workers", vec![host(&worker_entry(0, 1), None)]),
+    ];
+
+    for (case, hosts) in cases {
+        let mut leader = new_leader(now_us, vec![worker_entry(1, 1)]);
+        leader.hosts_listed(now_us, hosts);
+        run_for(&mut leader, now_us, 9_000);
+        assert_eq!(placed_on(&leader), Some("w0"), "{case}");
+
+        run_for(&mut leader, now_us + 9 * SECOND_US, 1_000);
+        assert_eq!(placed_on(&leader), Some("w1"), "{case}: the leases have ended");
+    }
+}
