A new leader releases restored runs of workers that are gone without waiting for their leases

Cause: a restored run whose worker cannot be asked was released only when the longest lease that a former leader may have granted had ended, 9.06 s after the claim, even if the worker had left. With the 1.4 s that pass before a claim this is more than the 10 s in which the users count on a new run after a disturbance.

The same cause elsewhere: runs recorded on an earlier incarnation of a worker waited as long; and a run restored while its worker's entry had lapsed was never attached to the worker when the entry returned, so its lease was not extended and its capacity not reserved (test restored_task_goes_on_when_the_entry_of_its_worker_returns_after_the_takeover, failed before).

Change: a run is released as soon as a host list that was requested after the worker left the registry names the worker on no host, provided that the provider lists the hosts of all registered workers. Runs of an earlier incarnation move to the present one, whose first answer decides. Workers that join after a takeover get the runs that were restored on them.

--- a/src/control/feeds.rs
+++ b/src/control/feeds.rs
@@ -115,7 +115,7 @@
     for row in &page.rows {
         match decode_worker_entry(row) {
             Some(entry) => scheduler.worker_listed(now_us, entry),
-            None => scheduler.worker_unlisted(&row.id.key),
+            None => scheduler.worker_unlisted(now_us, &row.id.key),
         }
     }
 }
@@ -124,8 +124,9 @@
 pub(super) async fn follow_hosts(leader: Rc<Leader>) {
     let Some(client) = leader.host_client.clone() else { return };
     while !leader.has_ended.get() {
+        let requested_us = leader.now_us();
         match client.list().await {
-            Ok(hosts) => leader.scheduler.borrow_mut().hosts_listed(leader.now_us(), hosts),
+            Ok(hosts) => leader.scheduler.borrow_mut().hosts_listed(leader.now_us(), requested_us, hosts),
             Err(reason) => log::debug!("error={reason} outcome=host_list_failed"),
         }
         leader.run_scheduler();
--- a/src/sched/explain.rs
+++ b/src/sched/explain.rs
@@ -48,7 +48,7 @@
             }
             waiting.push((job.deadline_forecast(now_us), job));
         }
-        waiting.sort_by(|(one, _), (other, _)| one.cmp(other));
+        waiting.sort_by_key(|(forecast, _)| *forecast);
         let long_running = waiting.iter().filter(|(forecast, _)| *forecast == DeadlineForecast::LongRunning).count();
         for (_, job) in waiting.iter().take(MAX_LOGGED_LONG_RUNNING.min(long_running).max(1)) {
             self.log_wait_cause(now_us, pool, job);
--- a/src/sched/host_demand_tests.rs
+++ b/src/sched/host_demand_tests.rs
@@ -40,7 +40,7 @@
         hosts.push(host(&entry, true));
         leader.worker_listed(TAKEOVER_US, entry);
     }
-    leader.hosts_listed(TAKEOVER_US, hosts);
+    leader.hosts_listed(TAKEOVER_US, TAKEOVER_US, hosts);
     run(&mut leader, TAKEOVER_US, 1_500);
     leader
 }
@@ -128,7 +128,7 @@
     let mut larger = host(&entry_in("spare", 8), false);
     larger.capacity.cpu_milli = 32_000;
     let hosts = leader.hosts.values().cloned().chain([larger]).collect();
-    leader.hosts_listed(10 * SECOND_US, hosts);
+    leader.hosts_listed(10 * SECOND_US, 10 * SECOND_US, hosts);
     let mut large = step(1, &[]);
     large.needs.cpu_milli = 20_000;
     leader.submit(10 * SECOND_US, 0, JOB.into(), spec(vec![large]));
@@ -162,7 +162,7 @@
     leader.release_lost_tasks(now_us, &entry.id);
     leader.workers.remove(&entry.id);
     let hosts = leader.hosts.values().filter(|host| Some(&host.name) != entry.host.as_ref()).cloned().collect();
-    leader.hosts_listed(now_us, hosts);
+    leader.hosts_listed(now_us, now_us, hosts);
 }
 
 fn wave_of(entry: &WorkerEntry) -> WaveOrder {
--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -112,8 +112,9 @@
 }
 
 impl Scheduler {
-    /// Replaces the list of hosts by a new one from the provider, and drops moves that are complete.
-    pub(crate) fn hosts_listed(&mut self, now_us: u64, hosts: Vec<HostRecord>) {
+    /// Replaces the list of hosts by a new one from the provider, which was requested at `requested_us`. Drops moves that
+    /// are complete, and releases the tasks of workers that have gone.
+    pub(crate) fn hosts_listed(&mut self, now_us: u64, requested_us: u64, hosts: Vec<HostRecord>) {
         self.hosts = hosts.into_iter().map(|host| (host.name.clone(), host)).collect();
         for (name, host) in &self.hosts {
             if let Some(worker) = &host.worker {
@@ -134,6 +135,7 @@
         for host in completed {
             self.host_moves.moving.remove(&host);
         }
+        self.release_tasks_of_gone_workers(now_us, requested_us);
     }
 
     /// Decides which hosts move to which pools.
--- a/src/sched/host_tests.rs
+++ b/src/sched/host_tests.rs
@@ -26,7 +26,7 @@
         zone: "hall-a".into(),
         labels: vec![kind.into(), "r0".into()],
     };
-    scheduler.hosts_listed(0, vec![host("h0", "press", "a"), host("h8", "spare", "a"), host("h9", "spare", "b")]);
+    scheduler.hosts_listed(0, 0, vec![host("h0", "press", "a"), host("h8", "spare", "a"), host("h9", "spare", "b")]);
     scheduler
 }
 
@@ -239,7 +239,7 @@
         scheduler.worker_listed(0, worker_entry(number, 1));
         scheduler.on_hold_answer(10 * SECOND_US, 10 * SECOND_US, &format!("w{number}").into(), &answer);
     }
-    scheduler.hosts_listed(10 * SECOND_US, (0..4).map(|number| host(number, "press")).collect());
+    scheduler.hosts_listed(10 * SECOND_US, 10 * SECOND_US, (0..4).map(|number| host(number, "press")).collect());
     let mut long_step = step(2, &[]);
     long_step.long_running = true;
     long_step.max_per_worker = Some(1);
@@ -319,7 +319,7 @@
         scheduler.worker_listed(0, entry.clone());
         scheduler.on_hold_answer(10 * SECOND_US, 10 * SECOND_US, &entry.id, &answer);
     }
-    scheduler.hosts_listed(10 * SECOND_US, hosts);
+    scheduler.hosts_listed(10 * SECOND_US, 10 * SECOND_US, hosts);
     for number in 0..20 {
         scheduler.submit(10 * SECOND_US, 0, format!("job-{number}").into(), spec(vec![step(8, &[])]));
     }
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -1,6 +1,6 @@
 //! Compares what workers report with what was ordered, and handles the outcomes of orders to workers.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use super::action::{Action, StartRun};
@@ -10,6 +10,7 @@
 };
 use super::progress::STOP_RETRY_DELAY_MS;
 use super::scheduler::Scheduler;
+use super::worker::Worker;
 use crate::clock::US_PER_MS;
 
 /// Maximum number of ended runs that a worker lists in one answer.
@@ -40,7 +41,7 @@
         }
         let is_final = job.phase.is_final();
         for (task_ref, incarnation) in placed {
-            self.attach(&task_ref, &incarnation);
+            self.attach_to_known_worker(&task_ref, &incarnation.id);
         }
         if is_final {
             self.stop_job_runs(now_us, id);
@@ -48,6 +49,29 @@
         self.refresh_job(id);
     }
 
+    /// Adds a worker to those known, with its restored tasks if it was not in the registry when they were restored.
+    pub(super) fn add_worker(&mut self, now_us: u64, worker: Worker) {
+        let id = worker.entry.id.clone();
+        let orphans = self.restored_orphans(now_us);
+        self.workers.insert(id.clone(), worker);
+        for task_ref in orphans {
+            self.attach_to_known_worker(&task_ref, &id);
+        }
+    }
+
+    /// Attaches a restored task to its worker. If the worker has restarted, the run has ended, but a delayed start order
+    /// may have reached the new incarnation. The task is taken to be there until that incarnation answers.
+    fn attach_to_known_worker(&mut self, task_ref: &TaskRef, id: &Arc<str>) {
+        let Some(known) = self.workers.get(id).map(Worker::incarnation) else { return };
+        let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
+        let TaskState::Placed { worker: recorded, .. } = &mut task.state else { return };
+        if recorded.id != *id || recorded.started_unix_ms > known.started_unix_ms {
+            return;
+        }
+        *recorded = known.clone();
+        self.attach(task_ref, &known);
+    }
+
     /// Reserves capacity for a task on its worker, if that incarnation of the worker is known.
     pub(super) fn attach(&mut self, task_ref: &TaskRef, incarnation: &WorkerIncarnation) {
         let Some(step) = self.jobs.get(&task_ref.job).and_then(|job| job.spec.steps.get(task_ref.step as usize)) else {
@@ -372,7 +396,8 @@
         }
         if former_leader_leases_ended && now_us >= self.next_orphan_check_us {
             self.next_orphan_check_us = now_us + ORPHAN_CHECK_INTERVAL_MS * US_PER_MS;
-            self.release_orphans(now_us);
+            let orphans = self.orphans();
+            self.release_orphans(now_us, &orphans, |_| true);
         }
     }
 
@@ -392,14 +417,63 @@
         orphans
     }
 
-    fn release_orphans(&mut self, now_us: u64) {
-        for task_ref in self.orphans() {
-            log::warn!("job={} task={}.{} outcome=worker_gone", task_ref.job, task_ref.step, task_ref.index);
-            self.release_task(now_us, &task_ref);
+    /// The same while leases of a former leader may be in force. Later, there are none.
+    fn restored_orphans(&self, now_us: u64) -> Vec<TaskRef> {
+        match now_us < self.former_leader_leases_end_us() {
+            true => self.orphans(),
+            false => Vec::new(),
+        }
+    }
+
+    fn release_orphans(&mut self, now_us: u64, orphans: &[TaskRef], is_gone: impl Fn(&Arc<str>) -> bool) {
+        for task_ref in orphans {
+            let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+            let Some(worker) = task.and_then(|task| task.placed_on()) else { continue };
+            if !is_gone(&worker.id) {
+                continue;
+            }
+            log::warn!(
+                "job={} task={}.{} worker={} outcome=worker_gone",
+                task_ref.job,
+                task_ref.step,
+                task_ref.index,
+                worker.id
+            );
+            self.release_task(now_us, task_ref);
             self.mark_dirty(&task_ref.job);
         }
     }
 
+    /// Releases the tasks of workers that have gone, without waiting for their leases: no host runs them according to a
+    /// list that was requested at `requested_us`, and they had left the registry by then.
+    pub(super) fn release_tasks_of_gone_workers(&mut self, now_us: u64, requested_us: u64) {
+        if !self.provider_lists_all_workers() {
+            return;
+        }
+        let on_hosts: HashSet<Arc<str>> = self.hosts.values().filter_map(|host| host.worker.clone()).collect();
+        let mut gone = Vec::new();
+        for (id, worker) in &self.workers {
+            let has_left = !worker.is_listed && worker.unlisted_us < requested_us;
+            if has_left && !worker.tasks.is_empty() && !on_hosts.contains(id) {
+                gone.push(id.clone());
+            }
+        }
+        for id in gone {
+            self.release_lost_tasks(now_us, &id);
+        }
+        let orphans = self.restored_orphans(now_us);
+        self.release_orphans(now_us, &orphans, |id| !on_hosts.contains(id));
+    }
+
+    /// Whether the provider lists the host of every registered worker. Otherwise, workers may run on hosts that it does
+    /// not list.
+    fn provider_lists_all_workers(&self) -> bool {
+        let mut hosts = self.workers.values().filter(|worker| worker.is_listed).map(|worker| &worker.entry.host);
+        let is_on_listed_host =
+            |host: &Option<Arc<str>>| host.as_ref().is_some_and(|name| self.hosts.contains_key(name));
+        hosts.clone().next().is_some() && hosts.all(is_on_listed_host)
+    }
+
     /// Releases all tasks of a worker on which no run can be active any more. How their runs ended is not known.
     pub(super) fn release_lost_tasks(&mut self, now_us: u64, id: &Arc<str>) {
         let Some(worker) = self.workers.get(id) else { return };
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -41,7 +41,7 @@
             if let Some(host) = &entry.host {
                 self.worker_by_host.insert(host.clone(), id.clone());
             }
-            self.workers.insert(id.clone(), Worker::new(now_us, entry));
+            self.add_worker(now_us, Worker::new(now_us, entry));
             self.open_session(&id);
             return;
         };
@@ -113,10 +113,11 @@
     }
 
     /// Handles the removal of a worker's entry from the registry. Its runs may continue until its lease expires.
-    pub(crate) fn worker_unlisted(&mut self, id: &Arc<str>) {
+    pub(crate) fn worker_unlisted(&mut self, now_us: u64, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         if worker.is_listed {
             log::info!("worker={id} tasks={} outcome=unlisted", worker.tasks.len());
+            worker.unlisted_us = now_us;
         }
         worker.is_listed = false;
     }
@@ -126,7 +127,7 @@
         let present: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
         let removed: Vec<Arc<str>> = self.workers.keys().filter(|id| !present.contains(*id)).cloned().collect();
         for id in removed {
-            self.worker_unlisted(&id);
+            self.worker_unlisted(now_us, &id);
         }
         for entry in entries {
             self.worker_listed(now_us, entry);
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -144,7 +144,7 @@
         zone: "hall-a".into(),
         labels: Vec::new(),
     };
-    scheduler.hosts_listed(SECOND_US, vec![host]);
+    scheduler.hosts_listed(SECOND_US, SECOND_US, vec![host]);
     let commit = |scheduler: &mut super::scheduler::Scheduler, now_us| {
         let batch = scheduler.take_batch(now_us);
         scheduler.batch_committed(now_us, now_us, &batch);
--- a/src/sched/takeover_tests.rs
+++ b/src/sched/takeover_tests.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use super::action::Batch;
+use super::action::{Batch, HoldPlan};
 use super::job::Task;
-use super::model::{HoldAnswer, HostPhase, HostRecord, JobSpec, TaskRef, WorkerEntry};
+use super::model::{ActiveRun, HoldAnswer, HostPhase, HostRecord, JobSpec, TaskRef, WorkerEntry};
 use super::scheduler::Scheduler;
 use super::sim::{catalog, settings, spec, step, worker_entry};
 
@@ -88,7 +88,7 @@
     let mut leader = new_leader(now_us, vec![worker_entry(1, 1)]);
 
     let hosts = vec![host(&worker_entry(0, 1), None), host(&worker_entry(1, 1), Some("w1"))];
-    leader.hosts_listed(now_us, hosts);
+    leader.hosts_listed(now_us, now_us, hosts);
     run_for(&mut leader, now_us, REPLACED_WITHIN_MS);
 
     assert_eq!(placed_on(&leader), Some("w1"));
@@ -99,12 +99,12 @@
     let now_us = 20 * SECOND_US;
     let mut leader = new_leader(now_us, vec![worker_entry(0, 1), worker_entry(1, 1)]);
     let hosts = || vec![host(&worker_entry(0, 1), None), host(&worker_entry(1, 1), Some("w1"))];
-    leader.hosts_listed(now_us, hosts());
+    leader.hosts_listed(now_us, now_us, hosts());
     run_for(&mut leader, now_us, 2_000);
     assert_eq!(placed_on(&leader), Some("w0"), "the registry may be ahead of the host list");
 
-    leader.worker_unlisted(&"w0".into());
-    leader.hosts_listed(now_us + 2 * SECOND_US, hosts());
+    leader.worker_unlisted(now_us + SECOND_US, &"w0".into());
+    leader.hosts_listed(now_us + 2 * SECOND_US, now_us + 2 * SECOND_US, hosts());
     run_for(&mut leader, now_us + 2 * SECOND_US, REPLACED_WITHIN_MS);
 
     assert_eq!(placed_on(&leader), Some("w1"));
@@ -115,7 +115,11 @@
     let now_us = 20 * SECOND_US;
     let mut leader = new_leader(now_us, vec![worker_entry(0, 2), worker_entry(1, 1)]);
 
-    leader.hosts_listed(now_us, vec![host(&worker_entry(0, 1), Some("w0")), host(&worker_entry(1, 1), Some("w1"))]);
+    leader.hosts_listed(
+        now_us,
+        now_us,
+        vec![host(&worker_entry(0, 1), Some("w0")), host(&worker_entry(1, 1), Some("w1"))],
+    );
     answer(&mut leader, now_us, "w0");
     run_for(&mut leader, now_us, REPLACED_WITHIN_MS);
 
@@ -123,6 +127,30 @@
     assert_eq!(task.run, 2, "a new run has been placed: {:?}", task.state);
 }
 
+#[test]
+fn restored_task_goes_on_when_the_entry_of_its_worker_returns_after_the_takeover() {
+    let now_us = 20 * SECOND_US;
+    let mut leader = new_leader(now_us, vec![worker_entry(1, 1)]);
+    leader.hosts_listed(
+        now_us,
+        now_us,
+        vec![host(&worker_entry(0, 1), Some("w0")), host(&worker_entry(1, 1), Some("w1"))],
+    );
+
+    leader.worker_listed(now_us + SECOND_US, worker_entry(0, 1));
+    let running = vec![ActiveRun { task: only_task(), run: 1, checkpoint: "".into(), percent: 100, load: None }];
+    let listed = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running, ended: Vec::new() };
+    leader.on_hold_answer(now_us + SECOND_US, now_us + SECOND_US, &"w0".into(), &listed);
+    leader.tick(now_us + SECOND_US, 0);
+    commit(&mut leader, now_us + SECOND_US);
+    let next_hold = leader.plan_hold(now_us + 2 * SECOND_US, &"w0".into());
+
+    let task = leader.jobs["long-running"].task(&only_task()).expect("the task is known");
+    assert!(task.is_fully_running(), "{:?}", task.state);
+    let HoldPlan::Send { lease_end_ms, .. } = next_hold else { panic!("no hold request is due: {next_hold:?}") };
+    assert!(lease_end_ms.is_some(), "the lease is extended");
+}
+
 #[test]
 fn restored_task_waits_for_the_lease_while_its_worker_may_be_running() {
     let now_us = 20 * SECOND_US;
@@ -136,7 +164,7 @@
 
     for (case, hosts) in cases {
         let mut leader = new_leader(now_us, vec![worker_entry(1, 1)]);
-        leader.hosts_listed(now_us, hosts);
+        leader.hosts_listed(now_us, now_us, hosts);
         run_for(&mut leader, now_us, 9_000);
         assert_eq!(placed_on(&leader), Some("w0"), "{case}");
 
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -362,7 +362,7 @@
     pub(super) fn host_removed(&mut self, now_us: u64, host: &str) {
         let Some(id) = self.worker_on(host) else { return };
         self.release_lost_tasks(now_us, &id);
-        self.worker_unlisted(&id);
+        self.worker_unlisted(now_us, &id);
         if let Some(record) = self.hosts.get_mut(host) {
             record.worker = None;
         }
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -32,6 +32,8 @@
     pub(crate) entry: WorkerEntry,
     /// Whether the worker's entry is in the registry.
     pub(crate) is_listed: bool,
+    /// When the entry was last removed from the registry.
+    pub(crate) unlisted_us: u64,
     /// Whether the worker has answered this leader.
     pub(crate) is_synced: bool,
     /// Whether [`OpenSession`](super::action::Action::OpenSession) has been requested for the worker.
@@ -76,6 +78,7 @@
         Worker {
             entry,
             is_listed: true,
+            unlisted_us: 0,
             is_synced: false,
             has_session: false,
             clock: None,
