Pools get hosts for tasks that none of their workers can take

Callers saw a long-running task without a run for 24 to 26 s while its pool had CPU to spare (LOST).

Cause: the demand for hosts compares sums of CPU. A task whose pool's workers already run as many tasks of its step as they may, or lack a label, or each have too little capacity left, adds nothing that the sums would show, so the pool gets no host. While a wave drains a worker, the other workers are at the limit, and the budget of the step forbids the wave to stop a task there as long as the first one waits: both wait until the demand rises for another reason. Class: capacity taken as a sum where what is needed is a place.

Ruled out: the spreading of a step (score only), reserved workers (free in the next round), and blocked workers (the two that were not usable were cordoned by the wave, which reported one of its 23 hosts left).

Change: the leader looks for waiting tasks of long-running and on-time jobs that no usable worker and no incoming host of the pool could take even when its other tasks have ended, and requests as many hosts as would take them, with the label and the capacity that they need.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -24,6 +24,7 @@
 pub(crate) mod record;
 mod registry;
 pub(crate) mod scheduler;
+mod unplaceable;
 mod urgency;
 mod waves;
 pub(crate) mod worker;
--- a/src/sched/candidate.rs
+++ b/src/sched/candidate.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::model::{Resources, Step};
+use super::worker::Worker;
 
 /// A worker considered in a placement round.
 #[derive(Debug, Clone)]
@@ -27,6 +28,41 @@
 }
 
 impl Candidate {
+    pub(super) fn of_worker(worker: &Worker) -> Candidate {
+        Candidate {
+            id: worker.entry.id.clone(),
+            free_capacity: worker.free_capacity(),
+            capacity_excluding_long_running: worker.capacity_excluding_long_running(),
+            labels: worker.entry.labels.clone(),
+            long_running_count: worker.long_running_count,
+            latency_target_count: worker.latency_target_count,
+            best_effort_count: worker.best_effort_count,
+            failure_tenths: (worker.failure_average() * 10.0) as u32,
+            is_allowed: true,
+        }
+    }
+
+    /// A host whose worker has not started yet.
+    pub(super) fn of_host(id: Arc<str>, capacity: Resources, labels: Vec<Arc<str>>) -> Candidate {
+        Candidate {
+            id,
+            free_capacity: capacity,
+            capacity_excluding_long_running: capacity,
+            labels,
+            long_running_count: 0,
+            latency_target_count: 0,
+            best_effort_count: 0,
+            failure_tenths: 0,
+            is_allowed: true,
+        }
+    }
+
+    /// Whether a task could run on the worker, at the latest once all tasks there have ended that are not long-running.
+    /// `siblings` is the number of tasks of the same step that stay there.
+    pub(super) fn can_ever_run(&self, step: &Step, siblings: u32) -> bool {
+        self.admits(step, siblings) && step.reserved().fits_in(&self.capacity_excluding_long_running)
+    }
+
     /// Whether a task may run on the worker, its capacity left aside. `siblings` is the number of tasks of the same
     /// step that run there already.
     pub(super) fn admits(&self, step: &Step, siblings: u32) -> bool {
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -73,17 +73,7 @@
             if &*worker.entry.pool != pool || !worker.accepts_new_tasks(now_us) {
                 continue;
             }
-            candidates.push(Candidate {
-                id: worker.entry.id.clone(),
-                free_capacity: worker.free_capacity(),
-                capacity_excluding_long_running: worker.capacity_excluding_long_running(),
-                labels: worker.entry.labels.clone(),
-                long_running_count: worker.long_running_count,
-                latency_target_count: worker.latency_target_count,
-                best_effort_count: worker.best_effort_count,
-                failure_tenths: (worker.failure_average() * 10.0) as u32,
-                is_allowed: true,
-            });
+            candidates.push(Candidate::of_worker(worker));
         }
         candidates
     }
--- a/src/sched/rebalance.rs
+++ b/src/sched/rebalance.rs
@@ -7,7 +7,7 @@
 use super::demand::PoolBalance;
 use super::host_moves::LEADER_CHANGE_MARGIN_MS;
 use super::labels::{is_last_with_label, is_needed_for_label, LabelBalances};
-use super::model::{HostPhase, HostRecord};
+use super::model::{HostPhase, HostRecord, Resources};
 use super::scheduler::Scheduler;
 use crate::clock::US_PER_MS;
 
@@ -40,6 +40,14 @@
     /// Label that the host must have.
     label: Option<&'a Arc<str>>,
     kind: RequestKind,
+    /// Capacity that the host must have.
+    needs: Resources,
+}
+
+impl HostRequest<'_> {
+    fn is_met_by(&self, host: &HostRecord) -> bool {
+        self.label.is_none_or(|label| host.labels.contains(label)) && self.needs.fits_in(&host.capacity)
+    }
 }
 
 /// State of one search for hosts: the balances after the moves chosen so far, and the hosts chosen.
@@ -51,8 +59,8 @@
 }
 
 impl Scheduler {
-    /// Moves hosts to pools that lack capacity: first for labels, then for pools without any worker, then for on-time
-    /// jobs, then for late jobs.
+    /// Moves hosts to pools that lack capacity: first for labels, then for tasks that no worker can take and for pools
+    /// without any worker, then for on-time jobs, then for late jobs.
     pub(super) fn cover_shortfalls(
         &mut self,
         now_us: u64,
@@ -62,15 +70,18 @@
         let mut search = HostSearch { balances: balances.clone(), labels, taken: BTreeSet::new() };
         for ((pool, label), balance) in labels {
             let kind = if balance.has_no_capacity() { RequestKind::Unschedulable } else { RequestKind::OnTime };
-            let request = HostRequest { pool, label: Some(label), kind };
+            let request = HostRequest { pool, label: Some(label), kind, needs: Resources::default() };
             self.cover_shortfall(now_us, &request, balance.shortfall(), &mut search);
         }
-        for (pool, balance) in balances {
+        self.cover_unplaceable_tasks(now_us, &mut search);
+        for pool in balances.keys() {
+            let balance = &search.balances[pool];
             if balance.capacity > 0 || balance.on_time_demand == 0 {
                 continue;
             }
             // Other pools may claim all hosts for the load that they expect.
-            let request = HostRequest { pool, label: None, kind: RequestKind::Unschedulable };
+            let kind = RequestKind::Unschedulable;
+            let request = HostRequest { pool, label: None, kind, needs: Resources::default() };
             self.cover_shortfall(now_us, &request, 1, &mut search);
         }
         for kind in [RequestKind::OnTime, RequestKind::Late] {
@@ -83,12 +94,27 @@
             }
             shortfalls.sort_by(|a, b| b.cmp(a));
             for (shortfall, pool) in shortfalls {
-                let request = HostRequest { pool: &pool, label: None, kind };
+                let request = HostRequest { pool: &pool, label: None, kind, needs: Resources::default() };
                 self.cover_shortfall(now_us, &request, shortfall, &mut search);
             }
         }
     }
 
+    /// Moves hosts to pools for tasks that none of their workers can take.
+    fn cover_unplaceable_tasks(&mut self, now_us: u64, search: &mut HostSearch<'_>) {
+        for tasks in self.unplaceable_tasks(now_us) {
+            let request = HostRequest {
+                pool: &tasks.pool,
+                label: tasks.step.required_label.as_ref(),
+                kind: RequestKind::Unschedulable,
+                needs: tasks.step.reserved(),
+            };
+            for _ in 0..tasks.host_count {
+                self.cover_shortfall(now_us, &request, 1, search);
+            }
+        }
+    }
+
     fn cover_shortfall(
         &mut self,
         now_us: u64,
@@ -122,7 +148,7 @@
     fn select_host(&self, now_us: u64, request: &HostRequest<'_>, search: &HostSearch<'_>) -> Option<SelectedHost> {
         let mut best: Option<(Reverse<u64>, bool, u64, &Arc<str>)> = None;
         for (name, host) in &self.hosts {
-            if host.pool == *request.pool || request.label.is_some_and(|label| !host.labels.contains(label)) {
+            if host.pool == *request.pool || !request.is_met_by(host) {
                 continue;
             }
             if search.taken.contains(name) || !self.may_move(now_us, name, host, request.pool) {
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -295,7 +295,7 @@
         let siblings = self.siblings_per_worker(task_ref, step);
         self.candidates(now_us, pool).iter().any(|worker| {
             let siblings = siblings.get(&worker.id).copied().unwrap_or(0);
-            worker.admits(step, siblings) && step.reserved().fits_in(&worker.capacity_excluding_long_running)
+            worker.can_ever_run(step, siblings)
         })
     }
 
