A drain ends if a waiting task can run nowhere else

Change: where a request for a host finds none, the leader ends the drain of such a worker, for a wave for 4 s, so that the task is at work when the drain begins again.

Before: wave_gives_a_worker_back_that_a_waiting_long_running_task_needs_if_there_is_no_other failed. After: it passes.

--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -92,6 +92,14 @@
         self.moving.contains_key(host) || self.draining.contains_key(host)
     }
 
+    pub(super) fn is_draining(&self, host: &str) -> bool {
+        self.draining.contains_key(host)
+    }
+
+    pub(super) fn end_drain(&mut self, host: &str) {
+        self.draining.remove(host);
+    }
+
     /// Capacity of the hosts that are moving to a pool, in thousandths of a core.
     pub(super) fn incoming_capacity_milli(&self, now_us: u64, pool: &str) -> u64 {
         let mut milli = 0;
--- a/src/sched/rebalance.rs
+++ b/src/sched/rebalance.rs
@@ -4,16 +4,21 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use super::candidate::Candidate;
 use super::demand::PoolBalance;
 use super::host_moves::LEADER_CHANGE_MARGIN_MS;
 use super::labels::{is_last_with_label, is_needed_for_label, LabelBalances};
 use super::model::{HostPhase, HostRecord, Resources};
 use super::scheduler::Scheduler;
+use super::unplaceable::UnplaceableTasks;
 use crate::clock::US_PER_MS;
 
 /// How long a host must have been idle before it may move to a pool that lacks capacity.
 const IDLE_BEFORE_MOVE_MS: u64 = 150;
 
+/// How long a wave leaves a host alone whose drain was ended for a waiting task. The task is at work by then.
+const DRAIN_POSTPONED_MS: u64 = 4_000;
+
 /// A host selected to move to another pool.
 #[derive(Debug)]
 struct SelectedHost {
@@ -110,20 +115,49 @@
                 needs: tasks.step.reserved(),
             };
             for _ in 0..tasks.host_count {
-                self.cover_shortfall(now_us, &request, 1, search);
+                if !self.cover_shortfall(now_us, &request, 1, search) {
+                    self.give_back_draining_worker(now_us, &tasks);
+                }
             }
         }
     }
 
+    /// Ends the drain of a worker that could run tasks which no other worker and no host can take. Otherwise a drain that
+    /// waits for the disruption budget of these tasks would keep them waiting.
+    fn give_back_draining_worker(&mut self, now_us: u64, tasks: &UnplaceableTasks) {
+        let mut given_back = None;
+        for worker in self.workers.values() {
+            let Some(host) = &worker.entry.host else { continue };
+            let siblings = tasks.siblings.get(&worker.entry.id).copied().unwrap_or(0);
+            let can_run = worker.entry.pool == tasks.pool
+                && worker.is_cordoned
+                && worker.is_listed
+                && !worker.is_silent
+                && !worker.entry.draining
+                && Candidate::of_worker(worker).can_ever_run(&tasks.step, siblings);
+            if can_run && (self.waves.is_draining(host) || self.host_moves.is_draining(host)) {
+                given_back = Some(host.clone());
+                break;
+            }
+        }
+        let Some(host) = given_back else { return };
+        log::info!("host={host} pool={} outcome=drain_ended_for_waiting_task", tasks.pool);
+        self.waves.postpone_drain(&host, now_us + DRAIN_POSTPONED_MS * US_PER_MS);
+        self.host_moves.end_drain(&host);
+        self.set_cordoned(&host, false);
+        self.wants_placement = true;
+    }
+
+    /// Returns false if no more hosts were found that may move to the pool.
     fn cover_shortfall(
         &mut self,
         now_us: u64,
         request: &HostRequest<'_>,
         mut shortfall: u64,
         search: &mut HostSearch<'_>,
-    ) {
+    ) -> bool {
         while shortfall > 0 && self.host_moves.moves_left > 0 {
-            let Some(selected) = self.select_host(now_us, request, search) else { return };
+            let Some(selected) = self.select_host(now_us, request, search) else { return false };
             search.taken.insert(selected.host.clone());
             let capacity = self.hosts.get(&selected.host).map_or(0, |record| record.capacity.cpu_milli);
             if let Some(balance) =
@@ -141,6 +175,7 @@
             }
             shortfall = shortfall.saturating_sub(capacity.max(1));
         }
+        true
     }
 
     /// Selects the best host to take from another pool: the least busy one. Among equals, one of the spare pool comes
--- a/src/sched/unplaceable.rs
+++ b/src/sched/unplaceable.rs
@@ -16,6 +16,8 @@
 pub(super) struct UnplaceableTasks {
     pub(super) pool: Arc<str>,
     pub(super) step: Step,
+    /// Tasks of the step on each worker.
+    pub(super) siblings: HashMap<Arc<str>, u32>,
     /// Number of hosts that would take the tasks.
     pub(super) host_count: u32,
 }
@@ -62,9 +64,9 @@
             let pool = self.queue_of(job).pool.clone();
             let capacity = pools.entry(pool.clone()).or_insert_with(|| self.pool_capacity(now_us, &pool));
             for (step, siblings, waiting) in self.waiting_steps(job) {
-                let host_count = missing_hosts(capacity, &step, siblings, waiting, largest_host);
+                let host_count = missing_hosts(capacity, &step, siblings.clone(), waiting, largest_host);
                 if host_count > 0 {
-                    found.push(UnplaceableTasks { pool: pool.clone(), step, host_count });
+                    found.push(UnplaceableTasks { pool: pool.clone(), step, siblings, host_count });
                 }
             }
         }
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -91,6 +91,22 @@
         stages.any(|stage| !matches!(stage, HostStage::Waiting { .. } | HostStage::Finished))
     }
 
+    /// Whether a wave waits for the tasks of the host to leave it.
+    pub(super) fn is_draining(&self, host: &str) -> bool {
+        let mut stages = self.states.values().filter_map(|wave| wave.stages.get(host));
+        stages.any(|stage| matches!(stage, HostStage::Draining { .. }))
+    }
+
+    /// Ends the drain of a host; it does not begin again before `not_before_us`.
+    pub(super) fn postpone_drain(&mut self, host: &str, not_before_us: u64) {
+        for wave in self.states.values_mut() {
+            match wave.stages.get_mut(host) {
+                Some(stage @ HostStage::Draining { .. }) => *stage = HostStage::Waiting { not_before_us },
+                _ => continue,
+            }
+        }
+    }
+
     fn record_start(&mut self, number: u64, host: &Arc<str>) {
         if self.started.entry(number).or_default().insert(host.clone()) {
             self.changed_waves.insert(number);
