A worker whose drain ended while its entry had lapsed gets tasks again

Cause: a drain that ends takes the cordon off the worker that the registry lists on the host; while the entry had lapsed, as in an outage of the store, there is none, and the worker stayed cordoned after its entry returned, until the next leader. Change: when an entry returns, the cordon follows from the drains and moves in force.

Before: worker_gets_tasks_again_if_its_drain_ended_while_its_entry_was_out_of_the_registry failed. After: it passes.

--- a/src/sched/host_demand_tests.rs
+++ b/src/sched/host_demand_tests.rs
@@ -211,3 +211,17 @@
     let mut tasks = leader.workers[&idle[0].id].tasks.iter();
     assert!(tasks.any(|task_ref| &*task_ref.job == JOB), "{} tasks wait", waiting_count(&leader));
 }
+
+#[test]
+fn worker_gets_tasks_again_if_its_drain_ended_while_its_entry_was_out_of_the_registry() {
+    let mut leader = leader_with_workers(1);
+    let entry = leader.workers["w0"].entry.clone();
+    leader.begin_drain(10 * SECOND_US, &"h0".into(), &"spare".into());
+    leader.worker_unlisted(10 * SECOND_US, &entry.id);
+    run(&mut leader, 10 * SECOND_US, 3_000);
+
+    leader.worker_listed(13 * SECOND_US, entry);
+    run(&mut leader, 13 * SECOND_US, 500);
+
+    assert!(!leader.workers["w0"].is_cordoned);
+}
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -49,7 +49,11 @@
             self.worker_restarted(now_us, entry);
             return;
         }
-        worker.is_listed = true;
+        let was_listed = std::mem::replace(&mut worker.is_listed, true);
+        if let (false, Some(host)) = (was_listed, &entry.host) {
+            // The drain of its host may have ended in the meantime.
+            worker.is_cordoned = self.host_moves.is_moving(host) || self.waves.is_handling(host);
+        }
         let starts_draining = entry.draining && !worker.entry.draining;
         worker.entry = entry;
         self.open_session(&id);
