--- a/src/daemon_registry/daemon_registry_tests.rs
+++ b/src/daemon_registry/daemon_registry_tests.rs
@@ -113,6 +113,36 @@
     assert_eq!(names(&a.live_others()), ["b"]);
 }
 
+/// No daemon can renew its lease during the outage, and this one reads the rows first after it.
+#[test]
+fn no_lease_expires_because_of_an_outage_of_the_table() {
+    let mut store = StandInState::default();
+    let (mut a, mut b) = (DaemonRegistry::new(info("a")), DaemonRegistry::new(info("b")));
+    let outage_end_us = 4 * LEASE_DURATION_US;
+    renew(&mut store, &mut b);
+    a.apply_scan(0, &store.scan(LEASE_PREFIX));
+
+    a.apply_scan(outage_end_us, &store.scan(LEASE_PREFIX));
+    let live_after_outage = a.live_others();
+    a.apply_scan(outage_end_us + LEASE_DURATION_US + 1, &store.scan(LEASE_PREFIX));
+
+    assert_eq!(names(&live_after_outage), ["b"]);
+    assert!(a.live_others().is_empty());
+}
+
+#[test]
+fn a_lease_that_expired_before_an_outage_stays_expired_after_it() {
+    let mut store = StandInState::default();
+    let (mut a, mut b) = (DaemonRegistry::new(info("a")), DaemonRegistry::new(info("b")));
+    renew(&mut store, &mut b);
+    a.apply_scan(0, &store.scan(LEASE_PREFIX));
+    a.apply_scan(LEASE_DURATION_US + 1, &store.scan(LEASE_PREFIX));
+
+    a.apply_scan(5 * LEASE_DURATION_US, &store.scan(LEASE_PREFIX));
+
+    assert!(a.live_others().is_empty());
+}
+
 /// An update known to one daemon reaches all others within log2(n) + 1 rounds.
 #[test]
 fn gossip_reaches_all_daemons_in_logarithmic_time() {
