Begin the leases of other daemons anew after missed scans

Seen: at the first scan after an outage of the table that was longer than the lease, each daemon whose row had not been renewed yet counted as expired, although no daemon could renew. The same after this daemon was frozen.

Cause: expiry compares the age of a row with the lease duration, whatever part of that time the table could be read.

Ruled out: counting only the time between scans that lie close together; a scan every 27 s, as with 108 daemons, would then never expire a lease.

Change: when a scan comes later than the longest time that scans that succeed leave between them, leases that have not expired begin anew. Leases that expired before stay expired, and their rows are deleted when they would have been. A daemon that died during an outage is now found out one lease after the first scan that follows.

Before: no_lease_expires_because_of_an_outage_of_the_table failed (left: [], right: ["b"]); now the 9 tests of the module pass. With the guard for leases that expired before taken out, two tests fail: a_lease_that_expired_before_an_outage_stays_expired_after_it and an_unchanged_lease_expires_and_its_row_is_deleted.

--- a/src/daemon_registry.rs
+++ b/src/daemon_registry.rs
@@ -2,7 +2,7 @@
 //!
 //! Each daemon decides by its own clock which leases of the others have expired: those whose rows a scan still finds
 //! unchanged after the lease duration. Clocks of different hosts are never compared, and no lease expires while the
-//! table cannot be read.
+//! table cannot be read or because it could not be read.
 
 #[cfg(test)]
 mod daemon_registry_tests;
@@ -24,6 +24,9 @@
 /// The interval between scans of the lease rows grows by this for each other daemon, so that the number of rows that a
 /// daemon reads per second does not grow with the number of daemons.
 const SCAN_INTERVAL_PER_DAEMON_US: u64 = US_PER_S / 4;
+/// A scan that succeeds is late by less than this: one renewal interval with its jitter, and two calls that take as long
+/// as their timeout.
+const MAX_SCAN_DELAY_US: u64 = 11 * US_PER_S;
 /// A lease row that has not changed for longer than this is deleted.
 const EXPIRED_ROW_RETENTION_US: u64 = 10 * LEASE_DURATION_US;
 
@@ -53,7 +56,8 @@
     daemon: DaemonInfo,
     /// Version of the lease row in the last scan, or [`ABSENT_VERSION`] if the row has not been read.
     row_version: u64,
-    /// When the row was last found changed or a message from the daemon was received, on this daemon's clock.
+    /// When the row was last found changed, a message from the daemon was received, or the lease began anew after
+    /// missed scans, on this daemon's clock.
     last_alive_us: u64,
     expired: bool,
 }
@@ -116,15 +120,27 @@
     /// Whether the lease rows should be scanned with this renewal. A scan that becomes due within half a renewal
     /// interval is run now, because the next renewal is a full interval away.
     pub(crate) fn is_scan_due(&self, now_us: u64) -> bool {
-        let wait_us = (self.others.len() as u64 * SCAN_INTERVAL_PER_DAEMON_US).max(RENEW_INTERVAL_US);
-        self.last_scan_us.is_none_or(|last_scan_us| now_us + RENEW_INTERVAL_US / 2 >= last_scan_us + wait_us)
+        let interval_us = self.scan_interval_us();
+        self.last_scan_us.is_none_or(|last_scan_us| now_us + RENEW_INTERVAL_US / 2 >= last_scan_us + interval_us)
+    }
+
+    fn scan_interval_us(&self) -> u64 {
+        (self.others.len() as u64 * SCAN_INTERVAL_PER_DAEMON_US).max(RENEW_INTERVAL_US)
+    }
+
+    /// Whether the last scan is so long ago that scans must have failed or this daemon was stopped. The other daemons
+    /// may not have been able to renew their leases either.
+    fn has_missed_scans(&self, now_us: u64) -> bool {
+        let latest_after_us = self.scan_interval_us() + MAX_SCAN_DELAY_US;
+        self.last_scan_us.is_some_and(|last_scan_us| now_us > last_scan_us + latest_after_us)
     }
 
     /// Updates the registry from a scan of all lease rows. Returns a transaction that deletes rows of leases that
-    /// expired long ago, if there are any.
+    /// expired long ago, if there are any. After missed scans, each lease that has not expired begins anew.
     pub(crate) fn apply_scan(&mut self, now_us: u64, rows: &[Row]) -> Option<Transaction> {
         let mut cleanup: Option<Transaction> = None;
         let mut scanned = BTreeMap::new();
+        let missed_scans = self.has_missed_scans(now_us);
         self.last_scan_us = Some(now_us);
         for row in rows {
             let Ok(lease) = serde_json::from_str::<LeaseRow>(&row.value) else { continue };
@@ -134,7 +150,9 @@
             }
             let known = self.others.remove(&lease.daemon.name);
             let last_alive_us = match known {
-                Some(known) if known.row_version == row.version => known.last_alive_us,
+                Some(known) if known.row_version == row.version && (known.expired || !missed_scans) => {
+                    known.last_alive_us
+                }
                 _ => now_us,
             };
             let since_alive_us = now_us.saturating_sub(last_alive_us);
