--- a/src/daemon_registry/daemon_registry_tests.rs
+++ b/src/daemon_registry/daemon_registry_tests.rs
@@ -143,6 +143,25 @@
     assert!(a.live_others().is_empty());
 }
 
+/// The daemon is stopped while the answer to a scan is on its way to it, and continued after the lease duration. The
+/// answer tells nothing about the time in between.
+#[test]
+fn a_scan_answered_before_a_freeze_expires_no_lease_after_it() {
+    let mut store = StandInState::default();
+    let (mut a, mut b) = (DaemonRegistry::new(info("a")), DaemonRegistry::new(info("b")));
+    renew(&mut store, &mut b);
+    a.apply_scan(0, &store.scan(LEASE_PREFIX));
+    a.apply_scan(RENEW_INTERVAL_US, &store.scan(LEASE_PREFIX));
+    let rows_before_freeze = store.scan(LEASE_PREFIX);
+    for _ in 0..3 {
+        renew(&mut store, &mut b);
+    }
+
+    a.apply_scan(LEASE_DURATION_US + 1, &rows_before_freeze);
+
+    assert_eq!(names(&a.live_others()), ["b"]);
+}
+
 /// An update known to one daemon reaches all others within log2(n) + 1 rounds.
 #[test]
 fn gossip_reaches_all_daemons_in_logarithmic_time() {
