Judge leases as of the time at which a scan was requested

Seen: a daemon that is stopped while the answer to its scan is on the way takes all other daemons for dead when it continues, has no gossip targets, and shares each endpoint's slots as if it were alone.

Cause: the rows were compared with the time at which the answer was applied. Rows that were read before a freeze, or by a slow call, show nothing about the time after that.

Ruled out: to use the time of the request for everything; a row found changed would then count as old after a freeze that falls between the request and its sending, and expire at the next scan.

Change: a lease expires if its row was unchanged for longer than the lease duration when the scan was requested. Rows that changed count as alive from the time the answer is applied, as before.

Before: a_scan_answered_before_a_freeze_expires_no_lease_after_it failed (left: [], right: ["b"]); now the 10 tests of the module pass. The other tests call a fixture that requests and applies a scan at the same time; what they assert is the same.

--- a/src/daemon_registry.rs
+++ b/src/daemon_registry.rs
@@ -135,9 +135,10 @@
         self.last_scan_us.is_some_and(|last_scan_us| now_us > last_scan_us + latest_after_us)
     }
 
-    /// Updates the registry from a scan of all lease rows. Returns a transaction that deletes rows of leases that
-    /// expired long ago, if there are any. After missed scans, each lease that has not expired begins anew.
-    pub(crate) fn apply_scan(&mut self, now_us: u64, rows: &[Row]) -> Option<Transaction> {
+    /// Updates the registry from a scan of all lease rows that was requested at `requested_at_us`. Returns a transaction
+    /// that deletes rows of leases that expired long ago, if there are any. After missed scans, each lease that has not
+    /// expired begins anew.
+    pub(crate) fn apply_scan(&mut self, requested_at_us: u64, now_us: u64, rows: &[Row]) -> Option<Transaction> {
         let mut cleanup: Option<Transaction> = None;
         let mut scanned = BTreeMap::new();
         let missed_scans = self.has_missed_scans(now_us);
@@ -155,7 +156,8 @@
                 }
                 _ => now_us,
             };
-            let since_alive_us = now_us.saturating_sub(last_alive_us);
+            // A row found unchanged may have changed since the request, however long the answer took.
+            let since_alive_us = requested_at_us.saturating_sub(last_alive_us);
             if since_alive_us > EXPIRED_ROW_RETENTION_US {
                 let transaction = cleanup.unwrap_or_default();
                 cleanup = Some(transaction.require_version(&row.key, row.version).delete(&row.key));
--- a/src/daemon_registry/daemon_registry_tests.rs
+++ b/src/daemon_registry/daemon_registry_tests.rs
@@ -15,6 +15,11 @@
     registry.record_renewal(&commit);
 }
 
+/// Applies a scan that is requested and answered at the same time.
+fn scan(registry: &mut DaemonRegistry, now_us: u64, rows: &[Row]) -> Option<Transaction> {
+    registry.apply_scan(now_us, now_us, rows)
+}
+
 fn names(daemons: &[DaemonInfo]) -> Vec<&str> {
     daemons.iter().map(|daemon| &*daemon.name).collect()
 }
@@ -26,12 +31,12 @@
     renew(&mut store, &mut a);
     renew(&mut store, &mut b);
 
-    a.apply_scan(0, &store.scan(LEASE_PREFIX));
+    scan(&mut a, 0, &store.scan(LEASE_PREFIX));
     let live = a.live_others();
-    a.apply_scan(LEASE_DURATION_US + 1, &store.scan(LEASE_PREFIX));
+    scan(&mut a, LEASE_DURATION_US + 1, &store.scan(LEASE_PREFIX));
     let live_after_expiry = a.live_others();
     let cleanup =
-        a.apply_scan(EXPIRED_ROW_RETENTION_US + 1, &store.scan(LEASE_PREFIX)).expect("a row past its retention");
+        scan(&mut a, EXPIRED_ROW_RETENTION_US + 1, &store.scan(LEASE_PREFIX)).expect("a row past its retention");
     store.commit(&cleanup);
 
     assert_eq!(names(&live), ["b"]);
@@ -45,7 +50,7 @@
     let (mut a, mut b) = (DaemonRegistry::new(info("a")), DaemonRegistry::new(info("b")));
     for step in 0..10 {
         renew(&mut store, &mut b);
-        a.apply_scan(step * RENEW_INTERVAL_US, &store.scan(LEASE_PREFIX));
+        scan(&mut a, step * RENEW_INTERVAL_US, &store.scan(LEASE_PREFIX));
     }
 
     assert_eq!(names(&a.live_others()), ["b"]);
@@ -56,11 +61,11 @@
     let mut store = StandInState::default();
     let (mut a, mut b) = (DaemonRegistry::new(info("a")), DaemonRegistry::new(info("b")));
     renew(&mut store, &mut b);
-    a.apply_scan(0, &store.scan(LEASE_PREFIX));
+    scan(&mut a, 0, &store.scan(LEASE_PREFIX));
     let during_outage = a.live_others();
 
     renew(&mut store, &mut b);
-    a.apply_scan(3_600 * US_PER_S, &store.scan(LEASE_PREFIX));
+    scan(&mut a, 3_600 * US_PER_S, &store.scan(LEASE_PREFIX));
 
     assert_eq!(names(&during_outage), ["b"]);
     assert_eq!(names(&a.live_others()), ["b"]);
@@ -71,7 +76,7 @@
     let mut a = DaemonRegistry::new(info("a"));
     assert!(a.is_scan_due(0));
     let others: Vec<DaemonInfo> = (0..120).map(|number| info(&format!("d{number}"))).collect();
-    a.apply_scan(0, &[]);
+    scan(&mut a, 0, &[]);
 
     let due_without_others = a.is_scan_due(RENEW_INTERVAL_US);
     a.add_unknown(0, &others);
@@ -89,7 +94,7 @@
     store.commit(&lost);
     assert!(!a.holds_lease());
 
-    a.apply_scan(0, &store.scan(LEASE_PREFIX));
+    scan(&mut a, 0, &store.scan(LEASE_PREFIX));
     renew(&mut store, &mut a);
     let release = a.release_transaction().expect("the lease is held");
     let released = store.commit(&release);
@@ -103,8 +108,8 @@
     let mut store = StandInState::default();
     let (mut a, mut b) = (DaemonRegistry::new(info("a")), DaemonRegistry::new(info("b")));
     renew(&mut store, &mut b);
-    a.apply_scan(0, &store.scan(LEASE_PREFIX));
-    a.apply_scan(LEASE_DURATION_US + 1, &store.scan(LEASE_PREFIX));
+    scan(&mut a, 0, &store.scan(LEASE_PREFIX));
+    scan(&mut a, LEASE_DURATION_US + 1, &store.scan(LEASE_PREFIX));
     let live_after_expiry = a.live_others();
 
     a.record_contact(LEASE_DURATION_US + 2, &info("b"));
@@ -120,11 +125,11 @@
     let (mut a, mut b) = (DaemonRegistry::new(info("a")), DaemonRegistry::new(info("b")));
     let outage_end_us = 4 * LEASE_DURATION_US;
     renew(&mut store, &mut b);
-    a.apply_scan(0, &store.scan(LEASE_PREFIX));
+    scan(&mut a, 0, &store.scan(LEASE_PREFIX));
 
-    a.apply_scan(outage_end_us, &store.scan(LEASE_PREFIX));
+    scan(&mut a, outage_end_us, &store.scan(LEASE_PREFIX));
     let live_after_outage = a.live_others();
-    a.apply_scan(outage_end_us + LEASE_DURATION_US + 1, &store.scan(LEASE_PREFIX));
+    scan(&mut a, outage_end_us + LEASE_DURATION_US + 1, &store.scan(LEASE_PREFIX));
 
     assert_eq!(names(&live_after_outage), ["b"]);
     assert!(a.live_others().is_empty());
@@ -135,10 +140,10 @@
     let mut store = StandInState::default();
     let (mut a, mut b) = (DaemonRegistry::new(info("a")), DaemonRegistry::new(info("b")));
     renew(&mut store, &mut b);
-    a.apply_scan(0, &store.scan(LEASE_PREFIX));
-    a.apply_scan(LEASE_DURATION_US + 1, &store.scan(LEASE_PREFIX));
+    scan(&mut a, 0, &store.scan(LEASE_PREFIX));
+    scan(&mut a, LEASE_DURATION_US + 1, &store.scan(LEASE_PREFIX));
 
-    a.apply_scan(5 * LEASE_DURATION_US, &store.scan(LEASE_PREFIX));
+    scan(&mut a, 5 * LEASE_DURATION_US, &store.scan(LEASE_PREFIX));
 
     assert!(a.live_others().is_empty());
 }
@@ -150,14 +155,14 @@
     let mut store = StandInState::default();
     let (mut a, mut b) = (DaemonRegistry::new(info("a")), DaemonRegistry::new(info("b")));
     renew(&mut store, &mut b);
-    a.apply_scan(0, &store.scan(LEASE_PREFIX));
-    a.apply_scan(RENEW_INTERVAL_US, &store.scan(LEASE_PREFIX));
+    scan(&mut a, 0, &store.scan(LEASE_PREFIX));
+    scan(&mut a, RENEW_INTERVAL_US, &store.scan(LEASE_PREFIX));
     let rows_before_freeze = store.scan(LEASE_PREFIX);
     for _ in 0..3 {
         renew(&mut store, &mut b);
     }
 
-    a.apply_scan(LEASE_DURATION_US + 1, &rows_before_freeze);
+    a.apply_scan(RENEW_INTERVAL_US + 1, LEASE_DURATION_US + 1, &rows_before_freeze);
 
     assert_eq!(names(&a.live_others()), ["b"]);
 }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -91,7 +91,8 @@
 async fn maintain_lease(daemon: Rc<Daemon>) {
     while !daemon.stopping.get() {
         let renewal = daemon.registry.borrow_mut().renewal_transaction();
-        let scan_due = daemon.registry.borrow().is_scan_due(daemon.now_us());
+        let requested_at_us = daemon.now_us();
+        let scan_due = daemon.registry.borrow().is_scan_due(requested_at_us);
         let renewal_call = daemon.platform.call("lease", move |platform| {
             let commit = platform.commit(&renewal)?;
             // After a conflict, a scan is needed to learn the current version of the daemon's lease row.
@@ -101,7 +102,8 @@
         });
         if let Ok((commit, rows)) = renewal_call.await {
             daemon.registry.borrow_mut().record_renewal(&commit);
-            let cleanup = rows.and_then(|rows| daemon.registry.borrow_mut().apply_scan(daemon.now_us(), &rows));
+            let now_us = daemon.now_us();
+            let cleanup = rows.and_then(|rows| daemon.registry.borrow_mut().apply_scan(requested_at_us, now_us, &rows));
             if let Some(cleanup) = cleanup {
                 // Fails if another daemon has deleted one of the rows; the next scan retries the rest.
                 let _ = daemon.platform.call("tidy", move |platform| platform.commit(&cleanup)).await;
