Make the test of the frozen daemon tell why a daemon is no peer, and take no error for an expired lease

Whether the continued daemon ran, hung or had ended, and whether the other one reported its peers at all, is not known.

Cause, of a second flaw in the test: it took each status without exactly one peer for an expired lease, also an error answer without a list of peers (503 while the event loop does not answer for 2 s). A daemon that stops reporting its status passes the wait for the expiry at once, accepts the sheet, because a handler thread does that, and fails at "is a peer again" after 60 s: what was seen, if it was that.

Change: the three waits ask for 1, 0 and 1 reported peers, and an error answer fulfils none of them. The message of a failure ends with the lease rows and, for each daemon, status, metrics, log, and the state of the process and its threads. eventually() is as before.

--- a/tests/integration_tests.rs
+++ b/tests/integration_tests.rs
@@ -5,9 +5,11 @@
 
 use std::thread;
 
-use support::cluster::{start_daemons, Daemon, StandIn, BOOTSTRAP_TOKEN, CHANGED_SHEET, CLI, DAEMON, SMALL_SHEET};
+use support::cluster::{
+    describe_deployment, start_daemons, Daemon, StandIn, BOOTSTRAP_TOKEN, CHANGED_SHEET, CLI, DAEMON, SMALL_SHEET,
+};
 use support::endpoint::{Script, ScriptedEndpoint};
-use support::{eventually, http, run, try_http};
+use support::{eventually, eventually_or_describe, http, run, try_http};
 
 const SIGTERM: i32 = 15;
 const SIGKILL: i32 = 9;
@@ -369,15 +371,18 @@
     let daemons = start_daemons(&standin, 2);
     apply(&daemons[0], SMALL_SHEET);
     wait_for_version(&daemons, 1);
-    let has_one_peer = || daemons[0].status()["peers"].as_array().is_some_and(|peers| peers.len() == 1);
-    eventually("the daemons know each other", has_one_peer);
+    let wait_for_peers = |what: &str, count: usize| {
+        let describe = || describe_deployment(&standin, &daemons);
+        eventually_or_describe(what, || daemons[0].peer_count() == Some(count), describe);
+    };
+    wait_for_peers("the daemons know each other", 1);
 
     daemons[1].process.signal(SIGSTOP);
-    eventually("the lease of the frozen daemon expires", || !has_one_peer());
+    wait_for_peers("the lease of the frozen daemon expires", 0);
     apply(&daemons[0], CHANGED_SHEET);
     daemons[1].process.signal(SIGCONT);
 
-    eventually("the frozen daemon is a peer again", has_one_peer);
+    wait_for_peers("the frozen daemon is a peer again", 1);
     wait_for_version(&daemons, 2);
     assert_eq!(daemons[1].call("GET", "/alpha/x", &[], b"").outcome(), "ran");
 }
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -1,6 +1,8 @@
 //! Runs the platform's stand-in and daemons that use it, as processes on loopback.
 
-use super::{http, run, try_http, Answer, Output, Process};
+use std::time::Duration;
+
+use super::{http, run, try_http, try_http_within, Answer, Output, Process};
 
 pub const DAEMON: &str = env!("CARGO_BIN_EXE_sardineseamd");
 pub const CLI: &str = env!("CARGO_BIN_EXE_sardineseam");
@@ -9,6 +11,9 @@
 pub const SMALL_SHEET: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/small.csv");
 pub const CHANGED_SHEET: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/small_changed.csv");
 
+/// Longest wait for each answer that goes into the description of a failure.
+const DESCRIBE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A daemon's process, and the addresses that it listens on.
 pub struct Daemon {
     pub process: Process,
@@ -49,6 +54,20 @@
         serde_json::from_str(&answer.body).expect("JSON")
     }
 
+    /// Number of other daemons that this one counts as live; `None` if it does not report its status.
+    pub fn peer_count(&self) -> Option<usize> {
+        self.status()["peers"].as_array().map(Vec::len)
+    }
+
+    /// Status, metrics, process and log, for the message of a failure.
+    pub fn describe(&self) -> String {
+        let status = describe_answer(&format!("http://{}/v1/status", self.admin_address));
+        let metrics = describe_answer(&format!("http://{}/metrics", self.admin_address));
+        let is_value = |line: &&str| !line.is_empty() && !line.starts_with('#') && !line.contains("_bucket{");
+        let values: Vec<&str> = metrics.lines().filter(is_value).collect();
+        format!("status: {status}\nmetrics: {}\n{}", values.join(", "), self.process.describe())
+    }
+
     /// Number of a pool's hosts that this daemon sends requests to.
     pub fn live_hosts(&self, pool: &str) -> u64 {
         let output = self.cli(&["--json", "pool", "list"]);
@@ -100,6 +119,21 @@
     }
 }
 
+fn describe_answer(url: &str) -> String {
+    let headers = [("Authorization", &*format!("Bearer {BOOTSTRAP_TOKEN}"))];
+    let answer = try_http_within(DESCRIBE_TIMEOUT, "GET", url, &headers, b"");
+    answer.map_or("no answer".to_owned(), |answer| format!("{} {}", answer.status, answer.body))
+}
+
+/// Describes the lease rows and all daemons, for the message of a failure.
+pub fn describe_deployment(standin: &StandIn, daemons: &[Daemon]) -> String {
+    let mut text = format!("lease rows: {}", describe_answer(&format!("{}/table?prefix=daemons/", standin.url)));
+    for (index, daemon) in daemons.iter().enumerate() {
+        text.push_str(&format!("\ndaemons[{index}]: {}", daemon.describe()));
+    }
+    text
+}
+
 /// Starts `count` daemons, alternately in zones z1 and z2.
 pub fn start_daemons(standin: &StandIn, count: usize) -> Vec<Daemon> {
     let mut daemons = Vec::new();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -16,10 +16,16 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Polls `condition` until it holds. The test fails only if that takes longer than [`WAIT_TIMEOUT`].
-pub fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+pub fn eventually(what: &str, condition: impl FnMut() -> bool) {
+    eventually_or_describe(what, condition, String::new);
+}
+
+/// Like [`eventually`]; the message of a failure ends with what `describe` returns then.
+pub fn eventually_or_describe(what: &str, mut condition: impl FnMut() -> bool, describe: impl Fn() -> String) {
     let started = Instant::now();
     while !condition() {
-        assert!(started.elapsed() < WAIT_TIMEOUT, "timed out waiting for this condition: {what}");
+        let timed_out = started.elapsed() >= WAIT_TIMEOUT;
+        assert!(!timed_out, "timed out waiting for this condition: {what}\n{}", describe());
         std::thread::yield_now();
     }
 }
@@ -69,6 +75,23 @@
         self.log.lock().expect("lock").clone()
     }
 
+    /// State of the process and of each of its threads as the operating system reports it, and the log.
+    pub fn describe(&self) -> String {
+        let directory = format!("/proc/{}", self.child.id());
+        let read = |path: String| std::fs::read_to_string(path).unwrap_or_else(|error| error.to_string());
+        let status = read(format!("{directory}/status"));
+        let fields = ["State:", "Threads:", "VmRSS:", "SigPnd:", "ShdPnd:"];
+        let lines = status.lines().filter(|line| fields.iter().any(|field| line.starts_with(field)));
+        let mut text = format!("process {}: {}\n", self.child.id(), lines.collect::<Vec<_>>().join(", "));
+        for thread in std::fs::read_dir(format!("{directory}/task")).into_iter().flatten().flatten() {
+            let path = thread.path().display().to_string();
+            let (stat, waits_in) = (read(format!("{path}/stat")), read(format!("{path}/wchan")));
+            let state = stat.rsplit(") ").next().and_then(|rest| rest.split(' ').next()).unwrap_or_default();
+            text.push_str(&format!("thread state={state} waits_in={waits_in}\n"));
+        }
+        format!("{text}log:\n{}", self.log())
+    }
+
     /// Sends a signal by its number.
     pub fn signal(&self, number: i32) {
         let pid = self.child.id().to_string();
