Count renewals of the lease by their result, and log when the number of live daemons changes

Seen: failed renewals left no trace at all, and a daemon's log did not say when it took another one for dead or live. The red test of the frozen daemon could not be traced for that reason too.

Change: lease_renewals_total with result committed, conflict or failed; outcome=daemon_count_changed, written only on a change.

--- a/src/daemon/updates.rs
+++ b/src/daemon/updates.rs
@@ -84,6 +84,7 @@
         let count = self.registry.borrow().live_others().len() + 1;
         if self.ingress.dispatcher().set_daemon_count(count) {
             metrics::gauge!("daemons").set(count as f64);
+            log::info!("daemons={count} outcome=daemon_count_changed");
             self.refresh_endpoints_of_all_pools();
         }
     }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -100,7 +100,9 @@
             let rows = if scan { Some(platform.scan(LEASE_PREFIX)?) } else { None };
             Ok((commit, rows))
         });
-        if let Ok((commit, rows)) = renewal_call.await {
+        let renewed = renewal_call.await;
+        count_renewal(renewed.as_ref().ok().map(|(commit, _)| commit));
+        if let Ok((commit, rows)) = renewed {
             daemon.registry.borrow_mut().record_renewal(&commit);
             let now_us = daemon.now_us();
             let cleanup = rows.and_then(|rows| daemon.registry.borrow_mut().apply_scan(requested_at_us, now_us, &rows));
@@ -114,6 +116,16 @@
     }
 }
 
+/// Counts a renewal by its result, which is `None` if the call failed.
+fn count_renewal(commit: Option<&CommitOutcome>) {
+    let result = match commit {
+        Some(CommitOutcome::Committed { .. }) => "committed",
+        Some(CommitOutcome::Conflict { .. }) => "conflict",
+        None => "failed",
+    };
+    metrics::counter!("lease_renewals_total", "result" => result).increment(1);
+}
+
 /// Fetches each newer sheet that is announced: from the object store or, if that fails, from a peer. A daemon that
 /// starts while the platform is down learns of the sheet from the peers in its settings.
 async fn fetch_sheets(daemon: Rc<Daemon>) {
--- a/tests/integration_tests.rs
+++ b/tests/integration_tests.rs
@@ -129,6 +129,22 @@
     assert_eq!(http("GET", &format!("http://{}/healthz", daemon.admin_address), &[], b"").status, 200);
 }
 
+#[test]
+fn renewals_of_the_lease_are_counted_by_their_result() {
+    let standin = StandIn::start(None);
+    let daemon = Daemon::start("d1", "z1", &standin.url, &[]);
+    let counts = |result: &str| {
+        let metrics = http("GET", &format!("http://{}/metrics", daemon.admin_address), &[], b"").body;
+        metrics.contains(&format!("lease_renewals_total{{result=\"{result}\"}} "))
+    };
+
+    eventually("a renewal is committed", || counts("committed"));
+    standin.set_faults(r#"{"lose_answers": true}"#);
+    eventually("a renewal fails", || counts("failed"));
+    standin.set_faults(r#"{"lose_answers": false}"#);
+    eventually("a renewal meets the row that the lost one wrote", || counts("conflict"));
+}
+
 #[test]
 fn a_stopping_daemon_finishes_requests_in_progress_and_releases_its_lease() {
     let standin = StandIn::start(None);
