Test that a stopping daemon releases a lease whose last renewal was not answered; it fails

The test loses the answer of a renewal and stops the daemon. On this code the lease row remains, and the log ends with outcome=stopped as if it were released.

--- a/tests/integration_tests.rs
+++ b/tests/integration_tests.rs
@@ -129,20 +129,32 @@
     assert_eq!(http("GET", &format!("http://{}/healthz", daemon.admin_address), &[], b"").status, 200);
 }
 
+#[test]
+fn a_stopping_daemon_releases_a_lease_whose_last_renewal_was_not_answered() {
+    let standin = StandIn::start(None);
+    let daemon = Daemon::start("d1", "z1", &standin.url, &[]);
+    eventually("the daemon holds a lease", || daemon.status()["leased"] == true);
+    standin.set_faults(r#"{"lose_answers": true}"#);
+    eventually("a renewal takes effect without an answer", || daemon.has_counted_renewal("failed"));
+    standin.set_faults(r#"{"lose_answers": false}"#);
+
+    daemon.process.signal(SIGTERM);
+    let (status, log) = daemon.process.wait();
+
+    assert_eq!(status.code(), Some(0), "{log}");
+    assert!(standin.rows("daemons/").is_empty(), "{log}");
+}
+
 #[test]
 fn renewals_of_the_lease_are_counted_by_their_result() {
     let standin = StandIn::start(None);
     let daemon = Daemon::start("d1", "z1", &standin.url, &[]);
-    let counts = |result: &str| {
-        let metrics = http("GET", &format!("http://{}/metrics", daemon.admin_address), &[], b"").body;
-        metrics.contains(&format!("lease_renewals_total{{result=\"{result}\"}} "))
-    };
 
-    eventually("a renewal is committed", || counts("committed"));
+    eventually("a renewal is committed", || daemon.has_counted_renewal("committed"));
     standin.set_faults(r#"{"lose_answers": true}"#);
-    eventually("a renewal fails", || counts("failed"));
+    eventually("a renewal fails", || daemon.has_counted_renewal("failed"));
     standin.set_faults(r#"{"lose_answers": false}"#);
-    eventually("a renewal meets the row that the lost one wrote", || counts("conflict"));
+    eventually("a renewal meets the row that the lost one wrote", || daemon.has_counted_renewal("conflict"));
 }
 
 #[test]
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -59,6 +59,12 @@
         self.status()["peers"].as_array().map(Vec::len)
     }
 
+    /// Whether a renewal of the daemon's lease had this result: `committed`, `conflict` or `failed`.
+    pub fn has_counted_renewal(&self, result: &str) -> bool {
+        let metrics = http("GET", &format!("http://{}/metrics", self.admin_address), &[], b"").body;
+        metrics.contains(&format!("lease_renewals_total{{result=\"{result}\"}} "))
+    }
+
     /// Status, metrics, process and log, for the message of a failure.
     pub fn describe(&self) -> String {
         let status = describe_answer(&format!("http://{}/v1/status", self.admin_address));
