Repeat the release of a lease that meets a conflict

Nothing was logged.

Cause: the release requires the version of the last renewal that was answered; only a call that failed was logged, and a conflict is not one.

Ruled out: to release without a condition. The row may belong to another run of the daemon, started before this one ended.

Change: after a conflict the rows are scanned, and the release is repeated with the version found if the row is of this run; three attempts, then outcome=lease_not_released is logged. The lease of another run is left alone.

With the comparison of incarnations taken out, a_release_after_a_conflict_leaves_the_lease_of_another_run_of_the_daemon fails.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -13,9 +13,10 @@
 use super::{Daemon, Listeners};
 use crate::async_platform::AsyncPlatform;
 use crate::clock::US_PER_MS;
+use crate::daemon_registry::LEASE_PREFIX;
 use crate::error::{Error, Result};
 use crate::http_platform::HttpPlatform;
-use crate::platform::{HostState, Platform};
+use crate::platform::{HostState, Platform, PlatformError};
 use crate::plugin::start_plugins;
 use crate::reactor::{self, spawn, Listener, Reactor};
 use crate::sample_endpoint;
@@ -23,11 +24,15 @@
 use crate::sheet::Sheet;
 use crate::sheet_store::{self, ApplyRequest};
 use crate::standin::{EmbeddedPlatform, HostUpdate, StandIn};
+use crate::table::{CommitOutcome, Row, Transaction};
 use crate::telemetry;
 
 const PLATFORM_THREADS: usize = 4;
 /// Interval between checks for requests, closings and connections in progress while stopping.
 const DRAIN_POLL_INTERVAL_MS: u64 = 10;
+/// The first attempt can meet a conflict with a renewal whose answer was lost, the next one with a renewal that took
+/// effect late.
+const MAX_RELEASE_ATTEMPTS: u32 = 3;
 /// Time limit for closing the remaining claims while stopping.
 const CLOSINGS_TIMEOUT_MS: u64 = 5_000;
 /// Team, and apply id, of the sheet that is applied to an embedded platform.
@@ -202,9 +207,31 @@
 
 /// Releases the lease, so that other daemons do not count this one as live until the lease expires.
 async fn release_lease(daemon: &Daemon) {
-    let Some(release) = daemon.registry.borrow().release_transaction() else { return };
-    let released = daemon.platform.call("release", move |platform| platform.commit(&release)).await;
-    if let Err(error) = released {
-        log::warn!("error={error} outcome=lease_not_released");
+    let Some(mut release) = daemon.registry.borrow().release_transaction() else { return };
+    for _ in 0..MAX_RELEASE_ATTEMPTS {
+        let rows = match daemon.platform.call("release", move |platform| release_or_scan(platform, &release)).await {
+            Ok(Some(rows)) => rows,
+            Ok(None) => return,
+            Err(error) => {
+                log::warn!("error={error} outcome=lease_not_released");
+                return;
+            }
+        };
+        match daemon.registry.borrow().release_transaction_after_conflict(&rows) {
+            Some(repeated) => release = repeated,
+            None => return,
+        }
+    }
+    log::warn!("attempts={MAX_RELEASE_ATTEMPTS} outcome=lease_not_released");
+}
+
+/// Commits the release of a lease. If it meets a conflict, returns the lease rows.
+fn release_or_scan(
+    platform: &dyn Platform,
+    release: &Transaction,
+) -> std::result::Result<Option<Vec<Row>>, PlatformError> {
+    match platform.commit(release)? {
+        CommitOutcome::Committed { .. } => Ok(None),
+        CommitOutcome::Conflict { .. } => platform.scan(LEASE_PREFIX).map(Some),
     }
 }
--- a/src/daemon_registry.rs
+++ b/src/daemon_registry.rs
@@ -117,6 +117,16 @@
         self.holds_lease().then(|| Transaction::new().require_version(&key, self.own_row_version).delete(&key))
     }
 
+    /// Builds the release again after it met a conflict, from a scan: a renewal whose answer was lost has changed the
+    /// row. `None` if the row is gone or another run of the daemon holds the lease.
+    pub(crate) fn release_transaction_after_conflict(&self, rows: &[Row]) -> Option<Transaction> {
+        let key = self.own_key();
+        let row = rows.iter().find(|row| *row.key == *key)?;
+        let lease = serde_json::from_str::<LeaseRow>(&row.value).ok()?;
+        let is_own = lease.daemon.incarnation == self.own.incarnation;
+        is_own.then(|| Transaction::new().require_version(&key, row.version).delete(&key))
+    }
+
     /// Whether the lease rows should be scanned with this renewal. A scan that becomes due within half a renewal
     /// interval is run now, because the next renewal is a full interval away.
     pub(crate) fn is_scan_due(&self, now_us: u64) -> bool {
--- a/src/daemon_registry/daemon_registry_tests.rs
+++ b/src/daemon_registry/daemon_registry_tests.rs
@@ -103,6 +103,24 @@
     assert!(store.scan(LEASE_PREFIX).is_empty());
 }
 
+#[test]
+fn a_release_after_a_conflict_leaves_the_lease_of_another_run_of_the_daemon() {
+    let mut store = StandInState::default();
+    let mut a = DaemonRegistry::new(info("a"));
+    let mut restarted_a = DaemonRegistry::new(DaemonInfo { incarnation: 8, ..info("a") });
+    renew(&mut store, &mut a);
+    scan(&mut restarted_a, 0, &store.scan(LEASE_PREFIX));
+    renew(&mut store, &mut restarted_a);
+
+    let release = a.release_transaction().expect("the lease was held");
+    let released = store.commit(&release);
+    let rows = store.scan(LEASE_PREFIX);
+
+    assert!(matches!(released, CommitOutcome::Conflict { .. }));
+    assert!(a.release_transaction_after_conflict(&rows).is_none());
+    assert!(restarted_a.release_transaction_after_conflict(&rows).is_some());
+}
+
 #[test]
 fn a_message_from_a_daemon_with_an_expired_lease_makes_it_live_again() {
     let mut store = StandInState::default();
