--- a/src/membership.rs
+++ b/src/membership.rs
@@ -91,7 +91,8 @@
 async fn maintain_lease(daemon: Rc<Daemon>) {
     while !daemon.stopping.get() {
         let renewal = daemon.registry.borrow_mut().renewal_transaction();
-        let scan_due = daemon.registry.borrow().is_scan_due(daemon.now_us());
+        let requested_at_us = daemon.now_us();
+        let scan_due = daemon.registry.borrow().is_scan_due(requested_at_us);
         let renewal_call = daemon.platform.call("lease", move |platform| {
             let commit = platform.commit(&renewal)?;
             // After a conflict, a scan is needed to learn the current version of the daemon's lease row.
@@ -99,9 +100,12 @@
             let rows = if scan { Some(platform.scan(LEASE_PREFIX)?) } else { None };
             Ok((commit, rows))
         });
-        if let Ok((commit, rows)) = renewal_call.await {
+        let renewed = renewal_call.await;
+        count_renewal(renewed.as_ref().ok().map(|(commit, _)| commit));
+        if let Ok((commit, rows)) = renewed {
             daemon.registry.borrow_mut().record_renewal(&commit);
-            let cleanup = rows.and_then(|rows| daemon.registry.borrow_mut().apply_scan(daemon.now_us(), &rows));
+            let now_us = daemon.now_us();
+            let cleanup = rows.and_then(|rows| daemon.registry.borrow_mut().apply_scan(requested_at_us, now_us, &rows));
             if let Some(cleanup) = cleanup {
                 // Fails if another daemon has deleted one of the rows; the next scan retries the rest.
                 let _ = daemon.platform.call("tidy", move |platform| platform.commit(&cleanup)).await;
@@ -112,6 +116,16 @@
     }
 }
 
+/// Counts a renewal by its result, which is `None` if the call failed.
+fn count_renewal(commit: Option<&CommitOutcome>) {
+    let result = match commit {
+        Some(CommitOutcome::Committed { .. }) => "committed",
+        Some(CommitOutcome::Conflict { .. }) => "conflict",
+        None => "failed",
+    };
+    metrics::counter!("lease_renewals_total", "result" => result).increment(1);
+}
+
 /// Fetches each newer sheet that is announced: from the object store or, if that fails, from a peer. A daemon that
 /// starts while the platform is down learns of the sheet from the peers in its settings.
 async fn fetch_sheets(daemon: Rc<Daemon>) {
--- a/tests/integration_tests.rs
+++ b/tests/integration_tests.rs
@@ -5,9 +5,11 @@
 
 use std::thread;
 
-use support::cluster::{start_daemons, Daemon, StandIn, BOOTSTRAP_TOKEN, CHANGED_SHEET, CLI, DAEMON, SMALL_SHEET};
+use support::cluster::{
+    describe_deployment, start_daemons, Daemon, StandIn, BOOTSTRAP_TOKEN, CHANGED_SHEET, CLI, DAEMON, SMALL_SHEET,
+};
 use support::endpoint::{Script, ScriptedEndpoint};
-use support::{eventually, http, run, try_http};
+use support::{eventually, eventually_or_describe, http, run, try_http};
 
 const SIGTERM: i32 = 15;
 const SIGKILL: i32 = 9;
@@ -127,6 +129,34 @@
     assert_eq!(http("GET", &format!("http://{}/healthz", daemon.admin_address), &[], b"").status, 200);
 }
 
+#[test]
+fn a_stopping_daemon_releases_a_lease_whose_last_renewal_was_not_answered() {
+    let standin = StandIn::start(None);
+    let daemon = Daemon::start("d1", "z1", &standin.url, &[]);
+    eventually("the daemon holds a lease", || daemon.status()["leased"] == true);
+    standin.set_faults(r#"{"lose_answers": true}"#);
+    eventually("a renewal takes effect without an answer", || daemon.has_counted_renewal("failed"));
+    standin.set_faults(r#"{"lose_answers": false}"#);
+
+    daemon.process.signal(SIGTERM);
+    let (status, log) = daemon.process.wait();
+
+    assert_eq!(status.code(), Some(0), "{log}");
+    assert!(standin.rows("daemons/").is_empty(), "{log}");
+}
+
+#[test]
+fn renewals_of_the_lease_are_counted_by_their_result() {
+    let standin = StandIn::start(None);
+    let daemon = Daemon::start("d1", "z1", &standin.url, &[]);
+
+    eventually("a renewal is committed", || daemon.has_counted_renewal("committed"));
+    standin.set_faults(r#"{"lose_answers": true}"#);
+    eventually("a renewal fails", || daemon.has_counted_renewal("failed"));
+    standin.set_faults(r#"{"lose_answers": false}"#);
+    eventually("a renewal meets the row that the lost one wrote", || daemon.has_counted_renewal("conflict"));
+}
+
 #[test]
 fn a_stopping_daemon_finishes_requests_in_progress_and_releases_its_lease() {
     let standin = StandIn::start(None);
@@ -369,15 +399,18 @@
     let daemons = start_daemons(&standin, 2);
     apply(&daemons[0], SMALL_SHEET);
     wait_for_version(&daemons, 1);
-    let has_one_peer = || daemons[0].status()["peers"].as_array().is_some_and(|peers| peers.len() == 1);
-    eventually("the daemons know each other", has_one_peer);
+    let wait_for_peers = |what: &str, count: usize| {
+        let describe = || describe_deployment(&standin, &daemons);
+        eventually_or_describe(what, || daemons[0].peer_count() == Some(count), describe);
+    };
+    wait_for_peers("the daemons know each other", 1);
 
     daemons[1].process.signal(SIGSTOP);
-    eventually("the lease of the frozen daemon expires", || !has_one_peer());
+    wait_for_peers("the lease of the frozen daemon expires", 0);
     apply(&daemons[0], CHANGED_SHEET);
     daemons[1].process.signal(SIGCONT);
 
-    eventually("the frozen daemon is a peer again", has_one_peer);
+    wait_for_peers("the frozen daemon is a peer again", 1);
     wait_for_version(&daemons, 2);
     assert_eq!(daemons[1].call("GET", "/alpha/x", &[], b"").outcome(), "ran");
 }
