Simulate hosts, the registry and outages of the store; tests of planned work beside them, failing

The simulation gains hosts with maintenance and moves, a registry whose entries expire and come back within two seconds, outages of the store, a leader that stands still, lost answers of the provider, and a check of each step's budget as its tasks have it: UNAVAILABLE if an order ends a run that is fully at work on a worker that is not draining, while as many others of its step as may be are unavailable. It also checks a wave's limit (TOO MANY DOWN) and end (INCOMPLETE).

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -33,6 +33,8 @@
 #[cfg(test)]
 mod host_tests;
 #[cfg(test)]
+mod planned_work_tests;
+#[cfg(test)]
 mod scheduler_tests;
 #[cfg(test)]
 mod sim;
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -88,6 +88,7 @@
         failovers_per_s: 0.15,
         commit_answer_loss_rate: 0.1,
         commit_delay_ms: 20,
+        ..Faults::default()
     };
 
     for seed in 100..400 {
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -1,7 +1,10 @@
 //! Simulation of a leader, workers and a store in virtual time, which injects faults and checks invariants.
 
+mod availability;
 mod fixtures;
+mod hosts;
 mod message;
+mod registry;
 mod worker;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -11,12 +14,15 @@
 use rand::{Rng, SeedableRng};
 
 use super::action::{Action, Batch, HoldPlan};
-use super::model::{JobId, JobSpec, OrderOutcome, TaskRef};
+use super::model::{Catalog, JobId, JobSpec, OrderOutcome, TaskRef, WaveOrder};
 use super::scheduler::Scheduler;
 use crate::clock::US_PER_MS;
 
+use availability::TaskAvailability;
 pub(super) use fixtures::{catalog, settings, spec, step, worker_entry};
+use hosts::{HostAction, SimHost};
 use message::Message;
+use registry::SimRegistry;
 use worker::{sim_worker, SimWorker};
 
 /// Virtual time per tick of the simulation.
@@ -24,6 +30,8 @@
 /// One-way network delay to a worker or the store.
 const DELAY_US: u64 = 2 * US_PER_MS;
 const ORDER_TIMEOUT_US: u64 = 800 * US_PER_MS;
+/// Delay before the answer to a commit that the store did not take.
+const STORE_RETRY_DELAY_US: u64 = 40 * US_PER_MS;
 /// Unix time at the start of the simulation, in milliseconds.
 const START_UNIX_MS: u64 = 1_700_000_000_000;
 pub(super) const MAX_ATTEMPTS: u32 = 3;
@@ -49,6 +57,8 @@
     pub(super) commit_answer_loss_rate: f64,
     /// Additional delay both of a commit and of its answer.
     pub(super) commit_delay_ms: u64,
+    /// Share of orders about hosts that are carried out but whose answer is lost.
+    pub(super) host_answer_loss_rate: f64,
 }
 
 /// Description of a violated invariant.
@@ -61,12 +71,23 @@
     rng: SmallRng,
     faults: Faults,
     workers: BTreeMap<Arc<str>, SimWorker>,
+    registry: SimRegistry,
+    /// Hosts in the provider's list, by name. Empty unless [`Sim::add_hosts`] has been called.
+    hosts: BTreeMap<Arc<str>, SimHost>,
+    next_host_list_us: u64,
+    catalog: Arc<Catalog>,
     pub(super) scheduler: Scheduler,
     /// Number of the current leader, or of the next one while there is none.
     leader: u32,
     /// Fencing token of the current leader.
     token: u64,
     leader_down_until_us: Option<u64>,
+    /// Until then, the leader's process stands still; what is sent to it arrives afterwards.
+    leader_frozen_until_us: u64,
+    /// Until then, the store answers nothing.
+    store_down_until_us: u64,
+    /// When a fault last disturbed anything.
+    last_disturbance_us: u64,
     /// Messages in flight, and when each arrives.
     messages: Vec<(u64, Message)>,
     /// Workers whose hold request has not been answered yet.
@@ -77,6 +98,16 @@
     cancelled: HashMap<JobId, u64>,
     /// Records of jobs in the simulated store.
     records: HashMap<JobId, Vec<u8>>,
+    waves: Vec<WaveOrder>,
+    /// Records of waves and of ordered hosts in the simulated store.
+    wave_records: BTreeMap<u64, Vec<Arc<str>>>,
+    ordered_hosts: Vec<Arc<str>>,
+    /// Waves that the leader has reported to be complete.
+    pub(super) complete_waves: HashSet<u64>,
+    /// Availability of the tasks of steps with a disruption budget.
+    availability: HashMap<TaskRef, TaskAvailability>,
+    /// Number of runs at work that an order ended.
+    pub(super) disruption_count: u32,
     /// Tasks with a run that completed.
     done: HashSet<TaskRef>,
     /// Tasks whose completion the leader has acknowledged.
@@ -107,17 +138,30 @@
             now_us,
             rng,
             faults,
+            registry: SimRegistry::new(workers.values().map(|worker: &SimWorker| worker.entry.clone())),
             workers,
+            hosts: BTreeMap::new(),
+            next_host_list_us: 0,
+            catalog: catalog(),
             scheduler: Scheduler::new(now_us, settings()),
             leader: 1,
             token: 1,
             leader_down_until_us: None,
+            leader_frozen_until_us: 0,
+            store_down_until_us: 0,
+            last_disturbance_us: 0,
             messages: Vec::new(),
             holds_in_flight: HashSet::new(),
             commit_in_flight: false,
             specs: BTreeMap::new(),
             cancelled: HashMap::new(),
             records: HashMap::new(),
+            waves: Vec::new(),
+            wave_records: BTreeMap::new(),
+            ordered_hosts: Vec::new(),
+            complete_waves: HashSet::new(),
+            availability: HashMap::new(),
+            disruption_count: 0,
             done: HashSet::new(),
             acknowledged_done: HashSet::new(),
             acknowledged_failures: HashMap::new(),
@@ -139,17 +183,24 @@
     /// Starts a leader that knows only what the store and the registry contain.
     fn start_leader(&mut self) {
         self.scheduler = Scheduler::new(self.now_us, settings());
-        self.scheduler.configure(catalog());
-        let entries = self.workers.values().filter(|worker| worker.is_up).map(|worker| worker.entry.clone());
-        self.scheduler.replace_registry(self.now_us, entries.collect());
+        self.scheduler.configure(self.catalog.clone());
+        self.scheduler.replace_registry(self.now_us, self.registry.read_all());
         for (id, spec) in &self.specs {
             let record = self.records.get(id).map(Vec::as_slice);
             let unix_ms = START_UNIX_MS + self.now_us / US_PER_MS;
             self.scheduler.restore(self.now_us, unix_ms, id.clone(), spec.clone(), record).expect("a valid record");
         }
+        for (number, hosts) in &self.wave_records {
+            self.scheduler.restore_wave(*number, hosts.clone());
+        }
+        self.scheduler.restore_host_orders(Some(self.ordered_hosts.clone()));
+        for wave in &self.waves {
+            self.scheduler.add_wave(wave.clone());
+        }
         for id in self.cancelled.keys() {
             self.scheduler.cancel(self.now_us, id);
         }
+        self.next_host_list_us = self.now_us;
         self.holds_in_flight.clear();
         self.commit_in_flight = false;
     }
@@ -172,7 +223,9 @@
 
     /// Stops the leader; the next one starts after `pause_ms`.
     pub(super) fn stop_leader(&mut self, pause_ms: u64) {
-        self.leader_down_until_us = Some(self.now_us + pause_ms * US_PER_MS);
+        let until_us = self.now_us + pause_ms * US_PER_MS;
+        self.leader_down_until_us = Some(until_us);
+        self.last_disturbance_us = self.last_disturbance_us.max(until_us);
         self.leader += 1;
     }
 
@@ -180,10 +233,11 @@
     pub(super) fn crash(&mut self, number: usize) {
         let id = worker_entry(number, 0).id;
         self.restart_count += 1;
-        let mut entry = worker_entry(number, START_UNIX_MS + u64::from(self.restart_count));
-        entry.id = id.clone();
+        let entry = worker_entry(number, START_UNIX_MS + u64::from(self.restart_count));
         let rate = self.rng.random_range(0.98..1.0);
         self.workers.insert(id, sim_worker(self.now_us, entry.clone(), rate));
+        self.registry.insert(entry.clone());
+        self.last_disturbance_us = self.now_us;
         if self.leader_down_until_us.is_none() {
             self.scheduler.worker_listed(self.now_us, entry);
         }
@@ -196,6 +250,25 @@
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.partitioned_until_us = until_us;
         }
+        self.last_disturbance_us = self.last_disturbance_us.max(until_us);
+    }
+
+    /// Makes the leader's process stand still for `for_ms`.
+    pub(super) fn freeze_leader(&mut self, for_ms: u64) {
+        self.leader_frozen_until_us = self.now_us + for_ms * US_PER_MS;
+        self.last_disturbance_us = self.last_disturbance_us.max(self.leader_frozen_until_us);
+    }
+
+    fn is_leader_frozen(&self) -> bool {
+        self.now_us < self.leader_frozen_until_us
+    }
+
+    fn is_leader_up(&self) -> bool {
+        self.leader_down_until_us.is_none() && !self.is_leader_frozen()
+    }
+
+    fn is_store_down(&self) -> bool {
+        self.now_us < self.store_down_until_us
     }
 
     /// Runs the simulation for `for_ms` of virtual time.
@@ -204,8 +277,11 @@
         while self.now_us < end_us {
             self.now_us += TICK_US;
             self.inject_faults();
+            self.return_entries();
+            self.return_hosts();
             self.deliver();
             self.run_workers();
+            self.update_availability();
             self.run_leader();
         }
     }
@@ -249,7 +325,7 @@
             let pause_ms = self.rng.random_range(50..6_000);
             self.stop_leader(pause_ms);
         }
-        if self.leader_down_until_us.is_some_and(|until_us| self.now_us >= until_us) {
+        if self.leader_down_until_us.is_some_and(|until_us| self.now_us >= until_us) && !self.is_store_down() {
             self.leader_down_until_us = None;
             self.token += 1;
             self.start_leader();
@@ -261,7 +337,10 @@
     }
 
     fn deliver(&mut self) {
-        let (due, later) = std::mem::take(&mut self.messages).into_iter().partition(|(at_us, _)| *at_us <= self.now_us);
+        let is_frozen = self.is_leader_frozen();
+        let is_due =
+            |(at_us, message): &(u64, Message)| *at_us <= self.now_us && !(is_frozen && message.is_for_leader());
+        let (due, later) = std::mem::take(&mut self.messages).into_iter().partition(is_due);
         self.messages = later;
         let mut due: Vec<(u64, Message)> = due;
         due.sort_by_key(|(at_us, _)| *at_us);
@@ -291,6 +370,12 @@
             Message::Hold { worker, lease_end_ms, acknowledged, until_us, sent_us, token } => {
                 self.handle_hold(worker, lease_end_ms, acknowledged, until_us, sent_us, token);
             }
+            Message::HostOrder { order, leader, token } => self.handle_host_order(order, leader, token),
+            Message::HostOrderAnswer { order, leader, outcome } => {
+                if self.is_current_leader(leader) {
+                    self.report_host_outcome(&order, outcome);
+                }
+            }
             Message::Commit { leader, token, batch, sent_us } => self.handle_commit(leader, token, batch, sent_us),
             Message::StartAnswer { start, leader, outcome } => {
                 if self.is_current_leader(leader) {
@@ -335,25 +420,38 @@
         if token != self.token || leader != self.leader {
             return;
         }
+        if self.is_store_down() {
+            let answer = Message::CommitAnswer { leader, batch, sent_us, is_confirmed: false };
+            self.send(STORE_RETRY_DELAY_US, answer);
+            return;
+        }
         for (id, record) in &batch.records {
             self.records.insert(id.clone(), record.clone());
         }
+        for (number, hosts) in &batch.waves {
+            self.wave_records.insert(*number, hosts.clone());
+        }
+        if let Some(hosts) = &batch.ordered_hosts {
+            self.ordered_hosts = hosts.clone();
+        }
         let is_confirmed = !self.chance(self.faults.commit_answer_loss_rate);
         let answer = Message::CommitAnswer { leader, batch, sent_us, is_confirmed };
         self.send((5 + self.faults.commit_delay_ms) * US_PER_MS, answer);
     }
 
     fn run_leader(&mut self) {
-        if self.leader_down_until_us.is_some() {
+        if !self.is_leader_up() {
             return;
         }
+        self.read_registry();
+        self.list_hosts();
         let unix_ms = self.unix_ms();
         self.scheduler.tick(self.now_us, unix_ms);
         for action in self.scheduler.take_actions() {
             self.execute(action);
         }
         let idle: Vec<Arc<str>> =
-            self.workers.keys().filter(|id| !self.holds_in_flight.contains(*id)).cloned().collect();
+            self.scheduler.workers.keys().filter(|id| !self.holds_in_flight.contains(*id)).cloned().collect();
         for id in idle {
             let plan = self.scheduler.plan_hold(self.now_us, &id);
             let HoldPlan::Send { lease_end_ms, acknowledged, wait_ms, .. } = plan else { continue };
@@ -405,7 +503,13 @@
                     self.send(ORDER_TIMEOUT_US, answer);
                 }
             }
-            _ => {}
+            Action::MoveHost { host, pool } => self.send_host_order(HostAction::Move { host, pool }),
+            Action::MaintainHost { host, wave } => self.send_host_order(HostAction::Maintain { host, wave }),
+            Action::ReportWave { wave, complete } => self.report_wave(wave, complete),
+            Action::OpenSession { .. }
+            | Action::Pace { .. }
+            | Action::RequestAdvice { .. }
+            | Action::CheckLeadership => {}
         }
     }
 }
--- a/src/sched/sim/message.rs
+++ b/src/sched/sim/message.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use super::super::action::{Batch, StartRun};
-use super::super::model::{HoldAnswer, OrderOutcome, TaskRef};
+use super::super::model::{HoldAnswer, HostOrderOutcome, OrderOutcome, TaskRef};
+use super::hosts::HostAction;
 
 /// A message in flight. `leader` is the number of the leader that sent it or that is to receive it, `token` the fencing
 /// token of the leader that sent it; `answered` tells whether its answer will arrive.
@@ -66,4 +67,31 @@
         /// `false` if the answer was lost, although the commit took effect.
         is_confirmed: bool,
     },
+    HostOrder {
+        order: HostAction,
+        leader: u32,
+        token: u64,
+    },
+    HostOrderAnswer {
+        order: HostAction,
+        leader: u32,
+        outcome: HostOrderOutcome,
+    },
+}
+
+impl Message {
+    pub(super) fn is_for_leader(&self) -> bool {
+        match self {
+            Message::StartAnswer { .. }
+            | Message::StopAnswer { .. }
+            | Message::HoldAnswer { .. }
+            | Message::CommitAnswer { .. }
+            | Message::HostOrderAnswer { .. } => true,
+            Message::Start { .. }
+            | Message::Stop { .. }
+            | Message::Hold { .. }
+            | Message::Commit { .. }
+            | Message::HostOrder { .. } => false,
+        }
+    }
 }
--- a/src/sched/sim/worker.rs
+++ b/src/sched/sim/worker.rs
@@ -12,11 +12,31 @@
 use super::{Message, Sim, Violation, DELAY_US, MAX_ATTEMPTS, ORDER_TIMEOUT_US, TICK_US};
 use crate::clock::US_PER_MS;
 
+/// Time from the start of a long-running run until it reports 100 percent.
+const WARM_UP_US: u64 = 1_500 * US_PER_MS;
+
 #[derive(Debug, Clone)]
 pub(super) struct Run {
     pub(super) number: u32,
+    pub(super) started_us: u64,
     pub(super) ends_us: u64,
     pub(super) fails: bool,
+    pub(super) is_long_running: bool,
+}
+
+impl Run {
+    /// Reported progress: 0 for runs that are not long-running.
+    pub(super) fn percent(&self, now_us: u64) -> u32 {
+        if !self.is_long_running {
+            return 0;
+        }
+        let elapsed_us = now_us.saturating_sub(self.started_us);
+        (elapsed_us * 100 / WARM_UP_US).min(100) as u32
+    }
+
+    pub(super) fn is_fully_at_work(&self, now_us: u64) -> bool {
+        self.percent(now_us) >= 100
+    }
 }
 
 #[derive(Debug)]
@@ -93,7 +113,9 @@
         if start.lease_end_ms <= clock_ms {
             return OrderOutcome::Refused(OrderRefusal::LeaseExpired);
         }
-        worker.runs.insert(start.task.clone(), Run { number: start.run, ends_us: now_us + run_duration_us, fails });
+        let run =
+            Run { number: start.run, started_us: now_us, ends_us: now_us + run_duration_us, fails, is_long_running };
+        worker.runs.insert(start.task.clone(), run);
         self.start_count += 1;
         self.check_start(start, token, is_delayed);
         OrderOutcome::Accepted { clock_ms: Some(clock_ms) }
@@ -160,12 +182,17 @@
             return OrderOutcome::Refused(OrderRefusal::Fenced);
         }
         worker.token = token;
+        let mut stopped = None;
         if worker.runs.get(task).is_some_and(|known| known.number <= run) {
-            worker.runs.remove(task);
+            stopped = worker.runs.remove(task);
             worker.record_end(task, run, RunOutcome::Stopped);
         }
         let highest = worker.highest_ended_run.entry(task.clone()).or_default();
         *highest = (*highest).max(run);
+        let is_draining = worker.entry.draining;
+        if let Some(stopped) = stopped {
+            self.check_disruption(task, &stopped, is_draining, "a stop order");
+        }
         OrderOutcome::Accepted { clock_ms: None }
     }
 
@@ -215,7 +242,7 @@
             task: task.clone(),
             run: run.number,
             checkpoint: Arc::from(""),
-            percent: 0,
+            percent: run.percent(now_us),
             load: None,
         });
         let answer = HoldAnswer {
@@ -229,6 +256,7 @@
 
     pub(super) fn run_workers(&mut self) {
         let now_us = self.now_us;
+        let mut expired = Vec::new();
         for worker in self.workers.values_mut() {
             if !worker.is_up {
                 continue;
@@ -258,8 +286,14 @@
                     _ => {}
                 }
                 worker.record_end(&task, run.number, outcome);
+                if outcome == RunOutcome::LeaseExpired {
+                    expired.push((task, run, worker.entry.draining));
+                }
             }
         }
+        for (task, run, is_draining) in expired {
+            self.check_lease_expiry(&task, &run, is_draining);
+        }
     }
 }
 
