Take a missing entry for missing knowledge: a host is drained only if no task can be on it

Cause: a host counted as drained if no registered worker was on it. When the entries had expired in an outage of the store, each host that was being drained counted as drained and was taken down with its tasks, and no budget was asked. Ruled out: stops on old reports (no end=Stopped, and the leader counted the tasks as running for six more seconds), leases that expired (the workers had answered 0.5 s before), stops of runs that were not expected (no such line).

Change: a host is drained, and an order about it sent, only if no task can be on the workers that the provider names or that were last known there, registered or not, or restored and not yet counted on a worker. A sibling counts as available only by a report that was requested lately and after the latest gap: a takeover, or 1.2 s without a confirmation; a planned stop asks the same of the task's own worker. Orders about hosts age from their decision. Restored tasks are counted on a worker that is registered later; before, its capacity was given out twice. A worker registered again while its host leaves gets no tasks.

In the simulation, eleven of the fifteen tests in planned_work_tests fail on the code before, among them one with DUPLICATE RUN: the answer to a repeated maintenance order released the tasks of the worker that had started since. Each guard was taken out and a test seen to fail; that of the drained host only together with the check at sending, which catches the same.

--- a/src/sched/batches.rs
+++ b/src/sched/batches.rs
@@ -105,7 +105,7 @@
     /// acknowledged. The commit also renews leadership.
     pub(crate) fn batch_committed(&mut self, now_us: u64, sent_us: u64, batch: &Batch) {
         self.is_commit_in_flight = false;
-        self.leadership_renewed_us = self.leadership_renewed_us.max(sent_us);
+        self.leadership_renewed(now_us, sent_us);
         for (id, started_unix_ms, cursor) in &batch.acknowledged {
             let Some(worker) = self.workers.get_mut(id) else { continue };
             if worker.entry.started_unix_ms == *started_unix_ms {
--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -92,6 +92,12 @@
         self.moving.contains_key(host) || self.draining.contains_key(host)
     }
 
+    /// Whether a host is drained for a move, or has been ordered to move and the order is not acknowledged.
+    pub(super) fn is_leaving(&self, host: &str) -> bool {
+        let is_unacknowledged = self.moving.get(host).is_some_and(|host_move| !host_move.is_acknowledged);
+        is_unacknowledged || self.draining.contains_key(host)
+    }
+
     /// Capacity of the hosts that are moving to a pool, in thousandths of a core.
     pub(super) fn incoming_capacity_milli(&self, now_us: u64, pool: &str) -> u64 {
         let mut milli = 0;
@@ -133,6 +139,7 @@
         }
         for host in completed {
             self.host_moves.moving.remove(&host);
+            self.set_cordoned(&host, false);
         }
     }
 
--- a/src/sched/host_orders.rs
+++ b/src/sched/host_orders.rs
@@ -48,8 +48,10 @@
     /// Hosts with a recent order, and until when each stays in the record.
     recent: BTreeMap<Arc<str>, u64>,
     uncommitted: Vec<HostOrder>,
-    /// When the orders of the batch in flight were taken.
-    taken_us: u64,
+    /// When the first of the uncommitted orders was decided.
+    first_decided_us: Option<u64>,
+    /// When the first order of the batch in flight was decided.
+    in_flight_decided_us: u64,
     /// Hosts for which a former leader may have sent orders recently; `None` if its record was unreadable, so that it
     /// may be any host.
     former_leader_hosts: Option<BTreeSet<Arc<str>>>,
@@ -61,7 +63,8 @@
         HostOrders {
             recent: BTreeMap::new(),
             uncommitted: Vec::new(),
-            taken_us: 0,
+            first_decided_us: None,
+            in_flight_decided_us: 0,
             former_leader_hosts: Some(BTreeSet::new()),
             has_changed: false,
         }
@@ -69,6 +72,7 @@
 
     pub(super) fn push(&mut self, now_us: u64, order: HostOrder) {
         self.recent.insert(order.host().clone(), now_us + RECORD_RETENTION_MS * US_PER_MS);
+        self.first_decided_us.get_or_insert(now_us);
         self.uncommitted.push(order);
         self.has_changed = true;
     }
@@ -79,7 +83,7 @@
 
     /// Takes the hosts to record, if they have changed, and the orders that may be sent once the record is committed.
     pub(super) fn take(&mut self, now_us: u64) -> (Option<Vec<Arc<str>>>, Vec<HostOrder>) {
-        self.taken_us = now_us;
+        self.in_flight_decided_us = self.first_decided_us.take().unwrap_or(now_us);
         let previous_count = self.recent.len();
         self.recent.retain(|_, until_us| now_us < *until_us);
         self.has_changed |= self.recent.len() != previous_count;
@@ -99,14 +103,18 @@
         self.host_orders.former_leader_hosts = hosts.map(|hosts| hosts.into_iter().collect());
     }
 
-    /// Requests the host orders of a committed batch, or drops them if they are too old.
+    /// Requests the host orders of a committed batch. Drops them if they are too old, or if tasks may run on the host by
+    /// now.
     pub(super) fn host_orders_committed(&mut self, now_us: u64, orders: &[HostOrder]) {
-        if now_us <= self.host_orders.taken_us + MAX_ORDER_AGE_MS * US_PER_MS {
-            self.actions.extend(orders.iter().cloned().map(HostOrder::into_action));
-            return;
-        }
+        let is_too_old = now_us > self.host_orders.in_flight_decided_us + MAX_ORDER_AGE_MS * US_PER_MS;
         for order in orders {
-            log::info!("order={order:?} outcome=host_order_too_old");
+            let has_tasks = self.may_run_tasks(order.host());
+            if !is_too_old && !has_tasks {
+                self.actions.push(order.clone().into_action());
+                continue;
+            }
+            let outcome = if is_too_old { "host_order_too_old" } else { "host_order_for_busy_host" };
+            log::info!("order={order:?} outcome={outcome}");
             match order {
                 HostOrder::Move { host, pool } => self.on_move_outcome(now_us, host, pool, HostOrderOutcome::NotDone),
                 HostOrder::Maintain { host, wave } => {
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -98,6 +98,17 @@
         }
     }
 
+    /// Whether a run may be at work that no stop order has been sent for.
+    pub(crate) fn may_be_at_work(&self) -> bool {
+        match self.state {
+            TaskState::Waiting | TaskState::Done => false,
+            TaskState::Placed { phase, .. } => match phase {
+                RunPhase::Committing | RunPhase::Stopping { .. } => false,
+                RunPhase::Ordered | RunPhase::Unanswered { .. } | RunPhase::Running { .. } | RunPhase::Restored => true,
+            },
+        }
+    }
+
     /// Whether a run is in progress and reports 100 percent.
     pub(crate) fn is_fully_running(&self) -> bool {
         matches!(self.state, TaskState::Placed { phase: RunPhase::Running { .. }, .. }) && self.percent >= 100
--- a/src/sched/planned_work_tests.rs
+++ b/src/sched/planned_work_tests.rs
@@ -2,8 +2,14 @@
 
 use std::sync::Arc;
 
-use super::model::{Catalog, JobSpec, PoolConfig, Queue, Step};
-use super::sim::{catalog, spec, step, Faults, Sim};
+use super::action::{Action, HoldPlan};
+use super::job::{RunPhase, TaskState};
+use super::model::{
+    ActiveRun, Catalog, HoldAnswer, HostPhase, HostRecord, JobSpec, PoolConfig, Queue, Step, TaskRef, WaveOrder,
+};
+use super::scheduler::Scheduler;
+use super::sim::{catalog, settings, spec, step, worker_entry, Faults, Sim};
+use crate::clock::US_PER_MS;
 
 const WORKER_COUNT: usize = 12;
 const WAVE: u64 = 1;
@@ -203,6 +209,7 @@
         run_with_small_jobs(&mut sim, 30_000);
 
         assert_eq!(sim.violations, [], "seed {seed}");
+        assert!(sim.move_count > 0, "seed {seed}: no host has moved");
         assert!(sim.are_budgeted_tasks_at_work(), "seed {seed}: all tasks are at work");
     }
 }
@@ -225,3 +232,178 @@
         assert_wave_complete(&sim, seed);
     }
 }
+
+#[test]
+fn wave_limit_is_kept_when_leaders_change_and_answers_about_hosts_are_lost() {
+    for seed in 0..40 {
+        let faults = Faults { host_answer_loss_rate: 0.3, failovers_per_s: 0.3, ..Faults::default() };
+        let mut sim = sim_with_budgeted_tasks(seed, faults);
+        sim.order_wave(WAVE, MAX_DOWN);
+
+        run_with_small_jobs(&mut sim, 40_000);
+        sim.end_faults();
+        run_with_small_jobs(&mut sim, 60_000);
+
+        assert_budgets_kept(&sim, seed);
+        assert_wave_complete(&sim, seed);
+    }
+}
+
+/// A leader with four workers on four hosts, and a long-running step with one task at work on each of two workers. One
+/// of the tasks may be unavailable.
+fn leader_with_two_tasks_at_work() -> Scheduler {
+    let mut scheduler = Scheduler::new(0, settings());
+    scheduler.configure(catalog());
+    let mut hosts = Vec::new();
+    for number in 0..4 {
+        let entry = worker_entry(number, 1);
+        hosts.push(HostRecord {
+            name: format!("h{number}").into(),
+            pool: entry.pool.clone(),
+            phase: HostPhase::Up,
+            worker: Some(entry.id.clone()),
+            capacity: entry.capacity,
+            zone: entry.zone.clone(),
+            labels: entry.labels.clone(),
+        });
+        scheduler.worker_listed(0, entry);
+    }
+    report_runs(&mut scheduler, 10_000, 10_000, 100);
+    scheduler.hosts_listed(10_000 * US_PER_MS, hosts);
+    let long_step = Step { count: 2, ..budgeted_step(2_000) };
+    scheduler.submit(10_000 * US_PER_MS, 0, "long-running".into(), spec(vec![long_step]));
+    commit(&mut scheduler, 10_000);
+    scheduler.tick(10_200 * US_PER_MS, 0);
+    commit(&mut scheduler, 10_200);
+    report_runs(&mut scheduler, 10_300, 10_300, 100);
+    scheduler
+}
+
+fn commit(scheduler: &mut Scheduler, now_ms: u64) {
+    let batch = scheduler.take_batch(now_ms * US_PER_MS);
+    scheduler.batch_committed(now_ms * US_PER_MS, now_ms * US_PER_MS, &batch);
+}
+
+/// Lets each worker answer a hold request: all runs placed on it are active at this progress.
+fn report_runs(scheduler: &mut Scheduler, now_ms: u64, sent_ms: u64, percent: u32) {
+    let ids: Vec<Arc<str>> = scheduler.workers.keys().cloned().collect();
+    for id in ids {
+        let tasks = scheduler.workers[&id].tasks.clone();
+        let running = tasks.into_iter().map(|task| {
+            let run = scheduler.jobs[&task.job].task(&task).map_or(0, |known| known.run);
+            ActiveRun { task, run, checkpoint: "".into(), percent, load: None }
+        });
+        let running = running.collect();
+        let answer = HoldAnswer { clock_ms: sent_ms, started_unix_ms: None, running, ended: Vec::new() };
+        scheduler.on_hold_answer(now_ms * US_PER_MS, sent_ms * US_PER_MS, &id, &answer);
+    }
+}
+
+/// Orders a wave of all hosts, of which one may be down.
+fn add_wave(scheduler: &mut Scheduler) {
+    let hosts = (0..4).map(|number| format!("h{number}").into()).collect();
+    scheduler.add_wave(WaveOrder { number: WAVE, hosts, duration_ms: 30_000, max_down: 1 });
+}
+
+fn stop_order_count(scheduler: &mut Scheduler) -> usize {
+    let actions = scheduler.take_actions().into_iter();
+    actions.filter(|action| matches!(action, Action::Stop { .. })).count()
+}
+
+#[test]
+fn a_task_leaves_its_host_only_on_reports_requested_lately_and_after_the_latest_gap() {
+    let cases = [
+        ("lately", [11_000, 12_000, 13_000, 14_000], 14_050, 1),
+        ("before a delay", [11_000, 12_000, 13_000, 14_000], 10_500, 0),
+        ("after the gap", [11_000, 11_500, 12_000, 14_000], 14_050, 1),
+        ("during the gap", [11_000, 11_500, 12_000, 14_000], 13_900, 0),
+    ];
+    for (requested, commits_ms, sent_ms, expected_stops) in cases {
+        let mut scheduler = leader_with_two_tasks_at_work();
+        for commit_ms in commits_ms {
+            commit(&mut scheduler, commit_ms);
+        }
+        report_runs(&mut scheduler, 14_100, sent_ms, 100);
+        add_wave(&mut scheduler);
+
+        scheduler.tick(14_200 * US_PER_MS, 0);
+
+        assert_eq!(stop_order_count(&mut scheduler), expected_stops, "reports requested {requested}");
+    }
+}
+
+#[test]
+fn a_run_whose_start_order_got_no_answer_is_stopped_within_its_steps_budget_only() {
+    for (percent, expected_stops) in [(100, 1), (40, 0)] {
+        let mut scheduler = leader_with_two_tasks_at_work();
+        commit(&mut scheduler, 11_000);
+        report_runs(&mut scheduler, 11_100, 11_050, percent);
+        let long_running = scheduler.jobs.get_mut("long-running").expect("the job is known");
+        let occurrence = long_running.occurrences.get_mut(&0).expect("it has begun");
+        for task in &mut occurrence.steps[0].tasks {
+            let TaskState::Placed { phase, worker } = &mut task.state else { continue };
+            if &*worker.id == "w0" {
+                *phase = RunPhase::Unanswered { since_us: 11_100 * US_PER_MS };
+            }
+        }
+        let hosts = vec!["h0".into()];
+        scheduler.add_wave(WaveOrder { number: WAVE, hosts, duration_ms: 30_000, max_down: 1 });
+
+        scheduler.tick(11_200 * US_PER_MS, 0);
+
+        assert_eq!(stop_order_count(&mut scheduler), expected_stops, "the other task is at {percent} percent");
+    }
+}
+
+#[test]
+fn a_worker_registered_again_gets_no_tasks_while_its_host_is_taken_down() {
+    let mut scheduler = leader_with_two_tasks_at_work();
+    add_wave(&mut scheduler);
+    commit(&mut scheduler, 11_000);
+    scheduler.tick(11_200 * US_PER_MS, 0);
+    let mut cordoned = scheduler.workers.values().filter(|worker| worker.is_cordoned && worker.tasks.is_empty());
+    let entry = cordoned.next().map(|worker| worker.entry.clone()).expect("a host without tasks is taken down");
+
+    scheduler.worker_unlisted(&entry.id);
+    let plan = scheduler.plan_hold(11_300 * US_PER_MS, &entry.id);
+    scheduler.worker_listed(11_400 * US_PER_MS, entry.clone());
+
+    assert_eq!(plan, HoldPlan::Close);
+    assert!(scheduler.workers[&entry.id].is_cordoned);
+}
+
+#[test]
+fn host_order_decided_while_the_store_answered_nothing_is_dropped() {
+    let mut scheduler = leader_with_two_tasks_at_work();
+    add_wave(&mut scheduler);
+    commit(&mut scheduler, 11_000);
+    let in_flight = scheduler.take_batch(11_100 * US_PER_MS);
+    scheduler.tick(11_200 * US_PER_MS, 0);
+
+    scheduler.batch_committed(15_000 * US_PER_MS, 15_000 * US_PER_MS, &in_flight);
+    let delayed = scheduler.take_batch(15_000 * US_PER_MS);
+    scheduler.batch_committed(15_050 * US_PER_MS, 15_050 * US_PER_MS, &delayed);
+
+    assert_eq!(delayed.host_orders.len(), 1);
+    let actions = scheduler.take_actions().into_iter();
+    assert_eq!(actions.filter(|action| matches!(action, Action::MaintainHost { .. })).count(), 0);
+}
+
+#[test]
+fn host_order_is_dropped_if_a_task_may_run_on_the_host_by_then() {
+    let mut scheduler = leader_with_two_tasks_at_work();
+    add_wave(&mut scheduler);
+    commit(&mut scheduler, 11_000);
+    scheduler.tick(11_200 * US_PER_MS, 0);
+    let ordered = scheduler.take_batch(11_200 * US_PER_MS);
+    let task = TaskRef { job: "long-running".into(), occurrence: 0, step: 0, index: 0 };
+    for worker in scheduler.workers.values_mut() {
+        worker.attach(task.clone(), &budgeted_step(2_000));
+    }
+
+    scheduler.batch_committed(11_250 * US_PER_MS, 11_250 * US_PER_MS, &ordered);
+
+    assert_eq!(ordered.host_orders.len(), 1);
+    let actions = scheduler.take_actions().into_iter();
+    assert_eq!(actions.filter(|action| matches!(action, Action::MaintainHost { .. })).count(), 0);
+}
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -48,12 +48,16 @@
         self.refresh_job(id);
     }
 
-    /// Reserves capacity for a task on its worker, if that incarnation of the worker is known.
+    /// Reserves capacity for a task on its worker: at once if that incarnation of the worker is known, otherwise when it
+    /// is registered.
     pub(super) fn attach(&mut self, task_ref: &TaskRef, incarnation: &WorkerIncarnation) {
         let Some(step) = self.jobs.get(&task_ref.job).and_then(|job| job.spec.steps.get(task_ref.step as usize)) else {
             return;
         };
-        let Some(worker) = self.workers.get_mut(&incarnation.id) else { return };
+        let Some(worker) = self.workers.get_mut(&incarnation.id) else {
+            self.unattached_tasks.entry(incarnation.id.clone()).or_default().push(task_ref.clone());
+            return;
+        };
         if worker.incarnation() == *incarnation {
             worker.attach(task_ref.clone(), step);
         }
@@ -75,6 +79,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_clock(now_us, answer.clock_ms);
         worker.last_answer_us = now_us;
+        worker.report_requested_us = worker.report_requested_us.max(sent_us);
         worker.is_silent = false;
         if !worker.is_synced {
             worker.is_synced = true;
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -41,7 +41,10 @@
             if let Some(host) = &entry.host {
                 self.worker_by_host.insert(host.clone(), id.clone());
             }
-            self.workers.insert(id.clone(), Worker::new(now_us, entry));
+            let mut worker = Worker::new(now_us, entry);
+            worker.is_cordoned = worker.entry.host.as_ref().is_some_and(|host| self.is_host_leaving(host));
+            self.workers.insert(id.clone(), worker);
+            self.attach_unattached(&id);
             self.open_session(&id);
             return;
         };
@@ -59,6 +62,17 @@
         }
     }
 
+    /// Reserves capacity for restored tasks on a worker that has been registered only now.
+    fn attach_unattached(&mut self, id: &Arc<str>) {
+        for task_ref in self.unattached_tasks.remove(id).into_iter().flatten() {
+            let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(&task_ref));
+            let Some(incarnation) = task.and_then(|task| task.placed_on()).cloned() else { continue };
+            if incarnation.id == *id {
+                self.attach(&task_ref, &incarnation);
+            }
+        }
+    }
+
     /// Handles the restart of a worker: all runs of its previous incarnation have ended. Start orders that were not
     /// answered may still reach the new incarnation, so their runs are stopped there before the tasks are placed again.
     pub(super) fn worker_restarted(&mut self, now_us: u64, entry: WorkerEntry) {
@@ -69,6 +83,7 @@
         let had_session = self.workers.get(&id).is_some_and(|worker| worker.has_session);
         let mut worker = Worker::new(now_us, entry);
         worker.has_session = had_session;
+        worker.is_cordoned = worker.entry.host.as_ref().is_some_and(|host| self.is_host_leaving(host));
         let incarnation = worker.incarnation();
         self.workers.insert(id.clone(), worker);
         for task_ref in tasks_with_start_in_flight {
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -78,6 +78,11 @@
     leader_since_us: u64,
     /// When the latest confirmed renewal of leadership was sent.
     pub(super) leadership_renewed_us: u64,
+    /// Orders that end work rely only on what workers have reported when asked after this time: the takeover, or the
+    /// end of the latest gap in the renewals of leadership.
+    pub(super) knowledge_since_us: u64,
+    /// Restored tasks on workers that were not registered when the tasks were restored, by worker ID.
+    pub(super) unattached_tasks: HashMap<Arc<str>, Vec<TaskRef>>,
     /// Number of queued jobs of each queue, as last reported.
     pub(super) reported_pending_counts: Vec<(Arc<str>, u64)>,
     /// When these numbers were last compared with the current ones.
@@ -118,6 +123,8 @@
             records_to_remove: Vec::new(),
             leader_since_us: now_us,
             leadership_renewed_us: now_us,
+            knowledge_since_us: now_us,
+            unattached_tasks: HashMap::new(),
             reported_pending_counts: Vec::new(),
             pending_counts_checked_us: 0,
             is_pending_report_stale: false,
@@ -294,6 +301,18 @@
             && now_us < self.leadership_renewed_us + HOST_ORDERS_AFTER_RENEWAL_MS * US_PER_MS
     }
 
+    /// Handles a confirmed renewal of leadership that was sent at `sent_us`.
+    pub(super) fn leadership_renewed(&mut self, now_us: u64, sent_us: u64) {
+        if now_us >= self.leadership_renewed_us + HOST_ORDERS_AFTER_RENEWAL_MS * US_PER_MS {
+            log::info!(
+                "unconfirmed_ms={} outcome=store_gap_ended",
+                now_us.saturating_sub(self.leadership_renewed_us) / US_PER_MS
+            );
+            self.knowledge_since_us = now_us;
+        }
+        self.leadership_renewed_us = self.leadership_renewed_us.max(sent_us);
+    }
+
     /// Whether a host order may be sent. The leader checks this again just before it sends each order.
     pub(crate) fn may_send_host_order(&self, now_us: u64) -> bool {
         self.may_order_hosts(now_us)
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -108,6 +108,8 @@
     availability: HashMap<TaskRef, TaskAvailability>,
     /// Number of runs at work that an order ended.
     pub(super) disruption_count: u32,
+    /// Number of hosts that were moved.
+    pub(super) move_count: u32,
     /// Tasks with a run that completed.
     done: HashSet<TaskRef>,
     /// Tasks whose completion the leader has acknowledged.
@@ -162,6 +164,7 @@
             complete_waves: HashSet::new(),
             availability: HashMap::new(),
             disruption_count: 0,
+            move_count: 0,
             done: HashSet::new(),
             acknowledged_done: HashSet::new(),
             acknowledged_failures: HashMap::new(),
@@ -288,13 +291,17 @@
 
     /// Runs without new faults until every job is in a final phase, for at most `for_ms`.
     pub(super) fn run_until_jobs_final(&mut self, for_ms: u64) {
-        self.faults = Faults::default();
+        self.end_faults();
         let end_us = self.now_us + for_ms * US_PER_MS;
         while self.now_us < end_us && !self.are_jobs_final() {
             self.run_for(100);
         }
     }
 
+    pub(super) fn end_faults(&mut self) {
+        self.faults = Faults::default();
+    }
+
     /// Whether a task of the job has failed at least [`MAX_ATTEMPTS`] times.
     pub(super) fn has_exhausted_attempts(&self, id: &JobId) -> bool {
         self.failures.iter().any(|(task, count)| task.job == *id && *count >= MAX_ATTEMPTS)
--- a/src/sched/sim/hosts.rs
+++ b/src/sched/sim/hosts.rs
@@ -148,6 +148,7 @@
             HostAction::Move { pool, .. } => {
                 host.pool = pool.clone();
                 host.phase = HostPhase::Moving;
+                self.move_count += 1;
                 settings().host_move_ms
             }
             HostAction::Maintain { wave, .. } => {
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -9,7 +9,7 @@
 
 use super::action::Action;
 use super::host_orders::HostOrder;
-use super::job::{RunPhase, TaskState};
+use super::job::Task;
 use super::model::{HostOrderOutcome, HostPhase, Step, TaskRef, WaveOrder};
 use super::scheduler::Scheduler;
 use crate::clock::US_PER_MS;
@@ -85,6 +85,14 @@
         records
     }
 
+    /// Whether a wave drains the host, or has ordered its maintenance and does not know yet that it has begun.
+    pub(super) fn is_taking_down(&self, host: &str) -> bool {
+        let mut stages = self.states.values().filter_map(|wave| wave.stages.get(host));
+        stages.any(|stage| {
+            matches!(stage, HostStage::Draining { .. } | HostStage::Ordered | HostStage::Unanswered { .. })
+        })
+    }
+
     /// Whether a wave is draining or maintaining the host.
     pub(super) fn is_handling(&self, host: &str) -> bool {
         let mut stages = self.states.values().filter_map(|wave| wave.stages.get(host));
@@ -161,6 +169,7 @@
     fn finish_returned_hosts(&mut self, number: u64) {
         let maintenance_us = (self.settings.host_maintenance_ms + RETURN_MARGIN_MS) * US_PER_MS;
         let Some(wave) = self.waves.states.get_mut(&number) else { return };
+        let mut returned = Vec::new();
         for (host, stage) in &mut wave.stages {
             let Some(record) = self.hosts.get(host) else {
                 if !matches!(stage, HostStage::Ordered | HostStage::Finished) {
@@ -173,8 +182,12 @@
             let is_listed_after_maintenance = self.host_moves.hosts_listed_us >= since_us + maintenance_us;
             if is_listed_after_maintenance && record.phase == HostPhase::Up {
                 *stage = HostStage::Finished;
+                returned.push(host.clone());
             }
         }
+        for host in returned {
+            self.set_cordoned(&host, false);
+        }
     }
 
     /// Starts to drain hosts, those with the least work first. Long-running tasks leave a host one after the other, so
@@ -214,10 +227,14 @@
 
     /// Number of long-running tasks on a host, and its reserved CPU in thousandths of a core.
     fn load_on(&self, host: &str) -> (u32, u64) {
-        match self.worker_on(host).and_then(|id| self.workers.get(&id)) {
-            Some(worker) => (worker.long_running_count, worker.reserved.cpu_milli),
-            None => (0, 0),
+        let mut long_running_count = 0;
+        let mut cpu_milli = 0;
+        for id in self.possible_workers_on(host) {
+            let Some(worker) = self.workers.get(&id) else { continue };
+            long_running_count += worker.long_running_count;
+            cpu_milli += worker.reserved.cpu_milli;
         }
+        (long_running_count, cpu_milli)
     }
 
     /// The registered worker on a host: the one that the provider names, otherwise the last one known.
@@ -230,11 +247,46 @@
         self.workers.get(id).is_some_and(|worker| worker.is_listed).then(|| id.clone())
     }
 
+    /// Workers that may be on a host, registered or not: the one that the provider names, and the last one known.
+    fn possible_workers_on(&self, host: &str) -> BTreeSet<Arc<str>> {
+        let listed = self.hosts.get(host).and_then(|record| record.worker.as_ref());
+        listed.into_iter().chain(self.worker_by_host.get(host)).cloned().collect()
+    }
+
+    /// Tasks of which a run may be on a host. A worker without an entry in the registry may still run its tasks, so
+    /// these count until they are released.
+    fn tasks_on(&self, host: &str) -> Vec<TaskRef> {
+        let mut tasks = Vec::new();
+        for id in self.possible_workers_on(host) {
+            if let Some(worker) = self.workers.get(&id) {
+                tasks.extend(worker.tasks.iter().cloned());
+                continue;
+            }
+            for task_ref in self.unattached_tasks.get(&id).into_iter().flatten() {
+                let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+                if task.and_then(Task::placed_on).is_some_and(|incarnation| incarnation.id == id) {
+                    tasks.push(task_ref.clone());
+                }
+            }
+        }
+        tasks
+    }
+
+    pub(super) fn may_run_tasks(&self, host: &str) -> bool {
+        !self.tasks_on(host).is_empty()
+    }
+
+    /// Whether new tasks must be kept off a host's worker, also off one that is registered only now.
+    pub(super) fn is_host_leaving(&self, host: &str) -> bool {
+        self.waves.is_taking_down(host) || self.host_moves.is_leaving(host)
+    }
+
     /// Sets whether new tasks are kept off a host's worker.
     pub(super) fn set_cordoned(&mut self, host: &str, is_cordoned: bool) {
-        let Some(id) = self.worker_on(host) else { return };
-        if let Some(worker) = self.workers.get_mut(&id) {
-            worker.is_cordoned = is_cordoned;
+        for id in self.possible_workers_on(host) {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.is_cordoned = is_cordoned;
+            }
         }
     }
 
@@ -259,6 +311,8 @@
             }
         }
         for host in to_order {
+            let workers: Vec<Arc<str>> = self.possible_workers_on(&host).into_iter().collect();
+            log::info!("host={host} wave={number} workers={} outcome=maintenance_ordered", workers.join(","));
             self.set_stage(number, &host, HostStage::Ordered);
             self.host_orders.push(now_us, HostOrder::Maintain { host, wave: number });
         }
@@ -266,13 +320,14 @@
 
     /// Stops those tasks on a host that may be stopped by now. Returns whether the host has no tasks.
     fn drain_host(&mut self, now_us: u64, host: &str, waited_ms: u64) -> bool {
-        let Some(id) = self.worker_on(host) else { return true };
-        let Some(worker) = self.workers.get_mut(&id) else { return true };
-        worker.is_cordoned = true;
-        let tasks: Vec<TaskRef> = worker.tasks.iter().cloned().collect();
+        self.set_cordoned(host, true);
+        let tasks = self.tasks_on(host);
         for task_ref in &tasks {
             let Some(step) = self.step_of(task_ref) else { continue };
             let (long_running, checkpoints) = (step.long_running, step.checkpoints);
+            if !self.is_reporting(now_us, task_ref) {
+                continue;
+            }
             let may_stop = match long_running {
                 true => {
                     self.may_disrupt(now_us, task_ref)
@@ -301,31 +356,41 @@
 
     /// Whether the disruption budget of a task's step allows the task to be stopped now.
     pub(super) fn may_disrupt(&self, now_us: u64, task_ref: &TaskRef) -> bool {
-        let Some(step) = self.step_of(task_ref) else { return true };
-        let Some(max_unavailable) = step.max_unavailable else { return true };
+        let Some(max_unavailable) = self.step_of(task_ref).and_then(|step| step.max_unavailable) else { return true };
         let Some(occurrence) = self.jobs.get(&task_ref.job).and_then(|job| job.occurrences.get(&task_ref.occurrence))
         else {
             return true;
         };
         let tasks = &occurrence.steps[task_ref.step as usize].tasks;
+        if !tasks[task_ref.index as usize].may_be_at_work() {
+            return true;
+        }
         let mut others_unavailable = 0;
-        for (index, task) in tasks.iter().enumerate() {
+        for (index, other) in tasks.iter().enumerate() {
             if index as u32 == task_ref.index {
-                let is_running = matches!(task.state, TaskState::Placed { phase: RunPhase::Running { .. }, .. });
-                if !is_running {
-                    return true;
-                }
                 continue;
             }
-            let is_answering = task
-                .placed_on()
-                .and_then(|incarnation| self.workers.get(&incarnation.id))
-                .is_some_and(|worker| worker.is_listed && worker.has_answered_recently(now_us));
-            others_unavailable += u32::from(!task.is_fully_running() || !is_answering);
+            others_unavailable += u32::from(!self.is_available(now_us, other));
         }
         others_unavailable < max_unavailable
     }
 
+    /// Whether a task counts as available in its step's budget: it is fully at work, as its registered worker has
+    /// reported lately. Whatever the leader does not know for certain counts as unavailable.
+    fn is_available(&self, now_us: u64, task: &Task) -> bool {
+        let Some(worker) = task.placed_on().and_then(|incarnation| self.workers.get(&incarnation.id)) else {
+            return false;
+        };
+        task.is_fully_running() && worker.is_listed && worker.has_reported_since(now_us, self.knowledge_since_us)
+    }
+
+    /// Whether the worker of a placed task has reported its runs lately.
+    fn is_reporting(&self, now_us: u64, task_ref: &TaskRef) -> bool {
+        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+        let worker = task.and_then(Task::placed_on).and_then(|incarnation| self.workers.get(&incarnation.id));
+        worker.is_some_and(|worker| worker.has_reported_since(now_us, self.knowledge_since_us))
+    }
+
     /// Handles the outcome of an order to maintain a host.
     pub(crate) fn on_maintenance_outcome(
         &mut self,
@@ -360,9 +425,10 @@
 
     /// Handles a host that the provider has taken away: its tasks are lost, and its worker is gone.
     pub(super) fn host_removed(&mut self, now_us: u64, host: &str) {
-        let Some(id) = self.worker_on(host) else { return };
-        self.release_lost_tasks(now_us, &id);
-        self.worker_unlisted(&id);
+        for id in self.possible_workers_on(host) {
+            self.release_lost_tasks(now_us, &id);
+            self.worker_unlisted(&id);
+        }
         if let Some(record) = self.hosts.get_mut(host) {
             record.worker = None;
         }
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -12,6 +12,9 @@
 /// A worker has answered recently if its latest answer is no older than this. Workers with tasks answer about once per
 /// second.
 const RECENT_ANSWER_MS: u64 = 1_800;
+/// A worker has reported its runs lately if the hold request that it answered was sent no longer ago than this. The
+/// worker may wait for a second before it answers, and as long passes until its next answer.
+const MAX_REPORT_AGE_MS: u64 = 2_800;
 /// Weight of the latest run in a worker's moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.34;
 /// A worker whose average of failures exceeds this value gets no new tasks for [`QUARANTINE_MS`].
@@ -58,6 +61,8 @@
     pub(crate) latency_target_count: u32,
     pub(crate) best_effort_count: u32,
     pub(crate) last_answer_us: u64,
+    /// When the hold request was sent whose answer last told which runs the worker has.
+    pub(crate) report_requested_us: u64,
     /// Whether the latest hold request failed.
     pub(crate) is_silent: bool,
     pub(crate) next_hold_us: u64,
@@ -91,6 +96,7 @@
             latency_target_count: 0,
             best_effort_count: 0,
             last_answer_us: 0,
+            report_requested_us: 0,
             is_silent: false,
             next_hold_us: 0,
             blocked_until_us: 0,
@@ -171,6 +177,13 @@
         now_us < self.last_answer_us + RECENT_ANSWER_MS * US_PER_MS
     }
 
+    /// Whether the worker has reported its runs lately, when asked later than `since_us`. An answer that arrives late
+    /// may tell what held when its request was sent.
+    pub(crate) fn has_reported_since(&self, now_us: u64, since_us: u64) -> bool {
+        let is_recent = now_us < self.report_requested_us + MAX_REPORT_AGE_MS * US_PER_MS;
+        is_recent && self.report_requested_us > since_us && self.has_answered_recently(now_us)
+    }
+
     /// Whether a start order may be sent. A worker without tasks gets fewer hold requests, so it need not have answered
     /// recently.
     pub(crate) fn can_receive_start(&self, now_us: u64) -> bool {
