--- a/src/sched.rs
+++ b/src/sched.rs
@@ -36,6 +36,8 @@
 #[cfg(test)]
 mod host_tests;
 #[cfg(test)]
+mod planned_work_tests;
+#[cfg(test)]
 mod scheduler_tests;
 #[cfg(test)]
 mod sim;
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -41,7 +41,7 @@
         }
         let is_final = job.phase.is_final();
         for (task_ref, incarnation) in placed {
-            self.attach_to_known_worker(&task_ref, &incarnation.id);
+            self.attach_restored_task(&task_ref, &incarnation.id);
         }
         if is_final {
             self.stop_job_runs(now_us, id);
@@ -49,20 +49,14 @@
         self.refresh_job(id);
     }
 
-    /// Adds a worker to those known, with its restored tasks if it was not in the registry when they were restored.
-    pub(super) fn add_worker(&mut self, now_us: u64, worker: Worker) {
-        let id = worker.entry.id.clone();
-        let orphans = self.restored_orphans(now_us);
-        self.workers.insert(id.clone(), worker);
-        for task_ref in orphans {
-            self.attach_to_known_worker(&task_ref, &id);
-        }
-    }
-
-    /// Attaches a restored task to its worker. If the worker has restarted, the run has ended, but a delayed start order
-    /// may have reached the new incarnation. The task is taken to be there until that incarnation answers.
-    fn attach_to_known_worker(&mut self, task_ref: &TaskRef, id: &Arc<str>) {
-        let Some(known) = self.workers.get(id).map(Worker::incarnation) else { return };
+    /// Attaches a restored task to its worker, or keeps it until the worker is registered. If the worker has restarted,
+    /// the run has ended, but a delayed start order may have reached the new incarnation. The task is taken to be there
+    /// until that incarnation answers.
+    pub(super) fn attach_restored_task(&mut self, task_ref: &TaskRef, id: &Arc<str>) {
+        let Some(known) = self.workers.get(id).map(Worker::incarnation) else {
+            self.unattached_tasks.entry(id.clone()).or_default().push(task_ref.clone());
+            return;
+        };
         let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
         let TaskState::Placed { worker: recorded, .. } = &mut task.state else { return };
         if recorded.id != *id || recorded.started_unix_ms > known.started_unix_ms {
@@ -99,6 +93,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_clock(now_us, answer.clock_ms);
         worker.last_answer_us = now_us;
+        worker.report_requested_us = worker.report_requested_us.max(sent_us);
         worker.is_silent = false;
         if !worker.is_synced {
             worker.is_synced = true;
@@ -397,7 +392,7 @@
         if former_leader_leases_ended && now_us >= self.next_orphan_check_us {
             self.next_orphan_check_us = now_us + ORPHAN_CHECK_INTERVAL_MS * US_PER_MS;
             let orphans = self.orphans();
-            self.release_orphans(now_us, &orphans, |_| true);
+            self.release_orphans(now_us, &orphans);
         }
     }
 
@@ -417,19 +412,11 @@
         orphans
     }
 
-    /// The same while leases of a former leader may be in force. Later, there are none.
-    fn restored_orphans(&self, now_us: u64) -> Vec<TaskRef> {
-        match now_us < self.former_leader_leases_end_us() {
-            true => self.orphans(),
-            false => Vec::new(),
-        }
-    }
-
-    fn release_orphans(&mut self, now_us: u64, orphans: &[TaskRef], is_gone: impl Fn(&Arc<str>) -> bool) {
+    fn release_orphans(&mut self, now_us: u64, orphans: &[TaskRef]) {
         for task_ref in orphans {
             let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
             let Some(worker) = task.and_then(|task| task.placed_on()) else { continue };
-            if !is_gone(&worker.id) {
+            if self.has_incarnation(worker) {
                 continue;
             }
             log::warn!(
@@ -461,8 +448,14 @@
         for id in gone {
             self.release_lost_tasks(now_us, &id);
         }
-        let orphans = self.restored_orphans(now_us);
-        self.release_orphans(now_us, &orphans, |id| !on_hosts.contains(id));
+        let unattached: Vec<Arc<str>> = self.unattached_tasks.keys().cloned().collect();
+        for id in unattached {
+            if on_hosts.contains(&id) {
+                continue;
+            }
+            let orphans = self.unattached_tasks.remove(&id).unwrap_or_default();
+            self.release_orphans(now_us, &orphans);
+        }
     }
 
     /// Whether the provider lists the host of every registered worker. Otherwise, workers may run on hosts that it does
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -41,7 +41,10 @@
             if let Some(host) = &entry.host {
                 self.worker_by_host.insert(host.clone(), id.clone());
             }
-            self.add_worker(now_us, Worker::new(now_us, entry));
+            let mut worker = Worker::new(now_us, entry);
+            worker.is_cordoned = worker.entry.host.as_ref().is_some_and(|host| self.is_host_leaving(host));
+            self.workers.insert(id.clone(), worker);
+            self.attach_unattached(&id);
             self.open_session(&id);
             return;
         };
@@ -52,7 +55,7 @@
         let was_listed = std::mem::replace(&mut worker.is_listed, true);
         if let (false, Some(host)) = (was_listed, &entry.host) {
             // The drain of its host may have ended in the meantime.
-            worker.is_cordoned = self.host_moves.is_moving(host) || self.waves.is_handling(host);
+            worker.is_cordoned = self.waves.is_taking_down(host) || self.host_moves.is_leaving(host);
         }
         let starts_draining = entry.draining && !worker.entry.draining;
         worker.entry = entry;
@@ -63,6 +66,13 @@
         }
     }
 
+    /// Reserves capacity for restored tasks on a worker that has been registered only now.
+    fn attach_unattached(&mut self, id: &Arc<str>) {
+        for task_ref in self.unattached_tasks.remove(id).into_iter().flatten() {
+            self.attach_restored_task(&task_ref, id);
+        }
+    }
+
     /// Handles the restart of a worker: all runs of its previous incarnation have ended. Start orders that were not
     /// answered may still reach the new incarnation, so their runs are stopped there before the tasks are placed again.
     pub(super) fn worker_restarted(&mut self, now_us: u64, entry: WorkerEntry) {
@@ -73,6 +83,7 @@
         let had_session = self.workers.get(&id).is_some_and(|worker| worker.has_session);
         let mut worker = Worker::new(now_us, entry);
         worker.has_session = had_session;
+        worker.is_cordoned = worker.entry.host.as_ref().is_some_and(|host| self.is_host_leaving(host));
         let incarnation = worker.incarnation();
         self.workers.insert(id.clone(), worker);
         for task_ref in tasks_with_start_in_flight {
