--- a/src/sched/candidate.rs
+++ b/src/sched/candidate.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::sync::Arc;
 
-use super::model::{Resources, Step};
+use super::model::{HostRecord, Resources, Step};
 use super::worker::Worker;
 
 /// A worker considered in a placement round.
@@ -25,6 +25,8 @@
     pub(super) failure_tenths: u32,
     /// Whether the advice service, where the queue requires it, allows the worker for the present step.
     pub(super) is_allowed: bool,
+    /// Whether the worker is kept free for a long-running task that waits for capacity there.
+    pub(super) is_reserved: bool,
 }
 
 impl Candidate {
@@ -39,21 +41,23 @@
             best_effort_count: worker.best_effort_count,
             failure_tenths: (worker.failure_average() * 10.0) as u32,
             is_allowed: true,
+            is_reserved: false,
         }
     }
 
     /// A host whose worker has not started yet.
-    pub(super) fn of_host(id: Arc<str>, capacity: Resources, labels: Vec<Arc<str>>) -> Candidate {
+    pub(super) fn of_host(host: &HostRecord) -> Candidate {
         Candidate {
-            id,
-            free_capacity: capacity,
-            capacity_excluding_long_running: capacity,
-            labels,
+            id: host.name.clone(),
+            free_capacity: host.capacity,
+            capacity_excluding_long_running: host.capacity,
+            labels: host.labels.clone(),
             long_running_count: 0,
             latency_target_count: 0,
             best_effort_count: 0,
             failure_tenths: 0,
             is_allowed: true,
+            is_reserved: false,
         }
     }
 
@@ -63,6 +67,16 @@
         self.admits(step, siblings) && step.reserved().fits_in(&self.capacity_excluding_long_running)
     }
 
+    /// Number of tasks of a step that could run on the worker at the same time, apart from `siblings`, once all tasks
+    /// there have ended that are not long-running.
+    pub(super) fn places_for(&self, step: &Step, siblings: u32) -> u32 {
+        if !self.can_ever_run(step, siblings) {
+            return 0;
+        }
+        let limit = step.max_per_worker.map_or(u32::MAX, |limit| limit.saturating_sub(siblings));
+        self.capacity_excluding_long_running.count_of(&step.reserved()).min(limit)
+    }
+
     /// Whether a task may run on the worker, its capacity left aside. `siblings` is the number of tasks of the same
     /// step that run there already.
     pub(super) fn admits(&self, step: &Step, siblings: u32) -> bool {
--- a/src/sched/host_demand_tests.rs
+++ b/src/sched/host_demand_tests.rs
@@ -2,49 +2,14 @@
 
 use std::sync::Arc;
 
-use super::action::Action;
-use super::model::{ActiveRun, HoldAnswer, HostPhase, HostRecord, PoolConfig, Step, WaveOrder, WorkerEntry};
+use super::leader_fixtures::{
+    add_hosts, entry_in, host, leader_with_workers, long_step, run, run_with, task, to_press, JOB, SECOND_US,
+};
+use super::model::{EndedRun, JobSpec, Queue, RunOutcome, Step, TaskRef, WaveOrder, WorkerEntry};
 use super::scheduler::Scheduler;
-use super::sim::{catalog, settings, spec, step, worker_entry};
+use super::sim::{spec, step};
 use super::worker::Worker;
 
-const SECOND_US: u64 = 1_000_000;
-const JOB: &str = "long-running";
-
-fn entry_in(pool: &str, number: usize) -> WorkerEntry {
-    WorkerEntry { pool: pool.into(), ..worker_entry(number, 1) }
-}
-
-fn host(entry: &WorkerEntry, is_running: bool) -> HostRecord {
-    HostRecord {
-        name: entry.host.clone().expect("the worker has a host"),
-        pool: entry.pool.clone(),
-        phase: HostPhase::Up,
-        worker: is_running.then(|| entry.id.clone()),
-        capacity: entry.capacity,
-        zone: entry.zone.clone(),
-        labels: entry.labels.clone(),
-    }
-}
-
-/// A leader with `count` workers in the pool `press`, and the spare host `h9`.
-fn leader_with_workers(count: usize) -> Scheduler {
-    const TAKEOVER_US: u64 = 8_500_000;
-    let mut leader = Scheduler::new(TAKEOVER_US, settings());
-    let mut config = (*catalog()).clone();
-    config.pools.push(PoolConfig { name: "spare".into(), spare: true });
-    leader.configure(Arc::new(config));
-    let mut hosts = vec![host(&entry_in("spare", 9), false)];
-    for number in 0..count {
-        let entry = entry_in("press", number);
-        hosts.push(host(&entry, true));
-        leader.worker_listed(TAKEOVER_US, entry);
-    }
-    leader.hosts_listed(TAKEOVER_US, TAKEOVER_US, hosts);
-    run(&mut leader, TAKEOVER_US, 1_500);
-    leader
-}
-
 /// A step whose tasks must run on different workers; one of them may be made unavailable at a time.
 fn spread_step(count: u32) -> Step {
     let mut step = step(count, &[]);
@@ -54,45 +19,6 @@
     step
 }
 
-/// Lets every worker report that all tasks placed on it run at 100 percent, except the stopped ones.
-fn answer_holds(leader: &mut Scheduler, now_us: u64) {
-    let ids: Vec<Arc<str>> = leader.workers.keys().cloned().collect();
-    for id in ids {
-        let mut running = Vec::new();
-        for task_ref in &leader.workers[&id].tasks {
-            let task = leader.jobs[&task_ref.job].task(task_ref).expect("the task is known");
-            let task =
-                ActiveRun { task: task_ref.clone(), run: task.run, checkpoint: "".into(), percent: 100, load: None };
-            running.push(task);
-        }
-        let clock_ms = 20_000 + now_us / 1_000;
-        let answer = HoldAnswer { clock_ms, started_unix_ms: None, running, ended: Vec::new() };
-        leader.on_hold_answer(now_us, now_us, &id, &answer);
-    }
-}
-
-/// Runs the leader with its leadership confirmed and all workers answering; returns the moves that it ordered.
-fn run(leader: &mut Scheduler, from_us: u64, for_ms: u64) -> Vec<(String, String)> {
-    let mut moves = Vec::new();
-    for elapsed_ms in (0..for_ms).step_by(100) {
-        let now_us = from_us + elapsed_ms * 1_000;
-        answer_holds(leader, now_us);
-        leader.tick(now_us, 0);
-        let batch = leader.take_batch(now_us);
-        leader.batch_committed(now_us, now_us, &batch);
-        for action in leader.take_actions() {
-            if let Action::MoveHost { host, pool } = action {
-                moves.push((host.to_string(), pool.to_string()));
-            }
-        }
-    }
-    moves
-}
-
-fn spare_host_to_press() -> Vec<(String, String)> {
-    vec![("h9".to_owned(), "press".to_owned())]
-}
-
 fn waiting_count(leader: &Scheduler) -> usize {
     leader.jobs[JOB].tasks().filter(|(_, task)| task.placed_on().is_none()).count()
 }
@@ -105,21 +31,18 @@
     let moves = run(&mut leader, 10 * SECOND_US, 3_000);
 
     assert_eq!(waiting_count(&leader), 1);
-    assert_eq!(moves, spare_host_to_press());
+    assert_eq!(moves, [to_press("h9")]);
 }
 
 #[test]
 fn long_running_task_gets_a_host_if_free_capacity_is_in_pieces_that_are_too_small() {
     let mut leader = leader_with_workers(2);
-    let mut large = step(3, &[]);
-    large.long_running = true;
-    large.needs.cpu_milli = 8_100;
-    leader.submit(10 * SECOND_US, 0, JOB.into(), spec(vec![large]));
+    leader.submit(10 * SECOND_US, 0, JOB.into(), spec(vec![long_step(3, 8_100)]));
 
     let moves = run(&mut leader, 10 * SECOND_US, 3_000);
 
     assert_eq!(waiting_count(&leader), 1);
-    assert_eq!(moves, spare_host_to_press());
+    assert_eq!(moves, [to_press("h9")]);
 }
 
 #[test]
@@ -127,15 +50,14 @@
     let mut leader = leader_with_workers(2);
     let mut larger = host(&entry_in("spare", 8), false);
     larger.capacity.cpu_milli = 32_000;
-    let hosts = leader.hosts.values().cloned().chain([larger]).collect();
-    leader.hosts_listed(10 * SECOND_US, 10 * SECOND_US, hosts);
+    add_hosts(&mut leader, [larger]);
     let mut large = step(1, &[]);
     large.needs.cpu_milli = 20_000;
     leader.submit(10 * SECOND_US, 0, JOB.into(), spec(vec![large]));
 
     let moves = run(&mut leader, 10 * SECOND_US, 3_000);
 
-    assert_eq!(moves.first(), Some(&("h8".to_owned(), "press".to_owned())));
+    assert_eq!(moves.first(), Some(&to_press("h8")));
 }
 
 #[test]
@@ -182,7 +104,7 @@
     let moves = run(&mut leader, 11 * SECOND_US, 3_000);
 
     assert!(leader.workers[&busy[1].id].is_cordoned, "the budget does not allow a second task to be stopped");
-    assert_eq!(moves, spare_host_to_press());
+    assert_eq!(moves, [to_press("h9")]);
 }
 
 #[test]
@@ -225,3 +147,138 @@
 
     assert!(!leader.workers["w0"].is_cordoned);
 }
+
+/// Number of hosts that the leader requests for tasks that no worker can take.
+fn requested_hosts(leader: &mut Scheduler) -> u32 {
+    leader.pool_balances(10 * SECOND_US);
+    leader.unplaceable_tasks(10 * SECOND_US).iter().map(|tasks| tasks.host_count).sum()
+}
+
+#[test]
+fn jobs_that_can_run_on_one_larger_host_one_after_the_other_request_one_host() {
+    let mut leader = leader_with_workers(2);
+    let mut larger = host(&entry_in("spare", 8), false);
+    larger.capacity.cpu_milli = 32_000;
+    add_hosts(&mut leader, [larger]);
+    for number in 0..4 {
+        let mut large = step(1, &[]);
+        large.needs.cpu_milli = 20_000;
+        large.estimate_ms = 100;
+        leader.submit(10 * SECOND_US, 0, format!("job-{number}").into(), spec(vec![large]));
+    }
+
+    assert_eq!(requested_hosts(&mut leader), 1);
+}
+
+#[test]
+fn gang_whose_members_do_not_fit_together_requests_a_host() {
+    let mut leader = leader_with_workers(2);
+    let mut gang = step(3, &[]);
+    gang.gang = true;
+    gang.estimate_ms = 100;
+    gang.needs.cpu_milli = 10_000;
+    leader.submit(10 * SECOND_US, 0, JOB.into(), spec(vec![gang]));
+
+    assert_eq!(requested_hosts(&mut leader), 1);
+}
+
+#[test]
+fn long_running_task_that_needs_a_gpu_gets_a_host_with_one_though_another_host_has_more_cpu() {
+    let mut leader = leader_with_workers(2);
+    let mut with_gpu = host(&entry_in("spare", 8), false);
+    with_gpu.capacity.gpus = 4;
+    let mut with_more_cpu = host(&entry_in("spare", 7), false);
+    with_more_cpu.capacity.cpu_milli = 32_000;
+    add_hosts(&mut leader, [with_gpu, with_more_cpu]);
+    let mut long = long_step(1, 2_000);
+    long.needs.gpus = 1;
+    leader.submit(10 * SECOND_US, 0, JOB.into(), spec(vec![long]));
+
+    let moves = run(&mut leader, 10 * SECOND_US, 3_000);
+
+    assert!(moves.contains(&to_press("h8")), "{moves:?}");
+}
+
+#[test]
+fn no_host_moves_to_a_pool_that_the_configuration_no_longer_has() {
+    let mut leader = leader_with_workers(2);
+    let queue = Queue { name: "old".into(), pool: "removed".into(), ..(*spec(vec![]).queue).clone() };
+    let job = JobSpec { queue: Arc::new(queue), ..spec(vec![long_step(1, 2_000)]) };
+    leader.submit(10 * SECOND_US, 0, JOB.into(), job);
+
+    let moves = run(&mut leader, 10 * SECOND_US, 1_000);
+
+    assert_eq!(moves, []);
+}
+
+#[test]
+fn small_long_running_task_starts_where_it_fits_though_a_large_one_waits() {
+    let mut leader = leader_with_workers(1);
+    leader.hosts.remove("h9");
+    let mut batch = step(1, &[]);
+    batch.needs.cpu_milli = 8_000;
+    leader.submit(10 * SECOND_US, 0, "batch".into(), spec(vec![batch]));
+    run(&mut leader, 10 * SECOND_US, 200);
+
+    leader.submit(10_200_000, 0, "a-large".into(), spec(vec![long_step(1, 12_000)]));
+    leader.submit(10_200_000, 0, "b-small".into(), spec(vec![long_step(1, 2_000)]));
+    run(&mut leader, 10_200_000, 2_000);
+
+    assert!(task(&leader, "b-small").placed_on().is_some(), "8 cores are free");
+}
+
+#[test]
+fn small_long_running_task_starts_though_many_large_ones_wait() {
+    let mut leader = leader_with_workers(2);
+    leader.hosts.remove("h9");
+    for number in 0..48 {
+        let id = format!("a-{number:02}");
+        leader.submit(10 * SECOND_US, 0, id.into(), spec(vec![long_step(1, 17_000 - number)]));
+    }
+    leader.submit(10 * SECOND_US, 0, "b-small".into(), spec(vec![long_step(1, 2_000)]));
+
+    run(&mut leader, 10 * SECOND_US, 3_000);
+
+    assert!(task(&leader, "b-small").placed_on().is_some(), "both workers are idle");
+}
+
+/// Completes the tasks on a worker that have run for 2 s.
+fn complete_tasks(leader: &mut Scheduler, now_us: u64, worker: &str) {
+    let placed: Vec<TaskRef> = leader.workers[worker].tasks.iter().cloned().collect();
+    for task_ref in placed {
+        let task = leader.jobs[&task_ref.job].task(&task_ref).expect("the task is known");
+        if now_us <= task.percent_since_us + 2 * SECOND_US {
+            continue;
+        }
+        let number = leader.workers[worker].processed_cursor + 1;
+        let (run, outcome) = (task.run, RunOutcome::Done);
+        let ended = EndedRun { number, task: task_ref, run, outcome, checkpoint: "".into() };
+        leader.run_ended(now_us, &worker.into(), &ended);
+    }
+}
+
+#[test]
+fn wave_maintains_a_host_though_short_tasks_that_run_only_there_keep_arriving() {
+    let mut leader = leader_with_workers(2);
+    leader.hosts.remove("h9");
+    let mut labelled = leader.workers["w1"].entry.clone();
+    labelled.labels.insert(1, "other".into());
+    leader.worker_listed(10 * SECOND_US, labelled.clone());
+    let mut wave = Some(wave_of(&labelled));
+    let mut short = step(1, &[]);
+    short.estimate_ms = 2_000;
+    short.required_label = Some("other".into());
+
+    let orders = run_with(&mut leader, 10 * SECOND_US, 40_000, |leader, now_us| {
+        if now_us % SECOND_US == 0 {
+            let job = JobSpec { accepted_unix_ms: now_us / 1_000, ..spec(vec![short.clone()]) };
+            leader.submit(now_us, now_us / 1_000, format!("short-{now_us}").into(), job);
+        }
+        if let Some(wave) = wave.take_if(|_| now_us >= 13 * SECOND_US) {
+            leader.add_wave(wave);
+        }
+        complete_tasks(leader, now_us, "w1");
+    });
+
+    assert!(orders.maintenance_count > 0, "the wave is to take 20 s");
+}
--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -92,14 +92,6 @@
         self.moving.contains_key(host) || self.draining.contains_key(host)
     }
 
-    pub(super) fn is_draining(&self, host: &str) -> bool {
-        self.draining.contains_key(host)
-    }
-
-    pub(super) fn end_drain(&mut self, host: &str) {
-        self.draining.remove(host);
-    }
-
     /// Whether a host is drained for a move, or has been ordered to move and the order is not acknowledged.
     pub(super) fn is_leaving(&self, host: &str) -> bool {
         let is_unacknowledged = self.moving.get(host).is_some_and(|host_move| !host_move.is_acknowledged);
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -96,6 +96,13 @@
         self.gpus = self.gpus.saturating_add(other.gpus);
     }
 
+    /// How many times `part` fits in these resources; [`u32::MAX`] if it is nothing.
+    pub(crate) fn count_of(&self, part: &Resources) -> u32 {
+        let pairs = [(self.cpu_milli, part.cpu_milli), (self.mem_mb, part.mem_mb), (self.gpus, part.gpus)];
+        let counts = pairs.into_iter().filter_map(|(all, part)| all.checked_div(part));
+        counts.min().map_or(u32::MAX, |count| u32::try_from(count).unwrap_or(u32::MAX))
+    }
+
     /// Subtracts each component, stopping at zero.
     pub(crate) fn minus(&self, other: &Resources) -> Resources {
         Resources {
@@ -320,6 +327,13 @@
     pub(crate) labels: Vec<Arc<str>>,
 }
 
+impl HostRecord {
+    /// Whether the host has a label, if one is required, and these resources.
+    pub(crate) fn offers(&self, label: Option<&Arc<str>>, needs: &Resources) -> bool {
+        label.is_none_or(|label| self.labels.contains(label)) && needs.fits_in(&self.capacity)
+    }
+}
+
 /// A maintenance wave: an operator's order to take a group of hosts down for maintenance.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct WaveOrder {
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -6,7 +6,7 @@
 use super::action::Action;
 use super::candidate::{racks, score, Candidate, PlacementRound, Score};
 use super::job::{Job, RunPhase, TaskState};
-use super::model::{Advice, JobId, Resources, Step, TaskRef};
+use super::model::{Advice, JobId, Step, TaskRef};
 use super::scheduler::Scheduler;
 use super::urgency::Urgency;
 use super::worker::Worker;
@@ -91,7 +91,7 @@
                     continue;
                 }
                 if !step.gang && !round.may_fit(&step.reserved()) {
-                    round.steps_without_capacity += 1;
+                    round.steps_without_capacity += u32::from(!step.long_running);
                     continue;
                 }
                 let (waiting, has_delayed) = waiting_tasks(job, number, index, now_us);
@@ -150,7 +150,8 @@
                 }
                 if step.has_no_placement_constraints() && workers.iter().all(|worker| worker.is_allowed) {
                     round.record_unplaceable(needs);
-                    round.steps_without_capacity += 1;
+                    // Long-running tasks come first, so those that do not fit must not end the round.
+                    round.steps_without_capacity += u32::from(!step.long_running);
                 }
                 break;
             };
@@ -257,6 +258,9 @@
             if !reserved.fits_in(&worker.free_capacity) || !worker.admits(step, siblings) {
                 continue;
             }
+            if worker.is_reserved && !step.long_running {
+                continue;
+            }
             let score = score(worker, step, task.avoided_workers.contains(&worker.id), siblings);
             if best.as_ref().is_none_or(|(known, _)| score < *known) {
                 best = Some((score, index));
@@ -369,11 +373,10 @@
 /// the one with the most free CPU. Otherwise small tasks would take the capacity as it becomes free, and the
 /// long-running task would wait for as long as there are small tasks.
 fn reserve_worker_for_long_running(step: &Step, workers: &mut [Candidate], siblings: &HashMap<Arc<str>, u32>) {
-    let reserved = step.reserved();
     let mut best: Option<&mut Candidate> = None;
     for worker in workers {
         let siblings = siblings.get(&worker.id).copied().unwrap_or(0);
-        if !reserved.fits_in(&worker.capacity_excluding_long_running) || !worker.admits(step, siblings) {
+        if worker.is_reserved || !worker.can_ever_run(step, siblings) {
             continue;
         }
         if best.as_ref().is_none_or(|known| worker.free_capacity.cpu_milli > known.free_capacity.cpu_milli) {
@@ -381,7 +384,7 @@
         }
     }
     if let Some(worker) = best {
-        worker.free_capacity = Resources::default();
+        worker.is_reserved = true;
     }
 }
 
--- a/src/sched/rebalance.rs
+++ b/src/sched/rebalance.rs
@@ -49,12 +49,6 @@
     needs: Resources,
 }
 
-impl HostRequest<'_> {
-    fn is_met_by(&self, host: &HostRecord) -> bool {
-        self.label.is_none_or(|label| host.labels.contains(label)) && self.needs.fits_in(&host.capacity)
-    }
-}
-
 /// State of one search for hosts: the balances after the moves chosen so far, and the hosts chosen.
 #[derive(Debug)]
 struct HostSearch<'a> {
@@ -108,22 +102,25 @@
     /// Moves hosts to pools for tasks that none of their workers can take.
     fn cover_unplaceable_tasks(&mut self, now_us: u64, search: &mut HostSearch<'_>) {
         for tasks in self.unplaceable_tasks(now_us) {
+            let step = tasks.step();
             let request = HostRequest {
                 pool: &tasks.pool,
-                label: tasks.step.required_label.as_ref(),
+                label: step.required_label.as_ref(),
                 kind: RequestKind::Unschedulable,
-                needs: tasks.step.reserved(),
+                needs: step.reserved(),
             };
             for _ in 0..tasks.host_count {
-                if !self.cover_shortfall(now_us, &request, 1, search) {
+                let is_found = self.cover_shortfall(now_us, &request, 1, search);
+                if !is_found && step.long_running {
                     self.give_back_draining_worker(now_us, &tasks);
+                    break;
                 }
             }
         }
     }
 
-    /// Ends the drain of a worker that could run tasks which no other worker and no host can take. Otherwise a drain that
-    /// waits for the disruption budget of these tasks would keep them waiting.
+    /// Ends the drain, for a wave, of a worker that could run long-running tasks which no other worker and no host can
+    /// take. Otherwise a drain that waits for the disruption budget of these tasks would keep them waiting.
     fn give_back_draining_worker(&mut self, now_us: u64, tasks: &UnplaceableTasks) {
         let mut given_back = None;
         for worker in self.workers.values() {
@@ -134,8 +131,8 @@
                 && worker.is_listed
                 && !worker.is_silent
                 && !worker.entry.draining
-                && Candidate::of_worker(worker).can_ever_run(&tasks.step, siblings);
-            if can_run && (self.waves.is_draining(host) || self.host_moves.is_draining(host)) {
+                && Candidate::of_worker(worker).can_ever_run(tasks.step(), siblings);
+            if can_run && self.waves.is_only_draining(host) {
                 given_back = Some(host.clone());
                 break;
             }
@@ -143,12 +140,12 @@
         let Some(host) = given_back else { return };
         log::info!("host={host} pool={} outcome=drain_ended_for_waiting_task", tasks.pool);
         self.waves.postpone_drain(&host, now_us + DRAIN_POSTPONED_MS * US_PER_MS);
-        self.host_moves.end_drain(&host);
         self.set_cordoned(&host, false);
         self.wants_placement = true;
     }
 
-    /// Returns false if no more hosts were found that may move to the pool.
+    /// Returns false if the search ended because no host may move to the pool. The limit on the rate of orders also ends
+    /// it, until the next one.
     fn cover_shortfall(
         &mut self,
         now_us: u64,
@@ -183,7 +180,7 @@
     fn select_host(&self, now_us: u64, request: &HostRequest<'_>, search: &HostSearch<'_>) -> Option<SelectedHost> {
         let mut best: Option<(Reverse<u64>, bool, u64, &Arc<str>)> = None;
         for (name, host) in &self.hosts {
-            if host.pool == *request.pool || !request.is_met_by(host) {
+            if host.pool == *request.pool || !host.offers(request.label, &request.needs) {
                 continue;
             }
             if search.taken.contains(name) || !self.may_move(now_us, name, host, request.pool) {
--- a/src/sched/unplaceable.rs
+++ b/src/sched/unplaceable.rs
@@ -8,53 +8,43 @@
 
 use super::candidate::Candidate;
 use super::job::{Job, TaskState};
-use super::model::{HostPhase, HostRecord, Resources, Step};
+use super::model::{HostPhase, HostRecord, JobSpec, Step};
 use super::scheduler::Scheduler;
 
 /// Tasks of one step that no worker of its pool can take.
 #[derive(Debug)]
 pub(super) struct UnplaceableTasks {
     pub(super) pool: Arc<str>,
-    pub(super) step: Step,
+    spec: Arc<JobSpec>,
+    step_index: usize,
     /// Tasks of the step on each worker.
     pub(super) siblings: HashMap<Arc<str>, u32>,
     /// Number of hosts that would take the tasks.
     pub(super) host_count: u32,
 }
 
-/// Workers and hosts of one pool, with the capacity that the tasks considered so far leave them.
-#[derive(Debug, Default)]
-struct PoolCapacity {
-    candidates: Vec<Candidate>,
-}
-
-impl PoolCapacity {
-    /// Reserves capacity for one task of a step; `siblings` counts the step's tasks on each candidate.
-    fn reserve(&mut self, step: &Step, siblings: &mut HashMap<Arc<str>, u32>) -> bool {
-        for candidate in &mut self.candidates {
-            let here = siblings.get(&candidate.id).copied().unwrap_or(0);
-            if !candidate.can_ever_run(step, here) {
-                continue;
-            }
-            candidate.reserve(step);
-            *siblings.entry(candidate.id.clone()).or_default() += 1;
-            return true;
-        }
-        false
+impl UnplaceableTasks {
+    pub(super) fn step(&self) -> &Step {
+        &self.spec.steps[self.step_index]
     }
+}
 
-    /// Adds a host of the kind that the pool would have to get for a step.
-    fn add_host(&mut self, number: usize, step: &Step, capacity: Resources) {
-        let labels = step.required_label.clone().into_iter().collect();
-        self.candidates.push(Candidate::of_host(format!("new-{number}").into(), capacity, labels));
-    }
+/// Waiting tasks of one step.
+#[derive(Debug)]
+struct WaitingStep {
+    step_index: usize,
+    siblings: HashMap<Arc<str>, u32>,
+    waiting: u32,
 }
 
+/// Workers and incoming hosts of each pool, with the capacity that the tasks considered so far leave them.
+type PoolCandidates = BTreeMap<Arc<str>, Vec<Candidate>>;
+
 impl Scheduler {
-    /// Finds the waiting tasks of long-running and on-time jobs that no worker or incoming host of their pool can take.
+    /// Finds the waiting tasks of long-running and on-time jobs that no worker or incoming host of their pool can take,
+    /// but that some host could run.
     pub(super) fn unplaceable_tasks(&self, now_us: u64) -> Vec<UnplaceableTasks> {
-        let largest_host = self.largest_host();
-        let mut pools: BTreeMap<Arc<str>, PoolCapacity> = BTreeMap::new();
+        let mut pools = self.pool_candidates(now_us);
         let mut found = Vec::new();
         for id in &self.ready_jobs {
             let Some(job) = self.jobs.get(id) else { continue };
@@ -62,94 +52,114 @@
                 continue;
             }
             let pool = self.queue_of(job).pool.clone();
-            let capacity = pools.entry(pool.clone()).or_insert_with(|| self.pool_capacity(now_us, &pool));
-            for (step, siblings, waiting) in self.waiting_steps(job) {
-                let host_count = missing_hosts(capacity, &step, siblings.clone(), waiting, largest_host);
+            // Hosts cannot move to a pool that is not configured any more.
+            let Some(candidates) = pools.get_mut(&pool) else { continue };
+            for waiting_step in self.waiting_steps(job) {
+                let WaitingStep { step_index, siblings, waiting } = waiting_step;
+                let step = &job.spec.steps[step_index];
+                let missing = reserve(candidates, step, &siblings, waiting);
+                if missing == 0 {
+                    continue;
+                }
+                let host_count = self.reserve_on_new_hosts(candidates, step, missing);
                 if host_count > 0 {
-                    found.push(UnplaceableTasks { pool: pool.clone(), step, siblings, host_count });
+                    let (pool, spec) = (pool.clone(), job.spec.clone());
+                    found.push(UnplaceableTasks { pool, spec, step_index, siblings, host_count });
                 }
             }
         }
         found
     }
 
-    /// Steps of a job with tasks that could start, with the step's tasks on each worker and the number of waiting ones.
-    fn waiting_steps(&self, job: &Job) -> Vec<(Step, HashMap<Arc<str>, u32>, u32)> {
+    /// Steps of a job with tasks that could start.
+    fn waiting_steps(&self, job: &Job) -> Vec<WaitingStep> {
         let mut steps = Vec::new();
         for (number, occurrence) in &job.occurrences {
-            for (index, state) in occurrence.steps.iter().enumerate() {
-                if !job.is_step_unblocked(*number, index) {
+            for (step_index, state) in occurrence.steps.iter().enumerate() {
+                if !job.is_step_unblocked(*number, step_index) {
                     continue;
                 }
                 let waiting = state.tasks.iter().filter(|task| task.state == TaskState::Waiting).count() as u32;
                 if waiting == 0 {
                     continue;
                 }
-                let step = job.spec.steps[index].clone();
+                let step = &job.spec.steps[step_index];
                 let siblings = match step.long_running {
-                    true => self.siblings_per_worker(&job.task_ref(*number, index, 0), &step),
+                    true => self.siblings_per_worker(&job.task_ref(*number, step_index, 0), step),
                     false => HashMap::new(),
                 };
-                steps.push((step, siblings, waiting));
+                steps.push(WaitingStep { step_index, siblings, waiting });
             }
         }
         steps
     }
 
-    /// Usable workers of a pool, and hosts that are moving there.
-    fn pool_capacity(&self, now_us: u64, pool: &str) -> PoolCapacity {
-        let in_pool = self.workers.values().filter(|worker| &*worker.entry.pool == pool && worker.is_usable());
-        let mut candidates: Vec<Candidate> = in_pool.map(Candidate::of_worker).collect();
-        for (name, target) in self.host_moves.incoming_hosts(now_us) {
-            let Some(host) = self.hosts.get(name) else { continue };
-            if &**target == pool {
-                candidates.push(Candidate::of_host(name.clone(), host.capacity, host.labels.clone()));
+    /// Usable workers of the configured pools, and hosts that are moving there.
+    fn pool_candidates(&self, now_us: u64) -> PoolCandidates {
+        let pools = self.catalog.pools.iter().filter(|pool| !pool.spare);
+        let mut candidates: PoolCandidates = pools.map(|pool| (pool.name.clone(), Vec::new())).collect();
+        for worker in self.workers.values() {
+            let Some(in_pool) = candidates.get_mut(&worker.entry.pool) else { continue };
+            if worker.is_usable() {
+                in_pool.push(Candidate::of_worker(worker));
             }
         }
+        for (name, pool) in self.host_moves.incoming_hosts(now_us) {
+            let (Some(host), Some(in_pool)) = (self.hosts.get(name), candidates.get_mut(pool)) else { continue };
+            in_pool.push(Candidate::of_host(host));
+        }
         for (name, host) in &self.hosts {
-            if &*host.pool == pool && host.phase == HostPhase::Moving && !self.host_moves.is_moving(name) {
-                candidates.push(Candidate::of_host(name.clone(), host.capacity, host.labels.clone()));
+            let Some(in_pool) = candidates.get_mut(&host.pool) else { continue };
+            if host.phase == HostPhase::Moving && !self.host_moves.is_moving(name) {
+                in_pool.push(Candidate::of_host(host));
             }
         }
-        PoolCapacity { candidates }
+        candidates
     }
 
-    /// Capacity of the host with the most CPU.
-    fn largest_host(&self) -> Resources {
-        let largest = self.hosts.values().max_by_key(|host| host.capacity.cpu_milli);
-        largest.map(|host: &HostRecord| host.capacity).unwrap_or_default()
+    /// Adds to a pool the hosts that `missing` tasks of a step need, and returns their number; 0 if no host could run
+    /// one.
+    fn reserve_on_new_hosts(&self, candidates: &mut Vec<Candidate>, step: &Step, missing: u32) -> u32 {
+        let (label, needs) = (step.required_label.as_ref(), step.reserved());
+        let can_run = |host: &&HostRecord| step.max_per_worker != Some(0) && host.offers(label, &needs);
+        let Some(host) = self.hosts.values().filter(can_run).max_by_key(|host| host.capacity.cpu_milli) else {
+            return 0;
+        };
+        let mut missing = missing;
+        let mut host_count = 0;
+        while missing > 0 {
+            let mut added =
+                vec![Candidate { id: format!("new-{}", candidates.len()).into(), ..Candidate::of_host(host) }];
+            missing = reserve(&mut added, step, &HashMap::new(), missing);
+            candidates.append(&mut added);
+            host_count += 1;
+        }
+        host_count
     }
 }
 
-/// Number of hosts that a pool lacks for the waiting tasks of a step.
-fn missing_hosts(
-    capacity: &mut PoolCapacity,
-    step: &Step,
-    mut siblings: HashMap<Arc<str>, u32>,
-    waiting: u32,
-    new_host: Resources,
-) -> u32 {
+/// Reserves capacity for the waiting tasks of a step as far as workers can take them, and returns the number of the
+/// others. Tasks of a step that is neither long-running nor a gang can run one after the other, so one place is enough
+/// for them, and nothing is reserved.
+fn reserve(candidates: &mut [Candidate], step: &Step, siblings: &HashMap<Arc<str>, u32>, waiting: u32) -> u32 {
     if !step.long_running && !step.gang {
-        // The tasks of such a step can run one after the other.
-        let can_run = capacity.candidates.iter().any(|candidate| candidate.can_ever_run(step, 0));
+        let can_run = candidates.iter().any(|candidate| candidate.can_ever_run(step, 0));
         return u32::from(!can_run);
     }
-    let mut trial = PoolCapacity { candidates: capacity.candidates.clone() };
-    let mut hosts = 0;
-    for number in 0..waiting {
-        if trial.reserve(step, &mut siblings) {
+    let mut missing = waiting;
+    for candidate in candidates {
+        if missing == 0 {
+            break;
+        }
+        let here = siblings.get(&candidate.id).copied().unwrap_or(0);
+        let places = candidate.places_for(step, here).min(missing);
+        missing -= places;
+        if !step.long_running {
             continue;
         }
-        trial.add_host(capacity.candidates.len() + number as usize, step, new_host);
-        hosts += 1;
-        if !trial.reserve(step, &mut siblings) {
-            // Not even a host without tasks can run one.
-            hosts = 0;
-            break;
+        for _ in 0..places {
+            candidate.reserve(step);
         }
     }
-    if step.long_running {
-        *capacity = trial;
-    }
-    hosts
+    missing
 }
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -99,10 +99,13 @@
         stages.any(|stage| !matches!(stage, HostStage::Waiting { .. } | HostStage::Finished))
     }
 
-    /// Whether a wave waits for the tasks of the host to leave it.
-    pub(super) fn is_draining(&self, host: &str) -> bool {
+    /// Whether waves only wait for the tasks of the host to leave it, and none has ordered its maintenance.
+    pub(super) fn is_only_draining(&self, host: &str) -> bool {
         let mut stages = self.states.values().filter_map(|wave| wave.stages.get(host));
-        stages.any(|stage| matches!(stage, HostStage::Draining { .. }))
+        self.is_handling(host)
+            && stages.all(|stage| {
+                matches!(stage, HostStage::Draining { .. } | HostStage::Waiting { .. } | HostStage::Finished)
+            })
     }
 
     /// Ends the drain of a host; it does not begin again before `not_before_us`.
