A search for hosts that finds none is not repeated for the same tasks

The loop asked once for each missing host, although the first search already said that there is none. No change of behaviour otherwise; the tests of the scheduler pass.

--- a/src/sched/rebalance.rs
+++ b/src/sched/rebalance.rs
@@ -110,11 +110,13 @@
                 needs: step.reserved(),
             };
             for _ in 0..tasks.host_count {
-                let is_found = self.cover_shortfall(now_us, &request, 1, search);
-                if !is_found && step.long_running {
+                if self.cover_shortfall(now_us, &request, 1, search) {
+                    continue;
+                }
+                if step.long_running {
                     self.give_back_draining_worker(now_us, &tasks);
-                    break;
                 }
+                break;
             }
         }
     }
