The search for hosts ends with the first pool that finds none

Found by review. Cause: while many pools lack capacity, each of them searched all hosts for every missing one, although pools that lack capacity spare none for each other, so that what one does not find the next does not find either.

Change: the search for a kind of demand ends with the first pool for which no host is found, unless the provider has rejected moves to that pool.

--- a/src/sched/host_demand_tests.rs
+++ b/src/sched/host_demand_tests.rs
@@ -5,7 +5,7 @@
 use super::leader_fixtures::{
     add_hosts, entry_in, host, leader_with_workers, long_step, run, run_with, task, to_press, JOB, SECOND_US,
 };
-use super::model::{EndedRun, JobSpec, Queue, RunOutcome, Step, TaskRef, WaveOrder, WorkerEntry};
+use super::model::{EndedRun, JobSpec, PoolConfig, Queue, RunOutcome, Step, TaskRef, WaveOrder, WorkerEntry};
 use super::scheduler::Scheduler;
 use super::sim::{spec, step};
 use super::worker::Worker;
@@ -282,3 +282,27 @@
 
     assert!(orders.maintenance_count > 0, "the wave is to take 20 s");
 }
+
+#[test]
+fn host_that_the_provider_does_not_move_to_one_pool_moves_to_another_that_lacks_capacity() {
+    let mut leader = leader_with_workers(1);
+    let mut config = (*leader.catalog).clone();
+    config.pools.push(PoolConfig { name: "sheets".into(), spare: false });
+    let sheets = Arc::new(Queue { name: "sheets".into(), pool: "sheets".into(), ..(*spec(vec![]).queue).clone() });
+    config.queues.push(sheets.clone());
+    leader.configure(Arc::new(config));
+    leader.host_moves.rejected_moves.insert(("h9".into(), "press".into()));
+    let entry = entry_in("sheets", 1);
+    leader.worker_listed(10 * SECOND_US, entry.clone());
+    add_hosts(&mut leader, [host(&entry, true)]);
+
+    // Both pools lack capacity, `press` more of it.
+    for (name, queue, count) in [("a", spec(vec![]).queue, 40), ("b", sheets, 20)] {
+        let mut tasks = step(count, &[]);
+        tasks.estimate_ms = 2_000;
+        leader.submit(10 * SECOND_US, 0, name.into(), JobSpec { queue, ..spec(vec![tasks]) });
+    }
+    let moves = run(&mut leader, 10 * SECOND_US, 1_000);
+
+    assert_eq!(moves, [("h9".to_owned(), "sheets".to_owned())]);
+}
--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -92,6 +92,11 @@
         self.moving.contains_key(host) || self.draining.contains_key(host)
     }
 
+    /// Whether the provider has rejected a move to the pool that it accepts to others.
+    pub(super) fn has_rejected_moves_to(&self, pool: &str) -> bool {
+        self.rejected_moves.iter().any(|(_, rejected)| &**rejected == pool)
+    }
+
     /// Whether a host is drained for a move, or has been ordered to move and the order is not acknowledged.
     pub(super) fn is_leaving(&self, host: &str) -> bool {
         let is_unacknowledged = self.moving.get(host).is_some_and(|host_move| !host_move.is_acknowledged);
--- a/src/sched/rebalance.rs
+++ b/src/sched/rebalance.rs
@@ -94,7 +94,11 @@
             shortfalls.sort_by(|a, b| b.cmp(a));
             for (shortfall, pool) in shortfalls {
                 let request = HostRequest { pool: &pool, label: None, kind, needs: Resources::default() };
-                self.cover_shortfall(now_us, &request, shortfall, &mut search);
+                let is_found = self.cover_shortfall(now_us, &request, shortfall, &mut search);
+                // Pools that lack capacity spare no hosts for each other, so the others would not get one either.
+                if !is_found && !self.host_moves.has_rejected_moves_to(&pool) {
+                    break;
+                }
             }
         }
     }
