--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -414,6 +414,7 @@
         orphans
     }
 
+    /// Releases those tasks that are still orphans.
     fn release_orphans(&mut self, now_us: u64, orphans: &[TaskRef]) {
         for task_ref in orphans {
             let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -31,6 +31,7 @@
     pub(crate) fn worker_listed(&mut self, now_us: u64, entry: WorkerEntry) {
         self.wants_placement = true;
         let id = entry.id.clone();
+        let is_cordoned = self.is_on_leaving_host(&entry);
         let Some(worker) = self.workers.get_mut(&id) else {
             log::info!(
                 "worker={id} pool={} zone={} draining={} outcome=listed",
@@ -42,7 +43,7 @@
                 self.worker_by_host.insert(host.clone(), id.clone());
             }
             let mut worker = Worker::new(now_us, entry);
-            worker.is_cordoned = worker.entry.host.as_ref().is_some_and(|host| self.is_host_leaving(host));
+            worker.is_cordoned = is_cordoned;
             self.workers.insert(id.clone(), worker);
             self.attach_unattached(&id);
             self.open_session(&id);
@@ -52,11 +53,11 @@
             self.worker_restarted(now_us, entry);
             return;
         }
-        let was_listed = std::mem::replace(&mut worker.is_listed, true);
-        if let (false, Some(host)) = (was_listed, &entry.host) {
+        if !worker.is_listed {
             // The drain of its host may have ended in the meantime.
-            worker.is_cordoned = self.waves.is_taking_down(host) || self.host_moves.is_leaving(host);
+            worker.is_cordoned = is_cordoned;
         }
+        worker.is_listed = true;
         let starts_draining = entry.draining && !worker.entry.draining;
         worker.entry = entry;
         self.open_session(&id);
@@ -66,6 +67,11 @@
         }
     }
 
+    /// Whether new tasks must be kept off a worker because its host is about to be taken away.
+    fn is_on_leaving_host(&self, entry: &WorkerEntry) -> bool {
+        entry.host.as_ref().is_some_and(|host| self.is_host_leaving(host))
+    }
+
     /// Reserves capacity for restored tasks on a worker that has been registered only now.
     fn attach_unattached(&mut self, id: &Arc<str>) {
         for task_ref in self.unattached_tasks.remove(id).into_iter().flatten() {
@@ -83,7 +89,7 @@
         let had_session = self.workers.get(&id).is_some_and(|worker| worker.has_session);
         let mut worker = Worker::new(now_us, entry);
         worker.has_session = had_session;
-        worker.is_cordoned = worker.entry.host.as_ref().is_some_and(|host| self.is_host_leaving(host));
+        worker.is_cordoned = self.is_on_leaving_host(&worker.entry);
         let incarnation = worker.incarnation();
         self.workers.insert(id.clone(), worker);
         for task_ref in tasks_with_start_in_flight {
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -295,7 +295,7 @@
         !self.tasks_on(host).is_empty()
     }
 
-    /// Whether new tasks must be kept off a host's worker, also off one that is registered only now.
+    /// Whether a host is drained, or ordered to move or to be maintained.
     pub(super) fn is_host_leaving(&self, host: &str) -> bool {
         self.waves.is_taking_down(host) || self.host_moves.is_leaving(host)
     }
