A new leader counts hosts as down whose maintenance the former leader ordered but did not record

Change: hosts of a wave that the provider lists as being maintained count as down.

Before: new_leader_counts_hosts_as_down_whose_maintenance_the_former_leader_did_not_record failed (one order). After: it passes.

--- a/src/sched/host_demand_tests.rs
+++ b/src/sched/host_demand_tests.rs
@@ -5,7 +5,9 @@
 use super::leader_fixtures::{
     add_hosts, entry_in, host, leader_with_workers, long_step, run, run_with, task, to_press, JOB, SECOND_US,
 };
-use super::model::{EndedRun, JobSpec, PoolConfig, Queue, RunOutcome, Step, TaskRef, WaveOrder, WorkerEntry};
+use super::model::{
+    EndedRun, HostPhase, JobSpec, PoolConfig, Queue, RunOutcome, Step, TaskRef, WaveOrder, WorkerEntry,
+};
 use super::scheduler::Scheduler;
 use super::sim::{spec, step};
 use super::worker::Worker;
@@ -306,3 +308,15 @@
 
     assert_eq!(moves, [("h9".to_owned(), "sheets".to_owned())]);
 }
+
+#[test]
+fn new_leader_counts_hosts_as_down_whose_maintenance_the_former_leader_did_not_record() {
+    let mut leader = leader_with_workers(3);
+    let hosts: Vec<Arc<str>> = ["h0", "h1", "h2"].map(Arc::from).into();
+    leader.hosts.get_mut("h0").expect("the host is listed").phase = HostPhase::Maintenance;
+
+    leader.add_wave(WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: 1 });
+    let orders = run_with(&mut leader, 10 * SECOND_US, 1_000, |_, _| {});
+
+    assert_eq!(orders.maintenance_count, 0, "one host is down, and no more may be");
+}
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -10,7 +10,7 @@
 use super::action::Action;
 use super::host_orders::HostOrder;
 use super::job::Task;
-use super::model::{HostOrderOutcome, HostPhase, Step, TaskRef, WaveOrder};
+use super::model::{HostOrderOutcome, HostPhase, HostRecord, Step, TaskRef, WaveOrder};
 use super::scheduler::Scheduler;
 use crate::clock::US_PER_MS;
 
@@ -126,12 +126,21 @@
 }
 
 impl WaveState {
-    /// Number of hosts that are or may be down.
-    fn down_count(&self) -> u32 {
-        let is_down = |stage: &&HostStage| {
-            matches!(stage, HostStage::Ordered | HostStage::Unanswered { .. } | HostStage::Down { .. })
-        };
-        self.stages.values().filter(is_down).count() as u32
+    /// Number of hosts that are or may be down. A former leader may not have recorded a host whose maintenance it
+    /// ordered, so the provider's list counts, too.
+    fn down_count(&self, hosts: &BTreeMap<Arc<str>, HostRecord>) -> u32 {
+        let mut count = 0;
+        for (host, stage) in &self.stages {
+            let is_down = match stage {
+                HostStage::Ordered | HostStage::Unanswered { .. } | HostStage::Down { .. } => true,
+                HostStage::Waiting { .. } | HostStage::Draining { .. } => {
+                    hosts.get(host).is_some_and(|record| record.phase == HostPhase::Maintenance)
+                }
+                HostStage::Finished => false,
+            };
+            count += u32::from(is_down);
+        }
+        count
     }
 
     fn draining_count(&self) -> u32 {
@@ -215,7 +224,7 @@
         let Some(wave) = self.waves.states.get(&number) else { return };
         let max_down = wave.order.max_down;
         let max_busy = max_down.saturating_mul(MAX_DRAINING_FACTOR);
-        let mut busy = wave.down_count() + wave.draining_count();
+        let mut busy = wave.down_count(&self.hosts) + wave.draining_count();
         if busy >= max_busy {
             return;
         }
@@ -312,7 +321,7 @@
     /// Drains hosts, and orders maintenance for those without tasks and those whose order got no answer.
     fn drain_and_order(&mut self, now_us: u64, number: u64) {
         let Some(wave) = self.waves.states.get(&number) else { return };
-        let mut free_slots = wave.order.max_down.saturating_sub(wave.down_count());
+        let mut free_slots = wave.order.max_down.saturating_sub(wave.down_count(&self.hosts));
         let mut draining = Vec::new();
         let mut to_order = Vec::new();
         for (host, stage) in &wave.stages {
