--- a/src/sched/host_tests.rs
+++ b/src/sched/host_tests.rs
@@ -2,25 +2,29 @@
 
 use std::sync::Arc;
 
+use super::action::Action;
+use super::model::{
+    ActiveRun, HoldAnswer, HostPhase, HostRecord, JobSpec, OrderOutcome, OrderRefusal, PoolConfig, TaskRef, WaveOrder,
+};
+use super::scheduler::Scheduler;
 use super::sim::{catalog, settings, spec, step, worker_entry};
 use super::worker::Worker;
 
 const SECOND_US: u64 = 1_000_000;
 
 /// A leader with a worker of kind `a` in its only regular pool, and one spare host each of kind `a` and `b`.
-fn leader_with_spare_hosts() -> super::scheduler::Scheduler {
-    let mut scheduler = super::scheduler::Scheduler::new(0, settings());
+fn leader_with_spare_hosts() -> Scheduler {
+    let mut scheduler = Scheduler::new(0, settings());
     let mut config = (*catalog()).clone();
-    config.pools.push(super::model::PoolConfig { name: "spare".into(), spare: true });
+    config.pools.push(PoolConfig { name: "spare".into(), spare: true });
     scheduler.configure(Arc::new(config));
     scheduler.worker_listed(0, worker_entry(0, 1));
-    let answer =
-        super::model::HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+    let answer = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
     scheduler.on_hold_answer(0, 0, &"w0".into(), &answer);
-    let host = |name: &str, pool: &str, kind: &str| super::model::HostRecord {
+    let host = |name: &str, pool: &str, kind: &str| HostRecord {
         name: name.into(),
         pool: pool.into(),
-        phase: super::model::HostPhase::Up,
+        phase: HostPhase::Up,
         worker: None,
         capacity: worker_entry(0, 1).capacity,
         zone: "hall-a".into(),
@@ -31,7 +35,7 @@
 }
 
 /// Submits a job whose only task needs a worker with a label.
-fn submit_job_with_label(scheduler: &mut super::scheduler::Scheduler, now_us: u64, label: &str) {
+fn submit_job_with_label(scheduler: &mut Scheduler, now_us: u64, label: &str) {
     let mut labelled = step(1, &[]);
     labelled.required_label = Some(label.into());
     scheduler.submit(now_us, 0, "job".into(), spec(vec![labelled]));
@@ -48,7 +52,7 @@
 }
 
 /// Moves that the leader orders directly after its leadership was confirmed at `now_us`.
-fn confirmed_moves_at(scheduler: &mut super::scheduler::Scheduler, now_us: u64) -> Vec<(String, String)> {
+fn confirmed_moves_at(scheduler: &mut Scheduler, now_us: u64) -> Vec<(String, String)> {
     commit_batch(scheduler, now_us);
     scheduler.tick(now_us + 200_000, 0);
     assert_eq!(requested_moves(scheduler), [], "a move must be recorded before it is ordered");
@@ -56,14 +60,14 @@
     requested_moves(scheduler)
 }
 
-fn commit_batch(scheduler: &mut super::scheduler::Scheduler, now_us: u64) {
+fn commit_batch(scheduler: &mut Scheduler, now_us: u64) {
     let batch = scheduler.take_batch(now_us);
     scheduler.batch_committed(now_us, now_us, &batch);
 }
 
-fn requested_moves(scheduler: &mut super::scheduler::Scheduler) -> Vec<(String, String)> {
+fn requested_moves(scheduler: &mut Scheduler) -> Vec<(String, String)> {
     let moves = scheduler.take_actions().into_iter().filter_map(|action| match action {
-        super::action::Action::MoveHost { host, pool } => Some((host.to_string(), pool.to_string())),
+        Action::MoveHost { host, pool } => Some((host.to_string(), pool.to_string())),
         _ => None,
     });
     moves.collect()
@@ -76,12 +80,7 @@
         let mut other_worker = worker_entry(1, 1);
         other_worker.labels[0] = other_kind.into();
         scheduler.worker_listed(0, other_worker);
-        let answer = super::model::HoldAnswer {
-            clock_ms: 20_000,
-            started_unix_ms: None,
-            running: Vec::new(),
-            ended: Vec::new(),
-        };
+        let answer = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
         let mut long_step = step(1, &[]);
         long_step.long_running = true;
         long_step.required_label = Some("a".into());
@@ -91,11 +90,10 @@
         let host = scheduler.workers["w0"].entry.host.clone().expect("the worker has a host");
 
         let hosts = vec![host];
-        scheduler.add_wave(super::model::WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: 1 });
-        let task_ref = super::model::TaskRef { job: "long-running".into(), occurrence: 0, step: 0, index: 0 };
-        let active_run =
-            super::model::ActiveRun { task: task_ref, run: 1, checkpoint: "".into(), percent: 100, load: None };
-        let hold_answer = super::model::HoldAnswer { running: vec![active_run], ..answer };
+        scheduler.add_wave(WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: 1 });
+        let task_ref = TaskRef { job: "long-running".into(), occurrence: 0, step: 0, index: 0 };
+        let active_run = ActiveRun { task: task_ref, run: 1, checkpoint: "".into(), percent: 100, load: None };
+        let hold_answer = HoldAnswer { running: vec![active_run], ..answer };
         for second in 11..14 {
             confirmed_moves_at(&mut scheduler, second * SECOND_US);
             scheduler.on_hold_answer(second * SECOND_US, second * SECOND_US, &"w0".into(), &hold_answer);
@@ -110,10 +108,9 @@
 fn untracked_run_occupies_capacity() {
     let mut scheduler = leader_with_spare_hosts();
     scheduler.submit(SECOND_US, 0, "job".into(), spec(vec![step(8, &[])]));
-    let task_ref = |job: &str| super::model::TaskRef { job: job.into(), occurrence: 0, step: 0, index: 0 };
-    let running =
-        vec![super::model::ActiveRun { task: task_ref("job"), run: 3, checkpoint: "".into(), percent: 10, load: None }];
-    let answer = super::model::HoldAnswer { clock_ms: 21_000, started_unix_ms: None, running, ended: Vec::new() };
+    let task_ref = |job: &str| TaskRef { job: job.into(), occurrence: 0, step: 0, index: 0 };
+    let running = vec![ActiveRun { task: task_ref("job"), run: 3, checkpoint: "".into(), percent: 10, load: None }];
+    let answer = HoldAnswer { clock_ms: 21_000, started_unix_ms: None, running, ended: Vec::new() };
 
     scheduler.on_hold_answer(SECOND_US, SECOND_US, &"w0".into(), &answer);
     let free = scheduler.workers["w0"].free_capacity();
@@ -161,21 +158,16 @@
     long_step.long_running = true;
     scheduler.submit(10 * SECOND_US, 0, "long-running".into(), spec(vec![long_step]));
     confirmed_moves_at(&mut scheduler, 10 * SECOND_US);
-    let task_ref = super::model::TaskRef { job: "long-running".into(), occurrence: 0, step: 0, index: 0 };
-    let active_run =
-        super::model::ActiveRun { task: task_ref.clone(), run: 1, checkpoint: "".into(), percent: 100, load: None };
-    let hold_answer = super::model::HoldAnswer {
-        clock_ms: 31_000,
-        started_unix_ms: None,
-        running: vec![active_run],
-        ended: Vec::new(),
-    };
+    let task_ref = TaskRef { job: "long-running".into(), occurrence: 0, step: 0, index: 0 };
+    let active_run = ActiveRun { task: task_ref.clone(), run: 1, checkpoint: "".into(), percent: 100, load: None };
+    let hold_answer =
+        HoldAnswer { clock_ms: 31_000, started_unix_ms: None, running: vec![active_run], ended: Vec::new() };
     scheduler.on_hold_answer(11 * SECOND_US, 11 * SECOND_US, &"w0".into(), &hold_answer);
     let mut draining = worker_entry(0, 1);
     draining.draining = true;
     scheduler.worker_listed(11 * SECOND_US, draining);
 
-    let refusal = super::model::OrderOutcome::Refused(super::model::OrderRefusal::WrongWorker);
+    let refusal = OrderOutcome::Refused(OrderRefusal::WrongWorker);
     for tenth in 110..250_u64 {
         let now_us = tenth * 100_000;
         commit_batch(&mut scheduler, now_us);
@@ -222,19 +214,18 @@
 
 #[test]
 fn hosts_with_long_running_tasks_drain_while_others_are_down_but_no_more_than_allowed_are_down() {
-    let mut scheduler = super::scheduler::Scheduler::new(0, settings());
+    let mut scheduler = Scheduler::new(0, settings());
     scheduler.configure(catalog());
-    let host = |number: usize, pool: &str| super::model::HostRecord {
+    let host = |number: usize, pool: &str| HostRecord {
         name: format!("h{number}").into(),
         pool: pool.into(),
-        phase: super::model::HostPhase::Up,
+        phase: HostPhase::Up,
         worker: Some(format!("w{number}").into()),
         capacity: worker_entry(number, 1).capacity,
         zone: "hall-a".into(),
         labels: worker_entry(number, 1).labels,
     };
-    let answer =
-        super::model::HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+    let answer = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
     for number in 0..4 {
         scheduler.worker_listed(0, worker_entry(number, 1));
         scheduler.on_hold_answer(10 * SECOND_US, 10 * SECOND_US, &format!("w{number}").into(), &answer);
@@ -249,7 +240,7 @@
         scheduler.workers.values().filter(|worker| !worker.tasks.is_empty()).map(host_of).collect();
 
     let hosts = (0..4).map(|number| format!("h{number}").into()).collect();
-    scheduler.add_wave(super::model::WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: 2 });
+    scheduler.add_wave(WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: 2 });
     commit_batch(&mut scheduler, 11 * SECOND_US);
     scheduler.tick(11 * SECOND_US + 200_000, 0);
     commit_batch(&mut scheduler, 11 * SECOND_US + 200_000);
@@ -270,16 +261,16 @@
 }
 
 /// Takes the requested actions, and counts the orders to maintain a host among them.
-fn requested_maintenance(scheduler: &mut super::scheduler::Scheduler) -> usize {
+fn requested_maintenance(scheduler: &mut Scheduler) -> usize {
     let actions = scheduler.take_actions().into_iter();
-    actions.filter(|action| matches!(action, super::action::Action::MaintainHost { .. })).count()
+    actions.filter(|action| matches!(action, Action::MaintainHost { .. })).count()
 }
 
 #[test]
 fn wave_without_a_practical_limit_takes_its_hosts_down() {
     let mut scheduler = leader_with_spare_hosts();
     let hosts = vec!["h0".into()];
-    scheduler.add_wave(super::model::WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: u32::MAX });
+    scheduler.add_wave(WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: u32::MAX });
 
     commit_batch(&mut scheduler, 10 * SECOND_US);
     scheduler.tick(10 * SECOND_US + 200_000, 0);
@@ -294,23 +285,22 @@
 
 #[test]
 fn pool_without_a_worker_gets_a_host_of_a_pool_that_expects_more_load_than_it_has_hosts() {
-    let mut scheduler = super::scheduler::Scheduler::new(0, settings());
+    let mut scheduler = Scheduler::new(0, settings());
     let mut config = (*catalog()).clone();
-    config.pools.push(super::model::PoolConfig { name: "sheets".into(), spare: false });
+    config.pools.push(PoolConfig { name: "sheets".into(), spare: false });
     let mut sheets = (*config.queues[0]).clone();
     (sheets.name, sheets.pool) = ("sheets".into(), "sheets".into());
     let sheets = Arc::new(sheets);
     config.queues.push(sheets.clone());
     scheduler.configure(Arc::new(config));
-    let answer =
-        super::model::HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+    let answer = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
     let mut hosts = Vec::new();
     for number in 0..2 {
         let entry = worker_entry(number, 1);
-        hosts.push(super::model::HostRecord {
+        hosts.push(HostRecord {
             name: host_of(&Worker::new(0, entry.clone())),
             pool: entry.pool.clone(),
-            phase: super::model::HostPhase::Up,
+            phase: HostPhase::Up,
             worker: Some(entry.id.clone()),
             capacity: entry.capacity,
             zone: entry.zone.clone(),
@@ -325,12 +315,7 @@
     }
     let mut long_step = step(1, &[]);
     long_step.long_running = true;
-    scheduler.submit(
-        10 * SECOND_US,
-        0,
-        "long-running".into(),
-        super::model::JobSpec { queue: sheets, ..spec(vec![long_step]) },
-    );
+    scheduler.submit(10 * SECOND_US, 0, "long-running".into(), JobSpec { queue: sheets, ..spec(vec![long_step]) });
     confirmed_moves_at(&mut scheduler, 10 * SECOND_US);
 
     let drained = scheduler.workers.values().filter(|worker| worker.is_cordoned).count();
