--- /dev/null
+++ b/src/sched/host_workers.rs
@@ -0,0 +1,75 @@
+//! Which workers and tasks may be on a host, and whether new tasks are kept off it.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use super::job::Task;
+use super::model::TaskRef;
+use super::scheduler::Scheduler;
+
+impl Scheduler {
+    /// Number of long-running tasks on a host, and its reserved CPU in thousandths of a core.
+    pub(super) fn load_on(&self, host: &str) -> (u32, u64) {
+        let mut long_running_count = 0;
+        let mut cpu_milli = 0;
+        for id in self.possible_workers_on(host) {
+            let Some(worker) = self.workers.get(&id) else { continue };
+            long_running_count += worker.long_running_count;
+            cpu_milli += worker.reserved.cpu_milli;
+        }
+        (long_running_count, cpu_milli)
+    }
+
+    /// The registered worker on a host: the one that the provider names, otherwise the last one known.
+    pub(super) fn worker_on(&self, host: &str) -> Option<Arc<str>> {
+        let listed = self.hosts.get(host).and_then(|record| record.worker.clone());
+        if listed.as_ref().is_some_and(|id| self.workers.get(id).is_some_and(|worker| worker.is_listed)) {
+            return listed;
+        }
+        let id = self.worker_by_host.get(host)?;
+        self.workers.get(id).is_some_and(|worker| worker.is_listed).then(|| id.clone())
+    }
+
+    /// Workers that may be on a host, registered or not: the one that the provider names, and the last one known.
+    pub(super) fn possible_workers_on(&self, host: &str) -> BTreeSet<Arc<str>> {
+        let listed = self.hosts.get(host).and_then(|record| record.worker.as_ref());
+        listed.into_iter().chain(self.worker_by_host.get(host)).cloned().collect()
+    }
+
+    /// Tasks of which a run may be on a host. A worker without an entry in the registry may still run its tasks, so
+    /// these count until they are released.
+    pub(super) fn tasks_on(&self, host: &str) -> Vec<TaskRef> {
+        let mut tasks = Vec::new();
+        for id in self.possible_workers_on(host) {
+            if let Some(worker) = self.workers.get(&id) {
+                tasks.extend(worker.tasks.iter().cloned());
+                continue;
+            }
+            for task_ref in self.unattached_tasks.get(&id).into_iter().flatten() {
+                let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+                if task.and_then(Task::placed_on).is_some_and(|incarnation| incarnation.id == id) {
+                    tasks.push(task_ref.clone());
+                }
+            }
+        }
+        tasks
+    }
+
+    pub(super) fn may_run_tasks(&self, host: &str) -> bool {
+        !self.tasks_on(host).is_empty()
+    }
+
+    /// Whether a host is drained, or ordered to move or to be maintained.
+    pub(super) fn is_host_leaving(&self, host: &str) -> bool {
+        self.waves.is_taking_down(host) || self.host_moves.is_leaving(host)
+    }
+
+    /// Sets whether new tasks are kept off a host's worker.
+    pub(super) fn set_cordoned(&mut self, host: &str, is_cordoned: bool) {
+        for id in self.possible_workers_on(host) {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.is_cordoned = is_cordoned;
+            }
+        }
+    }
+}
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -1,16 +1,13 @@
 //! Compares what workers report with what was ordered, and handles the outcomes of orders to workers.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use super::action::{Action, StartRun};
-use super::job::{RunPhase, TaskState, WorkerIncarnation};
-use super::model::{
-    ActiveRun, EndedRun, HoldAnswer, JobId, JobPhase, OrderOutcome, OrderRefusal, Resources, Step, TaskRef,
-};
+use super::job::{RunPhase, TaskState};
+use super::model::{ActiveRun, EndedRun, HoldAnswer, JobPhase, OrderOutcome, OrderRefusal, Resources, Step, TaskRef};
 use super::progress::STOP_RETRY_DELAY_MS;
 use super::scheduler::Scheduler;
-use super::worker::Worker;
 use crate::clock::US_PER_MS;
 
 /// Maximum number of ended runs that a worker lists in one answer.
@@ -23,62 +20,10 @@
 const REACHABLE_AFTER_ANSWER_MS: u64 = 700;
 /// How long a worker gets no new tasks after it refused one as unhealthy.
 const UNHEALTHY_BLOCK_MS: u64 = 700;
-/// Interval between searches for tasks on workers that are no longer known.
-const ORPHAN_CHECK_INTERVAL_MS: u64 = 1_000;
 /// A run without progress for this long is stopped and placed again.
 const STALL_TIMEOUT_MS: u64 = 2_500;
 
 impl Scheduler {
-    /// Reserves capacity for a restored job's placed tasks on their workers, so that the tasks stay there until the
-    /// workers answer or their leases expire.
-    pub(super) fn attach_restored(&mut self, now_us: u64, id: &JobId) {
-        let Some(job) = self.jobs.get(id) else { return };
-        let mut placed = Vec::new();
-        for (task_ref, task) in job.tasks() {
-            if let Some(incarnation) = task.placed_on() {
-                placed.push((task_ref, incarnation.clone()));
-            }
-        }
-        let is_final = job.phase.is_final();
-        for (task_ref, incarnation) in placed {
-            self.attach_restored_task(&task_ref, &incarnation.id);
-        }
-        if is_final {
-            self.stop_job_runs(now_us, id);
-        }
-        self.refresh_job(id);
-    }
-
-    /// Attaches a restored task to its worker, or keeps it until the worker is registered. If the worker has restarted,
-    /// the run has ended, but a delayed start order may have reached the new incarnation. The task is taken to be there
-    /// until that incarnation answers.
-    pub(super) fn attach_restored_task(&mut self, task_ref: &TaskRef, id: &Arc<str>) {
-        let known = self.workers.get(id).map(Worker::incarnation);
-        let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
-        let TaskState::Placed { worker: recorded, .. } = &mut task.state else { return };
-        if recorded.id != *id {
-            return;
-        }
-        // The registry may be behind: a worker's answer tells of its restart first.
-        let Some(known) = known.filter(|known| known.started_unix_ms >= recorded.started_unix_ms) else {
-            self.unattached_tasks.entry(id.clone()).or_default().push(task_ref.clone());
-            return;
-        };
-        *recorded = known.clone();
-        self.attach(task_ref, &known);
-    }
-
-    /// Reserves capacity for a task on its worker, if that incarnation of the worker is known.
-    pub(super) fn attach(&mut self, task_ref: &TaskRef, incarnation: &WorkerIncarnation) {
-        let Some(step) = self.jobs.get(&task_ref.job).and_then(|job| job.spec.steps.get(task_ref.step as usize)) else {
-            return;
-        };
-        let Some(worker) = self.workers.get_mut(&incarnation.id) else { return };
-        if worker.incarnation() == *incarnation {
-            worker.attach(task_ref.clone(), step);
-        }
-    }
-
     /// Handles a worker's answer to a hold request that was sent at `sent_us`: its active and ended runs.
     pub(crate) fn on_hold_answer(&mut self, now_us: u64, sent_us: u64, id: &Arc<str>, answer: &HoldAnswer) {
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -373,124 +318,4 @@
             }
         }
     }
-
-    /// Releases tasks on workers whose leases have certainly expired.
-    pub(super) fn expire_leases(&mut self, now_us: u64) {
-        let former_leader_leases_ended = now_us >= self.former_leader_leases_end_us();
-        let mut lost = Vec::new();
-        for worker in self.workers.values() {
-            if worker.tasks.is_empty() {
-                continue;
-            }
-            let never_answered = !worker.is_synced && former_leader_leases_ended;
-            let long_silent = !worker.is_listed && now_us > worker.last_answer_us + self.lease_expiry_wait_us();
-            if worker.lease_certainly_expired(now_us) || never_answered || (long_silent && former_leader_leases_ended) {
-                lost.push(worker.entry.id.clone());
-            }
-        }
-        for id in lost {
-            self.release_lost_tasks(now_us, &id);
-        }
-        if former_leader_leases_ended && now_us >= self.next_orphan_check_us {
-            self.next_orphan_check_us = now_us + ORPHAN_CHECK_INTERVAL_MS * US_PER_MS;
-            let orphans = self.orphans();
-            self.release_orphans(now_us, &orphans);
-        }
-    }
-
-    /// Tasks placed on workers, or incarnations of workers, that are not known.
-    pub(crate) fn orphans(&self) -> Vec<TaskRef> {
-        let mut orphans = Vec::new();
-        for job in self.jobs.values() {
-            if job.occurrences.is_empty() {
-                continue;
-            }
-            for (task_ref, task) in job.tasks() {
-                if task.placed_on().is_some_and(|incarnation| !self.has_incarnation(incarnation)) {
-                    orphans.push(task_ref);
-                }
-            }
-        }
-        orphans
-    }
-
-    /// Releases those tasks that are still orphans.
-    fn release_orphans(&mut self, now_us: u64, orphans: &[TaskRef]) {
-        for task_ref in orphans {
-            let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
-            let Some(worker) = task.and_then(|task| task.placed_on()) else { continue };
-            if self.has_incarnation(worker) {
-                continue;
-            }
-            log::warn!(
-                "job={} task={}.{} worker={} outcome=worker_gone",
-                task_ref.job,
-                task_ref.step,
-                task_ref.index,
-                worker.id
-            );
-            self.release_task(now_us, task_ref);
-            self.mark_dirty(&task_ref.job);
-        }
-    }
-
-    /// Releases the tasks of workers that have gone, without waiting for their leases: no host runs them according to a
-    /// list that was requested at `requested_us`, and they had left the registry by then.
-    pub(super) fn release_tasks_of_gone_workers(&mut self, now_us: u64, requested_us: u64) {
-        if !self.provider_lists_all_workers() {
-            return;
-        }
-        let on_hosts: HashSet<Arc<str>> = self.hosts.values().filter_map(|host| host.worker.clone()).collect();
-        let mut gone = Vec::new();
-        for (id, worker) in &self.workers {
-            let has_left = !worker.is_listed && worker.unlisted_us < requested_us;
-            if has_left && !worker.tasks.is_empty() && !on_hosts.contains(id) {
-                gone.push(id.clone());
-            }
-        }
-        for id in gone {
-            self.release_lost_tasks(now_us, &id);
-        }
-        let unattached: Vec<Arc<str>> = self.unattached_tasks.keys().cloned().collect();
-        for id in unattached {
-            if on_hosts.contains(&id) || self.workers.contains_key(&id) {
-                continue;
-            }
-            let orphans = self.unattached_tasks.remove(&id).unwrap_or_default();
-            self.release_orphans(now_us, &orphans);
-        }
-    }
-
-    /// Whether the provider lists the host of every registered worker. Otherwise, workers may run on hosts that it does
-    /// not list.
-    fn provider_lists_all_workers(&self) -> bool {
-        let mut hosts = self.workers.values().filter(|worker| worker.is_listed).map(|worker| &worker.entry.host);
-        let is_on_listed_host =
-            |host: &Option<Arc<str>>| host.as_ref().is_some_and(|name| self.hosts.contains_key(name));
-        hosts.clone().next().is_some() && hosts.all(is_on_listed_host)
-    }
-
-    /// Releases all tasks of a worker on which no run can be active any more. How their runs ended is not known.
-    pub(super) fn release_lost_tasks(&mut self, now_us: u64, id: &Arc<str>) {
-        let Some(worker) = self.workers.get(id) else { return };
-        let lost: Vec<TaskRef> = worker.tasks.iter().cloned().collect();
-        let silent_ms = now_us.saturating_sub(worker.last_answer_us) / US_PER_MS;
-        if !lost.is_empty() {
-            log::warn!("worker={id} tasks={} outcome=leases_over", lost.len());
-        }
-        for task_ref in lost {
-            log::info!(
-                "job={} task={}.{}.{} worker={id} silent_ms={silent_ms} outcome=lease_over",
-                task_ref.job,
-                task_ref.occurrence,
-                task_ref.step,
-                task_ref.index
-            );
-            self.release_task(now_us, &task_ref);
-            self.mark_dirty(&task_ref.job);
-        }
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.lease_end_ms = 0;
-        }
-    }
 }
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -9,7 +9,6 @@
 
 use super::action::Action;
 use super::host_orders::HostOrder;
-use super::job::Task;
 use super::model::{HostOrderOutcome, HostPhase, HostRecord, Step, TaskRef, WaveOrder};
 use super::scheduler::Scheduler;
 use crate::clock::US_PER_MS;
@@ -253,71 +252,6 @@
         }
     }
 
-    /// Number of long-running tasks on a host, and its reserved CPU in thousandths of a core.
-    fn load_on(&self, host: &str) -> (u32, u64) {
-        let mut long_running_count = 0;
-        let mut cpu_milli = 0;
-        for id in self.possible_workers_on(host) {
-            let Some(worker) = self.workers.get(&id) else { continue };
-            long_running_count += worker.long_running_count;
-            cpu_milli += worker.reserved.cpu_milli;
-        }
-        (long_running_count, cpu_milli)
-    }
-
-    /// The registered worker on a host: the one that the provider names, otherwise the last one known.
-    pub(super) fn worker_on(&self, host: &str) -> Option<Arc<str>> {
-        let listed = self.hosts.get(host).and_then(|record| record.worker.clone());
-        if listed.as_ref().is_some_and(|id| self.workers.get(id).is_some_and(|worker| worker.is_listed)) {
-            return listed;
-        }
-        let id = self.worker_by_host.get(host)?;
-        self.workers.get(id).is_some_and(|worker| worker.is_listed).then(|| id.clone())
-    }
-
-    /// Workers that may be on a host, registered or not: the one that the provider names, and the last one known.
-    fn possible_workers_on(&self, host: &str) -> BTreeSet<Arc<str>> {
-        let listed = self.hosts.get(host).and_then(|record| record.worker.as_ref());
-        listed.into_iter().chain(self.worker_by_host.get(host)).cloned().collect()
-    }
-
-    /// Tasks of which a run may be on a host. A worker without an entry in the registry may still run its tasks, so
-    /// these count until they are released.
-    fn tasks_on(&self, host: &str) -> Vec<TaskRef> {
-        let mut tasks = Vec::new();
-        for id in self.possible_workers_on(host) {
-            if let Some(worker) = self.workers.get(&id) {
-                tasks.extend(worker.tasks.iter().cloned());
-                continue;
-            }
-            for task_ref in self.unattached_tasks.get(&id).into_iter().flatten() {
-                let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
-                if task.and_then(Task::placed_on).is_some_and(|incarnation| incarnation.id == id) {
-                    tasks.push(task_ref.clone());
-                }
-            }
-        }
-        tasks
-    }
-
-    pub(super) fn may_run_tasks(&self, host: &str) -> bool {
-        !self.tasks_on(host).is_empty()
-    }
-
-    /// Whether a host is drained, or ordered to move or to be maintained.
-    pub(super) fn is_host_leaving(&self, host: &str) -> bool {
-        self.waves.is_taking_down(host) || self.host_moves.is_leaving(host)
-    }
-
-    /// Sets whether new tasks are kept off a host's worker.
-    pub(super) fn set_cordoned(&mut self, host: &str, is_cordoned: bool) {
-        for id in self.possible_workers_on(host) {
-            if let Some(worker) = self.workers.get_mut(&id) {
-                worker.is_cordoned = is_cordoned;
-            }
-        }
-    }
-
     /// Drains hosts, and orders maintenance for those without tasks and those whose order got no answer.
     fn drain_and_order(&mut self, now_us: u64, number: u64) {
         let Some(wave) = self.waves.states.get(&number) else { return };
@@ -382,43 +316,6 @@
         })
     }
 
-    /// Whether the disruption budget of a task's step allows the task to be stopped now.
-    pub(super) fn may_disrupt(&self, now_us: u64, task_ref: &TaskRef) -> bool {
-        let Some(max_unavailable) = self.step_of(task_ref).and_then(|step| step.max_unavailable) else { return true };
-        let Some(occurrence) = self.jobs.get(&task_ref.job).and_then(|job| job.occurrences.get(&task_ref.occurrence))
-        else {
-            return true;
-        };
-        let tasks = &occurrence.steps[task_ref.step as usize].tasks;
-        if !tasks[task_ref.index as usize].may_be_at_work() {
-            return true;
-        }
-        let mut others_unavailable = 0;
-        for (index, other) in tasks.iter().enumerate() {
-            if index as u32 == task_ref.index {
-                continue;
-            }
-            others_unavailable += u32::from(!self.is_available(now_us, other));
-        }
-        others_unavailable < max_unavailable
-    }
-
-    /// Whether a task counts as available in its step's budget: it is fully at work, as its registered worker has
-    /// reported lately. Whatever the leader does not know for certain counts as unavailable.
-    fn is_available(&self, now_us: u64, task: &Task) -> bool {
-        let Some(worker) = task.placed_on().and_then(|incarnation| self.workers.get(&incarnation.id)) else {
-            return false;
-        };
-        task.is_fully_running() && worker.is_listed && worker.has_reported_since(now_us, self.knowledge_since_us)
-    }
-
-    /// Whether the worker of a placed task has reported its runs lately.
-    fn is_reporting(&self, now_us: u64, task_ref: &TaskRef) -> bool {
-        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
-        let worker = task.and_then(Task::placed_on).and_then(|incarnation| self.workers.get(&incarnation.id));
-        worker.is_some_and(|worker| worker.has_reported_since(now_us, self.knowledge_since_us))
-    }
-
     /// Handles the outcome of an order to maintain a host.
     pub(crate) fn on_maintenance_outcome(
         &mut self,
