--- /dev/null
+++ b/src/sched/sim/faults.rs
@@ -0,0 +1,93 @@
+//! Faults of the simulation, at given times and at random.
+
+use rand::Rng;
+
+use super::worker::sim_worker;
+use super::{worker_entry, Sim, START_UNIX_MS, TICK_US};
+use crate::clock::US_PER_MS;
+
+/// Rates at which faults are injected.
+#[derive(Debug, Clone, Copy, Default)]
+pub(in crate::sched) struct Faults {
+    /// Share of orders that are carried out but whose answer is lost.
+    pub(in crate::sched) answer_loss_rate: f64,
+    /// Share of orders that get no answer and are carried out seconds later.
+    pub(in crate::sched) order_delay_rate: f64,
+    /// Share of orders that never arrive.
+    pub(in crate::sched) order_loss_rate: f64,
+    /// Share of runs that fail.
+    pub(in crate::sched) run_failure_rate: f64,
+    /// Worker crashes per second; each worker restarts at once as a new incarnation.
+    pub(in crate::sched) crashes_per_s: f64,
+    /// Network partitions of workers per second, during which their runs continue.
+    pub(in crate::sched) partitions_per_s: f64,
+    /// Leader failovers per second; the next leader starts from the store.
+    pub(in crate::sched) failovers_per_s: f64,
+    /// Share of commits that take effect but whose answer is lost.
+    pub(in crate::sched) commit_answer_loss_rate: f64,
+    /// Additional delay both of a commit and of its answer.
+    pub(in crate::sched) commit_delay_ms: u64,
+    /// Share of orders about hosts that are carried out but whose answer is lost.
+    pub(in crate::sched) host_answer_loss_rate: f64,
+}
+
+impl Sim {
+    /// Stops the leader; the next one starts after `pause_ms`.
+    pub(in crate::sched) fn stop_leader(&mut self, pause_ms: u64) {
+        let until_us = self.now_us + pause_ms * US_PER_MS;
+        self.leader_down_until_us = Some(until_us);
+        self.last_disturbance_us = self.last_disturbance_us.max(until_us);
+        self.leader += 1;
+    }
+
+    /// Crashes a worker, which restarts at once.
+    pub(in crate::sched) fn crash(&mut self, number: usize) {
+        let id = worker_entry(number, 0).id;
+        self.restart_count += 1;
+        let entry = worker_entry(number, START_UNIX_MS + u64::from(self.restart_count));
+        let rate = self.rng.random_range(0.98..1.0);
+        self.workers.insert(id, sim_worker(self.now_us, entry.clone(), rate));
+        self.registry.insert(entry.clone());
+        self.last_disturbance_us = self.now_us;
+        if self.leader_down_until_us.is_none() {
+            self.scheduler.worker_listed(self.now_us, entry);
+        }
+    }
+
+    /// Makes a worker unreachable for `for_ms`; its runs continue.
+    pub(in crate::sched) fn partition(&mut self, number: usize, for_ms: u64) {
+        let id = worker_entry(number, 0).id;
+        let until_us = self.now_us + for_ms * US_PER_MS;
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.partitioned_until_us = until_us;
+        }
+        self.last_disturbance_us = self.last_disturbance_us.max(until_us);
+    }
+
+    pub(super) fn inject_faults(&mut self) {
+        let tick_s = TICK_US as f64 / 1e6;
+        let count = self.workers.len();
+        if self.chance(self.faults.crashes_per_s * tick_s) {
+            let number = self.rng.random_range(0..count);
+            self.crash(number);
+        }
+        if self.chance(self.faults.partitions_per_s * tick_s) {
+            let number = self.rng.random_range(0..count);
+            let for_ms = self.rng.random_range(500..9_000);
+            self.partition(number, for_ms);
+        }
+        if self.leader_down_until_us.is_none() && self.chance(self.faults.failovers_per_s * tick_s) {
+            let pause_ms = self.rng.random_range(50..6_000);
+            self.stop_leader(pause_ms);
+        }
+        if self.leader_down_until_us.is_some_and(|until_us| self.now_us >= until_us) && !self.is_store_down() {
+            self.leader_down_until_us = None;
+            self.token += 1;
+            self.start_leader();
+        }
+    }
+
+    pub(super) fn chance(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.random_bool(share.min(1.0))
+    }
+}
