A finished job does not run again when a read from before its removal is answered late

Suspected cause, from the code: after the store has dropped its history, the leader reads all submissions again; a page that was read before the removal of a finished job's submission arrives after the leader has forgotten the job.

Change: the ID of a job is kept for 30 s after its submission was removed, and a submission with such an ID is not added.

Before: finished_job_does_not_run_again_when_a_read_from_before_the_removal_of_its_submission_is_answered_late failed (without the guard).

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -128,7 +128,7 @@
         let not_removed = submissions::remove_finished(&leader.daemon, &jobs).await;
         jobs.retain(|job| !not_removed.contains(job));
         let mut scheduler = leader.scheduler.borrow_mut();
-        scheduler.submissions_removed(&jobs);
+        scheduler.submissions_removed(leader.now_us(), &jobs);
         scheduler.requeue_finished_jobs(not_removed);
     }
 }
--- a/src/sched/batches.rs
+++ b/src/sched/batches.rs
@@ -15,6 +15,9 @@
 const MAX_BATCH_JOBS: usize = 90;
 /// Minimum time between two updates of the stored numbers of queued jobs.
 const PENDING_REPORT_INTERVAL_MS: u64 = 500;
+/// How long the ID of a job is kept after its submission was removed: a read of the submissions that began before the
+/// removal may be answered late.
+const FORGOTTEN_JOB_RETENTION_MS: u64 = 30_000;
 
 impl Scheduler {
     /// Marks a job's state to be stored with one of the next batches.
@@ -154,9 +157,11 @@
 
     /// Forgets jobs whose submissions have been removed, and queues the removal of their records, which no later leader
     /// needs.
-    pub(crate) fn submissions_removed(&mut self, jobs: &[(JobId, JobPhase)]) {
+    pub(crate) fn submissions_removed(&mut self, now_us: u64, jobs: &[(JobId, JobPhase)]) {
+        self.forgotten_jobs.retain(|_, until_us| now_us < *until_us);
         for (id, _) in jobs {
             self.jobs.remove(id);
+            self.forgotten_jobs.insert(id.clone(), now_us + FORGOTTEN_JOB_RETENTION_MS * US_PER_MS);
             self.records_to_remove.push(id.clone());
         }
     }
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -70,6 +70,8 @@
     pub(super) finished_jobs: Vec<(JobId, JobPhase)>,
     /// Jobs whose submissions have been removed, so that their records can be removed.
     pub(super) records_to_remove: Vec<JobId>,
+    /// Jobs whose submissions have been removed lately, and until when each is kept here.
+    pub(super) forgotten_jobs: HashMap<JobId, u64>,
     pub(super) forecast: DemandForecast,
     pub(super) host_moves: HostMoves,
     pub(super) waves: Waves,
@@ -121,6 +123,7 @@
             uncommitted_starts: Vec::new(),
             finished_jobs: Vec::new(),
             records_to_remove: Vec::new(),
+            forgotten_jobs: HashMap::new(),
             leader_since_us: now_us,
             leadership_renewed_us: now_us,
             knowledge_since_us: now_us,
@@ -190,9 +193,9 @@
         Ok(())
     }
 
-    /// Adds an accepted job. Idempotent.
+    /// Adds an accepted job. Idempotent, also if the job has finished and its submission has been removed lately.
     pub(crate) fn submit(&mut self, now_us: u64, now_unix_ms: u64, id: JobId, spec: JobSpec) {
-        if self.jobs.contains_key(&id) {
+        if self.has_job(&id) {
             return;
         }
         let mut job = Job::new(id.clone(), Arc::new(spec));
@@ -353,8 +356,9 @@
         self.place(now_us);
     }
 
+    /// Whether the job is known, or was until its submission was removed.
     pub(crate) fn has_job(&self, id: &str) -> bool {
-        self.jobs.contains_key(id)
+        self.jobs.contains_key(id) || self.forgotten_jobs.contains_key(id)
     }
 
     pub(crate) fn worker_address(&self, id: &str) -> Option<SocketAddr> {
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -230,3 +230,18 @@
 
     assert_eq!(phase(&sim, "plain"), Some(JobPhase::Completed));
 }
+
+#[test]
+fn finished_job_does_not_run_again_when_a_read_from_before_the_removal_of_its_submission_is_answered_late() {
+    let mut sim = Sim::new(1, 4, Faults::default());
+    sim.submit("job", spec(two_steps()));
+    sim.run_for(3_000);
+    let finished = sim.scheduler.take_finished_jobs();
+    sim.scheduler.submissions_removed(sim.now_us, &finished);
+
+    sim.scheduler.submit(sim.now_us, 0, "job".into(), spec(two_steps()));
+    sim.run_for(3_000);
+
+    assert_eq!(finished.len(), 1);
+    assert_eq!((sim.start_count, sim.violations.len()), (7, 0), "no task ran twice");
+}
