--- a/src/sched/host_tests.rs
+++ b/src/sched/host_tests.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::action::Action;
+use super::leader_fixtures::host;
 use super::model::{
     ActiveRun, HoldAnswer, HostPhase, HostRecord, JobSpec, OrderOutcome, OrderRefusal, PoolConfig, TaskRef, WaveOrder,
 };
@@ -297,15 +298,7 @@
     let mut hosts = Vec::new();
     for number in 0..2 {
         let entry = worker_entry(number, 1);
-        hosts.push(HostRecord {
-            name: host_of(&Worker::new(0, entry.clone())),
-            pool: entry.pool.clone(),
-            phase: HostPhase::Up,
-            worker: Some(entry.id.clone()),
-            capacity: entry.capacity,
-            zone: entry.zone.clone(),
-            labels: entry.labels.clone(),
-        });
+        hosts.push(host(&entry, true));
         scheduler.worker_listed(0, entry.clone());
         scheduler.on_hold_answer(10 * SECOND_US, 10 * SECOND_US, &entry.id, &answer);
     }
--- a/src/sched/leader_fixtures.rs
+++ b/src/sched/leader_fixtures.rs
@@ -80,7 +80,7 @@
 
 /// Orders about hosts that a leader gave.
 #[derive(Debug, Default)]
-pub(super) struct HostOrders {
+pub(super) struct OrderedHosts {
     /// Hosts and the pools to which they were to move.
     pub(super) moves: Vec<(String, String)>,
     pub(super) maintenance_count: usize,
@@ -93,8 +93,8 @@
     from_us: u64,
     for_ms: u64,
     mut each: impl FnMut(&mut Scheduler, u64),
-) -> HostOrders {
-    let mut orders = HostOrders::default();
+) -> OrderedHosts {
+    let mut orders = OrderedHosts::default();
     for elapsed_ms in (0..for_ms).step_by(100) {
         let now_us = from_us + elapsed_ms * 1_000;
         each(leader, now_us);
--- a/src/sched/planned_work_tests.rs
+++ b/src/sched/planned_work_tests.rs
@@ -4,9 +4,8 @@
 
 use super::action::{Action, HoldPlan};
 use super::job::{RunPhase, TaskState};
-use super::model::{
-    ActiveRun, Catalog, HoldAnswer, HostPhase, HostRecord, JobSpec, PoolConfig, Queue, Step, TaskRef, WaveOrder,
-};
+use super::leader_fixtures::host;
+use super::model::{ActiveRun, Catalog, HoldAnswer, JobSpec, PoolConfig, Queue, Step, TaskRef, WaveOrder};
 use super::scheduler::Scheduler;
 use super::sim::{catalog, settings, spec, step, worker_entry, Faults, Sim};
 use crate::clock::US_PER_MS;
@@ -257,15 +256,7 @@
     let mut hosts = Vec::new();
     for number in 0..4 {
         let entry = worker_entry(number, 1);
-        hosts.push(HostRecord {
-            name: format!("h{number}").into(),
-            pool: entry.pool.clone(),
-            phase: HostPhase::Up,
-            worker: Some(entry.id.clone()),
-            capacity: entry.capacity,
-            zone: entry.zone.clone(),
-            labels: entry.labels.clone(),
-        });
+        hosts.push(host(&entry, true));
         scheduler.worker_listed(0, entry);
     }
     report_runs(&mut scheduler, 10_000, 10_000, 100);
