The leader hashes and compares less: candidates, hold answers and maps by job

Cause: in a profile of the leader of the large deployment, a tenth of its time went into looking up each worker of a pool by name for every task placed (only steps with a limit per worker and long-running ones need that), into copying the labels of each worker for every round, and into hashing names with SipHash.

Change: the number of siblings is a field of a candidate, set only for steps whose placement depends on it; labels are shared; the runs in an answer to a hold request are sorted instead of hashed; maps by job and worker use foldhash (seeded at random), which hashbrown used already.

No decision changes but the order in which equal runs are looked at.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -2,10 +2,11 @@
 //! and executes the actions that it requests.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
+use foldhash::{HashMap, HashSet};
+
 use super::candidacy::RELEASED;
 use super::election::{owner_row, sequence_row};
 use super::orders::OrderQueues;
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -1,10 +1,12 @@
 //! Queues of orders to workers, with a limit on the orders in flight to each worker.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
 
+use foldhash::HashMap;
+
 use super::leader::Leader;
 use crate::platform::workers::{StartOrder, WorkerAddress};
 use crate::reactor::spawn;
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -1,9 +1,10 @@
 //! In-memory view of the jobs' phases, so that status requests need not read the store.
 
-use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
+use foldhash::{HashMap, HashSet};
+
 use super::{ControlDaemon, LEADER_PARTITION, PENDING_COUNTS_KEY, PHASE_TABLE};
 use crate::row_store::{RowStoreError, StoredRow};
 use crate::sched::model::{JobId, JobPhase};
--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -153,7 +153,7 @@
         },
         worker: body.id,
         zone: body.zone,
-        labels: body.labels,
+        labels: body.labels.into(),
         capacity: body.capacity.map(|capacity| capacity.resources()).unwrap_or_default(),
     }
 }
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -381,7 +381,7 @@
         started_unix_ms: body.born.unwrap_or(0),
         draining: body.state == WorkerState::Draining,
         capacity: body.capacity.map(|capacity| capacity.resources()).unwrap_or_default(),
-        labels: body.labels,
+        labels: body.labels.into(),
         host: body.machine,
     })
 }
--- a/src/sched/batches.rs
+++ b/src/sched/batches.rs
@@ -1,9 +1,11 @@
 //! Batches of changes for the store. A run is committed before its start order is sent, and the end of a run before it
 //! is acknowledged to its worker.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use foldhash::HashSet;
+
 use super::action::Batch;
 use super::model::{JobId, JobPhase, TaskRef};
 use super::record::encode_job;
--- a/src/sched/candidate.rs
+++ b/src/sched/candidate.rs
@@ -3,6 +3,8 @@
 use std::cmp::Reverse;
 use std::sync::Arc;
 
+use foldhash::HashMap;
+
 use super::model::{HostRecord, Resources, Step};
 use super::worker::Worker;
 
@@ -15,8 +17,10 @@
     /// Capacity that is not reserved by long-running tasks: it is free once all other tasks have ended.
     pub(super) capacity_excluding_long_running: Resources,
     /// The first label is the kind of host, the last one its rack.
-    pub(super) labels: Vec<Arc<str>>,
+    pub(super) labels: Arc<[Arc<str>]>,
     pub(super) long_running_count: u32,
+    /// Tasks of the step that is being placed; only counted if the step's placement depends on it.
+    pub(super) siblings: u32,
     /// Tasks with a latency target ([`Step::target_ms`]).
     pub(super) latency_target_count: u32,
     /// Tasks that use only CPU time that others leave idle ([`Step::best_effort`]).
@@ -37,6 +41,7 @@
             capacity_excluding_long_running: worker.capacity_excluding_long_running(),
             labels: worker.entry.labels.clone(),
             long_running_count: worker.long_running_count,
+            siblings: 0,
             latency_target_count: worker.latency_target_count,
             best_effort_count: worker.best_effort_count,
             failure_tenths: (worker.failure_average() * 10.0) as u32,
@@ -53,6 +58,7 @@
             capacity_excluding_long_running: host.capacity,
             labels: host.labels.clone(),
             long_running_count: 0,
+            siblings: 0,
             latency_target_count: 0,
             best_effort_count: 0,
             failure_tenths: 0,
@@ -149,17 +155,24 @@
     free_cpu_after_milli: u64,
 }
 
-pub(super) fn score(worker: &Candidate, step: &Step, is_avoided: bool, siblings: u32) -> Score {
+pub(super) fn score(worker: &Candidate, step: &Step, is_avoided: bool) -> Score {
     Score {
         is_avoided,
         is_far_from_data: step.data_rack.as_ref().is_some_and(|rack| worker.labels.last() != Some(rack)),
-        siblings: if step.long_running { siblings } else { 0 },
+        siblings: if step.long_running { worker.siblings } else { 0 },
         has_long_running: Reverse(if step.long_running { worker.long_running_count.min(1) } else { 0 }),
         failure_tenths: worker.failure_tenths,
         free_cpu_after_milli: worker.free_capacity.cpu_milli.saturating_sub(step.reserved().cpu_milli),
     }
 }
 
+/// Sets how many tasks of a step each worker has.
+pub(super) fn set_siblings(workers: &mut [Candidate], siblings: &HashMap<Arc<str>, u32>) {
+    for worker in workers {
+        worker.siblings = siblings.get(&worker.id).copied().unwrap_or(0);
+    }
+}
+
 /// Racks to which a gang may be confined, in the order to try; `None` stands for any mix of racks.
 pub(super) fn racks(step: &Step, workers: &[Candidate]) -> Vec<Option<Arc<str>>> {
     let mut racks: Vec<Option<Arc<str>>> = Vec::new();
--- a/src/sched/demand.rs
+++ b/src/sched/demand.rs
@@ -1,8 +1,10 @@
 //! Capacity and demand of each pool.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use foldhash::HashSet;
+
 use super::job::{Job, TaskState};
 use super::model::HostPhase;
 use super::scheduler::Scheduler;
@@ -171,7 +173,7 @@
 
     /// Finds the on-time jobs among those that have placed tasks or tasks that could start.
     fn update_on_time_jobs(&mut self, now_us: u64) {
-        let mut jobs = HashSet::new();
+        let mut jobs = HashSet::default();
         let placed = self.workers.values().flat_map(|worker| worker.tasks.iter().map(|task_ref| &task_ref.job));
         for id in placed.chain(&self.ready_jobs) {
             if jobs.contains(id) {
--- a/src/sched/explain.rs
+++ b/src/sched/explain.rs
@@ -1,9 +1,10 @@
 //! Explains why a job's tasks wait.
 
-use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
 
+use foldhash::HashMap;
+
 use super::job::{DeadlineForecast, Job, TaskState};
 use super::model::{Step, TaskRef};
 use super::scheduler::Scheduler;
--- a/src/sched/forecast.rs
+++ b/src/sched/forecast.rs
@@ -4,9 +4,11 @@
 //! forecast extends their growth to the time at which a host that is ordered now can run tasks, so that hosts arrive
 //! with the load rather than after it.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+use foldhash::HashMap;
+
 use super::job::Job;
 use crate::clock::US_PER_MS;
 
@@ -38,7 +40,7 @@
 
 impl DemandForecast {
     pub(super) fn new(lead_ms: u64) -> DemandForecast {
-        DemandForecast { lead_ms, demand: BTreeMap::new(), arrivals: BTreeMap::new(), run_time_ratio: HashMap::new() }
+        DemandForecast { lead_ms, demand: BTreeMap::new(), arrivals: BTreeMap::new(), run_time_ratio: HashMap::default() }
     }
 
     /// Adds a new job's work to the arriving work of its pool.
--- a/src/sched/host_demand_tests.rs
+++ b/src/sched/host_demand_tests.rs
@@ -118,7 +118,7 @@
     let (busy, idle) = busy_and_idle(&leader);
     // A task that may not be stopped keeps the third worker from being maintained.
     let mut labelled = idle[0].clone();
-    labelled.labels.insert(1, "other".into());
+    labelled.labels = ["a".into(), "other".into(), labelled.labels[1].clone()].into();
     leader.worker_listed(10_500_000, labelled);
     let mut other = spread_step(1);
     other.max_unavailable = Some(0);
@@ -264,7 +264,7 @@
     let mut leader = leader_with_workers(2);
     leader.hosts.remove("h9");
     let mut labelled = leader.workers["w1"].entry.clone();
-    labelled.labels.insert(1, "other".into());
+    labelled.labels = ["a".into(), "other".into(), labelled.labels[1].clone()].into();
     leader.worker_listed(10 * SECOND_US, labelled.clone());
     let mut wave = Some(wave_of(&labelled));
     let mut short = step(1, &[]);
--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -4,9 +4,11 @@
 //! that lack capacity, first those of the spare pool. Hosts that no pool needs move to the spare pool, where they cost
 //! nothing.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use foldhash::HashSet;
+
 use super::demand::PoolBalance;
 use super::host_orders::HostOrder;
 use super::labels::{is_needed_for_label, LabelBalances};
@@ -77,9 +79,9 @@
             next_report_us: 0,
             moving: BTreeMap::new(),
             draining: BTreeMap::new(),
-            rejected_moves: HashSet::new(),
-            on_time_jobs: HashSet::new(),
-            silent_zones: HashSet::new(),
+            rejected_moves: HashSet::default(),
+            on_time_jobs: HashSet::default(),
+            silent_zones: HashSet::default(),
             retry_not_before_us: BTreeMap::new(),
         }
     }
--- a/src/sched/host_tests.rs
+++ b/src/sched/host_tests.rs
@@ -29,7 +29,7 @@
         worker: None,
         capacity: worker_entry(0, 1).capacity,
         zone: "hall-a".into(),
-        labels: vec![kind.into(), "r0".into()],
+        labels: [kind.into(), "r0".into()].into(),
     };
     scheduler.hosts_listed(0, 0, vec![host("h0", "press", "a"), host("h8", "spare", "a"), host("h9", "spare", "b")]);
     scheduler
@@ -79,7 +79,7 @@
     for (other_kind, is_stopped) in [("b", false), ("a", true)] {
         let mut scheduler = leader_with_spare_hosts();
         let mut other_worker = worker_entry(1, 1);
-        other_worker.labels[0] = other_kind.into();
+        other_worker.labels = [other_kind.into(), other_worker.labels[1].clone()].into();
         scheduler.worker_listed(0, other_worker);
         let answer = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
         let mut long_step = step(1, &[]);
--- a/src/sched/labels.rs
+++ b/src/sched/labels.rs
@@ -77,14 +77,14 @@
             if !worker.is_usable() {
                 continue;
             }
-            for label in &worker.entry.labels {
+            for label in worker.entry.labels.iter() {
                 let Some(balance) = balances.get_mut(&(worker.entry.pool.clone(), label.clone())) else { continue };
                 balance.capacity += worker.entry.capacity.cpu_milli;
             }
         }
         for (name, pool) in self.host_moves.incoming_hosts(now_us) {
             let Some(host) = self.hosts.get(name) else { continue };
-            for label in &host.labels {
+            for label in host.labels.iter() {
                 let Some(balance) = balances.get_mut(&(pool.clone(), label.clone())) else { continue };
                 balance.capacity += host.capacity.cpu_milli;
             }
--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -4,9 +4,10 @@
 //! releases them once no run can be active any more: when the worker's leases have certainly ended, or when there is
 //! evidence that the worker has gone.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 
+use foldhash::HashSet;
+
 use super::job::{TaskState, WorkerIncarnation};
 use super::model::{JobId, TaskRef};
 use super::scheduler::Scheduler;
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -194,6 +194,11 @@
         self.required_label.is_none() && self.max_per_worker.is_none() && !self.best_effort && self.target_ms.is_none()
     }
 
+    /// Whether it matters for the placement of a task where the other tasks of the step are.
+    pub(crate) fn has_placement_by_siblings(&self) -> bool {
+        self.max_per_worker.is_some() || self.long_running
+    }
+
     /// Resources that a task reserves on its worker.
     pub(crate) fn reserved(&self) -> Resources {
         if self.best_effort {
@@ -223,7 +228,7 @@
     pub(crate) started_unix_ms: u64,
     pub(crate) draining: bool,
     pub(crate) capacity: Resources,
-    pub(crate) labels: Vec<Arc<str>>,
+    pub(crate) labels: Arc<[Arc<str>]>,
     /// Host on which the worker runs, if it reports one.
     pub(crate) host: Option<Arc<str>>,
 }
@@ -324,7 +329,7 @@
     pub(crate) capacity: Resources,
     pub(crate) zone: Arc<str>,
     /// The first label is the kind of host, the last one its rack.
-    pub(crate) labels: Vec<Arc<str>>,
+    pub(crate) labels: Arc<[Arc<str>]>,
 }
 
 impl HostRecord {
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -1,10 +1,12 @@
 //! Decides which task starts next, and on which worker.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use foldhash::HashMap;
+
 use super::action::Action;
-use super::candidate::{racks, score, Candidate, PlacementRound, Score};
+use super::candidate::{racks, score, set_siblings, Candidate, PlacementRound, Score};
 use super::job::{Job, RunPhase, TaskState};
 use super::model::{Advice, JobId, Step, TaskRef};
 use super::scheduler::Scheduler;
@@ -139,14 +141,17 @@
     ) {
         let needs = step.reserved();
         let mut chosen: Vec<Arc<str>> = Vec::new();
-        let mut siblings = self.siblings_per_worker(&waiting[0], step);
+        let tracks_siblings = step.has_placement_by_siblings();
+        if tracks_siblings {
+            set_siblings(workers, &self.siblings_per_worker(&waiting[0], step));
+        }
         for task_ref in waiting {
             if round.placements_left == 0 {
                 break;
             }
-            let Some(index) = self.choose(task_ref, step, workers, &siblings) else {
+            let Some(index) = self.choose(task_ref, step, workers) else {
                 if step.long_running {
-                    reserve_worker_for_long_running(step, workers, &siblings);
+                    reserve_worker_for_long_running(step, workers);
                 }
                 if step.has_no_placement_constraints() && workers.iter().all(|worker| worker.is_allowed) {
                     round.record_unplaceable(needs);
@@ -156,13 +161,16 @@
                 break;
             };
             workers[index].reserve(step);
+            workers[index].siblings += u32::from(tracks_siblings);
             let worker = workers[index].id.clone();
-            *siblings.entry(worker.clone()).or_default() += 1;
             let run = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)).map_or(1, |task| task.run + 1);
             self.assign(now_us, task_ref, &worker, run);
             round.record_placed();
             chosen.push(worker);
         }
+        if tracks_siblings {
+            workers.iter_mut().for_each(|worker| worker.siblings = 0);
+        }
         if let Some(task_ref) = waiting.first().filter(|_| !chosen.is_empty()) {
             log::info!(
                 "job={} step={}.{} placed={} waiting={} workers={} outcome=placed",
@@ -194,19 +202,18 @@
             let Some(chosen) = self.choose_gang(waiting, step, &mut trial) else { continue };
             self.assign_gang(now_us, waiting, &chosen);
             for (worker, tried) in workers.iter_mut().zip(trial) {
-                *worker = Candidate { is_allowed: worker.is_allowed, ..tried };
+                *worker = Candidate { is_allowed: worker.is_allowed, siblings: 0, ..tried };
             }
             return;
         }
     }
 
     fn choose_gang(&self, waiting: &[TaskRef], step: &Step, workers: &mut [Candidate]) -> Option<Vec<Arc<str>>> {
-        let mut siblings = HashMap::new();
         let mut chosen = Vec::new();
         for task_ref in waiting {
-            let index = self.choose(task_ref, step, workers, &siblings)?;
+            let index = self.choose(task_ref, step, workers)?;
             workers[index].reserve(step);
-            *siblings.entry(workers[index].id.clone()).or_default() += 1;
+            workers[index].siblings += 1;
             chosen.push(workers[index].id.clone());
         }
         Some(chosen)
@@ -228,8 +235,8 @@
 
     /// Number of tasks of the same step and occurrence on each worker, for steps where placement depends on it.
     pub(super) fn siblings_per_worker(&self, task_ref: &TaskRef, step: &Step) -> HashMap<Arc<str>, u32> {
-        let mut counts = HashMap::new();
-        if step.max_per_worker.is_none() && !step.long_running {
+        let mut counts = HashMap::default();
+        if !step.has_placement_by_siblings() {
             return counts;
         }
         let Some(job) = self.jobs.get(&task_ref.job) else { return counts };
@@ -243,25 +250,18 @@
     }
 
     /// Index of the best worker that has capacity for a task.
-    fn choose(
-        &self,
-        task_ref: &TaskRef,
-        step: &Step,
-        workers: &[Candidate],
-        siblings: &HashMap<Arc<str>, u32>,
-    ) -> Option<usize> {
+    fn choose(&self, task_ref: &TaskRef, step: &Step, workers: &[Candidate]) -> Option<usize> {
         let task = self.jobs.get(&task_ref.job)?.task(task_ref)?;
         let reserved = step.reserved();
         let mut best: Option<(Score, usize)> = None;
         for (index, worker) in workers.iter().enumerate() {
-            let siblings = siblings.get(&worker.id).copied().unwrap_or(0);
-            if !reserved.fits_in(&worker.free_capacity) || !worker.admits(step, siblings) {
+            if !reserved.fits_in(&worker.free_capacity) || !worker.admits(step, worker.siblings) {
                 continue;
             }
             if worker.is_reserved && !step.long_running {
                 continue;
             }
-            let score = score(worker, step, task.avoided_workers.contains(&worker.id), siblings);
+            let score = score(worker, step, task.avoided_workers.contains(&worker.id));
             if best.as_ref().is_none_or(|(known, _)| score < *known) {
                 best = Some((score, index));
             }
@@ -372,11 +372,10 @@
 /// Keeps all other tasks off the worker that is likely to be the first with enough capacity for a long-running task:
 /// the one with the most free CPU. Otherwise small tasks would take the capacity as it becomes free, and the
 /// long-running task would wait for as long as there are small tasks.
-fn reserve_worker_for_long_running(step: &Step, workers: &mut [Candidate], siblings: &HashMap<Arc<str>, u32>) {
+fn reserve_worker_for_long_running(step: &Step, workers: &mut [Candidate]) {
     let mut best: Option<&mut Candidate> = None;
     for worker in workers {
-        let siblings = siblings.get(&worker.id).copied().unwrap_or(0);
-        if worker.is_reserved || !worker.can_ever_run(step, siblings) {
+        if worker.is_reserved || !worker.can_ever_run(step, worker.siblings) {
             continue;
         }
         if best.as_ref().is_none_or(|known| worker.free_capacity.cpu_milli > known.free_capacity.cpu_milli) {
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -1,6 +1,5 @@
 //! Compares what workers report with what was ordered, and handles the outcomes of orders to workers.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use super::action::{Action, StartRun};
@@ -68,13 +67,15 @@
         active_runs: &[ActiveRun],
         all_ended_runs_listed: bool,
     ) {
-        let listed: HashMap<&TaskRef, &ActiveRun> =
-            active_runs.iter().map(|active_run| (&active_run.task, active_run)).collect();
+        let mut listed: Vec<&ActiveRun> = active_runs.iter().collect();
+        listed.sort_unstable_by(|a, b| (&a.task, a.run).cmp(&(&b.task, b.run)));
         let Some(worker) = self.workers.get(id) else { return };
         let incarnation = worker.incarnation();
         let expected: Vec<TaskRef> = worker.tasks.iter().cloned().collect();
         for task_ref in &expected {
-            match listed.get(task_ref) {
+            let following = listed.partition_point(|active_run| active_run.task <= *task_ref);
+            let latest = listed[..following].last().filter(|active_run| active_run.task == *task_ref);
+            match latest {
                 Some(active_run) => self.run_listed(now_us, id, task_ref, active_run),
                 None if all_ended_runs_listed => self.run_not_listed(now_us, sent_us, task_ref),
                 None => {}
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -3,9 +3,10 @@
 //! A hold request renews the worker's lease, acknowledges ended runs, and asks which runs are active and which have
 //! ended. It is named after its path on the wire.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 
+use foldhash::HashSet;
+
 use super::action::{Action, HoldPlan};
 use super::job::{RunPhase, TaskState, WorkerIncarnation};
 use super::model::{TaskRef, WorkerEntry};
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -1,9 +1,11 @@
 //! The leader's view of jobs, workers and hosts, and the methods that feed events into it.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use foldhash::{HashMap, HashSet};
+
 use super::action::Action;
 use super::forecast::DemandForecast;
 use super::host_moves::HostMoves;
@@ -112,29 +114,29 @@
             host_orders: HostOrders::new(),
             settings,
             catalog: Arc::default(),
-            jobs: HashMap::new(),
+            jobs: HashMap::default(),
             workers: BTreeMap::new(),
             hosts: BTreeMap::new(),
             actions: Vec::new(),
             ready_jobs: BTreeSet::new(),
-            cancelled_before_submit: HashSet::new(),
+            cancelled_before_submit: HashSet::default(),
             dirty_jobs: BTreeSet::new(),
             is_commit_in_flight: false,
             uncommitted_starts: Vec::new(),
             finished_jobs: Vec::new(),
             records_to_remove: Vec::new(),
-            forgotten_jobs: HashMap::new(),
+            forgotten_jobs: HashMap::default(),
             leader_since_us: now_us,
             leadership_renewed_us: now_us,
             knowledge_since_us: now_us,
-            unattached_tasks: HashMap::new(),
+            unattached_tasks: HashMap::default(),
             reported_pending_counts: Vec::new(),
             pending_counts_checked_us: 0,
             is_pending_report_stale: false,
             recurring_jobs: BTreeSet::new(),
             next_sweep_us: 0,
             next_orphan_check_us: 0,
-            worker_by_host: HashMap::new(),
+            worker_by_host: HashMap::default(),
             next_placement_us: 0,
             wants_placement: true,
         }
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -143,7 +143,7 @@
         worker: None,
         capacity: super::model::Resources::default(),
         zone: "hall-a".into(),
-        labels: Vec::new(),
+        labels: Arc::new([]),
     };
     scheduler.hosts_listed(SECOND_US, SECOND_US, vec![host]);
     let commit = |scheduler: &mut super::scheduler::Scheduler, now_us| {
--- a/src/sched/sim/fixtures.rs
+++ b/src/sched/sim/fixtures.rs
@@ -62,7 +62,7 @@
         started_unix_ms,
         draining: false,
         capacity: Resources { cpu_milli: 16_000, mem_mb: 64_000, gpus: 0 },
-        labels: vec!["a".into(), format!("r{}", number / 4).into()],
+        labels: ["a".into(), format!("r{}", number / 4).into()].into(),
         host: Some(format!("h{number}").into()),
     }
 }
--- a/src/sched/unplaceable.rs
+++ b/src/sched/unplaceable.rs
@@ -3,9 +3,11 @@
 //! The balance of a pool compares sums of CPU. Such a task waits although the sums say that there is capacity: the
 //! workers already run as many tasks of its step as they may, or lack its label, or each has too little capacity.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use foldhash::HashMap;
+
 use super::candidate::Candidate;
 use super::job::{Job, TaskState};
 use super::model::{HostPhase, HostRecord, JobSpec, Step};
@@ -86,7 +88,7 @@
                 let step = &job.spec.steps[step_index];
                 let siblings = match step.long_running {
                     true => self.siblings_per_worker(&job.task_ref(*number, step_index, 0), step),
-                    false => HashMap::new(),
+                    false => HashMap::default(),
                 };
                 steps.push(WaitingStep { step_index, siblings, waiting });
             }
@@ -130,7 +132,7 @@
         while missing > 0 {
             let mut added =
                 vec![Candidate { id: format!("new-{}", candidates.len()).into(), ..Candidate::of_host(host) }];
-            missing = reserve(&mut added, step, &HashMap::new(), missing);
+            missing = reserve(&mut added, step, &HashMap::default(), missing);
             candidates.append(&mut added);
             host_count += 1;
         }
