--- a/src/sched.rs
+++ b/src/sched.rs
@@ -6,6 +6,7 @@
 //! acknowledged to the worker.
 
 pub(crate) mod action;
+mod allocation;
 mod batches;
 mod candidate;
 mod demand;
@@ -32,6 +33,8 @@
 mod waves;
 pub(crate) mod worker;
 
+#[cfg(test)]
+mod allocation_tests;
 #[cfg(test)]
 mod forecast_tests;
 #[cfg(test)]
@@ -41,8 +44,9 @@
 #[cfg(test)]
 mod leader_fixtures;
 #[cfg(test)]
+mod overload_tests;
+#[cfg(test)]
 mod planned_work_tests;
-
 #[cfg(test)]
 mod scheduler_tests;
 #[cfg(test)]
--- a/src/sched/demand.rs
+++ b/src/sched/demand.rs
@@ -5,6 +5,7 @@
 
 use foldhash::HashSet;
 
+use super::allocation::PoolBalance;
 use super::job::{Job, TaskState};
 use super::model::HostPhase;
 use super::scheduler::Scheduler;
@@ -21,29 +22,6 @@
 /// become free again within this time and can run several such tasks one after the other.
 const SHORT_TASK_MS: u64 = 1_500;
 
-/// Balance of a pool: its capacity and demand, in thousandths of a core.
-#[derive(Debug, Default, Clone)]
-pub(super) struct PoolBalance {
-    /// Capacity of usable workers, and of hosts that are moving to the pool.
-    pub(super) capacity: u64,
-    /// Demand of on-time jobs: long-running ones, and those that can still meet their deadline. It includes arriving
-    /// work and headroom, and is the highest value within the demand window.
-    pub(super) on_time_demand: u64,
-    /// Demand of all other jobs, which only get capacity that no on-time job needs.
-    pub(super) late_demand: u64,
-}
-
-impl PoolBalance {
-    pub(super) fn total_demand(&self) -> u64 {
-        self.on_time_demand + self.late_demand
-    }
-
-    /// Capacity beyond the demand of on-time jobs.
-    pub(super) fn surplus(&self) -> u64 {
-        self.capacity.saturating_sub(self.on_time_demand)
-    }
-}
-
 impl Scheduler {
     /// Balances of all pools other than the spare pool.
     pub(super) fn pool_balances(&mut self, now_us: u64) -> BTreeMap<Arc<str>, PoolBalance> {
@@ -61,7 +39,7 @@
                 balance.capacity += worker.entry.capacity.cpu_milli;
             }
             let on_time = self.on_time_cpu_milli(worker);
-            balance.on_time_demand += on_time;
+            balance.present_demand += on_time;
             balance.late_demand += worker.reserved.cpu_milli.saturating_sub(on_time);
         }
         for id in &self.ready_jobs {
@@ -69,7 +47,7 @@
             let queue = self.queue_of(job);
             let Some(balance) = balances.get_mut(&queue.pool) else { continue };
             if self.host_moves.on_time_jobs.contains(id) {
-                balance.on_time_demand += waiting_cpu_milli(job);
+                balance.present_demand += waiting_cpu_milli(job);
             } else {
                 balance.late_demand += waiting_cpu_milli(job);
             }
@@ -78,9 +56,10 @@
         for (pool, balance) in &mut balances {
             let long_running = self.long_running_cpu_milli(pool);
             let arriving = self.forecast.arriving_demand_milli(now_us, pool) + long_running;
-            self.forecast.record_demand(now_us, pool, balance.on_time_demand.max(arriving));
-            balance.on_time_demand = (self.forecast.recent_demand_milli(pool) as f64 * DEMAND_HEADROOM) as u64;
-            balance.capacity += self.host_moves.incoming_capacity_milli(now_us, pool)
+            let recent = self.forecast.record_demand(now_us, pool, balance.present_demand, arriving);
+            balance.present_demand = with_headroom(recent.present_milli);
+            balance.expected_demand = with_headroom(recent.present_milli.max(recent.arriving_milli));
+            balance.capacity += self.host_moves.incoming_capacity_milli(now_us, pool, &self.hosts)
                 + former_leader_moves.get(pool).copied().unwrap_or(0);
         }
         balances
@@ -115,9 +94,11 @@
             }
             log::info!(
                 "pool={pool} workers={workers} usable={usable} reserved_milli={reserved} capacity_milli={} \
-                 on_time_demand_milli={} late_demand_milli={} moving_hosts={} outcome=balance",
+                 on_time_demand_milli={} expected_demand_milli={} late_demand_milli={} moving_hosts={} \
+                 outcome=balance",
                 balance.capacity,
-                balance.on_time_demand,
+                balance.present_demand,
+                balance.expected_demand,
                 balance.late_demand,
                 self.host_moves.moving_count()
             );
@@ -201,6 +182,10 @@
     }
 }
 
+fn with_headroom(milli: u64) -> u64 {
+    (milli as f64 * DEMAND_HEADROOM) as u64
+}
+
 /// CPU needed by tasks that could start now, in thousandths of a core.
 fn waiting_cpu_milli(job: &Job) -> u64 {
     let mut milli = 0;
--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -9,10 +9,10 @@
 
 use foldhash::HashSet;
 
-use super::demand::PoolBalance;
+use super::allocation::PoolBalance;
 use super::host_orders::HostOrder;
 use super::labels::{is_needed_for_label, LabelBalances};
-use super::model::{HostOrderOutcome, HostPhase, HostRecord, JobId, Resources};
+use super::model::{HostOrderOutcome, HostPhase, HostRecord, JobId};
 use super::scheduler::Scheduler;
 use crate::clock::{US_PER_MS, US_PER_S};
 
@@ -35,7 +35,6 @@
 #[derive(Debug, Clone)]
 struct Move {
     pool: Arc<str>,
-    capacity: Resources,
     /// Until then, the host counts as incoming capacity of the pool.
     incoming_until_us: u64,
     is_acknowledged: bool,
@@ -94,23 +93,23 @@
         self.moving.contains_key(host) || self.draining.contains_key(host)
     }
 
-    /// Whether the provider has rejected a move to the pool that it accepts to others.
-    pub(super) fn has_rejected_moves_to(&self, pool: &str) -> bool {
-        self.rejected_moves.iter().any(|(_, rejected)| &**rejected == pool)
-    }
-
     /// Whether a host is drained for a move, or has been ordered to move and the order is not acknowledged.
     pub(super) fn is_leaving(&self, host: &str) -> bool {
         let is_unacknowledged = self.moving.get(host).is_some_and(|host_move| !host_move.is_acknowledged);
         is_unacknowledged || self.draining.contains_key(host)
     }
 
-    /// Capacity of the hosts that are moving to a pool, in thousandths of a core.
-    pub(super) fn incoming_capacity_milli(&self, now_us: u64, pool: &str) -> u64 {
+    /// Capacity of the hosts that are moving to a pool, or are drained in order to, in thousandths of a core.
+    pub(super) fn incoming_capacity_milli(
+        &self,
+        now_us: u64,
+        pool: &str,
+        hosts: &BTreeMap<Arc<str>, HostRecord>,
+    ) -> u64 {
         let mut milli = 0;
-        for host_move in self.moving.values() {
-            if &*host_move.pool == pool && now_us < host_move.incoming_until_us {
-                milli += host_move.capacity.cpu_milli;
+        for (host, target) in self.incoming_hosts(now_us) {
+            if &**target == pool {
+                milli += hosts.get(host).map_or(0, |record| record.capacity.cpu_milli);
             }
         }
         milli
@@ -244,10 +243,8 @@
     pub(super) fn order_move(&mut self, now_us: u64, host: &Arc<str>, pool: &Arc<str>) {
         self.set_cordoned(host, true);
         self.host_moves.moves_left = self.host_moves.moves_left.saturating_sub(1);
-        let capacity = self.hosts.get(host).map(|record| record.capacity).unwrap_or_default();
         let incoming_until_us = now_us + (self.settings.host_move_ms + WORKER_START_MS) * US_PER_MS;
-        let host_move =
-            Move { pool: pool.clone(), capacity, incoming_until_us, is_acknowledged: false, retry_us: None };
+        let host_move = Move { pool: pool.clone(), incoming_until_us, is_acknowledged: false, retry_us: None };
         self.host_moves.moving.insert(host.clone(), host_move);
         log::info!("host={host} pool={pool} outcome=move_ordered");
         self.host_orders.push(now_us, HostOrder::Move { host: host.clone(), pool: pool.clone() });
--- a/src/sched/rebalance.rs
+++ b/src/sched/rebalance.rs
@@ -1,13 +1,14 @@
-//! Chooses hosts to move to pools that lack capacity.
+//! Moves hosts to pools that lack capacity.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::allocation::{
+    Allocation, DemandTier, HostLoad, HostRequest, MovableHost, PoolBalance, RequestKind, Transfer,
+};
 use super::candidate::Candidate;
-use super::demand::PoolBalance;
 use super::host_moves::LEADER_CHANGE_MARGIN_MS;
-use super::labels::{is_last_with_label, is_needed_for_label, LabelBalances};
+use super::labels::LabelBalances;
 use super::model::{HostPhase, HostRecord, Resources};
 use super::scheduler::Scheduler;
 use super::unplaceable::UnplaceableTasks;
@@ -19,44 +20,6 @@
 /// How long a wave leaves a host alone whose drain was ended for a waiting task. The task is at work by then.
 const DRAIN_POSTPONED_MS: u64 = 4_000;
 
-/// A host selected to move to another pool.
-#[derive(Debug)]
-struct SelectedHost {
-    host: Arc<str>,
-    /// Whether it runs no tasks and can move at once; otherwise it is drained first.
-    is_idle: bool,
-}
-
-/// Why a pool requests a host; this decides which hosts it may get.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum RequestKind {
-    /// For demand of late jobs. Only hosts without tasks are taken.
-    Late,
-    /// For demand of on-time jobs. Hosts whose own tasks all belong to late jobs may be drained.
-    OnTime,
-    /// No worker of the pool can run the tasks. Any host without long-running tasks may be drained.
-    Unschedulable,
-}
-
-/// A pool's request for a host.
-#[derive(Debug)]
-struct HostRequest<'a> {
-    pool: &'a Arc<str>,
-    /// Label that the host must have.
-    label: Option<&'a Arc<str>>,
-    kind: RequestKind,
-    /// Capacity that the host must have.
-    needs: Resources,
-}
-
-/// State of one search for hosts: the balances after the moves chosen so far, and the hosts chosen.
-#[derive(Debug)]
-struct HostSearch<'a> {
-    balances: BTreeMap<Arc<str>, PoolBalance>,
-    labels: &'a LabelBalances,
-    taken: BTreeSet<Arc<str>>,
-}
-
 impl Scheduler {
     /// Moves hosts to pools that lack capacity: first for labels, then for tasks that no worker can take and for pools
     /// without any worker, then for on-time jobs, then for late jobs.
@@ -66,46 +29,58 @@
         balances: &BTreeMap<Arc<str>, PoolBalance>,
         labels: &LabelBalances,
     ) {
-        let mut search = HostSearch { balances: balances.clone(), labels, taken: BTreeSet::new() };
+        let unplaceable = self.unplaceable_tasks(now_us);
+        let rejected_moves = self.host_moves.rejected_moves.clone();
+        let hosts = self.movable_hosts(now_us);
+        let mut allocation = Allocation { balances: balances.clone(), hosts, labels, rejected_moves: &rejected_moves };
         for ((pool, label), balance) in labels {
-            let kind = if balance.has_no_capacity() { RequestKind::Unschedulable } else { RequestKind::OnTime };
+            let kind = match balance.has_no_capacity() {
+                true => RequestKind::Unschedulable,
+                false => RequestKind::Shortfall(DemandTier::Expected),
+            };
             let request = HostRequest { pool, label: Some(label), kind, needs: Resources::default() };
-            self.cover_shortfall(now_us, &request, balance.shortfall(), &mut search);
+            self.cover_label(now_us, &request, balance.shortfall(), &mut allocation);
         }
-        self.cover_unplaceable_tasks(now_us, &mut search);
-        for pool in balances.keys() {
-            let balance = &search.balances[pool];
-            if balance.capacity > 0 || balance.on_time_demand == 0 {
+        self.cover_unplaceable_tasks(now_us, &unplaceable, &mut allocation);
+        for (pool, balance) in balances {
+            if allocation.balances[pool].capacity > 0 || balance.expected_demand == 0 {
                 continue;
             }
             // Other pools may claim all hosts for the load that they expect.
             let kind = RequestKind::Unschedulable;
             let request = HostRequest { pool, label: None, kind, needs: Resources::default() };
-            self.cover_shortfall(now_us, &request, 1, &mut search);
+            self.take_host(now_us, &request, &mut allocation);
         }
-        for kind in [RequestKind::OnTime, RequestKind::Late] {
-            let mut shortfalls: Vec<(u64, Arc<str>)> = Vec::new();
-            for (pool, balance) in &search.balances {
-                let demand = if kind == RequestKind::OnTime { balance.on_time_demand } else { balance.total_demand() };
-                if demand > balance.capacity {
-                    shortfalls.push((demand - balance.capacity, pool.clone()));
-                }
-            }
-            shortfalls.sort_by(|a, b| b.cmp(a));
-            for (shortfall, pool) in shortfalls {
-                let request = HostRequest { pool: &pool, label: None, kind, needs: Resources::default() };
-                let is_found = self.cover_shortfall(now_us, &request, shortfall, &mut search);
-                // Pools that lack capacity spare no hosts for each other, so the others would not get one either.
-                if !is_found && !self.host_moves.has_rejected_moves_to(&pool) {
-                    break;
-                }
+        for tier in [DemandTier::Present, DemandTier::Expected, DemandTier::Late] {
+            for transfer in allocation.cover_shortfalls(tier, self.host_moves.moves_left) {
+                self.begin_transfer(now_us, &transfer);
             }
         }
     }
 
+    /// Moves hosts with a label until their capacity is at least `shortfall`, in thousandths of a core.
+    fn cover_label(
+        &mut self,
+        now_us: u64,
+        request: &HostRequest<'_>,
+        mut shortfall: u64,
+        allocation: &mut Allocation<'_>,
+    ) {
+        while shortfall > 0 {
+            let Some(host) = self.take_host(now_us, request, allocation) else { return };
+            let milli = self.hosts.get(&host).map_or(0, |record| record.capacity.cpu_milli);
+            shortfall = shortfall.saturating_sub(milli.max(1));
+        }
+    }
+
     /// Moves hosts to pools for tasks that none of their workers can take.
-    fn cover_unplaceable_tasks(&mut self, now_us: u64, search: &mut HostSearch<'_>) {
-        for tasks in self.unplaceable_tasks(now_us) {
+    fn cover_unplaceable_tasks(
+        &mut self,
+        now_us: u64,
+        unplaceable: &[UnplaceableTasks],
+        allocation: &mut Allocation<'_>,
+    ) {
+        for tasks in unplaceable {
             let step = tasks.step();
             let request = HostRequest {
                 pool: &tasks.pool,
@@ -114,11 +89,11 @@
                 needs: step.reserved(),
             };
             for _ in 0..tasks.host_count {
-                if self.cover_shortfall(now_us, &request, 1, search) {
+                if self.host_moves.moves_left == 0 || self.take_host(now_us, &request, allocation).is_some() {
                     continue;
                 }
                 if step.long_running {
-                    self.give_back_draining_worker(now_us, &tasks);
+                    self.give_back_draining_worker(now_us, tasks);
                 }
                 break;
             }
@@ -150,109 +125,74 @@
         self.wants_placement = true;
     }
 
-    /// Returns false if the search ended because no host may move to the pool. The limit on the rate of orders also ends
-    /// it, until the next one.
-    fn cover_shortfall(
+    /// Moves the best host for a request and returns its name. `None` if no host may move, or no more orders may be sent
+    /// now.
+    fn take_host(
         &mut self,
         now_us: u64,
         request: &HostRequest<'_>,
-        mut shortfall: u64,
-        search: &mut HostSearch<'_>,
-    ) -> bool {
-        while shortfall > 0 && self.host_moves.moves_left > 0 {
-            let Some(selected) = self.select_host(now_us, request, search) else { return false };
-            search.taken.insert(selected.host.clone());
-            let capacity = self.hosts.get(&selected.host).map_or(0, |record| record.capacity.cpu_milli);
-            if let Some(balance) =
-                self.hosts.get(&selected.host).and_then(|record| search.balances.get_mut(&record.pool))
-            {
-                balance.capacity = balance.capacity.saturating_sub(capacity);
-            }
-            if let Some(balance) = search.balances.get_mut(request.pool) {
-                balance.capacity += capacity;
-            }
-            if selected.is_idle {
-                self.order_move(now_us, &selected.host, request.pool);
-            } else {
-                self.begin_drain(now_us, &selected.host, request.pool);
-            }
-            shortfall = shortfall.saturating_sub(capacity.max(1));
+        allocation: &mut Allocation<'_>,
+    ) -> Option<Arc<str>> {
+        if self.host_moves.moves_left == 0 {
+            return None;
         }
-        true
+        let transfer = allocation.take_host(request)?;
+        self.begin_transfer(now_us, &transfer);
+        Some(transfer.host)
     }
 
-    /// Selects the best host to take from another pool: the least busy one. Among equals, one of the spare pool comes
-    /// first, then one of the pool with the largest surplus.
-    fn select_host(&self, now_us: u64, request: &HostRequest<'_>, search: &HostSearch<'_>) -> Option<SelectedHost> {
-        let mut best: Option<(Reverse<u64>, bool, u64, &Arc<str>)> = None;
-        for (name, host) in &self.hosts {
-            if host.pool == *request.pool || !host.offers(request.label, &request.needs) {
-                continue;
-            }
-            if search.taken.contains(name) || !self.may_move(now_us, name, host, request.pool) {
-                continue;
-            }
-            let must_stay = match request.kind {
-                RequestKind::Unschedulable => is_last_with_label(host, search.labels),
-                RequestKind::OnTime | RequestKind::Late => is_needed_for_label(host, search.labels),
-            };
-            if must_stay {
-                continue;
-            }
-            let is_spare = self.catalog.pool(&host.pool).is_some_and(|pool| pool.spare);
-            let (busy, surplus) = match search.balances.get(&host.pool) {
-                Some(_) if request.kind == RequestKind::Unschedulable => {
-                    let Some(busy) = self.busy_milli(now_us, name, request.kind) else { continue };
-                    (busy, u64::MAX)
-                }
-                Some(balance) if request.kind == RequestKind::OnTime => {
-                    let Some(busy) = self.busy_milli(now_us, name, request.kind) else { continue };
-                    (busy, balance.surplus())
-                }
-                Some(balance) => {
-                    if !self.is_idle(now_us, name, IDLE_BEFORE_MOVE_MS) {
-                        continue;
-                    }
-                    (0, balance.capacity.saturating_sub(balance.total_demand()))
-                }
-                None if is_spare => (0, u64::MAX),
-                None => continue,
-            };
-            if surplus < host.capacity.cpu_milli {
+    fn begin_transfer(&mut self, now_us: u64, transfer: &Transfer) {
+        if transfer.is_idle {
+            self.order_move(now_us, &transfer.host, &transfer.pool);
+        } else {
+            self.begin_drain(now_us, &transfer.host, &transfer.pool);
+        }
+    }
+
+    /// Hosts that may be taken from their pools.
+    fn movable_hosts(&self, now_us: u64) -> Vec<MovableHost> {
+        let mut movable = Vec::new();
+        for (name, record) in &self.hosts {
+            if !self.may_leave(now_us, name, record) {
                 continue;
             }
-            let candidate = (Reverse(busy), is_spare, surplus, name);
-            if best.as_ref().is_none_or(|known| candidate > *known) {
-                best = Some(candidate);
+            let is_spare = self.catalog.pool(&record.pool).is_some_and(|pool| pool.spare);
+            let load = if is_spare { Some(HostLoad::Idle) } else { self.load_of_movable(now_us, name) };
+            if let Some(load) = load {
+                movable.push(MovableHost { record: record.clone(), is_spare, load });
             }
         }
-        best.map(|(Reverse(busy), _, _, name)| SelectedHost { host: name.clone(), is_idle: busy == 0 })
+        movable
     }
 
-    /// CPU reserved on a host that may be taken from its pool, 0 if it has no tasks; `None` if the host must stay.
-    fn busy_milli(&self, now_us: u64, host: &str, kind: RequestKind) -> Option<u64> {
+    /// What runs on a host; `None` if the host must stay in its pool.
+    fn load_of_movable(&self, now_us: u64, host: &str) -> Option<HostLoad> {
         let worker = self.worker_on(host).and_then(|id| self.workers.get(&id))?;
         if !worker.is_synced || worker.entry.draining || worker.is_cordoned || worker.long_running_count > 0 {
             return None;
         }
         if worker.tasks.is_empty() {
-            return (now_us >= worker.idle_since_us + IDLE_BEFORE_MOVE_MS * US_PER_MS).then_some(0);
+            let has_been_idle = now_us >= worker.idle_since_us + IDLE_BEFORE_MOVE_MS * US_PER_MS;
+            return has_been_idle.then_some(HostLoad::Idle);
         }
-        // For on-time jobs, only hosts whose own tasks are all late are drained.
-        (kind == RequestKind::Unschedulable || self.on_time_cpu_milli(worker) == 0)
-            .then_some(worker.reserved.cpu_milli.max(1))
+        let has_on_time_tasks = self.on_time_cpu_milli(worker) > 0;
+        Some(HostLoad::Busy { reserved_milli: worker.reserved.cpu_milli, has_on_time_tasks })
     }
 
-    pub(super) fn may_move(&self, now_us: u64, name: &Arc<str>, host: &HostRecord, pool: &Arc<str>) -> bool {
+    /// Whether a host may leave its pool, as far as its tasks allow it.
+    fn may_leave(&self, now_us: u64, name: &Arc<str>, host: &HostRecord) -> bool {
         host.phase == HostPhase::Up
             && !self.host_moves.silent_zones.contains(&host.zone)
             && !self.host_moves.is_moving(name)
             && self.is_free_of_former_leader_orders(now_us, name)
             && !self.waves.is_handling(name)
-            && !self.host_moves.rejected_moves.contains(&(name.clone(), pool.clone()))
             && self.host_moves.retry_not_before_us.get(name).is_none_or(|not_before_us| now_us >= *not_before_us)
     }
 
+    pub(super) fn may_move(&self, now_us: u64, name: &Arc<str>, host: &HostRecord, pool: &Arc<str>) -> bool {
+        self.may_leave(now_us, name, host) && !self.host_moves.rejected_moves.contains(&(name.clone(), pool.clone()))
+    }
+
     /// Whether no order of a former leader can conflict with a new order for the host: the former leader recorded none,
     /// enough time has passed since, or the host's worker has been running for longer than that time.
     pub(super) fn is_free_of_former_leader_orders(&self, now_us: u64, host: &str) -> bool {
