A socket that a short read has emptied is not read again before its next event

Cause: hyper reads once before a request is answered and once after each answer, to notice the end of the connection; each of these reads is a system call that returns nothing.

Change: a read that does not fill its buffer empties the socket, and what arrives later is a new event, so reads in between wait without a call. Once the peer has closed its side no further event may come, so reads go on then.

Tests: reactor_tests; without the check for a closed side, the end of a connection that arrives with its last bytes is never noticed (seen red).

--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -5,6 +5,9 @@
 mod net;
 mod timer;
 
+#[cfg(test)]
+mod reactor_tests;
+
 use std::cell::RefCell;
 use std::fmt;
 use std::future::Future;
--- a/src/reactor/net.rs
+++ b/src/reactor/net.rs
@@ -27,19 +27,28 @@
     static READ_CHUNK: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_CHUNK_BYTES].into());
 }
 
-/// Wakers of the futures that wait for a socket to become readable or writable.
+/// What is known of a socket's state, and wakers of the futures that wait for it to become readable or writable.
 #[derive(Debug, Default)]
 struct SocketWakers {
     read: RefCell<Option<Waker>>,
     write: RefCell<Option<Waker>>,
+    /// Whether a read may return something. A read that does not fill its buffer has emptied the socket, and whatever
+    /// arrives afterwards is a new event, so that another read would be wasted.
+    may_read: Cell<bool>,
+    /// Whether the peer has closed its side or the socket has failed, after which there may be no further event.
+    is_read_closed: Cell<bool>,
 }
 
 impl SocketWakers {
     fn notify(&self, ready: Ready) {
         let failed = ready.is_error();
         if ready.is_readable() || ready.is_read_closed() || failed {
+            self.may_read.set(true);
             wake(&self.read);
         }
+        if ready.is_read_closed() || failed {
+            self.is_read_closed.set(true);
+        }
         if ready.is_writable() || ready.is_write_closed() || failed {
             wake(&self.write);
         }
@@ -146,7 +155,19 @@
     }
 
     fn read_into(&self, cx: &TaskContext<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
-        poll_io(cx, &self.wakers.read, || (&*self.source).read(buffer))
+        let wakers = &*self.wakers;
+        if !wakers.may_read.get() {
+            *wakers.read.borrow_mut() = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
+        let result = poll_io(cx, &wakers.read, || (&*self.source).read(buffer));
+        let is_emptied = match &result {
+            Poll::Pending => true,
+            Poll::Ready(Ok(count)) => *count < buffer.len() && !wakers.is_read_closed.get(),
+            Poll::Ready(Err(_)) => false,
+        };
+        wakers.may_read.set(!is_emptied);
+        result
     }
 
     fn write_from(&self, cx: &TaskContext<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
