A leader that is behind asks busy workers for their runs less often

The requests took the time that starts needed.

New metric leader_lag_seconds. Names of tasks and checkpoints in answers are parsed without intermediate texts, and hyper sets the length of bodies.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -14,7 +14,7 @@
     calls, feeds, sessions, submissions, writer, ControlDaemon, CANCEL_SUFFIX, HOST_TABLE, JOB_TABLE, LEADER_PARTITION,
     RECORD_TABLE, WAVE_TABLE,
 };
-use crate::clock::US_PER_MS;
+use crate::clock::{US_PER_MS, US_PER_S};
 use crate::platform::advice::AdviceClient;
 use crate::platform::hosts::HostClient;
 use crate::platform::workers::{decode_worker_entry, WorkerClient};
@@ -343,6 +343,10 @@
             leader.daemon.no_claim_until_us.set(now_us + CLAIM_PAUSE_MS * US_PER_MS);
             step_down(&leader.daemon).await;
         }
+        let due_us = leader.now_us() + TICK_INTERVAL_MS * US_PER_MS;
         leader.daemon.sleep_ms(TICK_INTERVAL_MS).await;
+        let late_us = leader.now_us().saturating_sub(due_us);
+        metrics::histogram!("leader_lag_seconds").record(late_us as f64 / US_PER_S as f64);
+        leader.scheduler.borrow_mut().record_lag(late_us);
     }
 }
--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST};
+use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderName, HeaderValue, Request};
 use http_body_util::Full;
 
@@ -86,7 +86,7 @@
 ) -> Result<Request<Full<Bytes>>, http::Error> {
     let mut request = Request::builder().method(method).uri(path).header(HOST, address.to_string());
     if !body.is_empty() {
-        request = request.header(CONTENT_TYPE, "application/json").header(CONTENT_LENGTH, body.len());
+        request = request.header(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     }
     for (name, value) in headers {
         request = request.header(HeaderName::from_static(name), HeaderValue::from_str(value)?);
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -129,6 +129,52 @@
 /// JSON array `[number, task, run, outcome, checkpoint]`; the checkpoint may be missing.
 struct EndedRunArray(EndedRun);
 
+/// Name of a task.
+struct TaskName(TaskRef);
+
+/// Checkpoint of a run; empty if there is none, as for most runs.
+#[derive(Default)]
+struct Checkpoint(Arc<str>);
+
+impl<'de> Deserialize<'de> for TaskName {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<TaskName, D::Error> {
+        struct NameVisitor;
+        impl Visitor<'_> for NameVisitor {
+            type Value = TaskName;
+
+            fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str("the name of a task")
+            }
+
+            fn visit_str<E: serde::de::Error>(self, name: &str) -> Result<TaskName, E> {
+                parse_task_name(name).map(TaskName).ok_or_else(|| E::custom("invalid task name"))
+            }
+        }
+        deserializer.deserialize_str(NameVisitor)
+    }
+}
+
+impl<'de> Deserialize<'de> for Checkpoint {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Checkpoint, D::Error> {
+        struct CheckpointVisitor;
+        impl Visitor<'_> for CheckpointVisitor {
+            type Value = Checkpoint;
+
+            fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str("a checkpoint")
+            }
+
+            fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<Checkpoint, E> {
+                match text {
+                    "" => Ok(Checkpoint::default()),
+                    text => Ok(Checkpoint(text.into())),
+                }
+            }
+        }
+        deserializer.deserialize_str(CheckpointVisitor)
+    }
+}
+
 impl<'de> Deserialize<'de> for ActiveRunArray {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<ActiveRunArray, D::Error> {
         struct ArrayVisitor;
@@ -142,10 +188,9 @@
             fn visit_seq<A: SeqAccess<'de>>(self, mut array: A) -> Result<ActiveRunArray, A::Error> {
                 use serde::de::Error;
                 let missing = || A::Error::custom("the array of an active run is too short");
-                let name: String = array.next_element()?.ok_or_else(missing)?;
-                let task = parse_task_name(&name).ok_or_else(|| A::Error::custom("invalid task name"))?;
+                let TaskName(task) = array.next_element()?.ok_or_else(missing)?;
                 let run = array.next_element()?.ok_or_else(missing)?;
-                let checkpoint: Arc<str> = array.next_element()?.ok_or_else(missing)?;
+                let Checkpoint(checkpoint) = array.next_element()?.ok_or_else(missing)?;
                 let percent: f64 = array.next_element()?.unwrap_or(0.0);
                 let load: Option<f64> = array.next_element::<Option<f64>>()?.flatten();
                 while array.next_element::<serde::de::IgnoredAny>()?.is_some() {}
@@ -171,13 +216,12 @@
                 use serde::de::Error;
                 let missing = || A::Error::custom("the array of an ended run is too short");
                 let number = array.next_element()?.ok_or_else(missing)?;
-                let name: String = array.next_element()?.ok_or_else(missing)?;
-                let task = parse_task_name(&name).ok_or_else(|| A::Error::custom("invalid task name"))?;
+                let TaskName(task) = array.next_element()?.ok_or_else(missing)?;
                 let run = array.next_element()?.ok_or_else(missing)?;
                 let outcome: String = array.next_element()?.ok_or_else(missing)?;
                 let outcome =
                     parse_run_outcome(&outcome).ok_or_else(|| A::Error::custom("unknown outcome of a run"))?;
-                let checkpoint: Arc<str> = array.next_element()?.unwrap_or_else(|| Arc::from(""));
+                let Checkpoint(checkpoint) = array.next_element()?.unwrap_or_default();
                 while array.next_element::<serde::de::IgnoredAny>()?.is_some() {}
                 Ok(EndedRunArray(EndedRun { number, task, run, outcome, checkpoint }))
             }
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -96,6 +96,8 @@
     /// Recurring jobs that have not reached a final phase.
     pub(super) recurring_jobs: BTreeSet<JobId>,
     next_sweep_us: u64,
+    /// By how much the leader is behind its own timer; falls slowly.
+    pub(super) lag_ms: u64,
     /// When tasks on workers that are no longer known are searched for next.
     pub(super) next_orphan_check_us: u64,
     /// Worker on each host, as last listed by the provider or the registry.
@@ -135,6 +137,7 @@
             is_pending_report_stale: false,
             recurring_jobs: BTreeSet::new(),
             next_sweep_us: 0,
+            lag_ms: 0,
             next_orphan_check_us: 0,
             worker_by_host: HashMap::default(),
             next_placement_us: 0,
@@ -274,7 +277,7 @@
         let Some(worker) = self.workers.get_mut(&incarnation.id) else { return };
         let lease_end_ms = worker.lease_end_for(lease_until_us).unwrap_or(0);
         worker.lease_end_ms = worker.lease_end_ms.max(lease_end_ms);
-        worker.next_hold_us = worker.next_hold_us.min(now_us);
+        self.hold_after_start(now_us, &incarnation.id);
         let Some(job) = self.jobs.get_mut(&task_ref.job) else { return };
         let spec = job.spec.task_spec.clone();
         let Some(task) = job.task_mut(task_ref) else { return };
@@ -339,6 +342,12 @@
         wait_ms * US_PER_MS
     }
 
+    /// Records by how much the timer that drives [`Scheduler::tick`] was late: if the leader has too little processor time,
+    /// everything that it does waits for as long.
+    pub(crate) fn record_lag(&mut self, late_us: u64) {
+        self.lag_ms = (late_us / US_PER_MS).max(self.lag_ms * 7 / 8);
+    }
+
     /// Does the periodic work if it is due, then places tasks.
     pub(crate) fn tick(&mut self, now_us: u64, now_unix_ms: u64) {
         if now_us >= self.next_sweep_us {
