A late entry of a former incarnation no longer ends the runs of the present one; holds back off only by the lag

Cause of the first: the registry lags behind. Change: a row with an earlier start than the worker's own answer is ignored and logged (outcome=stale_entry). Test: late_entry_of_a_former_incarnation_does_not_end_the_runs_of_the_present_one, failed before.

Change: both delays grow by the lag only.

--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -22,10 +22,10 @@
 /// Delay between the answer of a worker with tasks and the next hold request, so that one answer can report several
 /// ended runs.
 const HOLD_INTERVAL_MS: u64 = 60;
-/// The delay grows by this multiple of the time by which the leader is behind, up to [`MAX_HOLD_INTERVAL_MS`]: fewer
-/// answers, each with more ended runs, leave it time for starts.
-const HOLD_INTERVAL_PER_LAG: u64 = 2;
-const MAX_HOLD_INTERVAL_MS: u64 = 400;
+/// Hold requests to workers with tasks wait longer by this multiple of the time by which the leader is behind, up to
+/// [`MAX_HOLD_BACKOFF_MS`]: fewer answers, each with more ended runs, leave it time for starts.
+const HOLD_BACKOFF_PER_LAG: u64 = 2;
+const MAX_HOLD_BACKOFF_MS: u64 = 340;
 /// Delay between hold requests to a worker without tasks, which only keep the estimate of its clock current.
 const IDLE_HOLD_INTERVAL_MS: u64 = 6_000;
 /// Delay before a failed hold request is repeated.
@@ -54,6 +54,11 @@
             self.open_session(&id);
             return;
         };
+        if entry.started_unix_ms < worker.entry.started_unix_ms {
+            // The worker itself has told of its present incarnation, whose own entry follows.
+            log::info!("worker={id} started_unix_ms={} outcome=stale_entry", entry.started_unix_ms);
+            return;
+        }
         if worker.entry.started_unix_ms != entry.started_unix_ms {
             self.worker_restarted(now_us, entry);
             return;
@@ -190,7 +195,7 @@
 
     /// Sets the time of the next hold request to a worker.
     pub(super) fn schedule_hold(&mut self, now_us: u64, id: &Arc<str>, failed: bool) {
-        let hold_interval_ms = self.hold_interval_ms();
+        let hold_interval_ms = HOLD_INTERVAL_MS + self.hold_backoff_ms();
         let Some(worker) = self.workers.get_mut(id) else { return };
         let delay_ms = match (failed, worker.tasks.is_empty() && worker.stored_cursor == worker.acknowledged_cursor) {
             (true, _) => HOLD_RETRY_DELAY_MS,
@@ -200,17 +205,17 @@
         worker.next_hold_us = now_us + delay_ms * US_PER_MS;
     }
 
-    /// Makes sure that a worker is asked for its runs soon after a start, also if it had no tasks before.
+    /// Makes sure that a worker is asked for its runs after a start, also if it had no tasks before.
     pub(super) fn hold_after_start(&mut self, now_us: u64, id: &Arc<str>) {
-        let soon_us = now_us + self.hold_interval_ms() * US_PER_MS;
+        let soon_us = now_us + self.hold_backoff_ms() * US_PER_MS;
         if let Some(worker) = self.workers.get_mut(id) {
             worker.next_hold_us = worker.next_hold_us.min(soon_us);
         }
     }
 
-    /// Delay between an answer of a worker with tasks, or a start there, and the next hold request.
-    fn hold_interval_ms(&self) -> u64 {
-        (HOLD_INTERVAL_MS + HOLD_INTERVAL_PER_LAG * self.lag_ms).min(MAX_HOLD_INTERVAL_MS)
+    /// By how much hold requests to workers with tasks are delayed, so that a leader that is behind can catch up.
+    fn hold_backoff_ms(&self) -> u64 {
+        (HOLD_BACKOFF_PER_LAG * self.lag_ms).min(MAX_HOLD_BACKOFF_MS)
     }
 
     /// Whether this incarnation of a worker is known.
--- a/src/sched/takeover_tests.rs
+++ b/src/sched/takeover_tests.rs
@@ -1,10 +1,10 @@
 //! Tests of a new leader that restores runs on workers which have gone in the meantime.
 
 use super::action::{Batch, HoldPlan};
-use super::leader_fixtures::{host, long_step, task, JOB, SECOND_US};
+use super::leader_fixtures::{host, leader_with_workers, long_step, run, task, JOB, SECOND_US};
 use super::model::{ActiveRun, HoldAnswer, HostPhase, HostRecord, JobSpec, TaskRef, WorkerEntry};
 use super::scheduler::Scheduler;
-use super::sim::{catalog, settings, spec, worker_entry};
+use super::sim::{catalog, settings, spec, step, worker_entry};
 
 /// Time after the takeover within which tasks of a worker that is gone run elsewhere.
 const REPLACED_WITHIN_MS: u64 = 1_000;
@@ -173,3 +173,21 @@
 
     assert!(task(&leader, JOB).placed_on().is_some(), "{:?}", task(&leader, JOB).state);
 }
+
+#[test]
+fn late_entry_of_a_former_incarnation_does_not_end_the_runs_of_the_present_one() {
+    let mut leader = leader_with_workers(1);
+    let former = leader.workers["w0"].entry.clone();
+    let answer = HoldAnswer { clock_ms: 1_000, started_unix_ms: Some(2), running: Vec::new(), ended: Vec::new() };
+    leader.on_hold_answer(10 * SECOND_US, 10 * SECOND_US, &"w0".into(), &answer);
+    leader.submit(10 * SECOND_US, 0, JOB.into(), spec(vec![step(1, &[])]));
+    run(&mut leader, 10 * SECOND_US, 300);
+    let placed_on = task(&leader, JOB).placed_on().cloned();
+    assert!(placed_on.is_some(), "the present incarnation has the task");
+
+    leader.worker_listed(10_400_000, former);
+    run(&mut leader, 10_400_000, 300);
+
+    assert_eq!(task(&leader, JOB).placed_on().cloned(), placed_on);
+    assert_eq!(task(&leader, JOB).run, 1);
+}
