Moves by a token bucket; hosts return to the spare pool only as far as a rise leaves moves

Cause: the moves of a second were granted at its beginning, so a turn that began after others had used them waited for the next second; and hosts that return to the spare pool after a turn used up the moves that the next turn needed. With fewer than 1.25 orders per second the provider got none at all (the share of 0.8 was cut to 0).

Change: moves are granted continuously, at most those of one second add up; the last three quarters of them are left for pools that begin to lack capacity.

Tests: hosts_return_to_the_spare_pool_only_as_far_as_a_rise_leaves_moves (9 of 16 moves were left, 10 wanted) and provider_that_accepts_one_order_per_second_gets_moves, both failed before.

--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -24,6 +24,8 @@
 const IDLE_BEFORE_SPARE_MS: u64 = 3_000;
 /// Share of the provider's order rate that moves may use; the rest is left for maintenance and retries.
 const MOVE_RATE_SHARE: f64 = 0.8;
+/// Hosts return to the spare pool only while the moves of this time are left for pools that begin to lack capacity.
+const MOVES_RESERVED_FOR_DEMAND_S: f64 = 0.75;
 /// Maximum time for which a host is drained before a move.
 const MAX_DRAIN_MS: u64 = 2_500;
 /// Time for a worker to start after its host has moved. After that, the host no longer counts as incoming capacity.
@@ -50,9 +52,11 @@
     /// When the provider's host list was last read.
     pub(super) hosts_listed_us: u64,
     next_decision_us: u64,
-    /// Moves that may still be ordered in the present second.
+    /// Moves that may still be ordered now.
     pub(super) moves_left: u32,
-    next_quota_reset_us: u64,
+    /// Moves that may be ordered now, with fractions; see [`HostMoves::moves_left`].
+    move_allowance: f64,
+    refilled_us: u64,
     pub(super) next_report_us: u64,
     moving: BTreeMap<Arc<str>, Move>,
     /// Hosts that are drained before a move, with the target pool and the time at which the drain is given up.
@@ -74,7 +78,8 @@
             hosts_listed_us: 0,
             next_decision_us: 0,
             moves_left: 0,
-            next_quota_reset_us: 0,
+            move_allowance: 0.0,
+            refilled_us: now_us,
             next_report_us: 0,
             moving: BTreeMap::new(),
             draining: BTreeMap::new(),
@@ -85,6 +90,15 @@
         }
     }
 
+    /// Adds the moves that may be ordered for the time since the last call; at most those of one second add up.
+    fn refill_moves(&mut self, now_us: u64, moves_per_s: f64) {
+        let elapsed_s = now_us.saturating_sub(self.refilled_us) as f64 / US_PER_S as f64;
+        self.refilled_us = now_us;
+        let ordered = self.move_allowance.floor() - f64::from(self.moves_left);
+        self.move_allowance = (self.move_allowance - ordered + elapsed_s * moves_per_s).min(moves_per_s.max(1.0));
+        self.moves_left = self.move_allowance as u32;
+    }
+
     pub(super) fn moving_count(&self) -> usize {
         self.moving.len()
     }
@@ -162,10 +176,7 @@
         if !self.may_order_hosts(now_us) {
             return;
         }
-        if now_us >= self.host_moves.next_quota_reset_us {
-            self.host_moves.next_quota_reset_us = now_us + US_PER_S;
-            self.host_moves.moves_left = (f64::from(self.settings.host_orders_per_s) * MOVE_RATE_SHARE) as u32;
-        }
+        self.host_moves.refill_moves(now_us, f64::from(self.settings.host_orders_per_s) * MOVE_RATE_SHARE);
         self.retry_unanswered_moves(now_us);
         self.move_drained(now_us);
         let labels = self.label_balances(now_us);
@@ -216,10 +227,13 @@
         let Some(spare) = self.catalog.pools.iter().find(|pool| pool.spare).map(|pool| pool.name.clone()) else {
             return;
         };
+        let moves_per_s = f64::from(self.settings.host_orders_per_s) * MOVE_RATE_SHARE;
+        // A provider that accepts few orders per second would otherwise never get one for the spare pool.
+        let reserved_moves = (moves_per_s * MOVES_RESERVED_FOR_DEMAND_S).min(moves_per_s - 1.0).max(0.0) as u32;
         let mut balances = balances.clone();
         let names: Vec<Arc<str>> = self.hosts.keys().cloned().collect();
         for name in names {
-            if self.host_moves.moves_left == 0 {
+            if self.host_moves.moves_left <= reserved_moves {
                 return;
             }
             let host = &self.hosts[&name];
--- a/src/sched/overload_tests.rs
+++ b/src/sched/overload_tests.rs
@@ -184,3 +184,29 @@
     let is_soon = matches!(plan, HoldPlan::WaitUntil { at_us } if at_us <= 10_400_000);
     assert!(is_soon || matches!(plan, HoldPlan::Send { .. }), "{plan:?}");
 }
+
+#[test]
+fn provider_that_accepts_one_order_per_second_gets_moves() {
+    let mut leader = leader_with_workers(1);
+    leader.settings.host_orders_per_s = 1;
+    run(&mut leader, 10 * SECOND_US, 1_500);
+    leader.host_moves.moves_left = 0;
+    let accepted_unix_ms = 11_500;
+    leader.submit(11_500_000, accepted_unix_ms, JOB.into(), JobSpec { accepted_unix_ms, ..spec(vec![wide_step()]) });
+
+    let moves = run(&mut leader, 11_500_000, 2_000);
+
+    assert_eq!(moves.len(), 1, "{moves:?}");
+}
+
+#[test]
+fn hosts_return_to_the_spare_pool_only_as_far_as_a_rise_leaves_moves() {
+    let mut leader = leader_with_workers(8);
+    leader.settings.host_orders_per_s = 20;
+
+    // All hosts are idle for 3 s at the same time.
+    let moves = run(&mut leader, 10 * SECOND_US, 1_700);
+
+    assert!(!moves.is_empty(), "hosts that no pool needs return");
+    assert!(leader.host_moves.moves_left >= 10, "{} of 16 moves are left", leader.host_moves.moves_left);
+}
