--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -54,7 +54,7 @@
     next_decision_us: u64,
     /// Moves that may still be ordered now.
     pub(super) moves_left: u32,
-    /// Moves that may be ordered now, with fractions; see [`HostMoves::moves_left`].
+    /// `moves_left` with fractions, as of the latest refill.
     move_allowance: f64,
     refilled_us: u64,
     pub(super) next_report_us: u64,
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -73,6 +73,7 @@
         let incarnation = worker.incarnation();
         let expected: Vec<TaskRef> = worker.tasks.iter().cloned().collect();
         for task_ref in &expected {
+            // The latest run, should the worker list several of one task.
             let following = listed.partition_point(|active_run| active_run.task <= *task_ref);
             let latest = listed[..following].last().filter(|active_run| active_run.task == *task_ref);
             match latest {
