Logs and counters tell crashes of workers from silence

The leader now records for each task the workers lost with a run of it, and whether evidence shows a crash: a later incarnation of the worker, or a worker that registered later on the same host. A silent worker's losses are settled when that evidence, or the worker itself, comes. Nothing is decided by it yet.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -26,6 +26,7 @@
 use crate::sched::model::{Catalog, WaveOrder};
 use crate::sched::record::{decode_hosts, decode_spec};
 use crate::sched::scheduler::{SchedSettings, Scheduler};
+use crate::sched::worker_loss::{LossCause, LossCounts};
 
 /// Interval of the scheduler's timer.
 const TICK_INTERVAL_MS: u64 = 50;
@@ -355,6 +356,7 @@
         let late_us = leader.now_us().saturating_sub(due_us);
         metrics::histogram!("leader_lag_seconds").record(late_us as f64 / US_PER_S as f64);
         record_copy_counts(leader.scheduler.borrow_mut().take_copy_counts());
+        record_loss_counts(leader.scheduler.borrow_mut().take_loss_counts());
         leader.scheduler.borrow_mut().record_lag(late_us);
     }
 }
@@ -367,3 +369,11 @@
         }
     }
 }
+
+fn record_loss_counts(counts: LossCounts) {
+    for (cause, count) in LossCause::ALL.into_iter().zip(counts) {
+        if count > 0 {
+            metrics::counter!("runs_lost_total", "cause" => cause.label()).increment(count);
+        }
+    }
+}
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -45,6 +45,7 @@
 mod usage;
 mod waves;
 pub(crate) mod worker;
+pub(crate) mod worker_loss;
 mod worker_speed;
 
 #[cfg(test)]
--- a/src/sched/host_demand_tests.rs
+++ b/src/sched/host_demand_tests.rs
@@ -11,6 +11,7 @@
 use super::scheduler::Scheduler;
 use super::sim::{spec, step};
 use super::worker::Worker;
+use super::worker_loss::LossCause;
 
 /// A step whose tasks must run on different workers; one of them may be made unavailable at a time.
 fn spread_step(count: u32) -> Step {
@@ -83,7 +84,7 @@
 
 /// The worker and its runs are gone, and its host no longer is in the list.
 fn lose_worker(leader: &mut Scheduler, now_us: u64, entry: &WorkerEntry) {
-    leader.release_lost_tasks(now_us, &entry.id);
+    leader.release_lost_tasks(now_us, &entry.id, LossCause::Silent);
     leader.workers.remove(&entry.id);
     let hosts = leader.hosts.values().filter(|host| Some(&host.name) != entry.host.as_ref()).cloned().collect();
     leader.hosts_listed(now_us, now_us, hosts);
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -7,6 +7,7 @@
 use super::model::{JobId, JobPhase, JobSpec, TaskRef};
 use super::stages::TaskStages;
 use super::task_runs::{RunReport, TaskCopy};
+use super::worker_loss::WorkerLoss;
 use crate::clock::US_PER_MS;
 
 /// A job's result is worth nothing to its caller once the job has taken this multiple of its allowed time.
@@ -67,6 +68,8 @@
     pub(crate) checkpoint: Arc<str>,
     /// Workers on which the task failed or made no progress.
     pub(crate) avoided_workers: Vec<Arc<str>>,
+    /// Workers that were lost while they had a run of the task.
+    pub(crate) losses: Vec<WorkerLoss>,
     /// Earliest time of the next start.
     pub(crate) not_before_us: u64,
     /// Report about the run in `state`.
@@ -86,6 +89,7 @@
             failures: 0,
             checkpoint: Arc::from(""),
             avoided_workers: Vec::new(),
+            losses: Vec::new(),
             not_before_us: 0,
             report: RunReport::new(0),
             stages: TaskStages::default(),
@@ -100,6 +104,11 @@
         }
     }
 
+    /// Number of workers that have crashed with a run of the task.
+    pub(crate) fn crash_count(&self) -> usize {
+        self.losses.iter().filter(|loss| loss.is_crash).count()
+    }
+
     /// Whether a run may be at work that no stop order has been sent for.
     pub(crate) fn may_be_at_work(&self) -> bool {
         match self.state {
--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -13,6 +13,7 @@
 use super::scheduler::Scheduler;
 use super::task_runs::PlacedRun;
 use super::worker::Worker;
+use super::worker_loss::LossCause;
 use crate::clock::US_PER_MS;
 
 /// Interval between searches for tasks on workers that are no longer known.
@@ -48,6 +49,11 @@
     /// until that incarnation answers.
     pub(super) fn attach_restored_task(&mut self, task_ref: &TaskRef, id: &Arc<str>) {
         let known = self.workers.get(id).map(Worker::incarnation);
+        if let (Some(known), Some(worker)) = (&known, self.placed_incarnation(task_ref, id)) {
+            if known.started_unix_ms > worker.started_unix_ms {
+                self.record_loss(task_ref, &worker, LossCause::Crashed);
+            }
+        }
         let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
         let Some(placed) = task.run_on_mut(id) else { return };
         // The registry may be behind: a worker's answer tells of its restart first.
@@ -59,6 +65,12 @@
         self.attach(task_ref, &known);
     }
 
+    /// Incarnation of a worker on which a run of a task is placed.
+    fn placed_incarnation(&self, task_ref: &TaskRef, id: &str) -> Option<WorkerIncarnation> {
+        let task = self.jobs.get(&task_ref.job)?.task(task_ref)?;
+        task.run_on(id).map(|placed| placed.worker.clone())
+    }
+
     /// Reserves capacity for a task on its worker, if that incarnation of the worker is known.
     pub(super) fn attach(&mut self, task_ref: &TaskRef, incarnation: &WorkerIncarnation) {
         let Some(step) = self.jobs.get(&task_ref.job).and_then(|job| job.spec.steps.get(task_ref.step as usize)) else {
@@ -85,12 +97,14 @@
             }
         }
         for id in lost {
-            self.release_lost_tasks(now_us, &id);
+            let cause = self.loss_cause(&id);
+            self.release_lost_tasks(now_us, &id, cause);
         }
         if former_leader_leases_ended && now_us >= self.next_orphan_check_us {
             self.next_orphan_check_us = now_us + ORPHAN_CHECK_INTERVAL_MS * US_PER_MS;
             let orphans = self.orphans();
             self.release_orphans(now_us, &orphans);
+            self.prune_silent_workers();
         }
     }
 
@@ -126,8 +140,10 @@
             let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
             let is_orphan = |placed: &PlacedRun<'_>| !self.has_incarnation(placed.worker);
             let runs = task.into_iter().flat_map(Task::placed_runs).filter(is_orphan);
-            let workers: Vec<Arc<str>> = runs.map(|placed| placed.worker.id.clone()).collect();
+            let workers: Vec<WorkerIncarnation> = runs.map(|placed| placed.worker.clone()).collect();
             for worker in workers {
+                self.record_loss(task_ref, &worker, LossCause::Silent);
+                let worker = worker.id;
                 log::warn!(
                     "job={} task={}.{} worker={worker} outcome=worker_gone",
                     task_ref.job,
@@ -155,7 +171,8 @@
             }
         }
         for id in gone {
-            self.release_lost_tasks(now_us, &id);
+            let cause = self.loss_cause(&id);
+            self.release_lost_tasks(now_us, &id, cause);
         }
         let unattached: Vec<Arc<str>> = self.unattached_tasks.keys().cloned().collect();
         for id in unattached {
@@ -177,21 +194,24 @@
     }
 
     /// Releases all tasks of a worker on which no run can be active any more. How their runs ended is not known.
-    pub(super) fn release_lost_tasks(&mut self, now_us: u64, id: &Arc<str>) {
+    pub(super) fn release_lost_tasks(&mut self, now_us: u64, id: &Arc<str>, cause: LossCause) {
         let Some(worker) = self.workers.get(id) else { return };
+        let incarnation = worker.incarnation();
         let lost: Vec<TaskRef> = worker.tasks.iter().cloned().collect();
         let silent_ms = now_us.saturating_sub(worker.last_answer_us) / US_PER_MS;
         if !lost.is_empty() {
-            log::warn!("worker={id} tasks={} outcome=leases_over", lost.len());
+            log::warn!("worker={id} tasks={} cause={} outcome=leases_over", lost.len(), cause.label());
         }
         for task_ref in lost {
             log::info!(
-                "job={} task={}.{}.{} worker={id} silent_ms={silent_ms} outcome=lease_over",
+                "job={} task={}.{}.{} worker={id} silent_ms={silent_ms} cause={} outcome=lease_over",
                 task_ref.job,
                 task_ref.occurrence,
                 task_ref.step,
-                task_ref.index
+                task_ref.index,
+                cause.label()
             );
+            self.record_loss(&task_ref, &incarnation, cause);
             self.release_run(now_us, &task_ref, id);
             self.mark_dirty(&task_ref.job);
         }
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -38,6 +38,9 @@
                 self.worker_restarted(now_us, entry);
             }
         }
+        if let Some(started_unix_ms) = answer.started_unix_ms {
+            self.worker_lives(id, started_unix_ms, true);
+        }
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_clock(now_us, answer.clock_ms);
         worker.last_answer_us = now_us;
@@ -130,6 +133,7 @@
         let (phase, report) = (placed.phase, placed.report);
         // A checkpoint of a copy may be older than those of the run beside it.
         let checkpoint = Some(&active_run.checkpoint).filter(|text| !text.is_empty() && !placed.is_copy);
+        report.is_listed = true;
         report.load = active_run.load;
         if report.percent != active_run.percent {
             report.percent = active_run.percent;
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -12,6 +12,7 @@
 use super::model::{TaskRef, WorkerEntry};
 use super::scheduler::Scheduler;
 use super::worker::Worker;
+use super::worker_loss::LossCause;
 use crate::clock::US_PER_MS;
 
 /// How long a worker with tasks may wait for a run to end before it answers a hold request.
@@ -49,7 +50,10 @@
             }
             let mut worker = Worker::new(now_us, entry);
             worker.is_cordoned = is_cordoned;
+            self.worker_on_host_registered(&worker.entry);
+            let started_unix_ms = worker.entry.started_unix_ms;
             self.workers.insert(id.clone(), worker);
+            self.worker_lives(&id, started_unix_ms, false);
             self.attach_unattached(&id);
             self.open_session(&id);
             return;
@@ -95,7 +99,8 @@
         let id = entry.id.clone();
         log::warn!("worker={id} started_unix_ms={} outcome=restarted", entry.started_unix_ms);
         let starts_in_flight = self.starts_in_flight(&id);
-        self.release_lost_tasks(now_us, &id);
+        self.worker_lives(&id, entry.started_unix_ms, false);
+        self.release_lost_tasks(now_us, &id, LossCause::Crashed);
         self.set_untracked_usage(&id, Vec::new());
         let had_session = self.workers.get(&id).is_some_and(|worker| worker.has_session);
         let mut worker = Worker::new(now_us, entry);
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -22,6 +22,7 @@
 use super::usage::Usage;
 use super::waves::Waves;
 use super::worker::Worker;
+use super::worker_loss::LostWorkers;
 use crate::clock::US_PER_MS;
 
 /// Duration of the lease that a start order or a hold request grants. A worker that is cut off keeps running its tasks
@@ -101,6 +102,7 @@
     pub(super) knowledge_since_us: u64,
     /// Restored tasks on workers that were not registered when the tasks were restored, by worker ID.
     pub(super) unattached_tasks: HashMap<Arc<str>, Vec<TaskRef>>,
+    pub(super) lost_workers: LostWorkers,
     /// Number of queued jobs of each queue, as last reported.
     pub(super) reported_pending_counts: Vec<(Arc<str>, u64)>,
     /// When these numbers were last compared with the current ones.
@@ -154,6 +156,7 @@
             leadership_renewed_us: now_us,
             knowledge_since_us: now_us,
             unattached_tasks: HashMap::default(),
+            lost_workers: LostWorkers::default(),
             reported_pending_counts: Vec::new(),
             pending_counts_checked_us: 0,
             is_pending_report_stale: false,
--- a/src/sched/task_runs.rs
+++ b/src/sched/task_runs.rs
@@ -10,6 +10,8 @@
 /// What a worker has reported about a run, and the pace that it was ordered to keep.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct RunReport {
+    /// Whether the worker has listed the run as active.
+    pub(crate) is_listed: bool,
     /// Latest reported progress in percent. A long-running task at 100 is fully in service.
     pub(crate) percent: u32,
     /// When `percent` last changed, or the run started.
@@ -22,7 +24,7 @@
 
 impl RunReport {
     pub(crate) fn new(now_us: u64) -> RunReport {
-        RunReport { percent: 0, percent_since_us: now_us, load: None, pace_percent: 100 }
+        RunReport { is_listed: false, percent: 0, percent_since_us: now_us, load: None, pace_percent: 100 }
     }
 }
 
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -11,6 +11,7 @@
 use super::host_orders::HostOrder;
 use super::model::{HostOrderOutcome, HostPhase, HostRecord, Step, TaskRef, WaveOrder};
 use super::scheduler::Scheduler;
+use super::worker_loss::LossCause;
 use crate::clock::US_PER_MS;
 
 /// How long a host's maintenance waits for tasks that are not long-running and write no checkpoints.
@@ -351,7 +352,7 @@
     /// Handles a host that the provider has taken away: its tasks are lost, and its worker is gone.
     pub(super) fn host_removed(&mut self, now_us: u64, host: &str) {
         for id in self.possible_workers_on(host) {
-            self.release_lost_tasks(now_us, &id);
+            self.release_lost_tasks(now_us, &id, LossCause::Planned);
             self.worker_unlisted(now_us, &id);
         }
         if let Some(record) = self.hosts.get_mut(host) {
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -38,6 +38,8 @@
     pub(crate) is_listed: bool,
     /// When the entry was last removed from the registry.
     pub(crate) unlisted_us: u64,
+    /// Whether a worker that started later has registered on the same host, so that this one has ended.
+    pub(crate) is_superseded: bool,
     /// Whether the worker has answered this leader.
     pub(crate) is_synced: bool,
     /// Whether [`OpenSession`](super::action::Action::OpenSession) has been requested for the worker.
@@ -91,6 +93,7 @@
             entry,
             is_listed: true,
             unlisted_us: 0,
+            is_superseded: false,
             is_synced: false,
             has_session: false,
             clock: None,
