Failing tests: tasks that crash their workers are not given up

The simulation of the scheduler now has tasks that crash their workers 10 ms after the start. The host has a new worker after 3.2 s, under a new ID or the same one. It checks the users' limit: after three crashes under a task, at most two more starts.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -95,4 +95,6 @@
 #[cfg(test)]
 mod usage_tests;
 #[cfg(test)]
+mod worker_loss_tests;
+#[cfg(test)]
 mod worker_speed_tests;
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -1,6 +1,7 @@
 //! Simulation of a leader, workers and a store in virtual time, which injects faults and checks invariants.
 
 mod availability;
+mod crashes;
 mod faults;
 mod fixtures;
 mod hosts;
@@ -22,6 +23,8 @@
 use crate::clock::US_PER_MS;
 
 use availability::TaskAvailability;
+use crashes::Crashes;
+pub(super) use crashes::NextWorkerId;
 pub(super) use faults::Faults;
 pub(super) use fixtures::{catalog, organisation, organisations, queue, settings, spec, spec_of, step, worker_entry};
 use hosts::{HostAction, SimHost};
@@ -107,6 +110,7 @@
     /// Number of starts while another run of the same task was at work.
     pub(super) copy_start_count: u32,
     restart_count: u32,
+    crashes: Crashes,
     /// When the quotas were last changed; 0 if they never were.
     quotas_changed_us: u64,
 }
@@ -161,6 +165,7 @@
             stragglers: Stragglers::default(),
             copy_start_count: 0,
             restart_count: 0,
+            crashes: Crashes::default(),
             quotas_changed_us: 0,
         };
         sim.start_leader();
@@ -241,6 +246,7 @@
             self.return_hosts();
             self.deliver();
             self.run_workers();
+            self.advance_crashes();
             self.update_availability();
             self.run_leader();
             self.check_usage();
--- a/src/sched/sim/faults.rs
+++ b/src/sched/sim/faults.rs
@@ -43,6 +43,7 @@
     /// Crashes a worker, which restarts at once.
     pub(in crate::sched) fn crash(&mut self, number: usize) {
         let id = worker_entry(number, 0).id;
+        self.count_crash(&id);
         self.restart_count += 1;
         let entry = worker_entry(number, START_UNIX_MS + u64::from(self.restart_count));
         let rate = self.rng.random_range(0.98..1.0);
--- a/src/sched/sim/worker.rs
+++ b/src/sched/sim/worker.rs
@@ -112,6 +112,7 @@
         self.start_count += 1;
         self.check_start(start, token, is_delayed);
         self.check_quota(&start.task);
+        self.check_crashing_start(&start.task, &start.worker);
         OrderOutcome::Accepted { clock_ms: Some(clock_ms) }
     }
 
