--- a/src/sched/worker_loss_tests.rs
+++ b/src/sched/worker_loss_tests.rs
@@ -1,6 +1,12 @@
 //! Tests of tasks that crash their workers, and of tasks that are lost with workers for other reasons.
 
-use super::model::{JobPhase, JobSpec, TaskRef};
+use std::sync::Arc;
+
+use super::job::Job;
+use super::leader_fixtures::{leader_with_workers, long_step, run, task, JOB, SECOND_US};
+use super::model::{JobPhase, JobSpec, OrderOutcome, Step, TaskRef, WorkerEntry};
+use super::record::{encode_job, restore_job};
+use super::scheduler::Scheduler;
 use super::sim::{spec, step, Faults, NextWorkerId, Sim};
 
 /// Time until the host of a crashed worker has a new one.
@@ -86,3 +92,171 @@
         assert!(others_lost[1..].iter().all(|lost| *lost == 0), "seed {seed}: {others_lost:?}");
     }
 }
+
+#[test]
+fn invariants_hold_with_a_crashing_task_under_each_fault() {
+    let cases = [
+        Faults { answer_loss_rate: 0.3, ..Faults::default() },
+        Faults { order_delay_rate: 0.3, ..Faults::default() },
+        Faults { run_failure_rate: 0.1, ..Faults::default() },
+        Faults { crashes_per_s: 0.2, ..Faults::default() },
+        Faults { partitions_per_s: 0.3, ..Faults::default() },
+        Faults { partitions_per_s: 0.2, failovers_per_s: 0.3, commit_delay_ms: 100, ..Faults::default() },
+        Faults { commit_answer_loss_rate: 0.3, failovers_per_s: 0.3, ..Faults::default() },
+    ];
+
+    for faults in cases {
+        for (seed, next_id) in (0..12).zip([NextWorkerId::New, NextWorkerId::Same].into_iter().cycle()) {
+            let down_ms = if seed % 3 == 0 { 7_000 } else { DOWN_MS };
+            let mut sim = sim_with_crashing_task(seed, faults, next_id, down_ms);
+            sim.run_for(20_000);
+            sim.run_until_jobs_final(60_000);
+
+            sim.assert_jobs_have_ended(&format!("seed {seed}, {faults:?}"));
+            assert_eq!(phase(&sim, CRASHING_JOB), JobPhase::Failed, "seed {seed}, {faults:?}");
+        }
+    }
+}
+
+/// A leader with workers, the first of which runs the only task of a job.
+fn leader_with_task(step: Step) -> (Scheduler, Arc<str>) {
+    let mut leader = leader_with_workers(4);
+    leader.submit(10 * SECOND_US, 10_000, JOB.into(), spec(vec![step]));
+    run(&mut leader, 10 * SECOND_US, 1_000);
+    let worker = task(&leader, JOB).placed_on().expect("the task is placed").id.clone();
+    (leader, worker)
+}
+
+/// The entry of the worker that follows another one on its host.
+fn successor(leader: &Scheduler, id: &str) -> WorkerEntry {
+    let entry = leader.workers[id].entry.clone();
+    WorkerEntry { id: format!("{id}-next").into(), started_unix_ms: entry.started_unix_ms + 1, ..entry }
+}
+
+fn fail_hold(leader: &mut Scheduler, now_us: u64, id: &Arc<str>) {
+    leader.on_hold_failure(now_us, id, &OrderOutcome::Unanswered);
+}
+
+#[test]
+fn task_of_a_worker_whose_host_has_a_new_one_does_not_wait_for_the_lease() {
+    let (mut leader, id) = leader_with_task(step(1, &[]));
+    let entry = successor(&leader, &id);
+
+    fail_hold(&mut leader, 11 * SECOND_US, &id);
+    leader.worker_listed(11 * SECOND_US, entry);
+    leader.tick(11 * SECOND_US + 150_000, 11_150);
+
+    assert!(leader.workers[&id].tasks.is_empty());
+    assert_eq!(task(&leader, JOB).crash_count(), 1);
+}
+
+#[test]
+fn worker_that_answers_keeps_its_tasks_although_another_one_registers_on_its_host() {
+    let (mut leader, id) = leader_with_task(step(1, &[]));
+    let entry = successor(&leader, &id);
+
+    leader.worker_listed(11 * SECOND_US, entry);
+    run(&mut leader, 11 * SECOND_US, 1_000);
+    fail_hold(&mut leader, 12 * SECOND_US, &id);
+    leader.tick(12 * SECOND_US + 150_000, 12_150);
+
+    assert_eq!(leader.workers[&id].tasks.len(), 1);
+    assert!(task(&leader, JOB).losses.is_empty());
+}
+
+#[test]
+fn loss_with_a_worker_that_comes_back_with_its_process_does_not_count() {
+    let mut sim = Sim::new(1, 2, Faults::default());
+    let mut long = long_step(2, 2_000);
+    long.max_per_worker = Some(1);
+    sim.submit(JOB, spec(vec![long]));
+    sim.run_for(1_000);
+
+    sim.partition(0, 9_000);
+    sim.run_for(8_000);
+    let lost: Vec<usize> = sim.scheduler.jobs[JOB].tasks().map(|(_, task)| task.losses.len()).collect();
+    sim.run_for(6_000);
+
+    assert_eq!(lost.iter().sum::<usize>(), 1, "the partition has cost a run");
+    assert!(sim.scheduler.jobs[JOB].tasks().all(|(_, task)| task.losses.is_empty()));
+}
+
+#[test]
+fn loss_with_a_worker_that_was_to_leave_does_not_count() {
+    let (mut leader, id) = leader_with_task(step(1, &[]));
+    let draining = WorkerEntry { draining: true, ..leader.workers[&id].entry.clone() };
+    let entry = successor(&leader, &id);
+
+    leader.worker_listed(11 * SECOND_US, draining);
+    fail_hold(&mut leader, 11 * SECOND_US, &id);
+    leader.worker_listed(11 * SECOND_US, entry);
+    leader.tick(11 * SECOND_US + 150_000, 11_150);
+
+    assert!(leader.workers[&id].tasks.is_empty());
+    assert!(task(&leader, JOB).losses.is_empty());
+}
+
+#[test]
+fn long_running_task_is_not_given_up_for_crashes_that_others_cause() {
+    let mut sim = Sim::new(1, 4, Faults::default());
+    sim.submit(JOB, spec(vec![long_step(4, 2_000)]));
+    sim.run_for(2_000);
+
+    for number in 0..20 {
+        let id = format!("crashing-{number}");
+        sim.add_crashing_task(task_of(&id, 0), NextWorkerId::New, DOWN_MS);
+        sim.submit(&id, spec(vec![step(1, &[])]));
+        sim.run_for(4_000);
+    }
+
+    assert_eq!(sim.violations, []);
+    assert_eq!(phase(&sim, JOB), JobPhase::Running);
+    assert!((0..4).any(|index| sim.crash_count(&task_of(JOB, index)) >= 3), "no task of the job lost three workers");
+}
+
+#[test]
+fn suspect_starts_beside_other_tasks_when_no_worker_becomes_free() {
+    let mut sim = Sim::new(1, 3, Faults::default());
+    sim.submit(JOB, spec(vec![long_step(6, 2_000)]));
+    sim.run_for(1_000);
+    sim.add_crashing_task(task_of(CRASHING_JOB, 0), NextWorkerId::Same, DOWN_MS);
+    sim.submit(CRASHING_JOB, spec(vec![step(1, &[])]));
+
+    sim.run_for(30_000);
+
+    assert_eq!(phase(&sim, CRASHING_JOB), JobPhase::Failed);
+}
+
+#[test]
+fn task_that_has_lost_a_worker_gets_no_copy() {
+    let mut sim = Sim::new(1, 8, Faults::default());
+    let speculative = Step { speculative: true, ..step(3, &[]) };
+    sim.add_crashing_task(task_of(CRASHING_JOB, 0), NextWorkerId::New, DOWN_MS);
+    sim.submit(CRASHING_JOB, spec(vec![speculative]));
+
+    sim.run_for(30_000);
+
+    assert_eq!(sim.violations, []);
+    assert_eq!((phase(&sim, CRASHING_JOB), sim.copy_start_count), (JobPhase::Failed, 0));
+}
+
+#[test]
+fn losses_are_restored_from_the_record_and_earlier_versions_read_the_rest() {
+    let (mut leader, id) = leader_with_task(step(1, &[]));
+    let entry = successor(&leader, &id);
+    fail_hold(&mut leader, 11 * SECOND_US, &id);
+    leader.worker_listed(11 * SECOND_US, entry);
+    leader.tick(11 * SECOND_US + 150_000, 11_150);
+    let losses = task(&leader, JOB).losses.clone();
+
+    let row = encode_job(&leader.jobs[JOB]);
+    let mut restored = Job::new(JOB.into(), leader.jobs[JOB].spec.clone());
+    restore_job(&mut restored, &row).expect("the row can be decoded");
+    leader.jobs.get_mut(JOB).expect("the job is known").task_mut(&task_of(JOB, 0)).expect("a task").losses.clear();
+    let without_losses = encode_job(&leader.jobs[JOB]);
+
+    assert_eq!(losses.len(), 1);
+    assert_eq!(restored.task(&task_of(JOB, 0)).expect("the task is restored").losses, losses);
+    // A version that knows of no losses reads the job, then an empty list of copies, and ignores the rest.
+    assert!(row.len() > without_losses.len());
+}
