Check a worker's capacity again before a start order is sent

What callers would see: on workers that do not guard their capacity, starts beyond a capacity that has shrunk (LIMIT). Cause: the capacity was checked when a task was placed; until the record was committed, the worker's entry could change. Change: a placed run is released instead of ordered if the worker's runs, those being stopped included, no longer fit. Runs that are already there stay; the change is logged (capacity_changed). Three more tests show what already held: runs stay on a worker that shrinks, a task too large for it waits, and capacity that has grown is used.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -55,6 +55,8 @@
 #[cfg(test)]
 mod candidate_tests;
 #[cfg(test)]
+mod capacity_tests;
+#[cfg(test)]
 mod copies_fault_tests;
 #[cfg(test)]
 mod copies_tests;
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -73,6 +73,14 @@
         }
         worker.is_listed = true;
         let starts_draining = entry.draining && !worker.entry.draining;
+        if worker.entry.capacity != entry.capacity {
+            log::info!(
+                "worker={id} capacity={} former={} reserved={} outcome=capacity_changed",
+                entry.capacity,
+                worker.entry.capacity,
+                worker.reserved
+            );
+        }
         worker.entry = entry;
         self.open_session(&id);
         if starts_draining {
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -331,6 +331,7 @@
                 && worker.is_listed
                 && !worker.entry.draining
                 && worker.can_receive_start(now_us)
+                && worker.is_within_capacity()
         });
         if is_final || !can_start || lease_until_us <= now_us {
             self.release_run(now_us, task_ref, &incarnation.id);
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -1,6 +1,7 @@
 //! Simulation of a leader, workers and a store in virtual time, which injects faults and checks invariants.
 
 mod availability;
+mod capacity;
 mod crashes;
 mod faults;
 mod fixtures;
@@ -104,7 +105,7 @@
     failures: HashMap<TaskRef, u32>,
     pub(super) start_count: u32,
     pub(super) violations: Vec<Violation>,
-    run_duration_us: u64,
+    pub(super) run_duration_us: u64,
     /// Run times vary uniformly by up to this share of their average.
     pub(super) run_time_spread: f64,
     pub(super) stragglers: Stragglers,
--- a/src/sched/sim/worker.rs
+++ b/src/sched/sim/worker.rs
@@ -7,6 +7,7 @@
 use super::super::model::{
     ActiveRun, EndedRun, HoldAnswer, OrderOutcome, OrderRefusal, RunOutcome, TaskRef, WorkerEntry,
 };
+use super::capacity::FormerCapacity;
 use super::{Message, Sim, Violation, DELAY_US, MAX_ATTEMPTS, ORDER_TIMEOUT_US, TICK_US};
 use crate::clock::US_PER_MS;
 
@@ -58,6 +59,8 @@
     /// Runs up to this number ended before the lease last expired. The leader may have given up these runs, so they do
     /// not count as acknowledged.
     pub(super) lapsed_lease_cursor: u64,
+    /// Capacity before the worker shrank.
+    pub(super) former_capacity: Option<FormerCapacity>,
 }
 
 impl SimWorker {
@@ -111,6 +114,7 @@
         worker.runs.insert(start.task.clone(), run);
         self.start_count += 1;
         self.check_start(start, token, is_delayed);
+        self.check_capacity(&start.task, &start.worker);
         self.check_quota(&start.task);
         self.check_crashing_start(&start.task, &start.worker);
         OrderOutcome::Accepted { clock_ms: Some(clock_ms) }
@@ -132,13 +136,6 @@
             violations.push(format!("DUPLICATE RUN: {task_ref:?} runs on {others} and {}", start.worker));
         }
         self.copy_start_count += u32::from(!others.is_empty());
-        let used_milli = self.cpu_in_use_milli(&start.worker);
-        if used_milli > self.workers[&start.worker].entry.capacity.cpu_milli {
-            violations.push(format!(
-                "OVERCOMMITTED: {} has {used_milli} thousandths of a core in use with {task_ref:?}",
-                start.worker
-            ));
-        }
         if self.acknowledged_done.contains(task_ref) {
             violations.push(format!("REPEATED: {task_ref:?} starts after its completion was acknowledged"));
         }
@@ -165,16 +162,6 @@
         self.violations.extend(violations.into_iter().map(Violation));
     }
 
-    /// CPU reserved by the runs on a worker. Simulated workers accept every run, even beyond their capacity.
-    pub(super) fn cpu_in_use_milli(&self, id: &Arc<str>) -> u64 {
-        let mut used_milli = 0;
-        for task_ref in self.workers[id].runs.keys() {
-            let step = self.specs.get(&task_ref.job).and_then(|spec| spec.steps.get(task_ref.step as usize));
-            used_milli += step.map_or(0, |step| step.reserved().cpu_milli);
-        }
-        used_milli
-    }
-
     pub(super) fn handle_stop(&mut self, id: &Arc<str>, task: &TaskRef, run: u32, token: u64) -> OrderOutcome {
         if !self.is_reachable(id) {
             return OrderOutcome::Unanswered;
@@ -314,5 +301,6 @@
         last_ended_number: 0,
         acknowledged_cursor: 0,
         lapsed_lease_cursor: 0,
+        former_capacity: None,
     }
 }
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -170,6 +170,14 @@
         self.entry.capacity.minus(&self.reserved).minus(&self.untracked)
     }
 
+    /// Whether everything that the worker runs, and the tasks placed there, fit in its present capacity, which may have
+    /// shrunk since they were placed.
+    pub(crate) fn is_within_capacity(&self) -> bool {
+        let mut used = self.reserved;
+        used.add(&self.untracked);
+        used.fits_in(&self.entry.capacity)
+    }
+
     /// Capacity that will be free once all tasks except the long-running ones have ended.
     pub(crate) fn capacity_excluding_long_running(&self) -> Resources {
         self.entry.capacity.minus(&self.long_running_reserved)
