Limit the tasks of one job over all its occurrences

The same class as tasks that crash their workers: the request is stored before it is known to be harmless, and nobody counts whom it took. Cause: begin_due_occurrences creates all occurrences that are due, and the limit of 10,000 tasks was on one of them. Change: a submission is refused if steps and times together exceed the limit, with the reason; of a job that an earlier version accepted, a leader begins no more occurrences than that.

--- a/src/platform/job_api.rs
+++ b/src/platform/job_api.rs
@@ -4,12 +4,11 @@
 
 use serde::Deserialize;
 
+use crate::sched::job::MAX_JOB_TASKS;
 use crate::sched::model::{JobPhase, JobSpec, Queue, Resources, Step};
 
 /// Length of a job ID, in hexadecimal digits.
 const JOB_ID_DIGITS: usize = 16;
-/// Limit on the tasks of one job. The users' platform specifies none.
-const MAX_TASKS: u64 = 10_000;
 const MAX_SPEC_BYTES: usize = 4_000;
 /// Header with the time that the caller waits for a response, in milliseconds.
 pub(crate) const DEADLINE_HEADER: &str = "x-deadline-ms";
@@ -77,7 +76,7 @@
     SpecTooLong,
     #[error("steps: at least one step with one work item is needed")]
     NoTasks,
-    #[error("steps: at most {MAX_TASKS} work items")]
+    #[error("steps, times: at most {MAX_JOB_TASKS} work items in all occurrences together")]
     TooManyTasks,
     #[error("steps[{0}].after: names a step that is not before it")]
     DependencyNotEarlier(usize),
@@ -98,7 +97,7 @@
     if task_count == 0 {
         return Err(InvalidJob::NoTasks);
     }
-    if task_count > MAX_TASKS {
+    if task_count.saturating_mul(u64::from(body.times.max(1))) > MAX_JOB_TASKS {
         return Err(InvalidJob::TooManyTasks);
     }
     for (index, step) in body.steps.iter().enumerate() {
--- a/src/platform/platform_tests.rs
+++ b/src/platform/platform_tests.rs
@@ -156,6 +156,7 @@
     assert_eq!(refused(r#"{"steps":[]}"#), InvalidJob::NoTasks);
     assert_eq!(refused(r#"{"steps":[{"count":1,"after":[0]}]}"#), InvalidJob::DependencyNotEarlier(0));
     assert_eq!(refused(r#"{"steps":[{"count":4000000000},{"count":4000000000}]}"#), InvalidJob::TooManyTasks);
+    assert_eq!(refused(r#"{"steps":[{"count":1}],"times":4000000000}"#), InvalidJob::TooManyTasks);
     let long = format!(r#"{{"spec":"{}","steps":[{{"count":1}}]}}"#, "x".repeat(4_001));
     assert_eq!(refused(&long), InvalidJob::SpecTooLong);
     assert!(is_job_id("5c0e7a21d94b36f8") && !is_job_id("5c0e7a21d94b36f") && !is_job_id("5c0e7a21d94b36fx"));
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -13,6 +13,10 @@
 /// A job's result is worth nothing to its caller once the job has taken this multiple of its allowed time.
 const EXPIRY_FACTOR: f64 = 3.0;
 
+/// Limit on the tasks of one job, over all its occurrences. A leader holds them all, and so does the next one. The users'
+/// platform specifies none.
+pub(crate) const MAX_JOB_TASKS: u64 = 10_000;
+
 /// One incarnation of a worker: a restarted worker keeps its ID but has a new start time.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct WorkerIncarnation {
@@ -270,6 +274,18 @@
         self.spec.recurring_occurrences.max(1)
     }
 
+    /// Number of occurrences that may begin. Only stored jobs that were accepted without this limit have more.
+    fn max_occurrences(&self) -> u32 {
+        let tasks: u64 = self.spec.steps.iter().map(|step| u64::from(step.count)).sum();
+        u32::try_from(MAX_JOB_TASKS / tasks.max(1)).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Whether another occurrence may begin at a time.
+    pub(crate) fn is_occurrence_due(&self, now_unix_ms: u64) -> bool {
+        self.next_occurrence < self.occurrence_count().min(self.max_occurrences())
+            && self.due_unix_ms(self.next_occurrence) <= now_unix_ms
+    }
+
     /// Creates the tasks of an occurrence.
     pub(crate) fn begin_occurrence(&mut self, number: u32) {
         let steps = self.spec.steps.iter().map(|step| StepState {
--- a/src/sched/progress.rs
+++ b/src/sched/progress.rs
@@ -52,7 +52,7 @@
             return;
         }
         let mut has_begun = false;
-        while job.next_occurrence < job.occurrence_count() && job.due_unix_ms(job.next_occurrence) <= now_unix_ms {
+        while job.is_occurrence_due(now_unix_ms) {
             let number = job.next_occurrence;
             job.begin_occurrence(number);
             has_begun = true;
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use super::job::{DeadlineForecast, Job};
-use super::model::{JobPhase, Step};
+use super::job::{DeadlineForecast, Job, MAX_JOB_TASKS};
+use super::model::{JobPhase, JobSpec, Step};
 use super::sim::{catalog, settings, spec, step, worker_entry, Faults, Sim};
 use super::worker::Worker;
 
@@ -237,3 +237,18 @@
     assert_eq!(finished.len(), 1);
     assert_eq!((sim.start_count, sim.violations.len()), (7, 0), "no task ran twice");
 }
+
+#[test]
+fn job_with_too_many_due_occurrences_does_not_stop_every_leader_that_reads_it() {
+    let mut sim = Sim::new(1, 4, Faults::default());
+    let recurring = JobSpec { recurring_occurrences: u32::MAX, ..spec(vec![step(1, &[])]) };
+    sim.submit("recurring", recurring);
+    sim.submit("other", spec(two_steps()));
+
+    sim.run_for(1_000);
+    sim.stop_leader(100);
+    sim.run_for(4_000);
+
+    let begun = sim.scheduler.jobs["recurring"].occurrences.len() as u64;
+    assert_eq!((begun, phase(&sim, "other")), (MAX_JOB_TASKS, Some(JobPhase::Completed)));
+}
