Wait before an order that a worker refused as invalid is repeated

A start order that a worker refuses as invalid (400) is not a failed attempt, so the task was placed again at once, on worker after worker, with one commit for each: the same class as crashes that are not counted. Found by reading; the test counted an order in every round of 20 ms before, and counts two in a second now. Such a task is placed again after 0.7 s. It is not given up: the users' pages count only runs that ended as failed, and crashes.

--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -19,6 +19,8 @@
 const REACHABLE_AFTER_ANSWER_MS: u64 = 700;
 /// How long a worker gets no new tasks after it refused one as unhealthy.
 const UNHEALTHY_BLOCK_MS: u64 = 700;
+/// Delay before a task is placed again after its start order was refused as invalid.
+const INVALID_ORDER_DELAY_MS: u64 = 700;
 /// A run without progress for this long is stopped and placed again.
 const STALL_TIMEOUT_MS: u64 = 2_500;
 /// Progress from which the run time can be told. Percentages are whole numbers, so smaller ones are inexact.
@@ -304,8 +306,10 @@
                 if *outcome == OrderOutcome::NotSent {
                     self.block_worker(now_us, &start.worker, UNREACHABLE_BLOCK_MS);
                 }
-                if *outcome == OrderOutcome::Refused(OrderRefusal::TicketRejected) {
-                    self.drop_ticket(task_ref, &start.worker);
+                match outcome {
+                    OrderOutcome::Refused(OrderRefusal::TicketRejected) => self.drop_ticket(task_ref, &start.worker),
+                    OrderOutcome::Refused(OrderRefusal::Invalid) => self.delay_start(now_us, task_ref),
+                    _ => {}
                 }
                 self.release_run(now_us, task_ref, &start.worker);
             }
@@ -313,6 +317,12 @@
         }
     }
 
+    /// Delays the next start of a task whose order was refused as invalid: other workers are likely to refuse it too.
+    fn delay_start(&mut self, now_us: u64, task_ref: &TaskRef) {
+        let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
+        task.not_before_us = now_us + INVALID_ORDER_DELAY_MS * US_PER_MS;
+    }
+
     /// Handles the outcome of a stop order.
     pub(crate) fn on_stop_outcome(
         &mut self,
--- a/src/sched/worker_loss_tests.rs
+++ b/src/sched/worker_loss_tests.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
+use super::action::Action;
 use super::job::Job;
-use super::leader_fixtures::{leader_with_workers, long_step, run, task, JOB, SECOND_US};
-use super::model::{JobPhase, JobSpec, OrderOutcome, Step, TaskRef, WorkerEntry};
+use super::leader_fixtures::{answer_holds, leader_with_workers, long_step, run, task, JOB, SECOND_US};
+use super::model::{JobPhase, JobSpec, OrderOutcome, OrderRefusal, Step, TaskRef, WorkerEntry};
 use super::record::{encode_job, restore_job};
 use super::scheduler::Scheduler;
 use super::sim::{spec, step, Faults, NextWorkerId, Sim};
@@ -260,3 +261,57 @@
     // A version that knows of no losses reads the job, then an empty list of copies, and ignores the rest.
     assert!(row.len() > without_losses.len());
 }
+
+#[test]
+fn task_whose_orders_workers_refuse_as_invalid_is_not_ordered_again_at_once() {
+    let (mut leader, id) = leader_with_task(step(1, &[]));
+    let task_ref = task_of(JOB, 0);
+    leader.release_run(11 * SECOND_US, &task_ref, &id);
+    let mut orders = 0;
+
+    for elapsed_ms in (0..1_000).step_by(20) {
+        let now_us = 11 * SECOND_US + elapsed_ms * 1_000;
+        answer_holds(&mut leader, now_us);
+        leader.tick(now_us, now_us / 1_000);
+        let batch = leader.take_batch(now_us);
+        leader.batch_committed(now_us, now_us, &batch);
+        for action in leader.take_actions() {
+            let Action::Start(start) = action else { continue };
+            orders += 1;
+            leader.on_start_outcome(now_us, &start, &OrderOutcome::Refused(OrderRefusal::Invalid));
+        }
+    }
+
+    assert_eq!(orders, 2, "orders within one second");
+}
+
+#[test]
+fn sole_suspect_is_given_up_after_two_crashes() {
+    let mut sim = Sim::new(1, 8, Faults::default());
+    sim.add_crashing_task(task_of(CRASHING_JOB, 0), NextWorkerId::New, DOWN_MS);
+    sim.submit(CRASHING_JOB, spec(vec![step(1, &[])]));
+
+    sim.run_for(20_000);
+
+    assert_eq!(phase(&sim, CRASHING_JOB), JobPhase::Failed);
+    assert_eq!(sim.crash_count(&task_of(CRASHING_JOB, 0)), 2);
+}
+
+#[test]
+fn suspect_waits_for_a_worker_without_other_tasks() {
+    let (mut leader, id) = leader_with_task(step(1, &[]));
+    leader.submit(11 * SECOND_US, 11_000, "long-running-elsewhere".into(), spec(vec![long_step(4, 2_000)]));
+    run(&mut leader, 11 * SECOND_US, 1_000);
+    let next = WorkerEntry { draining: true, ..successor(&leader, &id) };
+
+    fail_hold(&mut leader, 12 * SECOND_US, &id);
+    leader.worker_listed(12 * SECOND_US, next);
+    leader.tick(12 * SECOND_US + 150_000, 12_150);
+    leader.worker_unlisted(12 * SECOND_US + 150_000, &id);
+    run(&mut leader, 12 * SECOND_US + 200_000, 700);
+    let while_isolated = task(&leader, JOB).placed_on().is_some();
+    run(&mut leader, 12 * SECOND_US + 900_000, 600);
+
+    assert!(!while_isolated, "all workers have tasks");
+    assert!(task(&leader, JOB).placed_on().is_some(), "the wait is bounded");
+}
