Split isolation of suspects and advice tickets from placement

placement.rs had grown to 492 lines, with three matters in it: placement, the tickets of the advice service, and keeping suspects apart; the last stood half in worker_loss.rs. Functions moved, none changed; the tests of the library pass.

--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -5,11 +5,11 @@
 
 use foldhash::HashMap;
 
-use super::action::Action;
 use super::candidate::{racks, score, set_siblings, Candidate, PlacementRound, Score};
 use super::fair_order::FairOrder;
+use super::isolation::may_isolate_another;
 use super::job::{Job, RunPhase, TaskState};
-use super::model::{Advice, JobId, Step, TaskRef};
+use super::model::{JobId, Step, TaskRef};
 use super::organisation::Organisation;
 use super::scheduler::Scheduler;
 use super::urgency::Urgency;
@@ -17,12 +17,6 @@
 use super::worker::Worker;
 use crate::clock::US_PER_MS;
 
-/// Maximum number of workers named in one request to the advice service.
-const MAX_WORKERS_PER_ADVICE_REQUEST: usize = 30;
-/// Delay before the advice service is asked about a step again.
-const ADVICE_RETRY_DELAY_MS: u64 = 300;
-/// A ticket is used only if it remains valid for longer than this.
-const TICKET_MARGIN_MS: u64 = 150;
 /// Minimum time between two placement rounds, in which ended runs and new jobs accumulate.
 const MIN_ROUND_INTERVAL_MS: u64 = 8;
 /// The interval between rounds grows by 1 ms per this many ready jobs.
@@ -37,9 +31,6 @@
 /// at fault rather than the workers.
 const MAX_SLOW_SHARE: f64 = 0.2;
 
-/// Share of a pool's workers that may be kept free of other tasks for tasks that may crash them.
-const MAX_ISOLATED_SHARE: f64 = 0.125;
-
 impl Scheduler {
     /// Runs a placement round if one is wanted and due.
     pub(super) fn place(&mut self, now_us: u64) {
@@ -335,18 +326,6 @@
         best.map(|(_, index)| index)
     }
 
-    /// Reserves capacity for a task on the worker chosen for it.
-    fn reserve(&self, task_ref: &TaskRef, step: &Step, worker: &mut Candidate) {
-        worker.is_isolated = self.is_suspect(task_ref);
-        worker.reserve(step);
-    }
-
-    /// Whether a task waits for a worker without other tasks.
-    fn waits_to_be_alone(&self, now_us: u64, task_ref: &TaskRef) -> bool {
-        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
-        task.is_some_and(|task| self.must_be_alone(now_us, task_ref, task))
-    }
-
     /// Places a run of a task on a worker. The start order is sent once the job's record is committed.
     pub(super) fn assign(&mut self, now_us: u64, task_ref: &TaskRef, worker: &Arc<str>, run: u32) {
         let Some(incarnation) = self.workers.get(worker).map(Worker::incarnation) else { return };
@@ -367,86 +346,6 @@
         );
         self.queue_start(task_ref, run);
     }
-
-    /// Workers with a valid ticket for a step. If none of them has capacity, asks the advice service about workers that
-    /// do.
-    pub(super) fn workers_with_ticket(
-        &mut self,
-        now_us: u64,
-        id: &JobId,
-        number: u32,
-        step: usize,
-        workers: &[Candidate],
-    ) -> Vec<Arc<str>> {
-        let mut to_ask = Vec::new();
-        let Some(job) = self.jobs.get_mut(id) else { return Vec::new() };
-        let Some(occurrence) = job.occurrences.get_mut(&number) else { return Vec::new() };
-        let needs = job.spec.steps[step].reserved();
-        let advice = &mut occurrence.steps[step].advice;
-        advice.tickets.retain(|(_, _, until_us)| *until_us > now_us + TICKET_MARGIN_MS * US_PER_MS);
-        let allowed: Vec<Arc<str>> = advice.tickets.iter().map(|(worker, _, _)| worker.clone()).collect();
-        let with_capacity =
-            workers.iter().filter(|worker| needs.fits_in(&worker.free_capacity)).map(|worker| &worker.id);
-        let has_allowed = with_capacity.clone().any(|id| allowed.contains(id));
-        if !has_allowed && !advice.is_requested && now_us >= advice.next_request_us {
-            for id in with_capacity {
-                if !advice.refused.contains(id) && to_ask.len() < MAX_WORKERS_PER_ADVICE_REQUEST {
-                    to_ask.push(id.clone());
-                }
-            }
-        }
-        if !to_ask.is_empty() {
-            advice.is_requested = true;
-            self.actions.push(Action::RequestAdvice {
-                job: id.clone(),
-                occurrence: number,
-                step: step as u32,
-                workers: to_ask,
-            });
-        }
-        allowed
-    }
-
-    /// Handles the advice service's answer about a step, given as job ID, occurrence and step index. The answer is
-    /// `None` if the request failed.
-    pub(crate) fn on_advice_answer(
-        &mut self,
-        now_us: u64,
-        step: (&JobId, u32, u32),
-        asked: &[Arc<str>],
-        answer: Option<&Advice>,
-    ) {
-        let (id, number, step) = step;
-        let valid_ms = self.jobs.get(id).and_then(|job| self.queue_of(job).advice).map_or(0, |advice| advice.valid_ms);
-        let Some(occurrence) = self.jobs.get_mut(id).and_then(|job| job.occurrences.get_mut(&number)) else { return };
-        let advice = &mut occurrence.steps[step as usize].advice;
-        advice.is_requested = false;
-        advice.next_request_us = now_us + ADVICE_RETRY_DELAY_MS * US_PER_MS;
-        let Some(answer) = answer else { return };
-        let until_us = now_us + answer.valid_ms.unwrap_or(valid_ms) * US_PER_MS;
-        for worker in asked {
-            match answer.tickets.iter().find(|(id, _)| id == worker) {
-                Some((_, ticket)) => advice.tickets.push((worker.clone(), ticket.clone(), until_us)),
-                None => advice.refused.push(worker.clone()),
-            }
-        }
-        self.wants_placement = true;
-    }
-
-    /// A valid ticket for starting a task on a worker.
-    pub(super) fn ticket(&self, now_us: u64, task_ref: &TaskRef, worker: &Arc<str>) -> Option<Arc<str>> {
-        let occurrence = self.jobs.get(&task_ref.job)?.occurrences.get(&task_ref.occurrence)?;
-        let tickets = &occurrence.steps[task_ref.step as usize].advice.tickets;
-        let held = tickets.iter().rev().find(|(id, _, until_us)| id == worker && *until_us > now_us);
-        held.map(|(_, ticket, _)| ticket.clone())
-    }
-
-    /// Discards a worker's tickets for a step after the worker rejected one.
-    pub(super) fn drop_ticket(&mut self, task_ref: &TaskRef, worker: &Arc<str>) {
-        let Some(job) = self.jobs.get_mut(&task_ref.job) else { return };
-        let Some(occurrence) = job.occurrences.get_mut(&task_ref.occurrence) else { return };
-        occurrence.steps[task_ref.step as usize].advice.tickets.retain(|(id, _, _)| id != worker);
-    }
 }
 
 /// Keeps all other tasks off the worker that is likely to be the first with enough capacity for a long-running task:
@@ -467,12 +366,6 @@
     }
 }
 
-/// Whether a further worker may be kept free of other tasks for a task that may crash it.
-fn may_isolate_another(workers: &[Candidate]) -> bool {
-    let isolated = workers.iter().filter(|worker| worker.is_isolated).count();
-    isolated < ((workers.len() as f64 * MAX_ISOLATED_SHARE) as usize).max(1)
-}
-
 /// Tasks of a step that wait and may start now, and whether others wait for their retry delay to pass.
 fn waiting_tasks(job: &Job, number: u32, step: usize, now_us: u64) -> (Vec<TaskRef>, bool) {
     let mut waiting = Vec::new();
--- a/src/sched/worker_loss.rs
+++ b/src/sched/worker_loss.rs
@@ -4,8 +4,7 @@
 //! another worker on its host, registers. Until then, a silent worker may as well be cut off and come back.
 //!
 //! A crash is blamed on the runs that the worker had not listed yet, since the others have begun without a crash; if it
-//! had listed all of them, on all. A blamed task next runs on a worker of its own if there is one, and never starts beside
-//! another run that is not listed yet, so that a further crash shows which task is at fault. A task that is to blame too
+//! had listed all of them, on all. Tasks that may be at fault are [isolated](super::isolation). A task that is to blame too
 //! often is given up, and its job fails. The losses are part of the job's record.
 
 use std::sync::Arc;
@@ -13,6 +12,7 @@
 use foldhash::{HashMap, HashSet};
 use serde::{Deserialize, Serialize};
 
+use super::isolation::ISOLATION_WAIT_MS;
 use super::job::{RunPhase, Task, WorkerIncarnation};
 use super::model::{TaskRef, WorkerEntry};
 use super::scheduler::Scheduler;
@@ -29,11 +29,7 @@
 const MAX_LOSSES: usize = 5;
 /// A long-running task that has run for this long is not to blame for a crash of its worker, and its losses are forgotten:
 /// in the course of time it loses workers that others crash.
-const STABLE_RUN_MS: u64 = 10_000;
-/// How long a suspect waits for a worker without other tasks. After that it may start beside others.
-const ISOLATION_WAIT_MS: u64 = 1_000;
-/// A suspect that has run for this long no longer keeps other tasks off its worker.
-const PROBATION_MS: u64 = 2_000;
+pub(super) const STABLE_RUN_MS: u64 = 10_000;
 
 /// Why the runs of a worker are released although it has not reported their ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -109,7 +105,7 @@
     /// Worker on each host that started last, as far as registered.
     latest_on_host: HashMap<Arc<str>, WorkerIncarnation>,
     /// Tasks that may have crashed a worker, see [`Task::is_suspect`].
-    suspects: HashSet<TaskRef>,
+    pub(super) suspects: HashSet<TaskRef>,
     counts: LossCounts,
     given_up_count: u64,
 }
@@ -121,7 +117,7 @@
 }
 
 impl Scheduler {
-    /// Why the runs of a worker are released now, if it may have crashed.
+    /// Why the runs of a worker are released that no longer answers.
     pub(super) fn loss_cause(&self, id: &Arc<str>) -> LossCause {
         let Some(worker) = self.workers.get(id) else { return LossCause::Silent };
         let is_host_leaving = worker.entry.host.as_ref().is_some_and(|host| self.is_host_leaving(host));
@@ -234,64 +230,6 @@
         self.fail_job(now_us, &task_ref.job);
     }
 
-    /// Whether a task may start only on a worker without other tasks.
-    pub(super) fn must_be_alone(&self, now_us: u64, task_ref: &TaskRef, task: &Task) -> bool {
-        now_us < task.isolated_until_us && self.is_suspect(task_ref)
-    }
-
-    pub(super) fn is_suspect(&self, task_ref: &TaskRef) -> bool {
-        self.lost_workers.suspects.contains(task_ref)
-    }
-
-    /// Workers that get no further tasks for now: they have not listed the run of a suspect yet, or their only task is a
-    /// suspect that has not run for long.
-    pub(super) fn isolated_workers(&self, now_us: u64) -> HashSet<Arc<str>> {
-        let mut isolated = HashSet::default();
-        for task_ref in &self.lost_workers.suspects {
-            let Some(task) = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)) else { continue };
-            for placed in task.placed_runs() {
-                let id = &placed.worker.id;
-                let is_only = self.workers.get(id).is_some_and(|worker| worker.tasks.len() == 1);
-                let is_new = ran_for_ms(now_us, placed.phase) < PROBATION_MS;
-                if !placed.report.is_listed || (is_only && is_new) {
-                    isolated.insert(id.clone());
-                }
-            }
-        }
-        isolated
-    }
-
-    /// Forgets suspects that are done or have proved stable. While there are others, placement rounds go on without any
-    /// other event, since tasks wait for isolated workers.
-    pub(super) fn check_suspects(&mut self, now_us: u64) {
-        for task_ref in self.stable_suspects(now_us) {
-            let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(&task_ref)) else { continue };
-            task.losses.clear();
-            self.mark_dirty(&task_ref.job);
-        }
-        let jobs = &self.jobs;
-        self.lost_workers.suspects.retain(|task_ref| {
-            let job = jobs.get(&task_ref.job).filter(|job| !job.phase.is_final());
-            job.and_then(|job| job.task(task_ref)).is_some_and(|task| !task.is_done && task.is_suspect())
-        });
-        self.wants_placement |= !self.lost_workers.suspects.is_empty();
-    }
-
-    /// Long-running suspects that have run for [`STABLE_RUN_MS`].
-    fn stable_suspects(&self, now_us: u64) -> Vec<TaskRef> {
-        let mut stable = Vec::new();
-        for task_ref in &self.lost_workers.suspects {
-            if !self.step_of(task_ref).is_some_and(|step| step.long_running) {
-                continue;
-            }
-            let Some(task) = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)) else { continue };
-            if task.placed_runs().any(|placed| ran_for_ms(now_us, placed.phase) >= STABLE_RUN_MS) {
-                stable.push(task_ref.clone());
-            }
-        }
-        stable
-    }
-
     fn watch_silent(&mut self, task_ref: &TaskRef, worker: &WorkerIncarnation) {
         let started_unix_ms = worker.started_unix_ms;
         let silent = self.lost_workers.silent.entry(worker.id.clone());
@@ -411,7 +349,7 @@
 }
 
 /// Time for which a run is known to have been active.
-fn ran_for_ms(now_us: u64, phase: RunPhase) -> u64 {
+pub(super) fn ran_for_ms(now_us: u64, phase: RunPhase) -> u64 {
     match phase {
         RunPhase::Running { since_us } => now_us.saturating_sub(since_us) / US_PER_MS,
         RunPhase::Committing
