Tests for two guards of isolation, and one guard less

With further guards taken out, three mutants survived: the limit on workers set aside, suspects after a takeover, and forgetting losses when a stable run is lost. The first two have tests now, seen red without their guard (6 workers set aside instead of 1; the task was no suspect under the new leader). The third was redundant: a stable run is not to blame, and a stable suspect forgets its losses while it runs. It is removed.

--- a/src/sched/worker_loss.rs
+++ b/src/sched/worker_loss.rs
@@ -173,10 +173,6 @@
         if cause == LossCause::Planned || task.is_done || !may_have_started(&placed) {
             return;
         }
-        if is_long_running && ran_for_ms(now_us, placed.phase) >= STABLE_RUN_MS {
-            task.losses.clear();
-            return;
-        }
         if (is_long_running && blame == Blame::None) || task.losses.iter().any(|loss| loss.worker == *worker) {
             return;
         }
--- a/src/sched/worker_loss_tests.rs
+++ b/src/sched/worker_loss_tests.rs
@@ -340,3 +340,37 @@
 
     assert_eq!((after_the_crash, task(&sim.scheduler, JOB).losses.len()), (1, 0));
 }
+
+#[test]
+fn crash_with_many_suspects_sets_aside_few_workers() {
+    let mut sim = Sim::new(1, 8, Faults::default());
+    sim.submit(JOB, spec(vec![step(6, &[])]));
+    sim.run_for(200);
+    let worker = task(&sim.scheduler, JOB).placed_on().expect("the task is placed").id.clone();
+    let number = (0..8).find(|number| *worker == *format!("w{number}")).expect("a worker of the simulation");
+
+    sim.crash(number);
+    let mut most_isolated = 0;
+    for _ in 0..40 {
+        sim.run_for(20);
+        most_isolated = most_isolated.max(sim.scheduler.isolated_workers(sim.now_us).len());
+    }
+
+    assert_eq!(most_isolated, 1, "an eighth of eight workers");
+}
+
+#[test]
+fn new_leader_keeps_suspects_apart() {
+    let mut sim = Sim::new(1, 8, Faults::default());
+    sim.add_crashing_task(task_of(CRASHING_JOB, 0), NextWorkerId::Same, DOWN_MS);
+    sim.submit(CRASHING_JOB, three_tasks());
+    while sim.scheduler.jobs[CRASHING_JOB].task(&task_of(CRASHING_JOB, 0)).is_none_or(|task| task.losses.is_empty()) {
+        sim.run_for(100);
+    }
+    sim.run_for(100);
+
+    sim.stop_leader(100);
+    sim.run_for(200);
+
+    assert!(sim.scheduler.is_suspect(&task_of(CRASHING_JOB, 0)));
+}
