Keep the record of the largest job within a row of the store

A job of 10,000 tasks was accepted, and its record can exceed the 65,536 bytes that the store holds in a row. The store would refuse the batch, and each leader would repeat it for ever, so no job would make progress.

Cause: neither the number of tasks nor the size of a record was limited by the size of a row.

Evidence: a record with one loss, one placed run and a checkpoint for each task takes 374,878 bytes with 10,000 tasks and 102,612 bytes with 2,500; the test failed with both.

Change: a submitted job has at most 2,500 tasks, and records above 48 KiB are compressed. Compressed rows are told from others by their first byte, which is the number of a phase otherwise. Jobs that an earlier version accepted keep the limit of 10,000, so that their occurrences still begin; their records may still be too large.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -30,6 +30,7 @@
 pub(crate) mod organisation;
 pub(crate) mod organisation_counts;
 mod pace;
+mod packed_row;
 mod placement;
 mod progress;
 mod rebalance;
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -13,9 +13,12 @@
 /// A job's result is worth nothing to its caller once the job has taken this multiple of its allowed time.
 const EXPIRY_FACTOR: f64 = 3.0;
 
-/// Limit on the tasks of one job, over all its occurrences. A leader holds them all, and so does the next one. The users'
-/// platform specifies none.
-pub(crate) const MAX_JOB_TASKS: u64 = 10_000;
+/// Limit on the tasks of one job, over all its occurrences, when it is submitted: the record of a larger one may not fit in
+/// a row of the store. The users' platform specifies none.
+pub(crate) const MAX_JOB_TASKS: u64 = 2_500;
+/// Limit on the tasks of a stored job, which an earlier version may have accepted. A leader holds them all, and so does the
+/// next one.
+pub(crate) const MAX_STORED_JOB_TASKS: u64 = 10_000;
 
 /// One incarnation of a worker: a restarted worker keeps its ID but has a new start time.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -277,7 +280,7 @@
     /// Number of occurrences that may begin. Only stored jobs that were accepted without this limit have more.
     fn max_occurrences(&self) -> u32 {
         let tasks: u64 = self.spec.steps.iter().map(|step| u64::from(step.count)).sum();
-        u32::try_from(MAX_JOB_TASKS / tasks.max(1)).unwrap_or(u32::MAX).max(1)
+        u32::try_from(MAX_STORED_JOB_TASKS / tasks.max(1)).unwrap_or(u32::MAX).max(1)
     }
 
     /// Whether another occurrence may begin at a time.
--- a/src/sched/record.rs
+++ b/src/sched/record.rs
@@ -7,6 +7,7 @@
 use super::admission::AdmissionReport;
 use super::job::{Job, RunPhase, Task, TaskState, WorkerIncarnation};
 use super::model::{JobId, JobOrigin, JobPhase, JobSpec, ReportedPhase, TaskRef};
+use super::packed_row::{pack, unpack};
 use super::task_runs::PlacedRun;
 use super::worker_loss::{Blame, WorkerLoss};
 
@@ -211,7 +212,8 @@
 }
 
 /// Encodes the state of a job and its tasks. Copies and then losses follow the other fields, and only if there are any,
-/// so that rows without them are the same as those of earlier versions. Those versions ignore what they do not know.
+/// so that rows without them are the same as those of earlier versions. Those versions ignore what they do not know, but
+/// cannot read the record of a job that is so large that it is compressed, see [`pack`].
 pub(crate) fn encode_job(job: &Job) -> Vec<u8> {
     let mut record =
         JobRecord { phase: job.phase, next_occurrence: job.next_occurrence, workers: Vec::new(), tasks: Vec::new() };
@@ -254,7 +256,7 @@
     if !losses.is_empty() {
         row.extend(encode(&losses));
     }
-    row
+    pack(row)
 }
 
 /// What [`CopyRecord`] holds of a task; `None` if the task has had no copy.
@@ -278,7 +280,8 @@
 
 /// Restores the state of a job as recorded by a former leader. Placed runs become [`RunPhase::Restored`].
 pub(crate) fn restore_job(job: &mut Job, bytes: &[u8]) -> Result<(), RecordError> {
-    let (record, rest): (JobRecord, &[u8]) = split_prefix(bytes)?;
+    let row = unpack(bytes).map_err(|error| RecordError(error.to_string()))?;
+    let (record, rest): (JobRecord, &[u8]) = split_prefix(&row)?;
     let (copies, rest): (Vec<CopyRecord>, &[u8]) = split_optional(rest)?;
     let (losses, _): (Vec<LossRecord>, &[u8]) = split_optional(rest)?;
     job.phase = record.phase;
--- a/src/sched/record_tests.rs
+++ b/src/sched/record_tests.rs
@@ -1,14 +1,20 @@
 //! Tests of the encoding of stored rows: rows without organisations must not change between versions.
 
+use std::sync::Arc;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde::Serialize;
 
 use super::admission::{AdmissionReport, QueueWait};
-use super::model::{JobId, JobOrigin, JobPhase, ReportedPhase};
+use super::job::{Job, RunPhase, WorkerIncarnation, MAX_JOB_TASKS};
+use super::model::{JobId, JobOrigin, JobPhase, ReportedPhase, TaskRef};
 use super::record::{
     decode_admission, decode_final_phase, decode_published_phases, decode_spec, encode_admission, encode_final_phase,
-    encode_published_phases, encode_spec,
+    encode_job, encode_published_phases, encode_spec, restore_job,
 };
 use super::sim::{spec, step};
+use super::worker_loss::{Blame, WorkerLoss};
 
 fn origin(queue: &str, organisation: &str) -> JobOrigin {
     JobOrigin { queue: queue.into(), organisation: Some(organisation.into()) }
@@ -105,3 +111,42 @@
     assert_eq!(decode_as_before::<Vec<(JobId, JobPhase)>>(&row), []);
     assert_eq!(decode_admission(&row).expect("the row can be decoded"), report);
 }
+
+/// A job in which every task has been lost with one worker, is placed on another, and has a checkpoint.
+fn largest_job() -> Job {
+    const WORKERS: u32 = 600;
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut job = Job::new("5c0e7a21d94b36f8".into(), Arc::new(spec(vec![step(MAX_JOB_TASKS as u32, &[])])));
+    job.begin_occurrence(0);
+    let workers: Vec<WorkerIncarnation> = (0..WORKERS)
+        .map(|_| WorkerIncarnation {
+            id: format!("i-{:010x}", rng.random::<u64>() >> 24).into(),
+            started_unix_ms: 1_700_000_000_000 + rng.random_range(0..100_000),
+        })
+        .collect();
+    for index in 0..MAX_JOB_TASKS as u32 {
+        let task_ref = TaskRef { job: job.id.clone(), occurrence: 0, step: 0, index };
+        let task = job.task_mut(&task_ref).expect("a task of the job");
+        let worker = workers[rng.random_range(0..workers.len())].clone();
+        task.losses.push(WorkerLoss { worker, is_crash: true, has_begun: true, blame: Blame::None });
+        let worker = workers[rng.random_range(0..workers.len())].clone();
+        task.add_run(0, worker, rng.random_range(2..5), RunPhase::Committing);
+        task.checkpoint = format!("{:016x}", rng.random::<u64>()).into();
+    }
+    job
+}
+
+#[test]
+fn record_of_the_largest_job_fits_in_a_row_of_the_store() {
+    const ROW_BYTES: usize = 65_536;
+    let job = largest_job();
+
+    let row = encode_job(&job);
+    let mut restored = Job::new(job.id.clone(), job.spec.clone());
+    restore_job(&mut restored, &row).expect("the record can be decoded");
+
+    assert!(row.len() <= ROW_BYTES, "{} bytes", row.len());
+    let losses = |job: &Job| job.tasks().map(|(_, task)| task.losses.clone()).collect::<Vec<_>>();
+    let checkpoints = |job: &Job| job.tasks().map(|(_, task)| task.checkpoint.clone()).collect::<Vec<_>>();
+    assert_eq!((losses(&restored), checkpoints(&restored)), (losses(&job), checkpoints(&job)));
+}
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::job::{DeadlineForecast, Job, MAX_JOB_TASKS};
+use super::job::{DeadlineForecast, Job, MAX_STORED_JOB_TASKS};
 use super::model::{JobPhase, JobSpec, Step};
 use super::sim::{catalog, settings, spec, step, worker_entry, Faults, Sim};
 use super::worker::Worker;
@@ -250,5 +250,5 @@
     sim.run_for(4_000);
 
     let begun = sim.scheduler.jobs["recurring"].occurrences.len() as u64;
-    assert_eq!((begun, phase(&sim, "other")), (MAX_JOB_TASKS, Some(JobPhase::Completed)));
+    assert_eq!((begun, phase(&sim, "other")), (MAX_STORED_JOB_TASKS, Some(JobPhase::Completed)));
 }
