Provide a host for long-running tasks before a wave drains theirs

Cause: long-running tasks leave the hosts of a wave one after the other, as their disruption budget allows. (1) A pool whose hosts all run a task of the step had no host for the next one; one was requested only once a task waited. (2) The task then started on a host that the same wave drained next. (3) A task counted as at work only with the next answer of its worker, up to a second later.

In the simulation the wave of ten such hosts ended after 26.1 s; the test failed.

Change: hosts for the next three tasks of each step on drained hosts are requested as for waiting tasks; such tasks prefer workers that need no maintenance soon, and so do requests for hosts; workers report a starting task with a disruption budget within 0.2 s. With (1) and (2) alone the simulated wave still took 26.1 s, with all three 21.6 s.

--- a/src/sched/allocation.rs
+++ b/src/sched/allocation.rs
@@ -97,6 +97,8 @@
     pub(super) record: HostRecord,
     /// Whether it is in the spare pool.
     pub(super) is_spare: bool,
+    /// Whether a wave has yet to take it down.
+    pub(super) awaits_maintenance: bool,
     pub(super) load: HostLoad,
 }
 
@@ -120,18 +122,18 @@
 }
 
 impl Allocation<'_> {
-    /// Selects the best host for a request: the least busy one. Among equals, one of the spare pool comes first, then
-    /// one of the pool with the largest surplus.
+    /// Selects the best host for a request: the least busy one. Among equals, one that need not be maintained soon comes
+    /// first, then one of the spare pool, then one of the pool with the largest surplus.
     pub(super) fn take_host(&mut self, request: &HostRequest<'_>) -> Option<Transfer> {
-        let mut best: Option<(Reverse<u64>, bool, u64, usize)> = None;
+        let mut best: Option<(Reverse<u64>, bool, bool, u64, usize)> = None;
         for (index, host) in self.hosts.iter().enumerate() {
             let Some((busy_milli, surplus)) = self.offer(host, request) else { continue };
-            let candidate = (Reverse(busy_milli), host.is_spare, surplus, index);
+            let candidate = (Reverse(busy_milli), !host.awaits_maintenance, host.is_spare, surplus, index);
             if best.as_ref().is_none_or(|known| candidate > *known) {
                 best = Some(candidate);
             }
         }
-        let (Reverse(busy_milli), _, _, index) = best?;
+        let (Reverse(busy_milli), .., index) = best?;
         let host = self.hosts.swap_remove(index);
         let milli = host.record.capacity.cpu_milli;
         if let Some(balance) = self.balances.get_mut(&host.record.pool) {
--- a/src/sched/allocation_tests.rs
+++ b/src/sched/allocation_tests.rs
@@ -26,7 +26,12 @@
 }
 
 fn hosts_in(pool: &str, numbers: std::ops::Range<usize>, load: HostLoad) -> Vec<MovableHost> {
-    let movable = |number| MovableHost { record: host(&entry_in(pool, number), true), is_spare: pool == "spare", load };
+    let movable = |number| MovableHost {
+        record: host(&entry_in(pool, number), true),
+        is_spare: pool == "spare",
+        awaits_maintenance: false,
+        load,
+    };
     numbers.map(movable).collect()
 }
 
--- a/src/sched/candidate.rs
+++ b/src/sched/candidate.rs
@@ -39,6 +39,8 @@
     pub(super) is_slow: bool,
     /// Whether the advice service, where the queue requires it, allows the worker for the present step.
     pub(super) is_allowed: bool,
+    /// Whether a wave has yet to take its host down.
+    pub(super) awaits_maintenance: bool,
     /// Whether the worker is kept free for a long-running task that waits for capacity there.
     pub(super) is_reserved: bool,
 }
@@ -60,6 +62,7 @@
             failure_tenths: (worker.failure_average() * 10.0) as u32,
             is_slow: false,
             is_allowed: true,
+            awaits_maintenance: false,
             is_reserved: false,
         }
     }
@@ -81,6 +84,7 @@
             failure_tenths: 0,
             is_slow: false,
             is_allowed: true,
+            awaits_maintenance: false,
             is_reserved: false,
         }
     }
@@ -169,6 +173,8 @@
     is_far_from_data: bool,
     /// Tasks of the same step on the worker. Long-running tasks are spread, so that losing a worker stops few of them.
     siblings: u32,
+    /// A long-running task would soon have to leave the worker again.
+    awaits_maintenance: bool,
     /// 1 if both the task and a task on the worker are long-running. Hosts with long-running tasks are not moved
     /// between pools, so workers that already have some are preferred.
     has_long_running: Reverse<u32>,
@@ -184,6 +190,7 @@
         is_slow: worker.is_slow,
         is_far_from_data: step.data_rack.as_ref().is_some_and(|rack| worker.labels.last() != Some(rack)),
         siblings: if step.long_running { worker.siblings } else { 0 },
+        awaits_maintenance: step.long_running && worker.awaits_maintenance,
         has_long_running: Reverse(if step.long_running { worker.long_running_count.min(1) } else { 0 }),
         failure_tenths: worker.failure_tenths,
         free_cpu_after_milli: worker.free_capacity.cpu_milli.saturating_sub(step.reserved().cpu_milli),
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -87,7 +87,9 @@
                 continue;
             }
             let is_isolated = isolated.contains(&worker.entry.id);
-            candidates.push(Candidate { is_isolated, ..Candidate::of_worker(worker) });
+            let host = worker.entry.host.as_ref();
+            let awaits_maintenance = host.is_some_and(|host| self.waves.awaits_maintenance(host));
+            candidates.push(Candidate { is_isolated, awaits_maintenance, ..Candidate::of_worker(worker) });
         }
         self.mark_slow(now_us, &mut candidates);
         candidates
--- a/src/sched/planned_work_tests.rs
+++ b/src/sched/planned_work_tests.rs
@@ -398,3 +398,32 @@
     let actions = scheduler.take_actions().into_iter();
     assert_eq!(actions.filter(|action| matches!(action, Action::MaintainHost { .. })).count(), 0);
 }
+
+/// A pool whose hosts all have a task of the same step, beside spare hosts.
+fn sim_with_a_task_on_each_host(seed: u64) -> Sim {
+    const TASKS: u32 = 10;
+    let mut config = (*catalog()).clone();
+    config.pools.push(PoolConfig { name: "spare".into(), spare: true });
+    let mut sim = Sim::new(seed, 2 * TASKS as usize, Faults::default());
+    sim.add_hosts(Arc::new(config));
+    sim.submit("long-running", spec(vec![Step { count: TASKS, ..budgeted_step(8_000) }]));
+    // The other hosts return to the spare pool.
+    sim.run_for(12_000);
+    assert!(sim.are_budgeted_tasks_at_work(), "seed {seed}: the tasks have started");
+    sim
+}
+
+#[test]
+fn wave_is_not_held_up_by_a_pool_without_a_host_for_the_next_task() {
+    // Ten tasks leave their hosts one after the other, and each takes 1.5 s until it is at work again.
+    const WAVE_MS: u64 = 22_000;
+    for seed in 1..=4 {
+        let mut sim = sim_with_a_task_on_each_host(seed);
+        sim.order_wave(WAVE, 8);
+
+        sim.run_for(WAVE_MS);
+
+        assert_budgets_kept(&sim, seed);
+        assert_wave_complete(&sim, seed);
+    }
+}
--- a/src/sched/rebalance.rs
+++ b/src/sched/rebalance.rs
@@ -11,7 +11,7 @@
 use super::labels::LabelBalances;
 use super::model::{HostPhase, HostRecord, Resources};
 use super::scheduler::Scheduler;
-use super::unplaceable::UnplaceableTasks;
+use super::unplaceable::{PlaceNeed, UnplaceableTasks};
 use crate::clock::US_PER_MS;
 
 /// How long a host must have been idle before it may move to a pool that lacks capacity.
@@ -89,7 +89,7 @@
                 if self.host_moves.moves_left == 0 || self.take_host(now_us, &request, allocation).is_some() {
                     continue;
                 }
-                if step.long_running {
+                if step.long_running && tasks.need == PlaceNeed::Waiting {
                     self.give_back_draining_worker(now_us, tasks);
                 }
                 break;
@@ -156,7 +156,8 @@
             let is_spare = self.catalog.pool(&record.pool).is_some_and(|pool| pool.spare);
             let load = if is_spare { Some(HostLoad::Idle) } else { self.load_of_movable(now_us, name) };
             if let Some(load) = load {
-                movable.push(MovableHost { record: record.clone(), is_spare, load });
+                let awaits_maintenance = self.waves.awaits_maintenance(name);
+                movable.push(MovableHost { record: record.clone(), is_spare, awaits_maintenance, load });
             }
         }
         movable
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -8,7 +8,7 @@
 use foldhash::HashSet;
 
 use super::action::{Action, HoldPlan};
-use super::job::{RunPhase, WorkerIncarnation};
+use super::job::{RunPhase, TaskState, WorkerIncarnation};
 use super::model::{TaskRef, WorkerEntry};
 use super::scheduler::Scheduler;
 use super::worker::Worker;
@@ -20,6 +20,11 @@
 /// The same for a worker that runs best-effort tasks beside tasks with a latency target: a high latency must be noticed
 /// sooner, so that the best-effort tasks can be slowed down in time.
 const HOLD_WAIT_SHARED_MS: u64 = 400;
+/// The same for a worker on which a task with a disruption budget is starting: while it is not fully at work, no other task
+/// of its step may leave a host that a wave drains.
+const HOLD_WAIT_STARTING_MS: u64 = 200;
+/// A task that is not fully at work after this time is no longer waited for in this way.
+const MAX_STARTING_MS: u64 = 4_000;
 /// Delay between the answer of a worker with tasks and the next hold request, so that one answer can report several
 /// ended runs.
 const HOLD_INTERVAL_MS: u64 = 60;
@@ -183,6 +188,7 @@
     pub(crate) fn plan_hold(&mut self, now_us: u64, id: &Arc<str>) -> HoldPlan {
         let lease_until_us = self.lease_until_us(now_us);
         let has_untracked = self.usage.has_untracked(id);
+        let is_starting = self.has_starting_budgeted_task(now_us, id);
         let Some(worker) = self.workers.get_mut(id) else { return HoldPlan::Close };
         if !worker.is_listed && worker.tasks.is_empty() && !has_untracked {
             self.workers.remove(id);
@@ -201,12 +207,33 @@
         let wait_ms = match (worker.is_synced, worker.tasks.is_empty()) {
             (false, _) | (_, true) => 0,
             (true, false) if worker.latency_target_count > 0 && worker.best_effort_count > 0 => HOLD_WAIT_SHARED_MS,
+            (true, false) if is_starting => HOLD_WAIT_STARTING_MS,
             (true, false) => HOLD_WAIT_MS,
         };
         let acknowledged = worker.stored_cursor;
         HoldPlan::Send { address: worker.entry.address, lease_end_ms, acknowledged, wait_ms }
     }
 
+    /// Whether a worker with long-running tasks runs one that has a disruption budget and started a short time ago, but is
+    /// not fully at work yet.
+    fn has_starting_budgeted_task(&self, now_us: u64, id: &Arc<str>) -> bool {
+        let Some(worker) = self.workers.get(id) else { return false };
+        if worker.long_running_count == 0 || now_us < worker.next_hold_us {
+            return false;
+        }
+        for task_ref in &worker.tasks {
+            if self.step_of(task_ref).is_none_or(|step| !step.long_running || step.max_unavailable.is_none()) {
+                continue;
+            }
+            let Some(task) = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)) else { continue };
+            let TaskState::Placed { phase: RunPhase::Running { since_us }, .. } = task.state else { continue };
+            if !task.is_fully_running() && now_us < since_us + MAX_STARTING_MS * US_PER_MS {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Sets the time of the next hold request to a worker.
     pub(super) fn schedule_hold(&mut self, now_us: u64, id: &Arc<str>, failed: bool) {
         let hold_interval_ms = HOLD_INTERVAL_MS + self.hold_backoff_ms();
--- a/src/sched/unplaceable.rs
+++ b/src/sched/unplaceable.rs
@@ -1,7 +1,10 @@
-//! Waiting tasks that no worker of their pool can take, even once all tasks that are not long-running have ended.
+//! Tasks that no worker of their pool can take, even once all tasks that are not long-running have ended.
 //!
 //! The balance of a pool compares sums of CPU. Such a task waits although the sums say that there is capacity: the
 //! workers already run as many tasks of its step as they may, or lack its label, or each has too little capacity.
+//!
+//! Long-running tasks on hosts that a wave drains leave one after the other, as their disruption budget allows, and each
+//! needs a worker to go to. If its pool has none, the wave stands still, so the next few count as well.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -10,13 +13,26 @@
 
 use super::candidate::Candidate;
 use super::job::{Job, TaskState};
-use super::model::{HostPhase, HostRecord, JobSpec, Step};
+use super::model::{HostPhase, HostRecord, JobSpec, Step, TaskRef};
 use super::scheduler::Scheduler;
 use super::usage::QuotaBudget;
 
+/// Number of a step's tasks on hosts that waves drain for which workers are provided ahead. While one task moves, the hosts
+/// that the two before it have left are down.
+const REPLACEMENTS_AHEAD: u32 = 3;
+
+/// Why tasks need another worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PlaceNeed {
+    Waiting,
+    /// The tasks are at work, but their hosts are drained for a wave.
+    Leaving,
+}
+
 /// Tasks of one step that no worker of its pool can take.
 #[derive(Debug)]
 pub(super) struct UnplaceableTasks {
+    pub(super) need: PlaceNeed,
     pub(super) pool: Arc<str>,
     spec: Arc<JobSpec>,
     step_index: usize,
@@ -68,13 +84,54 @@
                 let host_count = self.reserve_on_new_hosts(candidates, step, missing);
                 if host_count > 0 {
                     let (pool, spec) = (pool.clone(), job.spec.clone());
-                    found.push(UnplaceableTasks { pool, spec, step_index, siblings, host_count });
+                    let need = PlaceNeed::Waiting;
+                    found.push(UnplaceableTasks { need, pool, spec, step_index, siblings, host_count });
                 }
             }
         }
+        self.add_leaving_tasks(&mut pools, &mut found);
         found
     }
 
+    /// Adds the long-running tasks that leave their hosts next for a wave, if no worker or incoming host of their pool
+    /// can take them.
+    fn add_leaving_tasks(&self, pools: &mut PoolCandidates, found: &mut Vec<UnplaceableTasks>) {
+        for (first, count) in self.steps_on_drained_hosts() {
+            let Some(job) = self.jobs.get(&first.job) else { continue };
+            let pool = self.queue_of(job).pool.clone();
+            let Some(candidates) = pools.get_mut(&pool) else { continue };
+            let (spec, step_index) = (job.spec.clone(), first.step as usize);
+            let step = &spec.steps[step_index];
+            let siblings = self.siblings_per_worker(&first, step);
+            let missing = reserve(candidates, step, &siblings, count.min(REPLACEMENTS_AHEAD));
+            let host_count = self.reserve_on_new_hosts(candidates, step, missing);
+            if host_count > 0 {
+                found.push(UnplaceableTasks {
+                    need: PlaceNeed::Leaving,
+                    pool,
+                    spec: spec.clone(),
+                    step_index,
+                    siblings,
+                    host_count,
+                });
+            }
+        }
+    }
+
+    /// Steps with long-running tasks on hosts that waves drain: a reference to their first task, and the number of such
+    /// tasks.
+    fn steps_on_drained_hosts(&self) -> BTreeMap<TaskRef, u32> {
+        let mut counts: BTreeMap<TaskRef, u32> = BTreeMap::new();
+        for host in self.waves.draining_hosts() {
+            for (task_ref, _) in self.runs_on(host) {
+                if self.step_of(&task_ref).is_some_and(|step| step.long_running) {
+                    *counts.entry(TaskRef { index: 0, ..task_ref }).or_default() += 1;
+                }
+            }
+        }
+        counts
+    }
+
     /// Steps of a job with tasks that could start, also by their quota.
     fn waiting_steps(&self, job: &Job, quotas: &mut QuotaBudget<'_>) -> Vec<WaitingStep> {
         let mut steps = Vec::new();
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -108,6 +108,18 @@
             })
     }
 
+    /// Hosts that waves are draining.
+    pub(super) fn draining_hosts(&self) -> impl Iterator<Item = &Arc<str>> {
+        let stages = self.states.values().flat_map(|wave| &wave.stages);
+        stages.filter(|(_, stage)| matches!(stage, HostStage::Draining { .. })).map(|(host, _)| host)
+    }
+
+    /// Whether a wave has yet to take the host down.
+    pub(super) fn awaits_maintenance(&self, host: &str) -> bool {
+        let mut stages = self.states.values().filter_map(|wave| wave.stages.get(host));
+        stages.any(|stage| matches!(stage, HostStage::Waiting { .. } | HostStage::Draining { .. }))
+    }
+
     /// Ends the drain of a host; it does not begin again before `not_before_us`.
     pub(super) fn postpone_drain(&mut self, host: &str, not_before_us: u64) {
         for wave in self.states.values_mut() {
