A lab that compares ways of deciding, and an overload order by the number of jobs on time

The simulation takes the workers and settings from its caller now, and reports progress of runs in the lab: without it, runs far above their estimate were restarted as stalled.

Decision: which jobs go first where not all can be on time. The way that stood takes those with the least time left; the other gives up the largest jobs, of the organisation with the most work for its weight, until the rest can start in time.

--- a/src/control.rs
+++ b/src/control.rs
@@ -20,7 +20,7 @@
 //! Only the leader writes to the partition `sched`, apart from other daemons' claims of leadership.
 
 mod access;
-mod admission;
+pub(crate) mod admission;
 mod boot_clock;
 mod calls;
 mod candidacy;
--- a/src/control/admission.rs
+++ b/src/control/admission.rs
@@ -17,10 +17,10 @@
 
 /// The leader's latest report as a daemon received it.
 #[derive(Debug, Clone, PartialEq)]
-pub(super) struct ReceivedReport {
-    pub(super) report: AdmissionReport,
+pub(crate) struct ReceivedReport {
+    pub(crate) report: AdmissionReport,
     /// The leader wrote the report after this time.
-    pub(super) written_after_us: u64,
+    pub(crate) written_after_us: u64,
 }
 
 impl ReceivedReport {
@@ -31,7 +31,7 @@
 
 /// Why a submission is refused; the text is sent to the caller.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub(super) enum AdmissionError {
+pub(crate) enum AdmissionError {
     #[error("the job would wait for {wait_ms} ms, so its result would come too late; retry in {retry_after_s} s")]
     WouldBeLate {
         wait_ms: u64,
@@ -56,7 +56,7 @@
 }
 
 /// Decides whether a new job is accepted. When in doubt, it is.
-pub(super) fn admit(
+pub(crate) fn admit(
     now_us: u64,
     spec: &JobSpec,
     organisations: &Organisations,
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -24,6 +24,7 @@
 use crate::sched::action::Action;
 use crate::sched::copies::CopyCounts;
 use crate::sched::model::{Catalog, WaveOrder};
+use crate::sched::policies::Policies;
 use crate::sched::record::{decode_hosts, decode_spec};
 use crate::sched::scheduler::{SchedSettings, Scheduler};
 use crate::sched::worker_loss::{LossCause, LossCounts};
@@ -172,6 +173,7 @@
             host_move_ms: daemon.settings.host_move_ms,
             host_maintenance_ms: daemon.settings.host_maintenance_ms,
             host_orders_per_s: daemon.settings.host_orders_per_s,
+            policies: Policies::default(),
         };
         let holder = daemon.settings.name.clone();
         Leader {
--- a/src/control/operator_api/operator_api_tests.rs
+++ b/src/control/operator_api/operator_api_tests.rs
@@ -10,6 +10,7 @@
 use super::{answer, not_leading, Resource};
 use crate::http_server::Body;
 use crate::platform::operator::decode_catalog;
+use crate::sched::policies::Policies;
 use crate::sched::scheduler::{SchedSettings, Scheduler};
 
 const NOW_US: u64 = 5_000_000;
@@ -22,6 +23,7 @@
         host_move_ms: 1_500,
         host_maintenance_ms: 2_000,
         host_orders_per_s: 64,
+        policies: Policies::default(),
     };
     let config = br#"{"version":1,"routes":[],"services":[{"name":"press"}],
         "tenants":[{"name":"kora","apiKeys":["secret-key"],"weight":4,"cap":{"cpu":3000}}]}"#;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,8 @@
 mod idempotency;
 mod ingress;
 mod ingress_state;
+#[cfg(feature = "lab")]
+pub mod lab;
 mod membership;
 mod operator_view;
 mod peer_client;
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -16,7 +16,7 @@
 mod demand;
 mod disruption;
 mod explain;
-mod fair_order;
+pub(crate) mod fair_order;
 mod forecast;
 mod host_moves;
 pub(crate) mod host_orders;
@@ -29,9 +29,11 @@
 mod operator_views;
 pub(crate) mod organisation;
 pub(crate) mod organisation_counts;
+pub(crate) mod overload;
 mod pace;
 mod packed_row;
 mod placement;
+pub(crate) mod policies;
 mod progress;
 mod rebalance;
 mod reconcile;
@@ -78,6 +80,8 @@
 #[cfg(test)]
 mod operator_views_tests;
 #[cfg(test)]
+mod overload_order_tests;
+#[cfg(test)]
 mod overload_tests;
 #[cfg(test)]
 mod planned_work_tests;
@@ -89,8 +93,12 @@
 mod scheduler_tests;
 #[cfg(test)]
 mod share_tests;
-#[cfg(test)]
-mod sim;
+#[cfg(any(test, feature = "lab"))]
+#[cfg_attr(
+    not(all(test, feature = "lab")),
+    allow(dead_code, unused_imports, reason = "the lab uses only a part of the simulation")
+)]
+pub(crate) mod sim;
 #[cfg(test)]
 mod stages_tests;
 #[cfg(test)]
--- a/src/sched/admission_load.rs
+++ b/src/sched/admission_load.rs
@@ -6,7 +6,7 @@
 use foldhash::HashMap;
 
 use super::admission::{queue_waits, AdmissionReport, Backlog, PoolLoad, QueueInPool, FULL_SHARE};
-use super::job::{DeadlineForecast, Job, ShareClass, TaskState};
+use super::job::{DeadlineForecast, Job, ShareClass};
 use super::model::{HostPhase, Queue, Resources};
 use super::scheduler::Scheduler;
 use crate::clock::US_PER_MS;
@@ -82,7 +82,7 @@
                 continue;
             }
             let queue = queues.get(&*job.spec.queue.name).copied().unwrap_or(&job.spec.queue);
-            let work = (waiting_work(job) as f64 * self.run_times.average_ratio(&queue.name)) as u64;
+            let work = (job.waiting_work() as f64 * self.run_times.average_ratio(&queue.name)) as u64;
             if work == 0 {
                 continue;
             }
@@ -166,19 +166,6 @@
     }
 }
 
-/// Work of a job's tasks that have not started, in thousandths of a core times milliseconds.
-fn waiting_work(job: &Job) -> u64 {
-    let mut work: u64 = 0;
-    for occurrence in job.occurrences.values() {
-        for (step, state) in job.spec.steps.iter().zip(&occurrence.steps) {
-            let waiting = state.tasks.iter().filter(|task| task.state == TaskState::Waiting).count() as u64;
-            let of_task = step.reserved().cpu_milli.saturating_mul(step.estimate_ms);
-            work = work.saturating_add(waiting.saturating_mul(of_task));
-        }
-    }
-    work
-}
-
 /// Highest share of a resource that is reserved.
 fn highest_share(reserved: &Resources, capacity: &Resources) -> f64 {
     let pairs =
--- a/src/sched/allocation.rs
+++ b/src/sched/allocation.rs
@@ -16,16 +16,16 @@
 
 /// Capacity and demand of a pool, in thousandths of a core.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
-pub(super) struct PoolBalance {
+pub(crate) struct PoolBalance {
     /// Capacity of usable workers, and of hosts that are on their way to the pool.
-    pub(super) capacity: u64,
+    pub(crate) capacity: u64,
     /// Demand of on-time jobs (long-running ones, and those that can still meet their deadline) with headroom: their
     /// tasks that run, and those that could start now.
-    pub(super) present_demand: u64,
+    pub(crate) present_demand: u64,
     /// Demand of on-time jobs when a host that is ordered now can run tasks; at least the present demand.
-    pub(super) expected_demand: u64,
+    pub(crate) expected_demand: u64,
     /// Demand of all other jobs, which only get capacity that no on-time job needs.
-    pub(super) late_demand: u64,
+    pub(crate) late_demand: u64,
 }
 
 impl PoolBalance {
--- a/src/sched/fair_order.rs
+++ b/src/sched/fair_order.rs
@@ -23,6 +23,24 @@
 /// organisation with a small weight above its share, and its next job would be late.
 const UNCOUNTED_SHARE: f64 = 0.03;
 
+/// Where the late jobs of organisations that hold less than their share are placed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum LateJobs {
+    /// Before the on-time jobs of organisations that hold more.
+    #[default]
+    ByShare,
+    /// After the on-time jobs of all organisations.
+    #[cfg(any(test, feature = "lab"))]
+    AfterOnTime,
+}
+
+/// Jobs that are placed before those of any later stage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Stage {
+    share_class: ShareClass,
+    is_late: bool,
+}
+
 /// An organisation with waiting jobs within its rate.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Contender {
@@ -92,20 +110,25 @@
 pub(super) struct FairOrder {
     by_urgency: Peekable<IntoIter<Urgency>>,
     level: f64,
-    /// Jobs of organisations that hold more than their fair share.
+    late_jobs: LateJobs,
+    /// Stage of the jobs that are being placed.
+    stage: Stage,
+    /// Jobs of the stage whose organisations hold more than their fair share.
     deferred: HashMap<Arc<str>, VecDeque<Urgency>>,
-    /// The same, once no other job within the rate is left, and jobs beyond the rate after them.
+    /// The same, once no other job of the stage is left.
     queues: BinaryHeap<Reverse<OrganisationQueue>>,
     /// Queue from which the last job was taken; its organisation may hold more by now.
     last_queue: Option<(Arc<str>, VecDeque<Urgency>)>,
 }
 
 impl FairOrder {
-    pub(super) fn new(mut jobs: Vec<Urgency>, level: f64) -> FairOrder {
+    pub(super) fn new(mut jobs: Vec<Urgency>, level: f64, late_jobs: LateJobs) -> FairOrder {
         jobs.sort();
         FairOrder {
             by_urgency: jobs.into_iter().peekable(),
             level,
+            late_jobs,
+            stage: Stage { share_class: ShareClass::WithinRate, is_late: false },
             deferred: HashMap::default(),
             queues: BinaryHeap::new(),
             last_queue: None,
@@ -114,19 +137,24 @@
 
     /// The next job, given the present weighted share of each organisation.
     pub(super) fn next(&mut self, weighted_share: impl Fn(&str) -> f64) -> Option<Urgency> {
-        while let Some(job) = self.by_urgency.next_if(|job| job.share_class == ShareClass::WithinRate) {
-            match &job.organisation {
-                Some(name) if !job.is_long_running() && weighted_share(name) > self.level => self.defer(job),
-                _ => return Some(job),
+        loop {
+            while let Some(job) = self.next_of_stage() {
+                match &job.organisation {
+                    _ if job.share_class == ShareClass::BeyondRate => self.defer(job),
+                    Some(name) if !job.is_long_running() && weighted_share(name) > self.level => self.defer(job),
+                    _ => return Some(job),
+                }
             }
+            if let Some(job) = self.next_deferred(&weighted_share) {
+                return Some(job);
+            }
+            self.stage = stage_of(self.by_urgency.peek()?, self.late_jobs);
         }
-        if let Some(job) = self.next_deferred(&weighted_share) {
-            return Some(job);
-        }
-        while let Some(job) = self.by_urgency.next() {
-            self.defer(job);
-        }
-        self.next_deferred(&weighted_share)
+    }
+
+    fn next_of_stage(&mut self) -> Option<Urgency> {
+        let (stage, late_jobs) = (self.stage, self.late_jobs);
+        self.by_urgency.next_if(|job| stage_of(job, late_jobs) == stage)
     }
 
     fn defer(&mut self, job: Urgency) {
@@ -148,6 +176,15 @@
     }
 }
 
+fn stage_of(job: &Urgency, late_jobs: LateJobs) -> Stage {
+    let is_late = match late_jobs {
+        LateJobs::ByShare => false,
+        #[cfg(any(test, feature = "lab"))]
+        LateJobs::AfterOnTime => job.is_late(),
+    };
+    Stage { share_class: job.share_class, is_late }
+}
+
 impl Scheduler {
     /// Updates the capacity of which organisations have shares.
     pub(super) fn update_fleet_capacity(&mut self) {
--- a/src/sched/fair_order_tests.rs
+++ b/src/sched/fair_order_tests.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-use super::fair_order::{dominant_share, fair_level, weighted_share, Contender, FairOrder};
+use super::fair_order::{dominant_share, fair_level, weighted_share, Contender, FairOrder, LateJobs};
 use super::job::{Job, ShareClass};
 use super::model::Resources;
 use super::sim::{spec, spec_of, step};
@@ -64,7 +64,7 @@
             jobs.push(urgency(Some(&name_of(index)), &id, deadline_us, ShareClass::WithinRate));
         }
     }
-    let mut order = FairOrder::new(jobs, level_of(loads));
+    let mut order = FairOrder::new(jobs, level_of(loads), LateJobs::default());
     while held.iter().sum::<u64>() < FLEET {
         let next = order.next(|name| weighted_share(share_of(held[by_name[name]]), loads[by_name[name]].weight));
         let Some(job) = next else { break };
@@ -159,7 +159,8 @@
     let mut sorted = jobs.clone();
     sorted.sort();
 
-    let ordered = ids(FairOrder::new(jobs, fair_level([])), |_| panic!("no job belongs to an organisation"));
+    let ordered =
+        ids(FairOrder::new(jobs, fair_level([]), LateJobs::default()), |_| panic!("no job belongs to an organisation"));
 
     assert_eq!(ordered, sorted.iter().map(|job| job.id.to_string()).collect::<Vec<_>>());
 }
@@ -186,12 +187,32 @@
         _ => 0.9,
     };
 
-    let ordered = ids(FairOrder::new(jobs, 0.3), shares);
+    let ordered = ids(FairOrder::new(jobs, 0.3, LateJobs::default()), shares);
 
     let expected = ["mid-1", "low-1", "public", "high-1", "high-2", "highest-1", "low-beyond", "highest-beyond"];
     assert_eq!(ordered, expected);
 }
 
+fn late_and_on_time(late_jobs: LateJobs) -> Vec<String> {
+    let jobs = vec![
+        urgency(Some("low"), "low-late", 100_000, ShareClass::WithinRate),
+        urgency(Some("low"), "low-on-time", 4_000_000, ShareClass::WithinRate),
+        urgency(Some("high"), "high-on-time", 3_000_000, ShareClass::WithinRate),
+        urgency(Some("low"), "low-beyond", 1_000_000, ShareClass::BeyondRate),
+    ];
+    ids(FairOrder::new(jobs, 0.3, late_jobs), |name| if name == "high" { 0.5 } else { 0.1 })
+}
+
+// Guards against late jobs that take workers from jobs of other organisations that could be on time there.
+#[test]
+fn late_jobs_come_after_the_on_time_jobs_of_all_organisations() {
+    let after_on_time = late_and_on_time(LateJobs::AfterOnTime);
+    let by_share = late_and_on_time(LateJobs::ByShare);
+
+    assert_eq!(after_on_time, ["low-on-time", "high-on-time", "low-late", "low-beyond"]);
+    assert_eq!(by_share, ["low-on-time", "low-late", "high-on-time", "low-beyond"]);
+}
+
 // Guards against long-running tasks that wait because their organisation holds more than its share.
 #[test]
 fn long_running_jobs_stay_first_whatever_their_organisation_holds() {
@@ -201,7 +222,7 @@
     job.begin_occurrence(0);
     let jobs = vec![urgency(Some("low"), "low", 60_000_000, ShareClass::WithinRate), Urgency::of(0, &job, 5)];
 
-    let ordered = ids(FairOrder::new(jobs, 0.3), |name| if name == "high" { 0.9 } else { 0.1 });
+    let ordered = ids(FairOrder::new(jobs, 0.3, LateJobs::default()), |name| if name == "high" { 0.9 } else { 0.1 });
 
     assert_eq!(ordered, ["endless", "low"]);
 }
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -461,4 +461,17 @@
         }
         DeadlineForecast::Expired { deadline_us: self.deadline_us }
     }
+
+    /// Work of the tasks that have not started, by their estimates, in thousandths of a core times milliseconds.
+    pub(super) fn waiting_work(&self) -> u64 {
+        let mut work: u64 = 0;
+        for occurrence in self.occurrences.values() {
+            for (step, state) in self.spec.steps.iter().zip(&occurrence.steps) {
+                let waiting = state.tasks.iter().filter(|task| task.state == TaskState::Waiting).count() as u64;
+                let of_task = step.reserved().cpu_milli.saturating_mul(step.estimate_ms);
+                work = work.saturating_add(waiting.saturating_mul(of_task));
+            }
+        }
+        work
+    }
 }
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -53,13 +53,14 @@
         let interval_ms = MIN_ROUND_INTERVAL_MS + considered_jobs as u64 / READY_JOBS_PER_MS;
         self.next_placement_us = now_us + interval_ms * US_PER_MS;
         self.log_blocked(now_us, &blocked);
-        for (pool, jobs) in by_pool {
+        for (pool, mut jobs) in by_pool {
             let mut workers = self.candidates(now_us, &pool);
             if workers.is_empty() {
                 continue;
             }
+            self.give_up_late_jobs(now_us, &pool, &workers, &mut jobs);
             let level = self.fair_level(jobs.iter().map(|job| (job.share_class, job.organisation.as_ref())));
-            let mut order = FairOrder::new(jobs, level);
+            let mut order = FairOrder::new(jobs, level, self.settings.policies.late_jobs);
             let mut round = PlacementRound {
                 placements_left: MAX_PLACED_PER_ROUND,
                 unplaceable_needs: Vec::new(),
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -15,6 +15,7 @@
 use super::job::{Job, RunPhase, ShareClass};
 use super::model::{Catalog, HostRecord, JobId, JobPhase, JobSpec, Queue, ReportedPhase, Resources, Step, TaskRef};
 use super::organisation_counts::OrganisationCounts;
+use super::policies::Policies;
 use super::record::{restore_job, RecordError};
 use super::run_times::RunTimes;
 use super::share::ArrivalRates;
@@ -56,6 +57,7 @@
     pub(crate) host_maintenance_ms: u64,
     /// Host orders that the provider accepts per second.
     pub(crate) host_orders_per_s: u32,
+    pub(crate) policies: Policies,
 }
 
 /// The leader's view of jobs, workers and hosts.
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -20,19 +20,21 @@
 use rand::{Rng, SeedableRng};
 
 use super::action::{Action, Batch, HoldPlan};
-use super::model::{Catalog, JobId, JobSpec, OrderOutcome, TaskRef, WaveOrder};
-use super::scheduler::Scheduler;
+use super::admission::AdmissionReport;
+use super::allocation::PoolBalance;
+use super::model::{Catalog, JobId, JobPhase, JobSpec, OrderOutcome, TaskRef, WaveOrder, WorkerEntry};
+use super::scheduler::{SchedSettings, Scheduler};
 use crate::clock::US_PER_MS;
 
 use availability::TaskAvailability;
 use crashes::Crashes;
 pub(super) use crashes::NextWorkerId;
-pub(super) use faults::Faults;
+pub(crate) use faults::Faults;
 pub(super) use fixtures::{catalog, organisation, organisations, queue, settings, spec, spec_of, step, worker_entry};
 use hosts::{HostAction, SimHost};
 use message::Message;
 use registry::SimRegistry;
-pub(super) use run_durations::Stragglers;
+pub(crate) use run_durations::Stragglers;
 use worker::{sim_worker, SimWorker};
 
 /// Virtual time per tick of the simulation.
@@ -43,18 +45,20 @@
 /// Delay before the answer to a commit that the store did not take.
 const STORE_RETRY_DELAY_US: u64 = 40 * US_PER_MS;
 /// Unix time at the start of the simulation, in milliseconds.
-const START_UNIX_MS: u64 = 1_700_000_000_000;
+pub(crate) const START_UNIX_MS: u64 = 1_700_000_000_000;
 pub(super) const MAX_ATTEMPTS: u32 = 3;
 
 /// Description of a violated invariant.
 #[derive(Debug, Clone, PartialEq)]
-pub(super) struct Violation(pub(super) String);
+pub(crate) struct Violation(pub(crate) String);
 
 /// State of the simulation.
-pub(super) struct Sim {
-    pub(super) now_us: u64,
+pub(crate) struct Sim {
+    pub(crate) now_us: u64,
     rng: SmallRng,
     faults: Faults,
+    /// First entry of each worker, by number.
+    entries: Vec<WorkerEntry>,
     workers: BTreeMap<Arc<str>, SimWorker>,
     registry: SimRegistry,
     /// Hosts in the provider's list, by name. Empty unless [`Sim::add_hosts`] has been called.
@@ -62,6 +66,7 @@
     next_host_list_us: u64,
     catalog: Arc<Catalog>,
     pub(super) scheduler: Scheduler,
+    settings: SchedSettings,
     /// Number of the current leader, or of the next one while there is none.
     leader: u32,
     /// Fencing token of the current leader.
@@ -94,7 +99,7 @@
     /// Number of runs at work that an order ended.
     pub(super) disruption_count: u32,
     /// Number of hosts that were moved.
-    pub(super) move_count: u32,
+    pub(crate) move_count: u32,
     /// Tasks with a run that completed.
     done: HashSet<TaskRef>,
     /// Tasks whose completion the leader has acknowledged.
@@ -103,40 +108,56 @@
     acknowledged_failures: HashMap<TaskRef, u32>,
     /// Number of failed runs of each task.
     failures: HashMap<TaskRef, u32>,
-    pub(super) start_count: u32,
-    pub(super) violations: Vec<Violation>,
+    pub(crate) start_count: u32,
+    pub(crate) violations: Vec<Violation>,
     pub(super) run_duration_us: u64,
     /// Run times vary uniformly by up to this share of their average.
     pub(super) run_time_spread: f64,
-    pub(super) stragglers: Stragglers,
+    pub(crate) stragglers: Stragglers,
     /// Number of starts while another run of the same task was at work.
     pub(super) copy_start_count: u32,
     restart_count: u32,
     crashes: Crashes,
     /// When the quotas were last changed; 0 if they never were.
     quotas_changed_us: u64,
+    /// Run times of tasks that differ from `run_duration_us`.
+    pub(crate) task_run_us: HashMap<TaskRef, u64>,
+    /// The latest admission report that the leader has stored.
+    pub(crate) admission: Option<AdmissionReport>,
+    pub(crate) admission_stored_us: u64,
 }
 
 impl Sim {
     /// Creates workers and starts a leader.
     pub(super) fn new(seed: u64, worker_count: usize, faults: Faults) -> Sim {
+        Sim::with_settings(seed, worker_count, faults, settings())
+    }
+
+    pub(super) fn with_settings(seed: u64, worker_count: usize, faults: Faults, settings: SchedSettings) -> Sim {
+        let entries = (0..worker_count).map(|number| worker_entry(number, START_UNIX_MS)).collect();
+        Sim::with_entries(seed, entries, faults, settings)
+    }
+
+    /// Creates a simulation with these workers.
+    pub(crate) fn with_entries(seed: u64, entries: Vec<WorkerEntry>, faults: Faults, settings: SchedSettings) -> Sim {
         let now_us = 1_000_000;
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut workers = BTreeMap::new();
-        for number in 0..worker_count {
-            let entry = worker_entry(number, START_UNIX_MS);
-            workers.insert(entry.id.clone(), sim_worker(now_us, entry, rng.random_range(0.98..1.0)));
+        for entry in &entries {
+            workers.insert(entry.id.clone(), sim_worker(now_us, entry.clone(), rng.random_range(0.98..1.0)));
         }
         let mut sim = Sim {
             now_us,
             rng,
             faults,
+            entries,
             registry: SimRegistry::new(workers.values().map(|worker: &SimWorker| worker.entry.clone())),
             workers,
             hosts: BTreeMap::new(),
             next_host_list_us: 0,
             catalog: catalog(),
-            scheduler: Scheduler::new(now_us, settings()),
+            scheduler: Scheduler::new(now_us, settings.clone()),
+            settings,
             leader: 1,
             token: 1,
             leader_down_until_us: None,
@@ -169,18 +190,40 @@
             restart_count: 0,
             crashes: Crashes::default(),
             quotas_changed_us: 0,
+            task_run_us: HashMap::new(),
+            admission: None,
+            admission_stored_us: 0,
         };
         sim.start_leader();
         sim
     }
 
+    /// Phase of a job, as the leader knows it.
+    pub(crate) fn phase(&self, id: &JobId) -> Option<JobPhase> {
+        self.scheduler.jobs.get(id).map(|job| job.phase)
+    }
+
+    /// CPU that is reserved on the workers of each pool, in thousandths of a core.
+    pub(crate) fn reserved_milli_by_pool(&self) -> BTreeMap<Arc<str>, u64> {
+        let mut reserved = BTreeMap::new();
+        for worker in self.scheduler.workers.values() {
+            *reserved.entry(worker.entry.pool.clone()).or_default() += worker.reserved.cpu_milli;
+        }
+        reserved
+    }
+
+    /// Demand of a pool, as the leader counted it last.
+    pub(crate) fn latest_balance(&self, pool: &str) -> PoolBalance {
+        self.scheduler.host_moves.latest_balances.get(pool).cloned().unwrap_or_default()
+    }
+
     fn unix_ms(&self) -> u64 {
         START_UNIX_MS + self.now_us / US_PER_MS
     }
 
     /// Starts a leader that knows only what the store and the registry contain.
     fn start_leader(&mut self) {
-        self.scheduler = Scheduler::new(self.now_us, settings());
+        self.scheduler = Scheduler::new(self.now_us, self.settings.clone());
         self.scheduler.configure(self.catalog.clone());
         self.scheduler.replace_registry(self.now_us, self.registry.read_all());
         for (id, spec) in &self.specs {
@@ -205,7 +248,7 @@
     }
 
     /// Stores a caller's job and passes it to the leader.
-    pub(super) fn submit(&mut self, name: &str, mut spec: JobSpec) -> JobId {
+    pub(crate) fn submit(&mut self, name: &str, mut spec: JobSpec) -> JobId {
         let id: JobId = name.into();
         let unix_ms = self.unix_ms();
         spec.accepted_unix_ms = unix_ms;
@@ -239,7 +282,7 @@
     }
 
     /// Runs the simulation for `for_ms` of virtual time.
-    pub(super) fn run_for(&mut self, for_ms: u64) {
+    pub(crate) fn run_for(&mut self, for_ms: u64) {
         let end_us = self.now_us + for_ms * US_PER_MS;
         while self.now_us < end_us {
             self.now_us += TICK_US;
@@ -372,6 +415,10 @@
         for (number, hosts) in &batch.waves {
             self.wave_records.insert(*number, hosts.clone());
         }
+        if batch.admission.is_some() {
+            self.admission.clone_from(&batch.admission);
+            self.admission_stored_us = self.now_us;
+        }
         if let Some(hosts) = &batch.ordered_hosts {
             self.ordered_hosts = hosts.clone();
         }
--- a/src/sched/sim/faults.rs
+++ b/src/sched/sim/faults.rs
@@ -8,7 +8,7 @@
 
 /// Rates at which faults are injected.
 #[derive(Debug, Clone, Copy, Default)]
-pub(in crate::sched) struct Faults {
+pub(crate) struct Faults {
     /// Share of orders that are carried out but whose answer is lost.
     pub(in crate::sched) answer_loss_rate: f64,
     /// Share of orders that get no answer and are carried out seconds later.
@@ -33,7 +33,7 @@
 
 impl Sim {
     /// Stops the leader; the next one starts after `pause_ms`.
-    pub(in crate::sched) fn stop_leader(&mut self, pause_ms: u64) {
+    pub(crate) fn stop_leader(&mut self, pause_ms: u64) {
         let until_us = self.now_us + pause_ms * US_PER_MS;
         self.leader_down_until_us = Some(until_us);
         self.last_disturbance_us = self.last_disturbance_us.max(until_us);
@@ -65,6 +65,15 @@
         self.last_disturbance_us = self.last_disturbance_us.max(until_us);
     }
 
+    /// Makes the workers of a zone unreachable for `for_ms`; their runs continue.
+    pub(crate) fn partition_zone(&mut self, zone: &str, for_ms: u64) {
+        let until_us = self.now_us + for_ms * US_PER_MS;
+        for worker in self.workers.values_mut().filter(|worker| &*worker.entry.zone == zone) {
+            worker.partitioned_until_us = until_us;
+        }
+        self.last_disturbance_us = self.last_disturbance_us.max(until_us);
+    }
+
     pub(super) fn inject_faults(&mut self) {
         let tick_s = TICK_US as f64 / 1e6;
         let count = self.workers.len();
--- a/src/sched/sim/fixtures.rs
+++ b/src/sched/sim/fixtures.rs
@@ -4,6 +4,7 @@
 
 use super::super::model::{Catalog, JobSpec, PoolConfig, Queue, Resources, Step, WorkerEntry};
 use super::super::organisation::{Organisation, Organisations};
+use super::super::policies::Policies;
 use super::super::scheduler::SchedSettings;
 use super::{MAX_ATTEMPTS, START_UNIX_MS};
 
@@ -15,6 +16,7 @@
         host_move_ms: 1_500,
         host_maintenance_ms: 2_000,
         host_orders_per_s: 64,
+        policies: Policies::default(),
     }
 }
 
--- a/src/sched/sim/hosts.rs
+++ b/src/sched/sim/hosts.rs
@@ -1,12 +1,13 @@
 //! The simulated provider of hosts: takes hosts away for maintenance and moves, and brings them back.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use rand::Rng;
 
 use super::super::model::{Catalog, HostOrderOutcome, HostPhase, HostRecord, Resources, WaveOrder};
 use super::worker::sim_worker;
-use super::{settings, worker_entry, Message, Sim, Violation, DELAY_US, ORDER_TIMEOUT_US};
+use super::{Message, Sim, Violation, DELAY_US, ORDER_TIMEOUT_US};
 use crate::clock::US_PER_MS;
 
 /// Interval at which the leader reads the list of hosts.
@@ -58,10 +59,10 @@
 
 impl Sim {
     /// Runs each worker on a host of its own, which the provider lists. The catalog replaces the default one.
-    pub(in crate::sched) fn add_hosts(&mut self, catalog: Arc<Catalog>) {
+    pub(crate) fn add_hosts(&mut self, catalog: Arc<Catalog>) {
         let ids: Vec<Arc<str>> = self.workers.keys().cloned().collect();
         for number in 0..ids.len() {
-            let entry = worker_entry(number, 0);
+            let entry = self.entries[number].clone();
             let Some(name) = entry.host else { continue };
             let host = SimHost {
                 number,
@@ -80,6 +81,15 @@
         self.catalog = catalog;
     }
 
+    /// Number of hosts in each pool, with those that are moving there.
+    pub(crate) fn hosts_by_pool(&self) -> BTreeMap<Arc<str>, u32> {
+        let mut counts = BTreeMap::new();
+        for host in self.hosts.values() {
+            *counts.entry(host.pool.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Stores an operator's order of a maintenance wave of all hosts.
     pub(in crate::sched) fn order_wave(&mut self, number: u64, max_down: u32) {
         let hosts = self.hosts.keys().cloned().collect();
@@ -95,7 +105,7 @@
         self.next_host_list_us = self.now_us + LIST_INTERVAL_US;
         let mut records = Vec::new();
         for (name, host) in &self.hosts {
-            let entry = worker_entry(host.number, 0);
+            let entry = self.entries[host.number].clone();
             records.push(HostRecord {
                 name: name.clone(),
                 pool: host.pool.clone(),
@@ -149,12 +159,12 @@
                 host.pool = pool.clone();
                 host.phase = HostPhase::Moving;
                 self.move_count += 1;
-                settings().host_move_ms
+                self.settings.host_move_ms
             }
             HostAction::Maintain { wave, .. } => {
                 host.maintained_by.push(*wave);
                 host.phase = HostPhase::Maintenance;
-                settings().host_maintenance_ms
+                self.settings.host_maintenance_ms
             }
         };
         host.up_again_us = self.now_us + away_ms * US_PER_MS;
@@ -197,7 +207,8 @@
                 continue;
             }
             host.life_count += 1;
-            let mut entry = worker_entry(host.number, now_us / US_PER_MS);
+            let mut entry = self.entries[host.number].clone();
+            entry.started_unix_ms = now_us / US_PER_MS;
             entry.id = format!("w{}-{}", host.number, host.life_count).into();
             entry.pool = host.pool.clone();
             host.worker = Some(entry.id.clone());
--- a/src/sched/sim/registry.rs
+++ b/src/sched/sim/registry.rs
@@ -57,7 +57,7 @@
 
 impl Sim {
     /// Takes the store away for `for_ms`. At its return, the entries of this share of the workers have expired.
-    pub(in crate::sched) fn stop_store(&mut self, for_ms: u64, expired_share: f64) {
+    pub(crate) fn stop_store(&mut self, for_ms: u64, expired_share: f64) {
         self.store_down_until_us = self.now_us + for_ms * US_PER_MS;
         self.last_disturbance_us = self.last_disturbance_us.max(self.store_down_until_us);
         self.expire_entries(self.store_down_until_us, expired_share);
--- a/src/sched/sim/run_durations.rs
+++ b/src/sched/sim/run_durations.rs
@@ -11,7 +11,7 @@
 
 /// Runs that take longer than the others, and whether runs report their progress.
 #[derive(Debug, Default)]
-pub(in crate::sched) struct Stragglers {
+pub(crate) struct Stragglers {
     /// Share of the runs that take [`Stragglers::factor`] times as long.
     pub(in crate::sched) rate: f64,
     pub(in crate::sched) factor: f64,
@@ -20,7 +20,7 @@
     /// Factor for all runs on these workers.
     pub(in crate::sched) workers: HashMap<Arc<str>, f64>,
     /// Whether runs that are not long-running report their progress in percent.
-    pub(in crate::sched) report_progress: bool,
+    pub(crate) report_progress: bool,
 }
 
 impl Sim {
@@ -36,6 +36,7 @@
             factor *= self.stragglers.first_runs.get(&start.task).copied().unwrap_or(1.0);
         }
         factor *= self.stragglers.workers.get(&start.worker).copied().unwrap_or(1.0);
-        (self.run_duration_us as f64 * factor) as u64
+        let average_us = self.task_run_us.get(&start.task).copied().unwrap_or(self.run_duration_us);
+        (average_us as f64 * factor) as u64
     }
 }
--- a/src/sched/urgency.rs
+++ b/src/sched/urgency.rs
@@ -44,6 +44,27 @@
         Urgency { share_class, is_late, priority, forecast, id: job.id.clone(), organisation }
     }
 
+    /// Whether the job is placed after those that can be on time.
+    #[cfg(any(test, feature = "lab"))]
+    pub(super) fn is_late(&self) -> bool {
+        self.is_late
+    }
+
+    /// The forecast of a job that counts as on time; `None` for all others.
+    pub(super) fn on_time_forecast(&self) -> Option<DeadlineForecast> {
+        (!self.is_late).then_some(self.forecast)
+    }
+
+    /// Orders jobs by what comes before their deadlines: the class of their organisation, then their priority.
+    pub(super) fn rank(&self) -> u64 {
+        (self.share_class as u64) << 32 | u64::from(self.priority)
+    }
+
+    /// Places the job after all of its class that can be on time.
+    pub(super) fn mark_late(&mut self) {
+        self.is_late = true;
+    }
+
     pub(super) fn is_long_running(&self) -> bool {
         self.forecast == DeadlineForecast::LongRunning
     }
--- a/src/sched/usage.rs
+++ b/src/sched/usage.rs
@@ -106,7 +106,7 @@
     }
 
     /// Untracked runs of all workers, for a recount.
-    #[cfg(test)]
+    #[cfg(any(test, feature = "lab"))]
     pub(super) fn untracked_runs(&self) -> impl Iterator<Item = &(Arc<str>, Resources)> {
         self.untracked.values().flatten()
     }
