Place late jobs after the on-time jobs of all organisations

What callers saw: in an overload, jobs that could have been on time were late, although workers ran jobs that were late already.

Cause: the order by fair shares took all jobs of organisations at or below their share first, also those that cannot be on time any more, and then the on-time jobs of the others. So about half of the on-time jobs came after late ones.

--- a/src/sched/fair_order.rs
+++ b/src/sched/fair_order.rs
@@ -2,9 +2,10 @@
 //!
 //! The organisations with waiting jobs within their rate contend for the pool. What they hold together, divided by their
 //! weights, is the level at which each holds its fair share. Jobs of organisations at or below the level come first, by
-//! urgency. The others follow one by one, the next always from the organisation that holds least for its weight. Then
-//! come the jobs beyond the rate of their organisation, in the same way. No job is left out, so capacity that some do not
-//! use goes to the others in the same round. Where all jobs find capacity, their order does not matter.
+//! urgency. The others follow one by one, the next always from the organisation that holds least for its weight. Jobs that
+//! cannot be on time come after all that can, in the same way, so that none of them takes a worker from a job that would be
+//! on time there; then come the jobs beyond the rate of their organisation. No job is left out, so capacity that some do
+//! not use goes to the others in the same round. Where all jobs find capacity, their order does not matter.
 
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BinaryHeap, VecDeque};
@@ -27,10 +28,10 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) enum LateJobs {
     /// Before the on-time jobs of organisations that hold more.
-    #[default]
+    #[cfg(any(test, feature = "lab"))]
     ByShare,
     /// After the on-time jobs of all organisations.
-    #[cfg(any(test, feature = "lab"))]
+    #[default]
     AfterOnTime,
 }
 
@@ -178,8 +179,8 @@
 
 fn stage_of(job: &Urgency, late_jobs: LateJobs) -> Stage {
     let is_late = match late_jobs {
-        LateJobs::ByShare => false,
         #[cfg(any(test, feature = "lab"))]
+        LateJobs::ByShare => false,
         LateJobs::AfterOnTime => job.is_late(),
     };
     Stage { share_class: job.share_class, is_late }
--- a/src/sched/urgency.rs
+++ b/src/sched/urgency.rs
@@ -45,7 +45,6 @@
     }
 
     /// Whether the job is placed after those that can be on time.
-    #[cfg(any(test, feature = "lab"))]
     pub(super) fn is_late(&self) -> bool {
         self.is_late
     }
