--- a/src/lab/player.rs
+++ b/src/lab/player.rs
@@ -214,6 +214,7 @@
     /// Draws the steps of a job, each after the one before, and the run time of each task.
     fn draw_steps(&mut self, index: usize) -> (Vec<Step>, Vec<Vec<u64>>) {
         let load = &self.workload.queues[index];
+        let checkpoints = self.rng.random::<f64>() < load.checkpoint_share;
         let step_count = load.steps.draw(&mut self.rng, 1.0).round() as u32;
         let (mut steps, mut run_ms) = (Vec::new(), Vec::new());
         for number in 0..step_count {
@@ -228,7 +229,7 @@
             }
             let needs = Resources { cpu_milli, mem_mb: 0, gpus: 0 };
             let after = if number > 0 { vec![number - 1] } else { Vec::new() };
-            steps.push(Step { count, needs, estimate_ms, after, ..Step::default() });
+            steps.push(Step { count, needs, estimate_ms, after, checkpoints, ..Step::default() });
             run_ms.push(times);
         }
         (steps, run_ms)
--- a/src/lab/workload.rs
+++ b/src/lab/workload.rs
@@ -85,6 +85,9 @@
     /// Standard deviation of the logarithm of estimate over run time.
     #[serde(default)]
     pub(super) estimate_error: f64,
+    /// Share of the jobs whose tasks write checkpoints.
+    #[serde(default)]
+    pub(super) checkpoint_share: f64,
     /// Share of the tasks that run [`QueueLoad::tail_factor`] times as long.
     #[serde(default)]
     pub(super) tail_share: f64,
--- a/src/sched/sim/worker.rs
+++ b/src/sched/sim/worker.rs
@@ -14,6 +14,9 @@
 /// Time from the start of a long-running run until it reports 100 percent.
 const WARM_UP_US: u64 = 1_500 * US_PER_MS;
 
+/// Time that a run which continues from a checkpoint takes to restore it.
+const RESTORE_US: u64 = 250 * US_PER_MS;
+
 #[derive(Debug, Clone)]
 pub(super) struct Run {
     pub(super) number: u32,
@@ -179,12 +182,24 @@
         let highest = worker.highest_ended_run.entry(task.clone()).or_default();
         *highest = (*highest).max(run);
         let is_draining = worker.entry.draining;
+        if let Some(stopped) = &stopped {
+            self.keep_progress(task, stopped);
+        }
         if let Some(stopped) = stopped {
             self.check_disruption(task, &stopped, is_draining, "a stop order");
         }
         OrderOutcome::Accepted { clock_ms: None }
     }
 
+    /// The next run of a task that writes checkpoints continues where this one was stopped.
+    fn keep_progress(&mut self, task: &TaskRef, stopped: &Run) {
+        let step = self.specs.get(&task.job).and_then(|spec| spec.steps.get(task.step as usize));
+        if step.is_some_and(|step| step.checkpoints && !step.long_running) {
+            let remaining_us = stopped.ends_us.saturating_sub(self.now_us);
+            self.task_run_us.insert(task.clone(), remaining_us + RESTORE_US);
+        }
+    }
+
     pub(super) fn handle_hold(
         &mut self,
         id: Arc<str>,
