--- a/src/lab/policy.rs
+++ b/src/lab/policy.rs
@@ -3,6 +3,7 @@
 use std::str::FromStr;
 
 use crate::sched::fair_order::LateJobs;
+use crate::sched::forecast::ArrivalGrowth;
 use crate::sched::overload::OverloadOrder;
 use crate::sched::policies::Policies;
 
@@ -13,7 +14,7 @@
     #[error("{0:?}: expected DECISION=WAY, several separated by commas")]
     Syntax(String),
     /// No decision has this name.
-    #[error("{0:?} is no decision; expected one of: late-jobs, overload-order")]
+    #[error("{0:?} is no decision; expected one of: arrival-growth, late-jobs, overload-order, run-time-scale")]
     Decision(String),
     /// The decision has no way of this name.
     #[error("{decision}: {way:?} is no way; expected one of: {expected}")]
@@ -43,6 +44,7 @@
             match decision {
                 "overload-order" => policies.overload_order = overload_order(way)?,
                 "late-jobs" => policies.late_jobs = late_jobs(way)?,
+                "arrival-growth" => policies.arrival_growth = arrival_growth(way)?,
                 _ => return Err(PolicyError::Decision(decision.to_owned())),
             }
         }
@@ -66,6 +68,14 @@
     }
 }
 
+fn arrival_growth(way: &str) -> Result<ArrivalGrowth, PolicyError> {
+    match way {
+        "unlimited" => Ok(ArrivalGrowth::Unlimited),
+        "limited" => Ok(ArrivalGrowth::Limited),
+        _ => Err(unknown("arrival-growth", way, "unlimited, limited")),
+    }
+}
+
 fn unknown(decision: &str, way: &str, expected: &'static str) -> PolicyError {
     PolicyError::Way { decision: decision.to_owned(), way: way.to_owned(), expected }
 }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -17,7 +17,7 @@
 mod disruption;
 mod explain;
 pub(crate) mod fair_order;
-mod forecast;
+pub(crate) mod forecast;
 mod host_moves;
 pub(crate) mod host_orders;
 mod host_workers;
--- a/src/sched/forecast.rs
+++ b/src/sched/forecast.rs
@@ -23,6 +23,22 @@
 /// than hosts that come for a rise which ends.
 const CHANCE_WEIGHT: f64 = 0.5;
 
+/// Limit on the growth of arrivals, as a multiple of the latest rate.
+#[cfg(feature = "lab")]
+const MAX_GROWTH: f64 = 2.0;
+
+/// How far a growth of the arrivals is extended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum ArrivalGrowth {
+    /// As far as the time to a host's arrival. A few large jobs then look like a rise to several times the fleet, but hosts
+    /// are there early when a queue's demand does rise.
+    #[default]
+    Unlimited,
+    /// At most to [`MAX_GROWTH`] times the latest rate.
+    #[cfg(feature = "lab")]
+    Limited,
+}
+
 /// Recent values as (time, value), newest last.
 type Samples<T> = VecDeque<(u64, T)>;
 
@@ -49,6 +65,7 @@
 pub(super) struct DemandForecast {
     /// Time from ordering a host to having it.
     lead_ms: u64,
+    growth: ArrivalGrowth,
     /// Recent demand of each pool.
     demand: BTreeMap<Arc<str>, Samples<RecentDemand>>,
     /// Work that arrived recently for each pool, in thousandths of a core times milliseconds.
@@ -56,8 +73,8 @@
 }
 
 impl DemandForecast {
-    pub(super) fn new(lead_ms: u64) -> DemandForecast {
-        DemandForecast { lead_ms, demand: BTreeMap::new(), arrivals: BTreeMap::new() }
+    pub(super) fn new(lead_ms: u64, growth: ArrivalGrowth) -> DemandForecast {
+        DemandForecast { lead_ms, growth, demand: BTreeMap::new(), arrivals: BTreeMap::new() }
     }
 
     /// Adds a new job's work to the arriving work of its pool. `run_time_ratio` is the average run time in its queue as a
@@ -87,7 +104,13 @@
             window_ms += ARRIVAL_WINDOW_STEP_MS;
             window = ArrivalWindow::of(recent, now_us, window_ms);
         }
-        window.expected_rate(window_ms as f64, self.lead_ms as f64) as u64
+        let expected = window.expected_rate(window_ms as f64, self.lead_ms as f64);
+        let limit = match self.growth {
+            ArrivalGrowth::Unlimited => f64::INFINITY,
+            #[cfg(feature = "lab")]
+            ArrivalGrowth::Limited => MAX_GROWTH * window.latest_rate(window_ms as f64),
+        };
+        expected.min(limit) as u64
     }
 
     /// Records a pool's present demand and the CPU that arriving jobs will keep busy, and returns the highest values
@@ -137,6 +160,13 @@
         (self.older + self.newer).powi(2) / self.squares
     }
 
+    /// Work per millisecond that arrived in the newer half of the window, or in the whole if that is more.
+    #[cfg(feature = "lab")]
+    fn latest_rate(&self, window_ms: f64) -> f64 {
+        let half_ms = window_ms / 2.0;
+        (self.newer / half_ms).max((self.older + self.newer) / window_ms)
+    }
+
     /// Work per millisecond that is expected to arrive `lead_ms` after the window.
     fn expected_rate(&self, window_ms: f64, lead_ms: f64) -> f64 {
         if self.squares == 0.0 {
--- a/src/sched/forecast_tests.rs
+++ b/src/sched/forecast_tests.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::forecast::DemandForecast;
+use super::forecast::{ArrivalGrowth, DemandForecast};
 use super::job::Job;
 use super::sim::{spec, step};
 
@@ -20,7 +20,7 @@
 /// Forecasts in steps of 100 ms for jobs that arrive at `jobs_per_s`, which is given the time in seconds.
 fn forecasts(seconds: f64, jobs_per_s: impl Fn(f64) -> f64) -> Vec<f64> {
     const STEP_US: u64 = 1_000;
-    let mut forecast = DemandForecast::new(LEAD_MS);
+    let mut forecast = DemandForecast::new(LEAD_MS, ArrivalGrowth::default());
     let (mut due_jobs, mut forecasts) = (0.0, Vec::new());
     for step in 1..=(seconds * 1_000.0) as u64 {
         let now_us = SECOND_US + step * STEP_US;
@@ -38,7 +38,7 @@
 
 #[test]
 fn arriving_jobs_count_as_demand_before_their_tasks_wait() {
-    let mut forecast = DemandForecast::new(LEAD_MS);
+    let mut forecast = DemandForecast::new(LEAD_MS, ArrivalGrowth::default());
 
     // Ten jobs per second for longer than the longest window.
     for number in 0..18 {
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -134,7 +134,7 @@
             usage: Usage::default(),
             arrival_rates: ArrivalRates::default(),
             fleet_capacity: Resources::default(),
-            forecast: DemandForecast::new(settings.host_move_ms),
+            forecast: DemandForecast::new(settings.host_move_ms, settings.policies.arrival_growth),
             run_times: RunTimes::default(),
             copy_counts: CopyCounts::default(),
             host_moves: HostMoves::new(now_us, settings.leader_change_wait_ms),
