Give up large jobs only where estimates are reliable

Cause: the order gives up jobs that look large. Where estimates tell nothing, these are any jobs.

Change: a job is given up only if the middle 80% of its queue's run times over estimates lie within a factor of 2, from 20 runs on. Other queues keep the order by time left.

--- a/src/sched/overload.rs
+++ b/src/sched/overload.rs
@@ -6,6 +6,9 @@
 //! on time (Moore's algorithm for the number of late jobs, on the pool's capacity as one machine). With organisations, it
 //! is the largest job of the one that has most work for its weight, so that each gives up jobs in proportion.
 //!
+//! This needs estimates that tell large jobs from small ones. Where a queue's run times have shown that its estimates do
+//! not, none of its jobs is given up.
+//!
 //! A job that is given up is placed after those on time, and is considered again in the next round.
 
 use std::collections::BinaryHeap;
@@ -41,7 +44,7 @@
     pub(super) latest_start_us: u64,
     /// Work of its waiting tasks, in thousandths of a core times milliseconds.
     pub(super) work: u64,
-    /// Whether none of its tasks has started. Others are never given up.
+    /// Whether none of its tasks has started, and the estimates of its queue are reliable. Others are never given up.
     pub(super) may_give_up: bool,
 }
 
@@ -158,6 +161,7 @@
         let average_run_ms = self.average_run_ms(jobs);
         let mut loads: Vec<OrganisationLoad> = Vec::new();
         let mut load_indices: HashMap<Option<Arc<str>>, usize> = HashMap::default();
+        let mut has_reliable_estimates: HashMap<Arc<str>, bool> = HashMap::default();
         let mut due = Vec::new();
         let mut indices = Vec::new();
         for (index, urgency) in jobs.iter().enumerate() {
@@ -169,7 +173,11 @@
                 loads.push(self.organisation_load(urgency.organisation.as_ref(), average_run_ms));
                 loads.len() - 1
             });
-            let may_give_up = !job.has_begun();
+            let queue = &job.spec.queue.name;
+            let is_reliable = *has_reliable_estimates
+                .entry(queue.clone())
+                .or_insert_with(|| self.run_times.are_estimates_reliable(queue));
+            let may_give_up = is_reliable && !job.has_begun();
             due.push(DueWork { rank: urgency.rank(), organisation, latest_start_us, work, may_give_up });
             indices.push(index);
         }
--- a/src/sched/run_times.rs
+++ b/src/sched/run_times.rs
@@ -20,6 +20,8 @@
 const DECAY: f64 = 1.0 / 256.0;
 /// Minimum effective number of runs by which single runs are compared with the median.
 const MIN_SAMPLES_FOR_MEDIAN: f64 = 20.0;
+/// Estimates are reliable if the middle 80% of the ratios differ by at most this factor.
+const MAX_RELIABLE_SPREAD: f64 = 2.0;
 /// Weight of the latest run in the moving average of the ratio.
 const AVERAGE_WEIGHT: f64 = 0.05;
 
@@ -72,6 +74,11 @@
         self.queues.get(queue).map_or(1.0, |known| known.average_ratio)
     }
 
+    /// Whether the estimates of a queue tell which of its jobs are large. False until enough of its runs have ended.
+    pub(super) fn are_estimates_reliable(&self, queue: &str) -> bool {
+        self.queues.get(queue).is_some_and(QueueRunTimes::are_estimates_reliable)
+    }
+
     /// Makes room for one more queue.
     fn drop_least_recent(&mut self) {
         if self.queues.len() < MAX_QUEUES {
@@ -127,6 +134,11 @@
         highest
     }
 
+    fn are_estimates_reliable(&self) -> bool {
+        self.effective_samples() >= MIN_SAMPLES_FOR_MEDIAN
+            && self.quantile(0.9) <= self.quantile(0.1) * MAX_RELIABLE_SPREAD
+    }
+
     pub(super) fn median_ratio(&self) -> f64 {
         self.quantile(0.5)
     }
--- a/src/sched/run_times_tests.rs
+++ b/src/sched/run_times_tests.rs
@@ -144,3 +144,18 @@
     assert_eq!(run_times.average_ratio("proofs"), 1.1);
     assert_eq!(run_times.average_ratio("unknown"), 1.0);
 }
+
+// Guards against jobs that are given up as large although their estimates tell nothing about their size.
+#[test]
+fn estimates_are_reliable_once_enough_runs_are_near_them() {
+    let reliable = |ratios: &mut dyn Iterator<Item = u64>| {
+        let mut run_times = RunTimes::default();
+        ratios.for_each(|run_ms| run_times.record(&"proofs".into(), 1_000, run_ms));
+        run_times.are_estimates_reliable("proofs")
+    };
+
+    assert!(reliable(&mut (0..40).map(|number| 1_500 + number * 20)), "all too short, but alike");
+    assert!(!reliable(&mut (0..40).map(|number| 300 + number * 100)), "from a third to four times");
+    assert!(!reliable(&mut (0..10).map(|_| 1_000)), "too few runs");
+    assert!(!RunTimes::default().are_estimates_reliable("unknown"));
+}
