Look for jobs to give up only in pools without room

Cause: each placement round summed up the work of all waiting jobs of each pool to select those to give up, also where all of them find a worker and the order does not matter.

Change: the selection runs only in pools in which tasks found no worker in the latest round.

--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -58,7 +58,10 @@
             if workers.is_empty() {
                 continue;
             }
-            self.give_up_late_jobs(now_us, &pool, &workers, &mut jobs);
+            // The order matters only where some tasks find no worker.
+            if self.pools_without_room.contains(&pool) {
+                self.give_up_late_jobs(now_us, &pool, &workers, &mut jobs);
+            }
             let level = self.fair_level(jobs.iter().map(|job| (job.share_class, job.organisation.as_ref())));
             let mut order = FairOrder::new(jobs, level, self.settings.policies.late_jobs);
             let mut round = PlacementRound {
@@ -76,6 +79,10 @@
                     break;
                 }
             }
+            match round.unplaceable_needs.is_empty() {
+                true => self.pools_without_room.remove(&pool),
+                false => self.pools_without_room.insert(pool),
+            };
         }
     }
 
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -122,6 +122,8 @@
     /// Worker on each host, as last listed by the provider or the registry.
     pub(super) worker_by_host: HashMap<Arc<str>, Arc<str>>,
     pub(super) next_placement_us: u64,
+    /// Pools in which tasks found no worker in the latest placement round.
+    pub(super) pools_without_room: BTreeSet<Arc<str>>,
     /// Whether something has changed that may let a task start.
     pub(super) wants_placement: bool,
     pub(super) stage_log: StageLog,
@@ -169,6 +171,7 @@
             next_orphan_check_us: 0,
             worker_by_host: HashMap::default(),
             next_placement_us: 0,
+            pools_without_room: BTreeSet::new(),
             wants_placement: true,
             stage_log: StageLog::default(),
             organisation_counts: HashMap::default(),
