--- a/src/lab.rs
+++ b/src/lab.rs
@@ -1,7 +1,7 @@
 //! Plays the scheduler against a simulated platform, in virtual time, to compare ways of deciding.
 //!
 //! A [`Workload`] describes pools, hosts, queues, long-running work and faults. [`play`] runs it from a seed with the same
-//! [`Scheduler`](crate::sched::scheduler::Scheduler) that a leader owns, and returns what callers got. A play with the same
+//! scheduler that a leader owns, and returns what callers got. A play with the same
 //! workload, seed and ways repeats exactly.
 
 mod arrivals;
