Tests of keys start a daemon again if its port was taken

Cause: the test picks a free port and closes it; another socket took it before the daemon listened. The daemon's log: "listen on 127.0.0.1:45061: Address already in use (os error 98)".

Change: a daemon that has exited for this reason is started on other ports, up to five times; one that has exited for any other reason fails the test at once, with its log. What the tests check is unchanged. job_tests and soak_tests pick ports in the same way; they have not been seen to fail.

--- a/tests/key_tests.rs
+++ b/tests/key_tests.rs
@@ -15,6 +15,7 @@
 
 const JOB: &str = "00000000000000a1";
 const BODY: &[u8] = br#"{"spec":"print","steps":[{"count":1,"cpu":1000,"memMb":100,"estimateMs":300}]}"#;
+const MAX_PORT_ATTEMPTS: u32 = 5;
 const KORA_KEY: &str = "key-of-kora-31";
 const TAMO_KEY: &str = "key-of-tamo-47";
 
@@ -40,12 +41,37 @@
     start_daemon_with(name, platform, platform.store_address, |settings| settings)
 }
 
-/// Starts a daemon that reaches the row store at `store`; `change` is applied to its settings file.
+/// Starts a daemon that reaches the row store at `store`; `change` is applied to its settings file. A free port may be taken
+/// before the daemon listens on it, so others are tried then.
 fn start_daemon_with(
     name: &str,
     platform: &UsersPlatformStandIn,
     store: SocketAddr,
     change: impl Fn(String) -> String,
+) -> Daemon {
+    for _ in 0..MAX_PORT_ATTEMPTS {
+        let mut daemon = spawn_daemon(name, platform, store, &change);
+        let mut has_exited = false;
+        eventually("the daemon answers", || {
+            has_exited = daemon.child.try_wait().expect("the state of the daemon").is_some();
+            has_exited
+                || try_http("GET", &daemon.url("jobs/"), &[("host", "print.example")], b"")
+                    .is_some_and(|answer| answer.status < 500)
+        });
+        if !has_exited {
+            return daemon;
+        }
+        let log = std::fs::read_to_string(&daemon.log_path).expect("the daemon's log");
+        assert!(log.contains("Address already in use"), "the daemon has exited: {log}");
+    }
+    panic!("{MAX_PORT_ATTEMPTS} times, a port was taken before the daemon listened on it");
+}
+
+fn spawn_daemon(
+    name: &str,
+    platform: &UsersPlatformStandIn,
+    store: SocketAddr,
+    change: &impl Fn(String) -> String,
 ) -> Daemon {
     let front_address = format!("127.0.0.1:{}", free_port());
     let readiness_address = ([127, 0, 0, 1], free_port()).into();
@@ -62,12 +88,7 @@
         .stdout(log.try_clone().expect("a log file"))
         .stderr(log)
         .spawn();
-    let daemon = Daemon { front_address, log_path, child: child.expect("the daemon starts") };
-    eventually("the daemon answers", || {
-        try_http("GET", &daemon.url("jobs/"), &[("host", "print.example")], b"")
-            .is_some_and(|answer| answer.status < 500)
-    });
-    daemon
+    Daemon { front_address, log_path, child: child.expect("the daemon starts") }
 }
 
 impl Daemon {
