--- a/src/sched/overload.rs
+++ b/src/sched/overload.rs
@@ -150,6 +150,15 @@
     reserved_milli as f64 * average_run_ms / 2.0
 }
 
+/// The waiting jobs of a pool that can still be on time.
+#[derive(Debug, Default)]
+struct DueJobs {
+    work: Vec<DueWork>,
+    /// Index of each job among all waiting jobs of the pool.
+    indices: Vec<usize>,
+    loads: Vec<OrganisationLoad>,
+}
+
 impl Scheduler {
     /// Marks those of a pool's waiting jobs as late that are given up so that others can be on time.
     pub(super) fn give_up_late_jobs(&self, now_us: u64, pool: &str, workers: &[Candidate], jobs: &mut [Urgency]) {
@@ -159,31 +168,7 @@
             OverloadOrder::MostJobsOnTime => {}
         }
         let average_run_ms = self.average_run_ms(jobs);
-        let mut loads: Vec<OrganisationLoad> = Vec::new();
-        let mut load_indices: HashMap<Option<Arc<str>>, usize> = HashMap::default();
-        let mut has_reliable_estimates: HashMap<Arc<str>, bool> = HashMap::default();
-        let mut due = Vec::new();
-        let mut indices = Vec::new();
-        for (index, urgency) in jobs.iter().enumerate() {
-            let Some(DeadlineForecast::OnTime { latest_start_us }) = urgency.on_time_forecast() else { continue };
-            let Some(job) = self.jobs.get(&urgency.id) else { continue };
-            let run_time_ratio = self.run_times.average_ratio(&job.spec.queue.name);
-            let work = (job.waiting_work() as f64 * run_time_ratio) as u64;
-            let organisation = *load_indices.entry(urgency.organisation.clone()).or_insert_with(|| {
-                loads.push(self.organisation_load(urgency.organisation.as_ref(), average_run_ms));
-                loads.len() - 1
-            });
-            let queue = &job.spec.queue.name;
-            let is_reliable = *has_reliable_estimates
-                .entry(queue.clone())
-                .or_insert_with(|| self.run_times.are_estimates_reliable(queue));
-            let may_give_up = is_reliable && !job.has_begun();
-            due.push(DueWork { rank: urgency.rank(), organisation, latest_start_us, work, may_give_up });
-            indices.push(index);
-        }
-        if due.is_empty() {
-            return;
-        }
+        let due = self.due_jobs(jobs, average_run_ms);
         let (mut capacity_milli, mut free_milli) = (0, 0);
         for worker in workers {
             capacity_milli += worker.capacity_excluding_long_running.cpu_milli;
@@ -196,9 +181,35 @@
             incoming_milli: self.host_moves.incoming_capacity_milli(now_us, pool, &self.hosts) as f64,
             incoming_from_us: now_us + self.settings.host_move_ms * US_PER_MS,
         };
-        for given_up in jobs_to_give_up(&capacity, running_work, &loads, &due) {
-            jobs[indices[given_up]].mark_late();
+        for given_up in jobs_to_give_up(&capacity, running_work, &due.loads, &due.work) {
+            jobs[due.indices[given_up]].mark_late();
+        }
+    }
+
+    fn due_jobs(&self, jobs: &[Urgency], average_run_ms: f64) -> DueJobs {
+        let mut due = DueJobs::default();
+        let mut load_indices: HashMap<Option<&Arc<str>>, usize> = HashMap::default();
+        let mut has_reliable_estimates: HashMap<&str, bool> = HashMap::default();
+        for (index, urgency) in jobs.iter().enumerate() {
+            let Some(DeadlineForecast::OnTime { latest_start_us }) = urgency.on_time_forecast() else { continue };
+            let Some(job) = self.jobs.get(&urgency.id) else { continue };
+            let queue = &*job.spec.queue.name;
+            let organisation = *load_indices.entry(urgency.organisation.as_ref()).or_insert_with(|| {
+                due.loads.push(self.organisation_load(urgency.organisation.as_ref(), average_run_ms));
+                due.loads.len() - 1
+            });
+            let is_reliable =
+                *has_reliable_estimates.entry(queue).or_insert_with(|| self.run_times.are_estimates_reliable(queue));
+            due.work.push(DueWork {
+                rank: urgency.rank(),
+                organisation,
+                latest_start_us,
+                work: (job.waiting_work() as f64 * self.run_times.average_ratio(queue)) as u64,
+                may_give_up: is_reliable && !job.has_begun(),
+            });
+            due.indices.push(index);
         }
+        due
     }
 
     fn organisation_load(&self, name: Option<&Arc<str>>, average_run_ms: f64) -> OrganisationLoad {
