--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -8,6 +8,7 @@
 mod hosts;
 mod job_checks;
 mod message;
+mod observation;
 mod quotas;
 mod registry;
 mod run_durations;
@@ -21,8 +22,7 @@
 
 use super::action::{Action, Batch, HoldPlan};
 use super::admission::AdmissionReport;
-use super::allocation::PoolBalance;
-use super::model::{Catalog, JobId, JobPhase, JobSpec, OrderOutcome, TaskRef, WaveOrder, WorkerEntry};
+use super::model::{Catalog, JobId, JobSpec, OrderOutcome, TaskRef, WaveOrder, WorkerEntry};
 use super::scheduler::{SchedSettings, Scheduler};
 use crate::clock::US_PER_MS;
 
@@ -198,25 +198,6 @@
         sim
     }
 
-    /// Phase of a job, as the leader knows it.
-    pub(crate) fn phase(&self, id: &JobId) -> Option<JobPhase> {
-        self.scheduler.jobs.get(id).map(|job| job.phase)
-    }
-
-    /// CPU that is reserved on the workers of each pool, in thousandths of a core.
-    pub(crate) fn reserved_milli_by_pool(&self) -> BTreeMap<Arc<str>, u64> {
-        let mut reserved = BTreeMap::new();
-        for worker in self.scheduler.workers.values() {
-            *reserved.entry(worker.entry.pool.clone()).or_default() += worker.reserved.cpu_milli;
-        }
-        reserved
-    }
-
-    /// Demand of a pool, as the leader counted it last.
-    pub(crate) fn latest_balance(&self, pool: &str) -> PoolBalance {
-        self.scheduler.host_moves.latest_balances.get(pool).cloned().unwrap_or_default()
-    }
-
     fn unix_ms(&self) -> u64 {
         START_UNIX_MS + self.now_us / US_PER_MS
     }
--- a/src/sched/sim/hosts.rs
+++ b/src/sched/sim/hosts.rs
@@ -1,6 +1,5 @@
 //! The simulated provider of hosts: takes hosts away for maintenance and moves, and brings them back.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use rand::Rng;
@@ -33,7 +32,7 @@
 #[derive(Debug)]
 pub(super) struct SimHost {
     number: usize,
-    pool: Arc<str>,
+    pub(super) pool: Arc<str>,
     phase: HostPhase,
     worker: Option<Arc<str>>,
     /// When the host is up again, unless it is up.
@@ -81,15 +80,6 @@
         self.catalog = catalog;
     }
 
-    /// Number of hosts in each pool, with those that are moving there.
-    pub(crate) fn hosts_by_pool(&self) -> BTreeMap<Arc<str>, u32> {
-        let mut counts = BTreeMap::new();
-        for host in self.hosts.values() {
-            *counts.entry(host.pool.clone()).or_default() += 1;
-        }
-        counts
-    }
-
     /// Stores an operator's order of a maintenance wave of all hosts.
     pub(in crate::sched) fn order_wave(&mut self, number: u64, max_down: u32) {
         let hosts = self.hosts.keys().cloned().collect();
