Overload ranks as a type, one fixture for job specs, and no state of the lab in the daemon

The rank of a job was a class and a priority packed into an integer; it is a type with an order now. The lab built job specs as a test fixture does. The balances of the latest decision were kept in the daemon although only the lab reads them.

--- a/src/lab/player.rs
+++ b/src/lab/player.rs
@@ -21,7 +21,7 @@
 };
 use crate::sched::organisation::{Organisation, Organisations};
 use crate::sched::scheduler::SchedSettings;
-use crate::sched::sim::{Faults, Sim, START_UNIX_MS};
+use crate::sched::sim::{spec, Faults, Sim, START_UNIX_MS};
 
 const SPARE_POOL: &str = "spare";
 /// Time before the first arrival, in which long-running work starts.
@@ -183,7 +183,7 @@
         let load = &self.workload.queues[index];
         let (steps, run_ms) = self.draw_steps(index);
         let true_path_ms = critical_path_ms(&with_run_times(&steps, &run_ms));
-        let spec = JobSpec { organisation, ..spec(&self.queues[index], steps) };
+        let spec = JobSpec { queue: self.queues[index].clone(), organisation, ..spec(steps) };
         let budget = TimeBudget::of(true_path_ms, load.stretch, load.target_latency_ms);
         self.job_count += 1;
         let counts = &mut self.counts[index];
@@ -247,7 +247,7 @@
             ..Step::default()
         };
         self.job_count += 1;
-        self.sim.submit(&format!("long-running-{:04}", self.job_count), spec(&queue, vec![step]));
+        self.sim.submit(&format!("long-running-{:04}", self.job_count), JobSpec { queue, ..spec(vec![step]) });
     }
 
     fn record_completions(&mut self) {
@@ -360,19 +360,6 @@
     })
 }
 
-fn spec(queue: &Arc<Queue>, steps: Vec<Step>) -> JobSpec {
-    JobSpec {
-        queue: queue.clone(),
-        task_spec: "lab".into(),
-        steps,
-        recurring_occurrences: 0,
-        first_run_unix_ms: 0,
-        interval_ms: 0,
-        accepted_unix_ms: START_UNIX_MS,
-        organisation: None,
-    }
-}
-
 fn catalog(workload: &Workload, queues: &[Arc<Queue>]) -> Catalog {
     let mut pools = vec![PoolConfig { name: SPARE_POOL.into(), spare: true }];
     pools.extend(workload.pools.iter().map(|name| PoolConfig { name: name.as_str().into(), spare: false }));
--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -58,7 +58,8 @@
     move_allowance: f64,
     refilled_us: u64,
     pub(super) next_report_us: u64,
-    /// Balances of the latest decision.
+    /// Balances of the latest decision, for the lab.
+    #[cfg(any(test, feature = "lab"))]
     pub(super) latest_balances: BTreeMap<Arc<str>, PoolBalance>,
     moving: BTreeMap<Arc<str>, Move>,
     /// Hosts that are drained before a move, with the target pool and the time at which the drain is given up.
@@ -83,6 +84,7 @@
             move_allowance: 0.0,
             refilled_us: now_us,
             next_report_us: 0,
+            #[cfg(any(test, feature = "lab"))]
             latest_balances: BTreeMap::new(),
             moving: BTreeMap::new(),
             draining: BTreeMap::new(),
@@ -185,7 +187,10 @@
         let labels = self.label_balances(now_us);
         self.cover_shortfalls(now_us, &balances, &labels);
         self.return_idle_hosts(now_us, &balances, &labels);
-        self.host_moves.latest_balances = balances;
+        #[cfg(any(test, feature = "lab"))]
+        {
+            self.host_moves.latest_balances = balances;
+        }
     }
 
     fn retry_unanswered_moves(&mut self, now_us: u64) {
--- a/src/sched/overload.rs
+++ b/src/sched/overload.rs
@@ -19,7 +19,7 @@
 use super::candidate::Candidate;
 use super::job::DeadlineForecast;
 use super::scheduler::Scheduler;
-use super::urgency::Urgency;
+use super::urgency::{Rank, Urgency};
 use crate::clock::US_PER_MS;
 
 /// Which jobs that have not begun are placed first where not all can be on time.
@@ -37,7 +37,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct DueWork {
     /// Jobs of a lower rank come first whatever their deadlines are, and are never given up for one of a higher rank.
-    pub(super) rank: u64,
+    pub(super) rank: Rank,
     /// Index of the job's organisation in the list of their loads.
     pub(super) organisation: usize,
     /// The job is on time if its remaining tasks can start by this time.
@@ -103,7 +103,7 @@
     accepted.extend(loads.iter().map(|load| Accepted { work: load.running_work, ..Accepted::default() }));
     let mut ahead = running_work;
     let mut given_up = Vec::new();
-    let mut rank = 0;
+    let mut rank = Rank::default();
     for index in by_deadline {
         let job = &jobs[index];
         if job.rank != rank {
--- a/src/sched/overload_order_tests.rs
+++ b/src/sched/overload_order_tests.rs
@@ -12,6 +12,7 @@
 use super::policies::Policies;
 use super::scheduler::SchedSettings;
 use super::sim::{settings, spec, step, Faults, Sim};
+use super::urgency::Rank;
 
 const MILLI: u64 = 1_000;
 
@@ -27,7 +28,7 @@
 /// A job that needs one core for `work_ms`.
 fn due(work_ms: u64, latest_start_ms: u64) -> DueWork {
     DueWork {
-        rank: 0,
+        rank: Rank::default(),
         organisation: 0,
         latest_start_us: latest_start_ms * 1_000,
         work: work_ms * MILLI,
@@ -62,7 +63,7 @@
 
 #[test]
 fn job_of_lower_rank_is_not_given_up_for_one_of_higher_rank() {
-    let jobs = [due(3_000, 5_000), DueWork { rank: 1, ..due(300, 100) }];
+    let jobs = [due(3_000, 5_000), DueWork { rank: Rank { priority: 1, ..Rank::default() }, ..due(300, 100) }];
 
     assert_eq!(given_up(&one_core(), &jobs), [1]);
 }
--- a/src/sched/sim/fixtures.rs
+++ b/src/sched/sim/fixtures.rs
@@ -62,7 +62,7 @@
     Step { count, needs, estimate_ms: 500, after: after.to_vec(), ..Step::default() }
 }
 
-pub(in crate::sched) fn spec(steps: Vec<Step>) -> JobSpec {
+pub(crate) fn spec(steps: Vec<Step>) -> JobSpec {
     JobSpec {
         queue: queue(),
         task_spec: "print".into(),
--- a/src/sched/urgency.rs
+++ b/src/sched/urgency.rs
@@ -16,6 +16,14 @@
 /// Time that a job needs in addition, to be started and to be reported as completed.
 const OVERHEAD_MS: f64 = 150.0;
 
+/// What comes before the deadlines of jobs. Smaller comes first.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    pub(super) share_class: ShareClass,
+    /// The lower priority number comes first.
+    pub(super) priority: u32,
+}
+
 /// Position of a job among those of its pool; smaller comes first.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Urgency {
@@ -54,9 +62,8 @@
         (!self.is_late).then_some(self.forecast)
     }
 
-    /// Orders jobs by what comes before their deadlines: the class of their organisation, then their priority.
-    pub(super) fn rank(&self) -> u64 {
-        (self.share_class as u64) << 32 | u64::from(self.priority)
+    pub(super) fn rank(&self) -> Rank {
+        Rank { share_class: self.share_class, priority: self.priority }
     }
 
     /// Places the job after all of its class that can be on time.
