Tests for nine guards of waves and of the overload order that survived their removal

Cause in the wave test: the demand of its tasks held two more hosts in the pool, so the next task always found one, and the test showed only the quick reports.

Change: tests, and the capacity of a pool is computed in a function of its own so that a test can see it.

--- a/src/sched/allocation_tests.rs
+++ b/src/sched/allocation_tests.rs
@@ -152,3 +152,19 @@
 
     assert!(transfer.is_some_and(|transfer| !transfer.is_idle));
 }
+
+// Guards against hosts that come to a pool and are taken away again by a wave at once.
+#[test]
+fn idle_hosts_that_need_no_maintenance_soon_come_first() {
+    let balances = pools([("narrow", balance(1, 3, 3, 0))]);
+    let mut hosts = hosts_in("spare", 0..4, HostLoad::Idle);
+    for number in [0, 2] {
+        hosts[number].awaits_maintenance = true;
+    }
+
+    let transfers = cover(balances, hosts, DemandTier::Present, 100);
+
+    let mut names: Vec<&str> = transfers.iter().map(|transfer| &*transfer.host).collect();
+    names.sort_unstable();
+    assert_eq!(names, ["h1", "h3"]);
+}
--- a/src/sched/candidate_tests.rs
+++ b/src/sched/candidate_tests.rs
@@ -88,3 +88,14 @@
         assert!(by_score >= by_spreading, "load {load}: {by_score} of the wide tasks, {by_spreading} when spread");
     }
 }
+
+// Guards against long-running tasks that are moved for a wave and must leave their next worker for it, too.
+#[test]
+fn long_running_task_prefers_a_worker_that_needs_no_maintenance_soon() {
+    let long = Step { long_running: true, ..task(1_000) };
+    let awaiting = Candidate { awaits_maintenance: true, long_running_count: 1, ..worker(0, 16_000) };
+    let free = worker(1, 64_000);
+
+    assert!(score(&free, &long, false, false) < score(&awaiting, &long, false, false));
+    assert!(score(&awaiting, &task(1_000), false, false) < score(&free, &task(1_000), false, false));
+}
--- a/src/sched/overload.rs
+++ b/src/sched/overload.rs
@@ -146,17 +146,17 @@
 }
 
 /// What is left of running tasks, which are half done on average.
-fn remaining_work(reserved_milli: u64, average_run_ms: f64) -> f64 {
-    reserved_milli as f64 * average_run_ms / 2.0
+fn remaining_work(reserved_milli: f64, average_run_ms: f64) -> f64 {
+    reserved_milli * average_run_ms / 2.0
 }
 
 /// The waiting jobs of a pool that can still be on time.
 #[derive(Debug, Default)]
-struct DueJobs {
-    work: Vec<DueWork>,
+pub(super) struct DueJobs {
+    pub(super) work: Vec<DueWork>,
     /// Index of each job among all waiting jobs of the pool.
     indices: Vec<usize>,
-    loads: Vec<OrganisationLoad>,
+    pub(super) loads: Vec<OrganisationLoad>,
 }
 
 impl Scheduler {
@@ -169,24 +169,27 @@
         }
         let average_run_ms = self.average_run_ms(jobs);
         let due = self.due_jobs(jobs, average_run_ms);
-        let (mut capacity_milli, mut free_milli) = (0, 0);
-        for worker in workers {
-            capacity_milli += worker.capacity_excluding_long_running.cpu_milli;
-            free_milli += worker.free_capacity.cpu_milli;
+        let capacity = self.pool_capacity(now_us, pool, workers);
+        let free_milli: u64 = workers.iter().map(|worker| worker.free_capacity.cpu_milli).sum();
+        let running_milli = (capacity.present_milli - free_milli as f64).max(0.0);
+        let running_work = remaining_work(running_milli, average_run_ms);
+        for given_up in jobs_to_give_up(&capacity, running_work, &due.loads, &due.work) {
+            jobs[due.indices[given_up]].mark_late();
         }
-        let running_work = remaining_work(capacity_milli.saturating_sub(free_milli), average_run_ms);
-        let capacity = PoolCapacity {
+    }
+
+    /// Capacity of a pool without what long-running tasks hold.
+    pub(super) fn pool_capacity(&self, now_us: u64, pool: &str, workers: &[Candidate]) -> PoolCapacity {
+        let present = workers.iter().map(|worker| worker.capacity_excluding_long_running.cpu_milli);
+        PoolCapacity {
             now_us,
-            present_milli: capacity_milli as f64,
+            present_milli: present.sum::<u64>() as f64,
             incoming_milli: self.host_moves.incoming_capacity_milli(now_us, pool, &self.hosts) as f64,
             incoming_from_us: now_us + self.settings.host_move_ms * US_PER_MS,
-        };
-        for given_up in jobs_to_give_up(&capacity, running_work, &due.loads, &due.work) {
-            jobs[due.indices[given_up]].mark_late();
         }
     }
 
-    fn due_jobs(&self, jobs: &[Urgency], average_run_ms: f64) -> DueJobs {
+    pub(super) fn due_jobs(&self, jobs: &[Urgency], average_run_ms: f64) -> DueJobs {
         let mut due = DueJobs::default();
         let mut load_indices: HashMap<Option<&Arc<str>>, usize> = HashMap::default();
         let mut has_reliable_estimates: HashMap<&str, bool> = HashMap::default();
@@ -217,7 +220,7 @@
         OrganisationLoad {
             // An organisation that is no longer configured has no share.
             weight: self.catalog.organisations.get(name).map_or(0.0, |organisation| organisation.weight),
-            running_work: remaining_work(self.usage.of(name).resources.cpu_milli, average_run_ms),
+            running_work: remaining_work(self.usage.of(name).resources.cpu_milli as f64, average_run_ms),
         }
     }
 
--- a/src/sched/overload_order_tests.rs
+++ b/src/sched/overload_order_tests.rs
@@ -7,12 +7,13 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::model::{JobId, JobPhase};
+use super::leader_fixtures::{leader_with_workers, JOB, SECOND_US};
+use super::model::{JobId, JobPhase, TaskRef};
 use super::overload::{jobs_to_give_up, DueWork, OrganisationLoad, OverloadOrder, PoolCapacity};
 use super::policies::Policies;
 use super::scheduler::SchedSettings;
-use super::sim::{settings, spec, step, Faults, Sim};
-use super::urgency::Rank;
+use super::sim::{settings, spec, spec_of, step, Faults, Sim};
+use super::urgency::{Rank, Urgency};
 
 const MILLI: u64 = 1_000;
 
@@ -187,3 +188,65 @@
         assert!(share >= 0.98, "{order:?}: {share}");
     }
 }
+
+/// Whether a waiting job may be given up, after runs of its queue that took this many milliseconds for each estimated second.
+fn may_give_up(run_ms: impl Iterator<Item = u64>, has_begun: bool) -> bool {
+    let mut leader = leader_with_workers(1);
+    run_ms.for_each(|run_ms| leader.run_times.record(&"proofs".into(), 1_000, run_ms));
+    leader.submit(10 * SECOND_US, 0, JOB.into(), spec(vec![step(2, &[])]));
+    if has_begun {
+        leader.jobs.get_mut(JOB).and_then(|job| job.task_mut(&first_task())).expect("a task").run = 1;
+    }
+    let urgency = Urgency::of(10 * SECOND_US, &leader.jobs[JOB], 3);
+
+    let due = leader.due_jobs(&[urgency], 500.0);
+
+    assert_eq!(due.work[0].rank, Rank { priority: 3, ..Rank::default() });
+    due.work[0].may_give_up
+}
+
+fn first_task() -> TaskRef {
+    TaskRef { job: JOB.into(), occurrence: 0, step: 0, index: 0 }
+}
+
+// Guards against jobs that are given up by estimates that tell nothing, or after a part of their work is done.
+#[test]
+fn only_jobs_with_reliable_estimates_that_have_not_begun_may_be_given_up() {
+    let reliable = || (0..40).map(|number| 900 + number * 5);
+    let unreliable = (0..40).map(|number| 300 + number * 100);
+
+    assert!(may_give_up(reliable(), false));
+    assert!(!may_give_up(reliable(), true));
+    assert!(!may_give_up(unreliable, false));
+    assert!(!may_give_up(std::iter::empty(), false));
+}
+
+// Guards against a rise in which jobs are given up although their pool's hosts are on the way.
+#[test]
+fn hosts_that_move_to_a_pool_are_part_of_its_capacity() {
+    let mut leader = leader_with_workers(1);
+    let before = leader.pool_capacity(10 * SECOND_US, "press", &leader.candidates(10 * SECOND_US, "press"));
+
+    leader.order_move(10 * SECOND_US, &"h9".into(), &"press".into());
+    let after = leader.pool_capacity(10 * SECOND_US, "press", &leader.candidates(10 * SECOND_US, "press"));
+
+    assert_eq!((before.present_milli, before.incoming_milli), (16_000.0, 0.0));
+    assert_eq!((after.present_milli, after.incoming_milli), (16_000.0, 16_000.0));
+    assert_eq!(after.incoming_from_us, 11_500_000);
+}
+
+// Guards against an organisation that gives up no job because only its waiting work counts.
+#[test]
+fn running_work_counts_for_its_organisation_and_comes_before_all_jobs() {
+    let mut leader = leader_with_workers(1);
+    leader.usage.add(&"kora".into(), &step(1, &[]).needs);
+    leader.submit(10 * SECOND_US, 0, JOB.into(), spec_of("kora", vec![step(2, &[])]));
+    let urgency = Urgency::of(10 * SECOND_US, &leader.jobs[JOB], 0);
+
+    let due_jobs = leader.due_jobs(&[urgency], 500.0);
+
+    // Two cores, for half of the 500 ms that its tasks take.
+    assert_eq!(due_jobs.loads[0].running_work, 500_000.0);
+    assert_eq!(jobs_to_give_up(&one_core(), 600_000.0, &[load(1.0)], &[due(100, 500)]), [0]);
+    assert_eq!(jobs_to_give_up(&one_core(), 400_000.0, &[load(1.0)], &[due(100, 500)]), [0_usize; 0]);
+}
--- a/src/sched/planned_work_tests.rs
+++ b/src/sched/planned_work_tests.rs
@@ -406,10 +406,11 @@
     config.pools.push(PoolConfig { name: "spare".into(), spare: true });
     let mut sim = Sim::new(seed, 2 * TASKS as usize, Faults::default());
     sim.add_hosts(Arc::new(config));
-    sim.submit("long-running", spec(vec![Step { count: TASKS, ..budgeted_step(8_000) }]));
-    // The other hosts return to the spare pool.
+    // Tasks so small that the pool's demand holds no other host: the others return to the spare pool.
+    sim.submit("long-running", spec(vec![Step { count: TASKS, ..budgeted_step(1_000) }]));
     sim.run_for(12_000);
     assert!(sim.are_budgeted_tasks_at_work(), "seed {seed}: the tasks have started");
+    assert_eq!(sim.hosts_by_pool().get("press"), Some(&TASKS), "seed {seed}: the pool has no other host");
     sim
 }
 
@@ -427,3 +428,25 @@
         assert_wave_complete(&sim, seed);
     }
 }
+
+/// For how long the worker of a budgeted task may wait before it reports again, `age_ms` after the task's start at a progress.
+fn report_wait_ms(age_ms: u64, percent: u32) -> u64 {
+    let mut scheduler = leader_with_two_tasks_at_work();
+    for at_ms in (10_400..=10_300 + age_ms).step_by(100) {
+        report_runs(&mut scheduler, at_ms, at_ms, percent);
+    }
+    let id =
+        scheduler.workers.values().find(|worker| worker.long_running_count > 0).map(|worker| worker.entry.id.clone());
+    match scheduler.plan_hold((10_300 + age_ms + 100) * US_PER_MS, &id.expect("a worker with a task")) {
+        HoldPlan::Send { wait_ms, .. } => wait_ms,
+        plan => panic!("{plan:?}"),
+    }
+}
+
+// Guards against waves that wait for a report although the task is at work, and against frequent reports for ever.
+#[test]
+fn worker_reports_soon_while_a_budgeted_task_starts() {
+    assert!(report_wait_ms(500, 40) <= 250);
+    assert!(report_wait_ms(500, 100) >= 1_000, "at work");
+    assert!(report_wait_ms(6_000, 40) >= 1_000, "it does not get further");
+}
