Test that a drain is not ended for a task that is still at work

The test has four hosts that all drain, two with long-running tasks and two with others: all stay cordoned.

--- a/src/sched/planned_work_tests.rs
+++ b/src/sched/planned_work_tests.rs
@@ -450,3 +450,26 @@
     assert!(report_wait_ms(500, 100) >= 1_000, "at work");
     assert!(report_wait_ms(6_000, 40) >= 1_000, "it does not get further");
 }
+
+// Guards against a task at work that is moved to a host which the wave must drain again.
+#[test]
+fn drain_of_a_host_is_not_ended_for_a_task_that_is_still_at_work() {
+    let mut scheduler = leader_with_two_tasks_at_work();
+    // Two tasks that fit only on the two hosts without a long-running one.
+    let mut wide = step(2, &[]);
+    wide.needs.cpu_milli = 15_000;
+    scheduler.submit(10_400 * US_PER_MS, 0, "wide".into(), spec(vec![wide]));
+    scheduler.tick(10_500 * US_PER_MS, 0);
+    commit(&mut scheduler, 10_500);
+    report_runs(&mut scheduler, 10_600, 10_600, 100);
+    let hosts = (0..4).map(|number| format!("h{number}").into()).collect();
+    scheduler.add_wave(WaveOrder { number: WAVE, hosts, duration_ms: 30_000, max_down: 2 });
+
+    for at_ms in (11_000..12_500).step_by(100) {
+        scheduler.tick(at_ms * US_PER_MS, 0);
+        commit(&mut scheduler, at_ms);
+        report_runs(&mut scheduler, at_ms, at_ms, 100);
+    }
+
+    assert!(scheduler.workers.values().all(|worker| worker.is_cordoned && !worker.tasks.is_empty()));
+}
