One line and counters a second tell the leader's load

The logs of the incident could not tell how far the leader is behind in each second, nor what it looks at. The line leader_load gives processor time, the latest tick, and counts of work by kind; leader_work_total has the counts as metrics. Counts do not depend on the speed of the processor, so that a regression of the leader's work can be told from a slow host. No logic is changed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -29,6 +29,7 @@
 mod feeds;
 mod http_api;
 mod leader;
+mod leader_load;
 mod operator_api;
 mod operator_feed;
 mod orders;
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -9,6 +9,7 @@
 
 use super::candidacy::RELEASED;
 use super::election::{owner_row, sequence_row};
+use super::leader_load::LeaderLoad;
 use super::orders::OrderQueues;
 use super::stage_metrics::StageMetrics;
 use super::{
@@ -340,6 +341,7 @@
 /// Drives the scheduler's timer, and steps down if too few workers answer.
 async fn run_ticks(leader: Rc<Leader>) {
     let mut mostly_silent_since_us = None;
+    let mut load = LeaderLoad::new(leader.now_us());
     while !leader.has_ended.get() {
         let now_us = leader.now_us();
         let unix_ms = leader.daemon.clock.unix_ms();
@@ -361,6 +363,8 @@
         let (lost_runs, given_up) = leader.scheduler.borrow_mut().take_loss_counts();
         record_loss_counts(lost_runs, given_up);
         leader.scheduler.borrow_mut().record_lag(late_us);
+        load.record_tick(late_us);
+        load.report(leader.now_us(), leader.scheduler.borrow().work_counts());
     }
 }
 
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -49,6 +49,7 @@
 mod urgency;
 mod usage;
 mod waves;
+pub(crate) mod work_counts;
 pub(crate) mod worker;
 pub(crate) mod worker_loss;
 mod worker_speed;
--- a/src/sched/batches.rs
+++ b/src/sched/batches.rs
@@ -10,6 +10,7 @@
 use super::model::{JobId, JobPhase, ReportedPhase, TaskRef};
 use super::record::encode_job;
 use super::scheduler::Scheduler;
+use super::work_counts::Work;
 use crate::clock::US_PER_MS;
 
 /// Maximum number of records in one batch. A transaction of the store holds at most 100 entries, and a batch also has
@@ -75,6 +76,7 @@
                 batch.phases.push(job.spec.reported_phase(id.clone(), job.phase));
             }
         }
+        self.work_counts.add(Work::RecordsEncoded, batch.records.len());
         let batch_jobs: HashSet<JobId> = batch_jobs.into_iter().collect();
         let free_slots = MAX_BATCH_JOBS - batch.records.len();
         let removable_count = self.records_to_remove.len().min(free_slots);
--- a/src/sched/copies.rs
+++ b/src/sched/copies.rs
@@ -12,6 +12,7 @@
 use super::run_times::QueueRunTimes;
 use super::scheduler::Scheduler;
 use super::task_runs::PlacedRun;
+use super::work_counts::Work;
 use super::worker::Worker;
 use crate::clock::US_PER_MS;
 
@@ -113,6 +114,7 @@
             if worker.speculative_count == 0 {
                 continue;
             }
+            self.work_counts.add(Work::CopiesChecked, worker.tasks.len());
             for task_ref in &worker.tasks {
                 let Some(step) = self.step_of(task_ref).filter(|step| step.allows_copies()) else { continue };
                 let Some(task) = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)) else { continue };
--- a/src/sched/demand.rs
+++ b/src/sched/demand.rs
@@ -10,6 +10,7 @@
 use super::model::HostPhase;
 use super::scheduler::Scheduler;
 use super::usage::QuotaBudget;
+use super::work_counts::Work;
 use super::worker::Worker;
 use crate::clock::US_PER_MS;
 
@@ -34,6 +35,7 @@
         }
         self.update_on_time_jobs(now_us);
         self.update_silent_zones();
+        self.work_counts.add(Work::WorkersCounted, self.workers.len());
         for worker in self.workers.values() {
             let Some(balance) = balances.get_mut(&worker.entry.pool) else { continue };
             if worker.is_usable() {
@@ -184,6 +186,7 @@
     /// CPU reserved by a worker's tasks of on-time jobs, without copies, in thousandths of a core.
     pub(super) fn on_time_cpu_milli(&self, worker: &Worker) -> u64 {
         let mut milli = 0;
+        self.work_counts.add(Work::RunsCounted, worker.tasks.len());
         for task_ref in &worker.tasks {
             if !self.host_moves.on_time_jobs.contains(&task_ref.job) {
                 continue;
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -14,6 +14,7 @@
 use super::scheduler::Scheduler;
 use super::urgency::Urgency;
 use super::usage::BlockedJobs;
+use super::work_counts::Work;
 use super::worker::Worker;
 use crate::clock::US_PER_MS;
 
@@ -38,6 +39,8 @@
             return;
         }
         self.wants_placement = false;
+        self.work_counts.add(Work::Rounds, 1);
+        self.work_counts.add(Work::JobsRanked, self.ready_jobs.len());
         let mut by_pool: BTreeMap<Arc<str>, Vec<Urgency>> = BTreeMap::new();
         let mut blocked = BlockedJobs::default();
         for id in &self.ready_jobs {
@@ -99,6 +102,7 @@
             let awaits_maintenance = host.is_some_and(|host| self.waves.awaits_maintenance(host));
             candidates.push(Candidate { is_isolated, awaits_maintenance, ..Candidate::of_worker(worker) });
         }
+        self.work_counts.add(Work::WorkersListed, self.workers.len());
         self.mark_slow(now_us, &mut candidates);
         candidates
     }
@@ -317,6 +321,7 @@
         if must_be_alone && !may_isolate_another(workers) {
             return None;
         }
+        self.work_counts.add(Work::WorkersCompared, workers.len());
         let mut best: Option<(Score, usize)> = None;
         for (index, worker) in workers.iter().enumerate() {
             if !reserved.fits_in(&worker.free_capacity) || !worker.admits(step, worker.siblings) {
--- a/src/sched/rebalance.rs
+++ b/src/sched/rebalance.rs
@@ -12,6 +12,7 @@
 use super::model::{HostPhase, HostRecord, Resources};
 use super::scheduler::Scheduler;
 use super::unplaceable::{PlaceNeed, UnplaceableTasks};
+use super::work_counts::Work;
 use crate::clock::US_PER_MS;
 
 /// How long a host must have been idle before it may move to a pool that lacks capacity.
@@ -32,6 +33,7 @@
         let unplaceable = self.unplaceable_tasks(now_us);
         let rejected_moves = self.host_moves.rejected_moves.clone();
         let hosts = self.movable_hosts(now_us);
+        self.work_counts.add(Work::HostsConsidered, self.hosts.len());
         let mut allocation = Allocation { balances: balances.clone(), hosts, labels, rejected_moves: &rejected_moves };
         for ((pool, label), balance) in labels {
             let kind = balance.request_kind();
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -7,6 +7,7 @@
 use super::model::{ActiveRun, EndedRun, HoldAnswer, JobPhase, OrderOutcome, OrderRefusal, Resources, Step, TaskRef};
 use super::progress::STOP_RETRY_DELAY_MS;
 use super::scheduler::Scheduler;
+use super::work_counts::Work;
 use crate::clock::US_PER_MS;
 
 /// Maximum number of ended runs that a worker lists in one answer.
@@ -29,6 +30,7 @@
 impl Scheduler {
     /// Handles a worker's answer to a hold request that was sent at `sent_us`: its active and ended runs.
     pub(crate) fn on_hold_answer(&mut self, now_us: u64, sent_us: u64, id: &Arc<str>, answer: &HoldAnswer) {
+        self.work_counts.add(Work::HoldAnswers, 1);
         let Some(worker) = self.workers.get_mut(id) else { return };
         if let Some(started_unix_ms) = answer.started_unix_ms {
             if worker.entry.started_unix_ms != started_unix_ms {
@@ -267,6 +269,7 @@
 
     /// Handles the outcome of a start order.
     pub(crate) fn on_start_outcome(&mut self, now_us: u64, start: &StartRun, outcome: &OrderOutcome) {
+        self.work_counts.add(Work::OrderOutcomes, 1);
         let task_ref = &start.task;
         if !matches!(outcome, OrderOutcome::Accepted { .. }) {
             log::info!(
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -22,6 +22,7 @@
 use super::stages::{Stage, StageLog};
 use super::usage::Usage;
 use super::waves::Waves;
+use super::work_counts::WorkCounts;
 use super::worker::Worker;
 use super::worker_loss::LostWorkers;
 use crate::clock::US_PER_MS;
@@ -127,6 +128,7 @@
     /// Whether something has changed that may let a task start.
     pub(super) wants_placement: bool,
     pub(super) stage_log: StageLog,
+    pub(super) work_counts: WorkCounts,
     pub(super) organisation_counts: HashMap<Arc<str>, OrganisationCounts>,
 }
 
@@ -174,6 +176,7 @@
             pools_without_room: BTreeSet::new(),
             wants_placement: true,
             stage_log: StageLog::default(),
+            work_counts: WorkCounts::default(),
             organisation_counts: HashMap::default(),
         }
     }
@@ -449,6 +452,11 @@
         self.place(now_us);
     }
 
+    /// What the scheduler has looked at so far.
+    pub(crate) fn work_counts(&self) -> &WorkCounts {
+        &self.work_counts
+    }
+
     /// Whether the job is known, or was until its submission was removed.
     pub(crate) fn has_job(&self, id: &str) -> bool {
         self.jobs.contains_key(id) || self.forgotten_jobs.contains_key(id)
