Poll what a future has woken next, and the store's connections first

Callers saw jobs late while the leader's host had too little processor time: each request of the leader goes through three to four futures (session, connection, body), and each of them waited for all others that were ready, 40 to 80 ms a time.

A future that another one wakes now goes on next, up to 16 in a row; up to 32 turns are taken before the event loop looks for events; the election and the leader's writer, and the connections to the store, have priority.

Evidence: the three tests of executor_tests.rs; the third found that the first version let futures that wake each other starve all others.

--- a/src/control.rs
+++ b/src/control.rs
@@ -59,7 +59,7 @@
 use crate::platform::row_store::RowStoreClient;
 use crate::platform::settings::load;
 use crate::platform::HttpClient;
-use crate::reactor::{self, sleep_until, spawn, Listener, Reactor};
+use crate::reactor::{self, sleep_until, spawn, spawn_with, Listener, Priority, Reactor};
 use crate::sched::model::{Catalog, WaveOrder};
 use crate::telemetry;
 use boot_clock::BootClock;
@@ -274,7 +274,8 @@
     }
     spawn(operator_feed::follow(daemon.clone()));
     spawn(status::follow(daemon.clone()));
-    spawn(election::run(daemon.clone()));
+    // The leader commits its decisions in this future.
+    spawn_with(Priority::High, election::run(daemon.clone()));
     spawn(close_idle_connections(daemon.clone()));
     spawn(bound_metrics(daemon.clone(), metrics));
     spawn(handle_signals(daemon.clone(), signals));
--- a/src/endpoint_client.rs
+++ b/src/endpoint_client.rs
@@ -17,7 +17,7 @@
 use hyper::{Request, Response};
 
 use crate::buffered_body::{collect_body, BodyError, BufferedBody, ByteBudget};
-use crate::reactor::{connect, sleep_until, spawn};
+use crate::reactor::{connect, sleep_until, spawn_with, Priority};
 use crate::wire;
 
 const CONNECT_TIMEOUT_MS: u64 = 300;
@@ -77,6 +77,8 @@
 pub(crate) struct EndpointClient {
     /// Whether closing a connection resets it, which discards data that has not been delivered yet.
     reset_on_close: bool,
+    /// Endpoint whose connections are served before those to others.
+    preferred: Cell<Option<SocketAddr>>,
     /// Idle connections of each endpoint, the most recently used last.
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
@@ -85,7 +87,12 @@
     /// A client that resets connections on close. This discards requests that have not been delivered yet, so that they
     /// rarely arrive after the client has abandoned them.
     pub(crate) fn with_reset_on_close() -> EndpointClient {
-        EndpointClient { reset_on_close: true, idle: RefCell::default() }
+        EndpointClient { reset_on_close: true, ..EndpointClient::default() }
+    }
+
+    /// Serves the connections to an endpoint before those to others.
+    pub(crate) fn prefer(&self, address: SocketAddr) {
+        self.preferred.set(Some(address));
     }
 
     /// Sends a request and waits for the complete response.
@@ -128,7 +135,8 @@
                 return Ok(connection);
             }
         }
-        open_connection(address, deadline, self.reset_on_close).await
+        let priority = if self.preferred.get() == Some(address) { Priority::High } else { Priority::Normal };
+        open_connection(address, deadline, self.reset_on_close, priority).await
     }
 
     /// Ends a call that has no complete response. Drops the connection, which closes it, so that a late response is
@@ -195,7 +203,12 @@
     }
 }
 
-async fn open_connection(address: SocketAddr, deadline: Instant, reset_on_close: bool) -> Result<Connection, String> {
+async fn open_connection(
+    address: SocketAddr,
+    deadline: Instant,
+    reset_on_close: bool,
+    priority: Priority,
+) -> Result<Connection, String> {
     let connect_deadline = deadline.min(Instant::now() + Duration::from_millis(CONNECT_TIMEOUT_MS));
     let opened = timeout_at(connect_deadline, connect(address)).await;
     let io = opened.ok_or("no connection in time")?.map_err(|error| error.to_string())?;
@@ -205,7 +218,7 @@
     let sent_bytes = io.sent_bytes();
     let (sender, driver) = http1::handshake(io).await.map_err(|error| error.to_string())?;
     let (close, closed) = oneshot::channel();
-    spawn(async move {
+    spawn_with(priority, async move {
         // The request in flight, if there is one, gets the error as well.
         let _ = select(pin!(driver), pin!(closed)).await;
     });
--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -34,6 +34,11 @@
         HttpClient { client: EndpointClient::with_reset_on_close(), held_bytes: ByteBudget::new(MAX_HELD_BYTES) }
     }
 
+    /// Serves the connections to an address before those to others.
+    pub(super) fn prefer(&self, address: SocketAddr) {
+        self.client.prefer(address);
+    }
+
     /// Closes the pooled connections to an address, so that the next request opens a new one.
     pub(super) fn close_idle_to(&self, address: SocketAddr) {
         self.client.close_idle_to(address);
--- a/src/platform/row_store.rs
+++ b/src/platform/row_store.rs
@@ -113,7 +113,9 @@
 }
 
 impl RowStoreClient {
+    /// Everything that is ordered or reported waits for the store first, so its connections are served before others.
     pub(crate) fn new(http_client: Rc<HttpClient>, address: SocketAddr) -> RowStoreClient {
+        http_client.prefer(address);
         RowStoreClient { http_client, address, clock: Clock::new(), health: Rc::default() }
     }
 
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -5,6 +5,8 @@
 mod net;
 mod timer;
 
+#[cfg(test)]
+mod executor_tests;
 #[cfg(test)]
 mod reactor_tests;
 
@@ -24,6 +26,7 @@
 use executor::{Executor, ReadyQueue};
 
 pub(crate) use condvar::Condvar;
+pub(crate) use executor::Priority;
 pub(crate) use net::{connect, Listener, TcpIo};
 pub(crate) use timer::{sleep_until, ReactorTimer};
 
@@ -35,6 +38,12 @@
 
 type LocalFuture = Pin<Box<dyn Future<Output = ()>>>;
 
+/// A future that the executor has not taken over yet.
+struct Spawned {
+    future: LocalFuture,
+    priority: Priority,
+}
+
 thread_local! {
     static CURRENT: RefCell<Option<Rc<ReactorHandle>>> = const { RefCell::new(None) };
 }
@@ -44,8 +53,7 @@
     miopoll: MioPoll,
     deferrer: Deferrer,
     ready: Arc<ReadyQueue>,
-    /// Futures that the executor has not taken over yet.
-    spawned: RefCell<Vec<LocalFuture>>,
+    spawned: RefCell<Vec<Spawned>>,
 }
 
 /// Event loop of one thread; must run on the thread that created it.
@@ -136,8 +144,13 @@
 
 /// Spawns a future on this thread's event loop. If the thread has none, the future is dropped.
 pub(crate) fn spawn(future: impl Future<Output = ()> + 'static) {
+    spawn_with(Priority::Normal, future);
+}
+
+/// Spawns a future as [`spawn`] does, with a priority.
+pub(crate) fn spawn_with(priority: Priority, future: impl Future<Output = ()> + 'static) {
     let Some(handle) = current_handle() else { return };
-    handle.spawned.borrow_mut().push(Box::pin(future));
+    handle.spawned.borrow_mut().push(Spawned { future: Box::pin(future), priority });
 }
 
 /// Makes [`Reactor::run`] on this thread return after its current iteration.
