A leader that is behind leaves late jobs for later

Callers saw fewer and fewer jobs on time the longer the leader was short of processor time. It started late jobs as soon as workers were free, and each task of a late job costs it as much as one that can be on time.

A leader whose timer is 20 ms late places no tasks of jobs that cannot be on time and starts no copies, until it has caught up. Long-running tasks are never late.

Evidence: leader_that_is_behind_leaves_late_jobs_for_later.

--- a/src/sched/overload_tests.rs
+++ b/src/sched/overload_tests.rs
@@ -7,8 +7,11 @@
 use rand::{Rng, SeedableRng};
 
 use super::action::HoldPlan;
-use super::leader_fixtures::{add_hosts, answer_holds, entry_in, host, leader_with_workers, run, JOB, SECOND_US};
+use super::leader_fixtures::{
+    add_hosts, answer_holds, entry_in, host, leader_with_workers, long_step, run, JOB, SECOND_US,
+};
 use super::model::{JobId, JobPhase, JobSpec, PoolConfig, Queue, Step};
+use super::scheduler::Scheduler;
 use super::sim::{catalog, spec, step, Faults, Sim};
 
 const HOSTS: usize = 12;
@@ -210,3 +213,40 @@
     assert!(!moves.is_empty(), "hosts that no pool needs return");
     assert!(leader.host_moves.moves_left >= 10, "{} of 16 moves are left", leader.host_moves.moves_left);
 }
+
+/// A leader with one free worker, a job that cannot be on time, and one that can.
+fn leader_with_a_late_job() -> Scheduler {
+    let mut leader = leader_with_workers(1);
+    let accepted_unix_ms = 100_000;
+    let late = JobSpec { accepted_unix_ms: accepted_unix_ms - 3_000, ..spec(vec![step(1, &[])]) };
+    let on_time = JobSpec { accepted_unix_ms, ..spec(vec![step(1, &[])]) };
+    leader.submit(10 * SECOND_US, accepted_unix_ms, "late".into(), late);
+    leader.submit(10 * SECOND_US, accepted_unix_ms, "on-time".into(), on_time);
+    leader
+}
+
+#[test]
+fn leader_that_is_behind_leaves_late_jobs_for_later() {
+    let mut leader = leader_with_a_late_job();
+    leader.record_lag(100_000);
+    run(&mut leader, 10 * SECOND_US, 100);
+    let has_begun = |leader: &Scheduler, id: &str| leader.jobs[id].has_begun();
+    let while_behind = (has_begun(&leader, "late"), has_begun(&leader, "on-time"));
+
+    (0..40).for_each(|_| leader.record_lag(0));
+    run(&mut leader, 10_100_000, 300);
+
+    assert_eq!(while_behind, (false, true));
+    assert!(has_begun(&leader, "late"), "the late job is started once the leader has caught up");
+}
+
+#[test]
+fn leader_that_is_behind_places_long_running_tasks() {
+    let mut leader = leader_with_workers(1);
+    leader.submit(10 * SECOND_US, 0, JOB.into(), spec(vec![long_step(1, 2_000)]));
+    leader.record_lag(100_000);
+
+    run(&mut leader, 10 * SECOND_US, 100);
+
+    assert!(leader.jobs[JOB].has_begun());
+}
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -50,7 +50,12 @@
                 continue;
             }
             let queue = self.queue_of(job);
-            by_pool.entry(queue.pool.clone()).or_default().push(Urgency::of(now_us, job, queue.priority));
+            let urgency = Urgency::of(now_us, job, queue.priority);
+            if urgency.is_late() && self.is_behind() {
+                self.has_postponed_jobs = true;
+                continue;
+            }
+            by_pool.entry(queue.pool.clone()).or_default().push(urgency);
         }
         let considered_jobs = self.ready_jobs.len() - blocked.count + blocked.count / BLOCKED_JOBS_PER_READY_JOB;
         let interval_ms = MIN_ROUND_INTERVAL_MS + considered_jobs as u64 / READY_JOBS_PER_MS;
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -42,6 +42,8 @@
 const LEASE_EXPIRY_FACTOR: f64 = 1.03;
 /// Added to the time after which a lease has expired, for errors in reading workers' clocks.
 const LEASE_EXPIRY_MARGIN_MS: u64 = 300;
+/// A leader whose timer is late by this much has too little processor time.
+const BEHIND_LAG_MS: u64 = 20;
 /// Interval of the periodic work in [`Scheduler::tick`].
 const SWEEP_INTERVAL_MS: u64 = 100;
 
@@ -119,6 +121,8 @@
     /// Recurring jobs that have not reached a final phase.
     pub(super) recurring_jobs: BTreeSet<JobId>,
     next_sweep_us: u64,
+    /// Whether late jobs were left out of a placement round because the leader is behind.
+    pub(super) has_postponed_jobs: bool,
     /// By how much the leader is behind its own timer; falls slowly.
     pub(super) lag_ms: u64,
     /// When tasks on workers that are no longer known are searched for next.
@@ -173,6 +177,7 @@
             admission_reports: AdmissionReports::default(),
             recurring_jobs: BTreeSet::new(),
             next_sweep_us: 0,
+            has_postponed_jobs: false,
             lag_ms: 0,
             next_orphan_check_us: 0,
             worker_by_host: HashMap::default(),
@@ -429,6 +434,11 @@
         self.lag_ms = (late_us / US_PER_MS).max(self.lag_ms * 7 / 8);
     }
 
+    /// Whether the leader has too little processor time for all that it has to do.
+    pub(super) fn is_behind(&self) -> bool {
+        self.lag_ms >= BEHIND_LAG_MS
+    }
+
     /// Does the periodic work if it is due, then places tasks.
     pub(crate) fn tick(&mut self, now_us: u64, now_unix_ms: u64) {
         let is_sweep_due = now_us >= self.next_sweep_us;
@@ -443,9 +453,13 @@
             self.advance_waves(now_us);
             self.update_fleet_capacity();
             self.move_hosts(now_us);
+            if self.has_postponed_jobs && !self.is_behind() {
+                self.has_postponed_jobs = false;
+                self.wants_placement = true;
+            }
         }
         self.place(now_us);
-        if is_sweep_due {
+        if is_sweep_due && !self.is_behind() {
             self.start_copies(now_us);
         }
         self.stage_log.report_slowest(now_us);
