Limit the starts of a leader that is behind, and keep late jobs apart

Callers saw nearly all jobs late while the leader was short of processor time, although it ordered 2,800 starts a second: of 630 jobs sent in two seconds of a peak 57 were on time. Each start beyond what the leader can follow delays the notice of all ended runs, and a step of a job waits for the last of them.

A limit on starts per second falls while the leader is behind and rises again; the jobs that are given up for it are the widest, as in a pool without room. Jobs that cannot be on time and have not begun are kept apart by pool and ranked only where the others leave room, so a round does not grow with the backlog. Decisions about moves and rounds come less often while the leader is behind. A job's queue is looked up once, and empty bins of run times cost no logarithm.

The limit now has a floor by the highest rate kept up in time, and none applies to a leader that starts nothing.

Evidence: start_rate_tests.rs, work_counts_tests.rs.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -36,6 +36,7 @@
 mod placement;
 pub(crate) mod policies;
 mod progress;
+mod ready_jobs;
 mod rebalance;
 mod reconcile;
 pub(crate) mod record;
@@ -44,6 +45,7 @@
 pub(crate) mod scheduler;
 mod share;
 pub(crate) mod stages;
+mod start_rate;
 mod task_runs;
 mod tickets;
 mod unplaceable;
@@ -106,12 +108,16 @@
 #[cfg(test)]
 mod stages_tests;
 #[cfg(test)]
+mod start_rate_tests;
+#[cfg(test)]
 mod takeover_tests;
 #[cfg(test)]
 mod urgency_tests;
 #[cfg(test)]
 mod usage_tests;
 #[cfg(test)]
+mod work_counts_tests;
+#[cfg(test)]
 mod worker_loss_tests;
 #[cfg(test)]
 mod worker_speed_tests;
--- a/src/sched/candidate.rs
+++ b/src/sched/candidate.rs
@@ -11,6 +11,11 @@
 /// A worker that started less than this long ago is not the first choice for a task that may crash its worker.
 const NEW_WORKER_MS: u64 = 10_000;
 
+/// A round ends after this many consecutive steps for which no worker had capacity.
+const MAX_STEPS_WITHOUT_CAPACITY: u32 = 48;
+/// Maximum number of tasks placed in one round of a pool, to keep the round short. Tasks of gangs do not count.
+const MAX_PLACED_PER_ROUND: usize = 400;
+
 /// A worker considered in a placement round.
 #[derive(Debug, Clone)]
 pub(super) struct Candidate {
@@ -136,6 +141,8 @@
 /// Limits and findings of one placement round in one pool.
 #[derive(Debug)]
 pub(super) struct PlacementRound {
+    /// Workers that may get tasks.
+    pub(super) workers: Vec<Candidate>,
     /// Tasks that may still be placed in this round, not counting those of gangs.
     pub(super) placements_left: usize,
     /// Resource needs for which no worker had capacity. Needs that exceed others in this list are left out.
@@ -145,13 +152,28 @@
 }
 
 impl PlacementRound {
+    /// A round in which at most `max_starts` tasks are placed.
+    pub(super) fn new(workers: Vec<Candidate>, max_starts: usize) -> PlacementRound {
+        PlacementRound {
+            workers,
+            placements_left: max_starts.min(MAX_PLACED_PER_ROUND),
+            unplaceable_needs: Vec::new(),
+            steps_without_capacity: 0,
+        }
+    }
+
+    /// Whether no further tasks are placed in this round.
+    pub(super) fn is_over(&self) -> bool {
+        self.placements_left == 0 || self.steps_without_capacity >= MAX_STEPS_WITHOUT_CAPACITY
+    }
+
     /// Whether a worker may have capacity: no equal or smaller needs have failed in this round.
     pub(super) fn may_fit(&self, needs: &Resources) -> bool {
         !self.unplaceable_needs.iter().any(|failed| failed.fits_in(needs))
     }
 
     pub(super) fn record_placed(&mut self) {
-        self.placements_left -= 1;
+        self.placements_left = self.placements_left.saturating_sub(1);
         self.steps_without_capacity = 0;
     }
 
--- a/src/sched/copies.rs
+++ b/src/sched/copies.rs
@@ -97,9 +97,9 @@
         if pools.is_empty() {
             return;
         }
-        for id in &self.ready_jobs {
+        for id in self.ready_jobs.iter() {
             if let Some(job) = self.jobs.get(id) {
-                pools.remove(&self.queue_of(job).pool);
+                pools.remove(&job.queue.pool);
             }
         }
         for (pool, copies) in pools {
@@ -144,7 +144,7 @@
     ) -> Option<(Arc<str>, CopyForecast)> {
         let RunPhase::Running { since_us } = placed.phase else { return None };
         let job = self.jobs.get(&task_ref.job)?;
-        let queue = self.queue_of(job);
+        let queue = &job.queue;
         // The failure of a copy must not use up the last attempt while the other run may still complete.
         // A copy of a task that may have crashed a worker could crash another one.
         if !task.losses.is_empty()
@@ -226,7 +226,7 @@
             return None;
         }
         set_siblings(&mut trial, &self.siblings_per_worker(task_ref, step));
-        if self.queue_of(job).advice.is_some() {
+        if job.queue.advice.is_some() {
             let index = task_ref.step as usize;
             let allowed = self.workers_with_ticket(now_us, &task_ref.job, task_ref.occurrence, index, &trial);
             trial.iter_mut().for_each(|worker| worker.is_allowed = allowed.contains(&worker.id));
--- a/src/sched/demand.rs
+++ b/src/sched/demand.rs
@@ -49,7 +49,7 @@
         }
         let mut quotas = self.quota_budget();
         for job in self.ready_jobs_on_time_first() {
-            let queue = self.queue_of(job);
+            let queue = &job.queue;
             let Some(balance) = balances.get_mut(&queue.pool) else { continue };
             if self.host_moves.on_time_jobs.contains(&job.id) {
                 balance.present_demand += waiting_cpu_milli(job, &mut quotas);
@@ -171,7 +171,7 @@
     fn update_on_time_jobs(&mut self, now_us: u64) {
         let mut jobs = HashSet::default();
         let placed = self.workers.values().flat_map(|worker| worker.tasks.iter().map(|task_ref| &task_ref.job));
-        for id in placed.chain(&self.ready_jobs) {
+        for id in placed.chain(self.ready_jobs.iter()) {
             if jobs.contains(id) {
                 continue;
             }
--- a/src/sched/dirty_jobs.rs
+++ b/src/sched/dirty_jobs.rs
@@ -71,8 +71,4 @@
     pub(super) fn is_empty(&self) -> bool {
         self.turns.is_empty()
     }
-
-    pub(super) fn len(&self) -> usize {
-        self.turns.len()
-    }
 }
--- a/src/sched/explain.rs
+++ b/src/sched/explain.rs
@@ -78,9 +78,9 @@
     /// Logs why the most urgent waiting jobs of a pool wait: the long-running ones, otherwise one.
     pub(super) fn log_wait_causes(&self, now_us: u64, pool: &str) {
         let mut waiting: Vec<(DeadlineForecast, &Job)> = Vec::new();
-        for id in &self.ready_jobs {
+        for id in self.ready_jobs.iter() {
             let Some(job) = self.jobs.get(id) else { continue };
-            if &*self.queue_of(job).pool != pool {
+            if &*job.queue.pool != pool {
                 continue;
             }
             waiting.push((job.deadline_forecast(now_us), job));
@@ -114,7 +114,7 @@
             !self.usage.of(name).has_headroom(&organisation.cap, &step.needs, step.started_together())
         });
         let in_pool = self.ready_jobs.iter().filter_map(|id| self.jobs.get(id));
-        let in_pool = in_pool.filter(|job| &*self.queue_of(job).pool == pool);
+        let in_pool = in_pool.filter(|job| &*job.queue.pool == pool);
         let level = self.fair_level(in_pool.map(|job| (job.share_class, job.spec.organisation.as_ref())));
         let share = match job.share_class {
             ShareClass::BeyondRate => ShareCause::BeyondRate,
--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -20,6 +20,10 @@
 pub(super) const LEADER_CHANGE_MARGIN_MS: u64 = 1_000;
 /// Interval between decisions about moves.
 const DECISION_INTERVAL_MS: u64 = 100;
+/// Decisions about moves wait longer by this multiple of the time by which the leader is behind, up to
+/// [`MAX_DECISION_BACKOFF_MS`]: each goes over all workers and their tasks.
+const DECISION_BACKOFF_PER_LAG: u64 = 4;
+const MAX_DECISION_BACKOFF_MS: u64 = 300;
 /// How long a host that its pool does not need must be idle before it moves to the spare pool.
 const IDLE_BEFORE_SPARE_MS: u64 = 3_000;
 /// Share of the provider's order rate that moves may use; the rest is left for maintenance and retries.
@@ -175,7 +179,8 @@
         if now_us < self.host_moves.next_decision_us {
             return;
         }
-        self.host_moves.next_decision_us = now_us + DECISION_INTERVAL_MS * US_PER_MS;
+        let interval_ms = DECISION_INTERVAL_MS + (DECISION_BACKOFF_PER_LAG * self.lag_ms).min(MAX_DECISION_BACKOFF_MS);
+        self.host_moves.next_decision_us = now_us + interval_ms * US_PER_MS;
         let balances = self.pool_balances(now_us);
         self.report_pools(now_us, &balances);
         if !self.may_order_hosts(now_us) {
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::critical_path::{critical_paths_ms, MeasuredRunTimes};
-use super::model::{JobId, JobPhase, JobSpec, TaskRef};
+use super::model::{JobId, JobPhase, JobSpec, Queue, TaskRef};
 use super::stages::TaskStages;
 use super::task_runs::{RunReport, TaskCopy};
 use super::worker_loss::WorkerLoss;
@@ -215,6 +215,8 @@
 pub(crate) struct Job {
     pub(crate) id: JobId,
     pub(crate) spec: Arc<JobSpec>,
+    /// The queue as configured now, or as configured when the job was accepted if it no longer exists.
+    pub(crate) queue: Arc<Queue>,
     pub(crate) phase: JobPhase,
     pub(crate) occurrences: BTreeMap<u32, Occurrence>,
     /// Number of the next occurrence to begin.
@@ -253,6 +255,7 @@
             id,
             critical_paths_ms: critical_paths_ms(&spec.steps, |_| None),
             deadline_rules: DeadlineRules::default(),
+            queue: spec.queue.clone(),
             spec,
             phase: JobPhase::Queued,
             occurrences: BTreeMap::new(),
@@ -462,6 +465,13 @@
         DeadlineForecast::Expired { deadline_us: self.deadline_us }
     }
 
+    /// Number of tasks that have not started.
+    pub(super) fn waiting_tasks(&self) -> u64 {
+        let steps = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+        let tasks = steps.flat_map(|step| &step.tasks);
+        tasks.filter(|task| task.state == TaskState::Waiting).count() as u64
+    }
+
     /// Work of the tasks that have not started, by their estimates, in thousandths of a core times milliseconds.
     pub(super) fn waiting_work(&self) -> u64 {
         let mut work: u64 = 0;
--- a/src/sched/labels.rs
+++ b/src/sched/labels.rs
@@ -47,7 +47,7 @@
         let mut balances = LabelBalances::new();
         let mut quotas = self.quota_budget();
         for job in self.ready_jobs_on_time_first() {
-            let queue = self.queue_of(job);
+            let queue = &job.queue;
             let is_on_time = self.host_moves.on_time_jobs.contains(&job.id);
             for (number, occurrence) in &job.occurrences {
                 for (index, state) in occurrence.steps.iter().enumerate() {
--- a/src/sched/operator_views.rs
+++ b/src/sched/operator_views.rs
@@ -23,7 +23,7 @@
             id: job.id.clone(),
             phase: phase_name(job.phase).to_owned(),
             queue: job.spec.queue.name.clone(),
-            pool: self.queue_of(job).pool.clone(),
+            pool: job.queue.pool.clone(),
             organisation: job.spec.organisation.clone(),
             share_class: share_class_view(job.share_class),
             deadline_in_ms: (job.deadline_us as i64 - now_us as i64) / US_PER_MS as i64,
@@ -38,7 +38,7 @@
         }
         let (task_ref, waiting) = first_waiting(job)?;
         let step = &job.spec.steps[task_ref.step as usize];
-        let pool = self.queue_of(job).pool.clone();
+        let pool = job.queue.pool.clone();
         let causes = self.wait_causes(now_us, &pool, &task_ref, step);
         Some(WaitView {
             occurrence: task_ref.occurrence,
@@ -53,7 +53,7 @@
             without_capacity: causes.without_capacity,
             beyond_quota: causes.organisation.is_some_and(|causes| causes.is_quota_exhausted),
             above_share: causes.organisation.is_some_and(|causes| causes.share == ShareCause::AboveShare),
-            explanation: explanation(&self.queue_of(job), job, step, &causes),
+            explanation: explanation(&job.queue, job, step, &causes),
         })
     }
 
@@ -111,7 +111,7 @@
         }
         let mut quotas = self.quota_budget();
         for job in self.ready_jobs_on_time_first() {
-            let Some(view) = views.get_mut(&self.queue_of(job).pool) else { continue };
+            let Some(view) = views.get_mut(&job.queue.pool) else { continue };
             view.demand_milli += waiting_cpu_milli(job, &mut quotas);
         }
         Listing::of(views.into_values())
--- a/src/sched/overload.rs
+++ b/src/sched/overload.rs
@@ -17,10 +17,10 @@
 use foldhash::HashMap;
 
 use super::candidate::Candidate;
-use super::job::DeadlineForecast;
+use super::job::{DeadlineForecast, Job};
 use super::scheduler::Scheduler;
 use super::urgency::{Rank, Urgency};
-use crate::clock::US_PER_MS;
+use crate::clock::{MS_PER_S, US_PER_MS};
 
 /// Which jobs that have not begun are placed first where not all can be on time.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -178,6 +178,24 @@
         }
     }
 
+    /// Marks those of a pool's waiting jobs as late that are given up because the leader can start only so many tasks a
+    /// second.
+    pub(super) fn give_up_beyond_rate(&self, now_us: u64, starts_per_s: f64, jobs: &mut [Urgency]) {
+        let mut due = self.due_jobs(jobs, 0.0);
+        for (work, index) in due.work.iter_mut().zip(&due.indices) {
+            work.work = self.jobs.get(&jobs[*index].id).map_or(0, Job::waiting_tasks);
+        }
+        let capacity = PoolCapacity {
+            now_us,
+            present_milli: starts_per_s / MS_PER_S as f64,
+            incoming_milli: 0.0,
+            incoming_from_us: now_us,
+        };
+        for given_up in jobs_to_give_up(&capacity, 0.0, &due.loads, &due.work) {
+            jobs[due.indices[given_up]].mark_late();
+        }
+    }
+
     /// Capacity of a pool without what long-running tasks hold.
     pub(super) fn pool_capacity(&self, now_us: u64, pool: &str, workers: &[Candidate]) -> PoolCapacity {
         let present = workers.iter().map(|worker| worker.capacity_excluding_long_running.cpu_milli);
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -1,5 +1,6 @@
 //! Decides which task starts next, and on which worker.
 
+use std::collections::btree_map::Entry;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -22,16 +23,23 @@
 const MIN_ROUND_INTERVAL_MS: u64 = 8;
 /// The interval between rounds grows by 1 ms per this many ready jobs.
 const READY_JOBS_PER_MS: u64 = 16;
+/// Rounds of a leader that is behind come later by as much as it is behind, up to this.
+const MAX_ROUND_BACKOFF_MS: u64 = 40;
 /// A job that its quota blocks is only looked up, which costs a small part of considering it.
 const BLOCKED_JOBS_PER_READY_JOB: usize = 16;
-/// A round ends after this many consecutive steps for which no worker had capacity.
-const MAX_STEPS_WITHOUT_CAPACITY: u32 = 48;
-/// Maximum number of tasks placed in one round of a pool, to keep the round short. Tasks of gangs do not count.
-const MAX_PLACED_PER_ROUND: usize = 400;
 /// Share of a pool's workers that may get work last because they are slow. If more of them look slow, the comparison is
 /// at fault rather than the workers.
 const MAX_SLOW_SHARE: f64 = 0.2;
 
+/// Jobs to place in a round, by pool.
+#[derive(Debug, Default)]
+struct Ranking {
+    by_pool: BTreeMap<Arc<str>, Vec<Urgency>>,
+    blocked: BlockedJobs,
+    /// Number of jobs whose urgency was determined.
+    ranked_count: usize,
+}
+
 impl Scheduler {
     /// Runs a placement round if one is wanted and due.
     pub(super) fn place(&mut self, now_us: u64) {
@@ -40,58 +48,124 @@
         }
         self.wants_placement = false;
         self.work_counts.add(Work::Rounds, 1);
-        self.work_counts.add(Work::JobsRanked, self.ready_jobs.len());
-        let mut by_pool: BTreeMap<Arc<str>, Vec<Urgency>> = BTreeMap::new();
-        let mut blocked = BlockedJobs::default();
-        for id in &self.ready_jobs {
+        let Ranking { by_pool, blocked, mut ranked_count } = self.rank_jobs(now_us);
+        self.log_blocked(now_us, &blocked);
+        let mut rounds: BTreeMap<Arc<str>, PlacementRound> = BTreeMap::new();
+        let pool_count = by_pool.len();
+        for (index, (pool, jobs)) in by_pool.into_iter().enumerate() {
+            let max_starts = self.max_starts(now_us, pool_count - index);
+            let mut round = PlacementRound::new(self.candidates(now_us, &pool), max_starts);
+            self.place_in_pool(now_us, &pool, jobs, &mut round);
+            rounds.insert(pool, round);
+        }
+        ranked_count += self.place_late_jobs(now_us, &mut rounds);
+        for (pool, round) in rounds {
+            if round.workers.is_empty() {
+                continue;
+            }
+            match round.unplaceable_needs.is_empty() {
+                true => self.pools_without_room.remove(&pool),
+                false => self.pools_without_room.insert(pool),
+            };
+        }
+        let considered_jobs = ranked_count + blocked.count / BLOCKED_JOBS_PER_READY_JOB;
+        let backoff_ms = self.lag_ms.min(MAX_ROUND_BACKOFF_MS);
+        let interval_ms = MIN_ROUND_INTERVAL_MS + considered_jobs as u64 / READY_JOBS_PER_MS + backoff_ms;
+        self.next_placement_us = now_us + interval_ms * US_PER_MS;
+    }
+
+    /// The urgency of all jobs that have begun or can be on time; the others are set aside.
+    fn rank_jobs(&mut self, now_us: u64) -> Ranking {
+        let mut ranking = Ranking::default();
+        let mut late: Vec<(JobId, Arc<str>)> = Vec::new();
+        // With organisations, late jobs come before on-time ones of organisations beyond their rate.
+        let may_set_aside = self.catalog.organisations.is_empty();
+        for id in self.ready_jobs.considered() {
             let Some(job) = self.jobs.get(id) else { continue };
             if let Some(organisation) = self.organisation_that_blocks(job) {
-                blocked.record(&organisation.name, id);
+                ranking.blocked.record(&organisation.name, id);
+                continue;
+            }
+            ranking.ranked_count += 1;
+            let urgency = Urgency::of(now_us, job, job.queue.priority);
+            let pool = &job.queue.pool;
+            if urgency.is_late() && may_set_aside && !job.is_recurring() && !job.has_begun() {
+                late.push((id.clone(), pool.clone()));
                 continue;
             }
-            let queue = self.queue_of(job);
-            let urgency = Urgency::of(now_us, job, queue.priority);
             if urgency.is_late() && self.is_behind() {
                 self.has_postponed_jobs = true;
                 continue;
             }
-            by_pool.entry(queue.pool.clone()).or_default().push(urgency);
+            match ranking.by_pool.get_mut(pool) {
+                Some(jobs) => jobs.push(urgency),
+                None => drop(ranking.by_pool.insert(pool.clone(), vec![urgency])),
+            }
         }
-        let considered_jobs = self.ready_jobs.len() - blocked.count + blocked.count / BLOCKED_JOBS_PER_READY_JOB;
-        let interval_ms = MIN_ROUND_INTERVAL_MS + considered_jobs as u64 / READY_JOBS_PER_MS;
-        self.next_placement_us = now_us + interval_ms * US_PER_MS;
-        self.log_blocked(now_us, &blocked);
-        for (pool, mut jobs) in by_pool {
-            let mut workers = self.candidates(now_us, &pool);
-            if workers.is_empty() {
+        for (id, pool) in late {
+            self.ready_jobs.set_late(&id, &pool);
+        }
+        self.work_counts.add(Work::JobsRanked, ranking.ranked_count);
+        ranking
+    }
+
+    /// Places the jobs that were set aside, in pools where the others have left room. Returns their number.
+    fn place_late_jobs(&mut self, now_us: u64, rounds: &mut BTreeMap<Arc<str>, PlacementRound>) -> usize {
+        let pools = self.ready_jobs.pools_with_late();
+        if self.is_behind() {
+            self.has_postponed_jobs |= !pools.is_empty();
+            return 0;
+        }
+        let mut ranked_count = 0;
+        for pool in pools {
+            let round = match rounds.entry(pool.clone()) {
+                Entry::Occupied(entry) => entry.into_mut(),
+                Entry::Vacant(entry) => {
+                    let max_starts = self.max_starts(now_us, 1);
+                    entry.insert(PlacementRound::new(self.candidates(now_us, &pool), max_starts))
+                }
+            };
+            if round.is_over() || round.workers.is_empty() {
                 continue;
             }
-            // The order matters only where some tasks find no worker.
-            if self.pools_without_room.contains(&pool) {
-                self.give_up_late_jobs(now_us, &pool, &workers, &mut jobs);
-            }
-            let level = self.fair_level(jobs.iter().map(|job| (job.share_class, job.organisation.as_ref())));
-            let mut order = FairOrder::new(jobs, level, self.settings.policies.late_jobs);
-            let mut round = PlacementRound {
-                placements_left: MAX_PLACED_PER_ROUND,
-                unplaceable_needs: Vec::new(),
-                steps_without_capacity: 0,
-            };
-            while let Some(urgency) = order.next(|organisation| self.weighted_share(organisation)) {
-                self.place_job(now_us, &urgency.id, &mut workers, &mut round);
-                if round.steps_without_capacity >= MAX_STEPS_WITHOUT_CAPACITY {
-                    break;
-                }
-                if round.placements_left == 0 {
-                    self.wants_placement = true;
-                    break;
-                }
+            let jobs = self.ready_jobs.late_in(&pool).filter_map(|id| self.jobs.get(id));
+            let jobs: Vec<Urgency> = jobs.map(|job| Urgency::of(now_us, job, job.queue.priority)).collect();
+            ranked_count += jobs.len();
+            self.place_in_pool(now_us, &pool, jobs, round);
+        }
+        self.work_counts.add(Work::JobsRanked, ranked_count);
+        ranked_count
+    }
+
+    /// Number of tasks that may start in the next of `pools_left` pools.
+    fn max_starts(&mut self, now_us: u64, pools_left: usize) -> usize {
+        let allowance = self.start_rate.allowance(now_us);
+        allowance.map_or(usize::MAX, |allowance| allowance.div_ceil(pools_left.max(1)))
+    }
+
+    /// Places jobs of one pool until no worker has room.
+    fn place_in_pool(&mut self, now_us: u64, pool: &str, mut jobs: Vec<Urgency>, round: &mut PlacementRound) {
+        if round.workers.is_empty() {
+            return;
+        }
+        // The order matters only where some tasks find no worker.
+        if self.pools_without_room.contains(pool) {
+            self.give_up_late_jobs(now_us, pool, &round.workers, &mut jobs);
+        }
+        if let Some(starts_per_s) = self.start_rate.limit_per_s() {
+            self.give_up_beyond_rate(now_us, starts_per_s, &mut jobs);
+        }
+        let level = self.fair_level(jobs.iter().map(|job| (job.share_class, job.organisation.as_ref())));
+        let mut order = FairOrder::new(jobs, level, self.settings.policies.late_jobs);
+        let mut workers = std::mem::take(&mut round.workers);
+        while let Some(urgency) = order.next(|organisation| self.weighted_share(organisation)) {
+            self.place_job(now_us, &urgency.id, &mut workers, round);
+            if round.is_over() {
+                self.wants_placement |= round.placements_left == 0;
+                break;
             }
-            match round.unplaceable_needs.is_empty() {
-                true => self.pools_without_room.remove(&pool),
-                false => self.pools_without_room.insert(pool),
-            };
         }
+        round.workers = workers;
     }
 
     /// Workers of a pool that may get new tasks.
@@ -130,7 +204,7 @@
     fn place_job(&mut self, now_us: u64, id: &JobId, workers: &mut [Candidate], round: &mut PlacementRound) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
-        let needs_advice = self.queue_of(job).advice.is_some();
+        let needs_advice = job.queue.advice.is_some();
         let organisation = self.organisation_of(job).cloned();
         let (mut is_quota_exhausted, mut has_tried) = (false, false);
         let numbers: Vec<u32> = job.occurrences.keys().copied().collect();
@@ -203,7 +277,9 @@
             set_siblings(workers, &self.siblings_per_worker(&waiting[0], step));
         }
         for task_ref in waiting {
-            if round.placements_left == 0 || !self.may_start_within_quota(now_us, organisation, task_ref, step) {
+            if (round.placements_left == 0 && !step.long_running)
+                || !self.may_start_within_quota(now_us, organisation, task_ref, step)
+            {
                 break;
             }
             let Some(index) = self.choose(now_us, task_ref, step, workers) else {
@@ -226,6 +302,7 @@
             let run =
                 self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)).map_or(1, |task| task.last_run + 1);
             self.assign(now_us, task_ref, &worker, run);
+            self.start_rate.record_start();
             round.record_placed();
             chosen.push(worker);
         }
@@ -364,6 +441,7 @@
             task_ref.step,
             task_ref.index
         );
+        self.ready_jobs.set_begun(&task_ref.job);
         self.queue_start(task_ref, run);
     }
 }
--- a/src/sched/progress.rs
+++ b/src/sched/progress.rs
@@ -39,7 +39,7 @@
         }
         if is_ready {
             self.wants_placement = true;
-            self.ready_jobs.insert(id.clone());
+            self.ready_jobs.insert(id);
         } else {
             self.ready_jobs.remove(id);
         }
@@ -58,7 +58,7 @@
             has_begun = true;
         }
         if has_begun {
-            let queue = self.queue_of(&self.jobs[id]);
+            let queue = self.jobs[id].queue.clone();
             if let Some(job) = self.jobs.get_mut(id) {
                 job.set_begun(now_us);
                 job.set_deadline(now_us, queue.stretch, queue.target_latency_ms);
@@ -273,7 +273,7 @@
 
     fn task_failed(&mut self, now_us: u64, worker: &Arc<str>, task_ref: &TaskRef, is_current: bool) {
         let Some(job) = self.jobs.get(&task_ref.job) else { return };
-        let max_attempts = self.queue_of(job).max_attempts;
+        let max_attempts = job.queue.max_attempts;
         let long_running = job.spec.steps[task_ref.step as usize].long_running;
         let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
         task.failures += 1;
--- a/src/sched/run_times.rs
+++ b/src/sched/run_times.rs
@@ -186,8 +186,11 @@
     fn runs_beyond(&self, least: f64) -> (f64, f64) {
         let (mut weight_beyond, mut sum) = (0.0, 0.0);
         for (bin, weight) in self.bins.iter().enumerate() {
+            if *weight <= 0.0 {
+                continue;
+            }
             let (lower, upper) = (lower_bound(bin), upper_bound(bin));
-            if *weight <= 0.0 || upper <= least {
+            if upper <= least {
                 continue;
             }
             let from = lower.max(least);
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -17,10 +17,12 @@
 use super::model::{Catalog, HostRecord, JobId, JobPhase, JobSpec, Queue, ReportedPhase, Resources, Step, TaskRef};
 use super::organisation_counts::OrganisationCounts;
 use super::policies::Policies;
+use super::ready_jobs::ReadyJobs;
 use super::record::{restore_job, RecordError};
 use super::run_times::RunTimes;
 use super::share::ArrivalRates;
 use super::stages::{Stage, StageLog};
+use super::start_rate::StartRate;
 use super::usage::Usage;
 use super::waves::Waves;
 use super::work_counts::WorkCounts;
@@ -72,8 +74,7 @@
     pub(super) workers: BTreeMap<Arc<str>, Worker>,
     pub(super) hosts: BTreeMap<Arc<str>, HostRecord>,
     pub(super) actions: Vec<Action>,
-    /// Jobs with waiting tasks whose dependencies have completed.
-    pub(super) ready_jobs: BTreeSet<JobId>,
+    pub(super) ready_jobs: ReadyJobs,
     /// Jobs whose cancellation arrived before their submission.
     pub(super) cancelled_before_submit: HashSet<JobId>,
     /// Jobs whose records must be stored again.
@@ -123,6 +124,7 @@
     next_sweep_us: u64,
     /// Whether late jobs were left out of a placement round because the leader is behind.
     pub(super) has_postponed_jobs: bool,
+    pub(super) start_rate: StartRate,
     /// By how much the leader is behind its own timer; falls slowly.
     pub(super) lag_ms: u64,
     /// When tasks on workers that are no longer known are searched for next.
@@ -157,7 +159,7 @@
             workers: BTreeMap::new(),
             hosts: BTreeMap::new(),
             actions: Vec::new(),
-            ready_jobs: BTreeSet::new(),
+            ready_jobs: ReadyJobs::default(),
             cancelled_before_submit: HashSet::default(),
             dirty_jobs: DirtyJobs::default(),
             unacknowledged_workers: BTreeSet::new(),
@@ -178,6 +180,7 @@
             recurring_jobs: BTreeSet::new(),
             next_sweep_us: 0,
             has_postponed_jobs: false,
+            start_rate: StartRate::default(),
             lag_ms: 0,
             next_orphan_check_us: 0,
             worker_by_host: HashMap::default(),
@@ -202,14 +205,19 @@
         }
         self.retain_organisation_counts(&catalog);
         self.catalog = catalog;
+        for job in self.jobs.values_mut() {
+            job.queue = configured_queue(&self.catalog, &job.spec);
+        }
+        self.ready_jobs.reconsider_all();
         self.arrival_rates.retain(&self.catalog.organisations);
         self.usage.retain_log_times(&self.catalog.organisations);
         self.wants_placement = true;
     }
 
-    /// A job's queue as configured now, or as configured when the job was accepted if the queue no longer exists.
-    pub(super) fn queue_of(&self, job: &Job) -> Arc<Queue> {
-        self.catalog.queue(&job.spec.queue.name).unwrap_or(&job.spec.queue).clone()
+    fn new_job(&self, id: JobId, spec: JobSpec) -> Job {
+        let mut job = Job::new(id, Arc::new(spec));
+        job.queue = configured_queue(&self.catalog, &job.spec);
+        job
     }
 
     pub(super) fn step_of(&self, task_ref: &TaskRef) -> Option<&Step> {
@@ -231,7 +239,7 @@
         }
         let Some(record) = record else {
             if !self.has_job(&id) {
-                let job = Job::new(id, Arc::new(spec));
+                let job = self.new_job(id, spec);
                 match job.spec.organisation {
                     Some(_) => self.classify_later(&job),
                     None => self.record_arrival(now_us, now_unix_ms, &job),
@@ -240,7 +248,7 @@
             }
             return Ok(());
         };
-        let mut job = Job::new(id.clone(), Arc::new(spec));
+        let mut job = self.new_job(id.clone(), spec);
         restore_job(&mut job, record)?;
         job.set_begun(now_us);
         self.set_deadline(now_us, now_unix_ms, &mut job);
@@ -262,7 +270,7 @@
         if self.has_job(&id) {
             return;
         }
-        let mut job = Job::new(id, Arc::new(spec));
+        let mut job = self.new_job(id, spec);
         job.share_class = self.classify_arrival(now_unix_ms, &job);
         if job.share_class == ShareClass::WithinRate {
             self.record_arrival(now_us, now_unix_ms, &job);
@@ -305,13 +313,13 @@
         if self.is_quota_exhausted(job) {
             return;
         }
-        let pool = self.queue_of(job).pool.clone();
+        let pool = job.queue.clone().pool.clone();
         let ratio = self.run_times.average_ratio(&job.spec.queue.name);
         self.forecast.record_arrival(accepted_us(now_us, now_unix_ms, job), &pool, job, ratio);
     }
 
     fn set_deadline(&self, now_us: u64, now_unix_ms: u64, job: &mut Job) {
-        let queue = self.queue_of(job);
+        let queue = job.queue.clone();
         job.set_deadline(accepted_us(now_us, now_unix_ms, job), queue.stretch, queue.target_latency_ms);
     }
 
@@ -444,6 +452,7 @@
         let is_sweep_due = now_us >= self.next_sweep_us;
         if is_sweep_due {
             self.next_sweep_us = now_us + SWEEP_INTERVAL_MS * US_PER_MS;
+            self.start_rate.adjust(now_us, self.is_behind());
             self.begin_all_due_occurrences(now_us, now_unix_ms);
             self.expire_leases(now_us);
             self.expire_untracked_usage(now_us);
@@ -485,6 +494,11 @@
     }
 }
 
+/// A job's queue as configured now, or as configured when the job was accepted if the queue no longer exists.
+fn configured_queue(catalog: &Catalog, spec: &JobSpec) -> Arc<Queue> {
+    catalog.queue(&spec.queue.name).unwrap_or(&spec.queue).clone()
+}
+
 /// When a job was accepted, in this process's monotonic time.
 fn accepted_us(now_us: u64, now_unix_ms: u64, job: &Job) -> u64 {
     /// Upper bound on the age, in case the clock of the daemon that accepted the job is wrong.
--- a/src/sched/tickets.rs
+++ b/src/sched/tickets.rs
@@ -65,7 +65,7 @@
         answer: Option<&Advice>,
     ) {
         let (id, number, step) = step;
-        let valid_ms = self.jobs.get(id).and_then(|job| self.queue_of(job).advice).map_or(0, |advice| advice.valid_ms);
+        let valid_ms = self.jobs.get(id).and_then(|job| job.queue.advice).map_or(0, |advice| advice.valid_ms);
         let Some(occurrence) = self.jobs.get_mut(id).and_then(|job| job.occurrences.get_mut(&number)) else { return };
         let advice = &mut occurrence.steps[step as usize].advice;
         advice.is_requested = false;
--- a/src/sched/unplaceable.rs
+++ b/src/sched/unplaceable.rs
@@ -66,12 +66,12 @@
         let mut pools = self.pool_candidates(now_us);
         let mut quotas = self.quota_budget();
         let mut found = Vec::new();
-        for id in &self.ready_jobs {
+        for id in self.ready_jobs.iter() {
             let Some(job) = self.jobs.get(id) else { continue };
             if !self.host_moves.on_time_jobs.contains(id) {
                 continue;
             }
-            let pool = self.queue_of(job).pool.clone();
+            let pool = job.queue.pool.clone();
             // Hosts cannot move to a pool that is not configured any more.
             let Some(candidates) = pools.get_mut(&pool) else { continue };
             for waiting_step in self.waiting_steps(job, &mut quotas) {
@@ -98,7 +98,7 @@
     fn add_leaving_tasks(&self, pools: &mut PoolCandidates, found: &mut Vec<UnplaceableTasks>) {
         for (first, count) in self.steps_on_drained_hosts() {
             let Some(job) = self.jobs.get(&first.job) else { continue };
-            let pool = self.queue_of(job).pool.clone();
+            let pool = job.queue.pool.clone();
             let Some(candidates) = pools.get_mut(&pool) else { continue };
             let (spec, step_index) = (job.spec.clone(), first.step as usize);
             let step = &spec.steps[step_index];
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -321,7 +321,7 @@
     /// long-running.
     fn has_replacement_worker(&self, now_us: u64, task_ref: &TaskRef, step: &Step) -> bool {
         let Some(job) = self.jobs.get(&task_ref.job) else { return true };
-        let pool = &self.queue_of(job).pool;
+        let pool = &job.queue.pool;
         let siblings = self.siblings_per_worker(task_ref, step);
         self.candidates(now_us, pool).iter().any(|worker| {
             let siblings = siblings.get(&worker.id).copied().unwrap_or(0);
