--- a/src/lab.rs
+++ b/src/lab.rs
@@ -7,6 +7,7 @@
 mod arrivals;
 mod chart;
 mod comparison;
+mod leader_work;
 mod outcome;
 mod player;
 mod policy;
@@ -18,6 +19,7 @@
 
 pub use chart::draw;
 pub use comparison::{compare, play_seeds, Comparison, Difference};
+pub use leader_work::{leader_work, LeaderLoad, LeaderWork};
 pub use outcome::{FleetOutcome, Outcome, QueueOutcome, Sample};
 pub use player::play;
 pub use policy::{PolicyError, PolicySet};
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -479,6 +479,12 @@
         self.place(now_us);
     }
 
+    /// Asks for a placement round, as an event does that may let a task start.
+    #[cfg(any(test, feature = "lab"))]
+    pub(crate) fn request_placement(&mut self) {
+        self.wants_placement = true;
+    }
+
     /// What the scheduler has looked at so far.
     pub(crate) fn work_counts(&self) -> &WorkCounts {
         &self.work_counts
--- a/src/sched/sim/fixtures.rs
+++ b/src/sched/sim/fixtures.rs
@@ -8,7 +8,7 @@
 use super::super::scheduler::SchedSettings;
 use super::{MAX_ATTEMPTS, START_UNIX_MS};
 
-pub(in crate::sched) fn settings() -> SchedSettings {
+pub(crate) fn settings() -> SchedSettings {
     SchedSettings {
         max_lease_ms: 10_000,
         stop_grace_ms: 200,
@@ -35,7 +35,7 @@
     })
 }
 
-pub(in crate::sched) fn catalog() -> Arc<Catalog> {
+pub(crate) fn catalog() -> Arc<Catalog> {
     let pools = vec![PoolConfig { name: "press".into(), spare: false }];
     Arc::new(Catalog { version: 1, queues: vec![queue()], pools, organisations: Organisations::default() })
 }
@@ -75,7 +75,7 @@
     }
 }
 
-pub(in crate::sched) fn worker_entry(number: usize, started_unix_ms: u64) -> WorkerEntry {
+pub(crate) fn worker_entry(number: usize, started_unix_ms: u64) -> WorkerEntry {
     WorkerEntry {
         id: format!("w{number}").into(),
         address: ([10, 0, 0, 1], 1_000 + number as u16).into(),
--- a/src/sched/work_counts_tests.rs
+++ b/src/sched/work_counts_tests.rs
@@ -29,7 +29,7 @@
 fn work_of_ten_steps(mut leader: Scheduler) -> WorkCounts {
     let before = leader.work_counts().clone();
     for step in 0..10 {
-        leader.wants_placement = true;
+        leader.request_placement();
         run(&mut leader, 10_500_000 + step * 100_000, 100);
     }
     leader.work_counts().since(&before)
