--- a/src/sched.rs
+++ b/src/sched.rs
@@ -19,6 +19,7 @@
 mod explain;
 pub(crate) mod fair_order;
 pub(crate) mod forecast;
+mod gangs;
 mod host_moves;
 pub(crate) mod host_orders;
 mod host_workers;
