Log why runs are stopped, and on what evidence they are released

Of a task with two runs at once the logs could not tell why the first was ordered to stop, what released it before its end was listed, how old the deciding list was, and which incarnation of the worker had taken its start order.

Each stop order and each release without a listed end now has one line with reason or evidence, phase and age of the list; counters by reason and evidence.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -27,6 +27,8 @@
 use crate::sched::model::{Catalog, WaveOrder};
 use crate::sched::policies::Policies;
 use crate::sched::record::{decode_hosts, decode_spec};
+use crate::sched::run_end::RunOver;
+use crate::sched::run_stops::StopReason;
 use crate::sched::scheduler::{SchedSettings, Scheduler};
 use crate::sched::worker_loss::{LossCause, LossCounts};
 
@@ -362,6 +364,7 @@
         record_copy_counts(leader.scheduler.borrow_mut().take_copy_counts());
         let (lost_runs, given_up) = leader.scheduler.borrow_mut().take_loss_counts();
         record_loss_counts(lost_runs, given_up);
+        record_run_counts(&mut leader.scheduler.borrow_mut());
         leader.scheduler.borrow_mut().record_lag(late_us);
         load.record_tick(late_us);
         load.report(leader.now_us(), leader.scheduler.borrow().work_counts());
@@ -377,6 +380,19 @@
     }
 }
 
+fn record_run_counts(scheduler: &mut Scheduler) {
+    for (reason, count) in StopReason::ALL.into_iter().zip(scheduler.take_stop_counts()) {
+        if count > 0 {
+            metrics::counter!("run_stops_total", "reason" => reason.label()).increment(count);
+        }
+    }
+    for (over, count) in RunOver::ALL.into_iter().zip(scheduler.take_release_counts()) {
+        if count > 0 {
+            metrics::counter!("runs_released_total", "evidence" => over.label()).increment(count);
+        }
+    }
+}
+
 fn record_loss_counts(lost_runs: LossCounts, given_up: u64) {
     if given_up > 0 {
         metrics::counter!("tasks_given_up_total").increment(given_up);
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -42,6 +42,8 @@
 mod reconcile;
 pub(crate) mod record;
 mod registry;
+pub(crate) mod run_end;
+pub(crate) mod run_stops;
 mod run_times;
 pub(crate) mod scheduler;
 mod share;
--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -10,6 +10,8 @@
 
 use super::job::{Task, WorkerIncarnation};
 use super::model::{JobId, TaskRef};
+use super::run_end::RunOver;
+use super::run_stops::StopReason;
 use super::scheduler::Scheduler;
 use super::task_runs::PlacedRun;
 use super::worker::Worker;
@@ -40,7 +42,7 @@
             self.count_placed(&task_ref);
             self.attach_restored_task(now_us, &task_ref, &worker);
             if is_done {
-                self.order_stop(now_us, &task_ref, &worker);
+                self.order_stop(now_us, &task_ref, &worker, StopReason::TaskDone);
             }
             self.give_up_if_exhausted(now_us, &task_ref);
         }
@@ -100,18 +102,20 @@
             let never_answered = !worker.is_synced && former_leader_leases_ended;
             let long_silent = !worker.is_listed && now_us > worker.last_answer_us + self.lease_expiry_wait_us();
             let leases_ended = worker.lease_certainly_expired(now_us) || (long_silent && former_leader_leases_ended);
-            if leases_ended || never_answered || worker.is_replaced() {
-                lost.push(worker.entry.id.clone());
+            if leases_ended || never_answered {
+                lost.push((worker.entry.id.clone(), RunOver::LeaseExpired));
+            } else if worker.is_replaced() {
+                lost.push((worker.entry.id.clone(), RunOver::WorkerGone));
             }
         }
-        for id in lost {
+        for (id, over) in lost {
             let cause = self.loss_cause(&id);
-            self.release_lost_tasks(now_us, &id, cause);
+            self.release_lost_tasks(now_us, &id, cause, over);
         }
         if former_leader_leases_ended && now_us >= self.next_orphan_check_us {
             self.next_orphan_check_us = now_us + ORPHAN_CHECK_INTERVAL_MS * US_PER_MS;
             let orphans = self.orphans();
-            self.release_orphans(now_us, &orphans);
+            self.release_orphans(now_us, &orphans, RunOver::LeaseExpired);
             self.prune_silent_workers();
         }
     }
@@ -143,7 +147,7 @@
     }
 
     /// Releases those tasks that are still orphans.
-    fn release_orphans(&mut self, now_us: u64, orphans: &[TaskRef]) {
+    fn release_orphans(&mut self, now_us: u64, orphans: &[TaskRef], over: RunOver) {
         for task_ref in orphans {
             let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
             let is_orphan = |placed: &PlacedRun<'_>| !self.has_incarnation(placed.worker);
@@ -159,7 +163,7 @@
                     task_ref.step,
                     task_ref.index
                 );
-                self.release_run(now_us, task_ref, &worker);
+                self.release_run(now_us, task_ref, &worker, over);
                 self.mark_dirty(&task_ref.job);
                 self.give_up_if_exhausted(now_us, task_ref);
             }
@@ -182,7 +186,7 @@
         }
         for id in gone {
             let cause = self.loss_cause(&id);
-            self.release_lost_tasks(now_us, &id, cause);
+            self.release_lost_tasks(now_us, &id, cause, RunOver::WorkerGone);
         }
         let unattached: Vec<Arc<str>> = self.unattached_tasks.keys().cloned().collect();
         for id in unattached {
@@ -190,7 +194,7 @@
                 continue;
             }
             let orphans = self.unattached_tasks.remove(&id).unwrap_or_default();
-            self.release_orphans(now_us, &orphans);
+            self.release_orphans(now_us, &orphans, RunOver::WorkerGone);
         }
     }
 
@@ -204,13 +208,18 @@
     }
 
     /// Releases all tasks of a worker on which no run can be active any more. How their runs ended is not known.
-    pub(super) fn release_lost_tasks(&mut self, now_us: u64, id: &Arc<str>, cause: LossCause) {
+    pub(super) fn release_lost_tasks(&mut self, now_us: u64, id: &Arc<str>, cause: LossCause, over: RunOver) {
         let Some(worker) = self.workers.get(id) else { return };
         let incarnation = worker.incarnation();
         let lost: Vec<TaskRef> = worker.tasks.iter().cloned().collect();
         let silent_ms = now_us.saturating_sub(worker.last_answer_us) / US_PER_MS;
         if !lost.is_empty() {
-            log::warn!("worker={id} tasks={} cause={} outcome=leases_over", lost.len(), cause.label());
+            log::warn!(
+                "worker={id} tasks={} cause={} evidence={} outcome=leases_over",
+                lost.len(),
+                cause.label(),
+                over.label()
+            );
         }
         let suspects = self.crash_suspects(now_us, id);
         for task_ref in lost {
@@ -224,7 +233,7 @@
             );
             let blame = suspects.blame_of(&task_ref);
             self.record_loss(now_us, &task_ref, &incarnation, (cause, blame));
-            self.release_run(now_us, &task_ref, id);
+            self.release_run(now_us, &task_ref, id, over);
             self.mark_dirty(&task_ref.job);
             self.give_up_if_exhausted(now_us, &task_ref);
         }
--- a/src/sched/progress.rs
+++ b/src/sched/progress.rs
@@ -1,19 +1,17 @@
-//! State transitions of jobs and tasks: completion, failure, and stopping of runs.
+//! State transitions of jobs and tasks: completion and failure.
 
 use std::sync::Arc;
 
-use super::action::Action;
-use super::copies::log_remaining_run;
-use super::job::{RunPhase, Task, TaskState, WorkerIncarnation};
+use super::job::{RunPhase, TaskState, WorkerIncarnation};
 use super::model::{EndedRun, JobId, JobPhase, RunOutcome, TaskRef};
+use super::run_end::RunOver;
+use super::run_stops::StopReason;
 use super::scheduler::Scheduler;
 use super::stages::Stage;
 use crate::clock::US_PER_MS;
 
 /// Delay before a failed task is placed again.
 const RETRY_DELAY_MS: u64 = 20;
-/// Delay before an unacknowledged stop order is repeated.
-pub(super) const STOP_RETRY_DELAY_MS: u64 = 400;
 /// Maximum number of workers that a task avoids because it failed there.
 const MAX_AVOIDED_WORKERS: usize = 6;
 
@@ -95,39 +93,14 @@
         self.attach(task_ref, incarnation);
     }
 
-    /// Removes a run of a task from its worker. If no other run is left, the task can be placed again, unless it is
-    /// done.
-    pub(super) fn release_run(&mut self, now_us: u64, task_ref: &TaskRef, worker: &Arc<str>) {
-        let Some(job) = self.jobs.get_mut(&task_ref.job) else { return };
-        let spec = job.spec.clone();
-        let Some(task) = job.task_mut(task_ref) else { return };
-        let had_copy = task.copy.is_some();
-        let Some(incarnation) = task.remove_run(worker) else { return };
-        let is_done = task.is_done;
-        if had_copy {
-            log_remaining_run(task_ref, task, worker);
-        }
-        self.count_released(task_ref);
-        let step = &spec.steps[task_ref.step as usize];
-        if let Some(worker) = self.workers.get_mut(&incarnation.id) {
-            if worker.incarnation() == incarnation {
-                worker.detach(now_us, task_ref, step);
-            }
-        }
-        if step.gang && !is_done {
-            self.stop_gang(now_us, task_ref);
-        }
-        self.wants_placement = true;
-        self.refresh_job(&task_ref.job);
-    }
-
     /// Stops all members of a gang: they cannot run without the missing one.
-    fn stop_gang(&mut self, now_us: u64, missing: &TaskRef) {
+    pub(super) fn stop_gang(&mut self, now_us: u64, missing: &TaskRef) {
         let Some(job) = self.jobs.get(&missing.job) else { return };
         let Some(occurrence) = job.occurrences.get(&missing.occurrence) else { return };
         let members = occurrence.steps[missing.step as usize].tasks.len();
         for index in 0..members {
-            self.stop_task_runs(now_us, &TaskRef { index: index as u32, ..missing.clone() });
+            let member = TaskRef { index: index as u32, ..missing.clone() };
+            self.stop_task_runs(now_us, &member, StopReason::GangIncomplete);
         }
     }
 
@@ -190,7 +163,7 @@
             | RunOutcome::GangMemberEnded
             | RunOutcome::GangIncomplete => {
                 if is_current {
-                    self.release_run(now_us, task_ref, worker);
+                    self.release_run(now_us, task_ref, worker, RunOver::EndListed);
                 }
             }
         }
@@ -262,10 +235,10 @@
         }
         for (worker, placed_run) in placed {
             if placed_run == run {
-                self.release_run(now_us, task_ref, &worker);
+                self.release_run(now_us, task_ref, &worker, RunOver::EndListed);
             } else {
                 // Another run holds resources of its worker until it has been stopped.
-                self.order_stop(now_us, task_ref, &worker);
+                self.order_stop(now_us, task_ref, &worker, StopReason::TaskDone);
             }
         }
         self.wants_placement = true;
@@ -283,7 +256,7 @@
         }
         let is_exhausted = !long_running && task.failures >= max_attempts;
         if is_current {
-            self.release_run(now_us, task_ref, worker);
+            self.release_run(now_us, task_ref, worker, RunOver::EndListed);
         }
         if !is_exhausted {
             return;
@@ -304,79 +277,4 @@
         self.stop_job_runs(now_us, id);
         self.refresh_job(id);
     }
-
-    /// Orders all runs of a job to stop.
-    pub(super) fn stop_job_runs(&mut self, now_us: u64, id: &JobId) {
-        let Some(job) = self.jobs.get(id) else { return };
-        let placed: Vec<TaskRef> =
-            job.tasks().filter(|(_, task)| task.placed_on().is_some()).map(|(task_ref, _)| task_ref).collect();
-        for task_ref in placed {
-            self.stop_task_runs(now_us, &task_ref);
-        }
-    }
-
-    /// Orders all runs of a task to stop.
-    pub(super) fn stop_task_runs(&mut self, now_us: u64, task_ref: &TaskRef) {
-        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
-        for worker in task.map(Task::worker_ids).unwrap_or_default() {
-            self.order_stop(now_us, task_ref, &worker);
-        }
-    }
-
-    /// Requests a stop order for a task's run on a worker, unless that has been done already. If no start order has been
-    /// sent, releases the run instead.
-    pub(super) fn order_stop(&mut self, now_us: u64, task_ref: &TaskRef, worker: &Arc<str>) {
-        let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
-        let Some(placed) = task.run_on_mut(worker) else { return };
-        match placed.phase {
-            RunPhase::Stopping { .. } => return,
-            RunPhase::Committing => {
-                self.release_run(now_us, task_ref, worker);
-                return;
-            }
-            RunPhase::Ordered | RunPhase::Unanswered { .. } | RunPhase::Running { .. } | RunPhase::Restored => {}
-        }
-        *placed.phase =
-            RunPhase::Stopping { next_retry_us: now_us + STOP_RETRY_DELAY_MS * US_PER_MS, acknowledged_us: None };
-        let run = placed.run;
-        self.actions.push(Action::Stop { worker: worker.clone(), task: task_ref.clone(), run });
-    }
-
-    /// Repeats unacknowledged stop orders.
-    pub(super) fn retry_stops(&mut self, now_us: u64) {
-        let mut due = Vec::new();
-        for worker in self.workers.values() {
-            for task_ref in &worker.tasks {
-                let Some(task) = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)) else { continue };
-                let Some(placed) = task.run_on(&worker.entry.id) else { continue };
-                let RunPhase::Stopping { next_retry_us, acknowledged_us: None } = placed.phase else { continue };
-                if now_us >= next_retry_us {
-                    due.push((worker.entry.id.clone(), task_ref.clone(), placed.run));
-                }
-            }
-        }
-        for (worker, task_ref, run) in due {
-            let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(&task_ref)) else { continue };
-            if let Some(RunPhase::Stopping { next_retry_us, .. }) = task.run_on_mut(&worker).map(|placed| placed.phase)
-            {
-                *next_retry_us = now_us + STOP_RETRY_DELAY_MS * US_PER_MS;
-            }
-            self.actions.push(Action::Stop { worker, task: task_ref, run });
-        }
-    }
-
-    /// Stops the long-running tasks of a worker that is draining, so that they are placed elsewhere.
-    pub(super) fn evict_long_running(&mut self, now_us: u64, worker: &Arc<str>) {
-        let Some(state) = self.workers.get(worker) else { return };
-        let mut evicted = Vec::new();
-        for task_ref in &state.tasks {
-            let Some(step) = self.step_of(task_ref) else { continue };
-            if step.long_running {
-                evicted.push(task_ref.clone());
-            }
-        }
-        for task_ref in evicted {
-            self.order_stop(now_us, &task_ref, worker);
-        }
-    }
 }
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -5,7 +5,8 @@
 use super::action::{Action, StartRun};
 use super::job::RunPhase;
 use super::model::{ActiveRun, EndedRun, HoldAnswer, JobPhase, OrderOutcome, OrderRefusal, Resources, Step, TaskRef};
-use super::progress::STOP_RETRY_DELAY_MS;
+use super::run_end::RunOver;
+use super::run_stops::StopReason;
 use super::scheduler::Scheduler;
 use super::work_counts::Work;
 use crate::clock::US_PER_MS;
@@ -22,6 +23,9 @@
 const UNHEALTHY_BLOCK_MS: u64 = 700;
 /// Delay before a task is placed again after its start order was refused as invalid.
 const INVALID_ORDER_DELAY_MS: u64 = 700;
+/// If the clock in an answer is behind an earlier reading by more than this, the worker has restarted in between. Answers
+/// may overtake each other by less.
+const MAX_ANSWER_AGE_MS: u64 = 2_000;
 /// A run without progress for this long is stopped and placed again.
 const STALL_TIMEOUT_MS: u64 = 2_500;
 /// Progress from which the run time can be told. Percentages are whole numbers, so smaller ones are inexact.
@@ -109,15 +113,19 @@
                 placed.is_some_and(|placed| *placed.worker == incarnation && placed.run == active_run.run);
             if !is_expected {
                 log::warn!(
-                    "job={} worker={id} run={} outcome=stop_unexpected_run",
+                    "job={} task={}.{}.{} run={} worker={id} started_unix_ms={} latest_run={:?} state={:?} \
+                     list_age_ms={} outcome=stop_unexpected_run",
                     active_run.task.job,
-                    active_run.run
+                    active_run.task.occurrence,
+                    active_run.task.step,
+                    active_run.task.index,
+                    active_run.run,
+                    incarnation.started_unix_ms,
+                    known.map(|task| task.last_run),
+                    known.map(|task| &task.state),
+                    now_us.saturating_sub(sent_us) / US_PER_MS
                 );
-                self.actions.push(Action::Stop {
-                    worker: id.clone(),
-                    task: active_run.task.clone(),
-                    run: active_run.run,
-                });
+                self.push_stop(id, &active_run.task, active_run.run, StopReason::Unexpected);
                 // The needs of a run of an unknown job are not known, so its worker gets no new tasks until it has
                 // ended.
                 untracked.add(&self.step_of(&active_run.task).map_or(Resources::MAX, Step::reserved));
@@ -175,7 +183,7 @@
                     if !task.avoided_workers.contains(id) {
                         task.avoided_workers.push(id.clone());
                     }
-                    self.order_stop(now_us, task_ref, id);
+                    self.order_stop(now_us, task_ref, id, StopReason::Stalled);
                     if let Some(worker) = self.workers.get_mut(id) {
                         worker.record_failure(now_us, &task_ref.job);
                     }
@@ -194,7 +202,7 @@
             self.run_begun(now_us, task_ref);
         }
         if is_final {
-            self.order_stop(now_us, task_ref, id);
+            self.order_stop(now_us, task_ref, id, StopReason::JobFinal);
         }
     }
 
@@ -205,16 +213,16 @@
         match placed.phase {
             RunPhase::Committing | RunPhase::Ordered => {}
             // A start order of the former leader can no longer take effect: the worker has seen a higher fencing token.
-            RunPhase::Restored => self.release_run(now_us, task_ref, id),
+            RunPhase::Restored => self.release_run(now_us, task_ref, id, RunOver::NotListed),
             RunPhase::Unanswered { since_us } | RunPhase::Running { since_us } => {
                 if sent_us > since_us {
                     // The start order may still arrive. Stopping the run first makes sure that it never starts.
-                    self.order_stop(now_us, task_ref, id);
+                    self.order_stop(now_us, task_ref, id, StopReason::NotListed);
                 }
             }
             RunPhase::Stopping { acknowledged_us: Some(acknowledged_us), .. } => {
                 if sent_us > acknowledged_us {
-                    self.release_run(now_us, task_ref, id);
+                    self.release_run(now_us, task_ref, id, RunOver::NotListed);
                 }
             }
             RunPhase::Stopping { acknowledged_us: None, .. } => {}
@@ -231,7 +239,7 @@
         self.schedule_hold(now_us, id, true);
     }
 
-    fn handle_refusal(&mut self, now_us: u64, id: &Arc<str>, outcome: &OrderOutcome) {
+    pub(super) fn handle_refusal(&mut self, now_us: u64, id: &Arc<str>, outcome: &OrderOutcome) {
         let OrderOutcome::Refused(refusal) = outcome else { return };
         match refusal {
             OrderRefusal::Fenced => self.actions.push(Action::CheckLeadership),
@@ -253,7 +261,7 @@
 
     /// Records that a worker is reachable, as its answer to an order shows, unless another incarnation answered at the
     /// same address.
-    fn record_answer(&mut self, now_us: u64, id: &Arc<str>, outcome: &OrderOutcome) {
+    pub(super) fn record_answer(&mut self, now_us: u64, id: &Arc<str>, outcome: &OrderOutcome) {
         match outcome {
             OrderOutcome::Accepted { .. } => {}
             OrderOutcome::Refused(refusal) if *refusal != OrderRefusal::WrongWorker => {}
@@ -285,6 +293,7 @@
         }
         self.record_answer(now_us, &start.worker, outcome);
         self.handle_refusal(now_us, &start.worker, outcome);
+        self.log_other_incarnation(start, outcome);
         let Some(job) = self.jobs.get_mut(&task_ref.job) else { return };
         let was_queued = job.phase == JobPhase::Queued;
         let Some(task) = job.task_mut(task_ref) else { return };
@@ -318,45 +327,37 @@
                     OrderOutcome::Refused(OrderRefusal::Invalid) => self.delay_start(now_us, task_ref),
                     _ => {}
                 }
-                self.release_run(now_us, task_ref, &start.worker);
+                self.release_run(now_us, task_ref, &start.worker, RunOver::NotStarted);
             }
             _ => {}
         }
     }
 
+    /// Logs a start order that a later incarnation of the worker has accepted than the one that it was meant for.
+    fn log_other_incarnation(&self, start: &StartRun, outcome: &OrderOutcome) {
+        let OrderOutcome::Accepted { clock_ms: Some(clock_ms) } = outcome else { return };
+        let Some(worker) = self.workers.get(&start.worker) else { return };
+        if clock_ms + MAX_ANSWER_AGE_MS < worker.uptime_ms() {
+            log::warn!(
+                "job={} task={}.{}.{} run={} worker={} clock_ms={clock_ms} known_clock_ms={} started_unix_ms={} \
+                 outcome=started_in_new_incarnation",
+                start.task.job,
+                start.task.occurrence,
+                start.task.step,
+                start.task.index,
+                start.run,
+                start.worker,
+                worker.uptime_ms(),
+                worker.entry.started_unix_ms
+            );
+        }
+    }
+
     /// Delays the next start of a task whose order was refused as invalid: other workers are likely to refuse it too.
     fn delay_start(&mut self, now_us: u64, task_ref: &TaskRef) {
         let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
         task.not_before_us = now_us + INVALID_ORDER_DELAY_MS * US_PER_MS;
     }
-
-    /// Handles the outcome of a stop order.
-    pub(crate) fn on_stop_outcome(
-        &mut self,
-        now_us: u64,
-        worker: &Arc<str>,
-        task_ref: &TaskRef,
-        run: u32,
-        outcome: &OrderOutcome,
-    ) {
-        self.record_answer(now_us, worker, outcome);
-        self.handle_refusal(now_us, worker, outcome);
-        let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
-        let Some(placed) = task.run_on_mut(worker).filter(|placed| placed.run == run) else { return };
-        let RunPhase::Stopping { next_retry_us, acknowledged_us } = placed.phase else { return };
-        match outcome {
-            OrderOutcome::Accepted { .. } => {
-                *acknowledged_us = Some(now_us);
-                let grace_us = self.settings.stop_grace_ms * US_PER_MS;
-                if let Some(worker) = self.workers.get_mut(worker) {
-                    worker.next_hold_us = worker.next_hold_us.min(now_us + grace_us);
-                }
-            }
-            OrderOutcome::Refused(_) | OrderOutcome::NotSent | OrderOutcome::Unanswered => {
-                *next_retry_us = now_us + STOP_RETRY_DELAY_MS * US_PER_MS;
-            }
-        }
-    }
 }
 
 /// Run time of a first run, projected from its progress. A later run may resume from a checkpoint, so that its progress
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -10,6 +10,8 @@
 use super::action::{Action, HoldPlan};
 use super::job::{RunPhase, TaskState, WorkerIncarnation};
 use super::model::{TaskRef, WorkerEntry};
+use super::run_end::RunOver;
+use super::run_stops::StopReason;
 use super::scheduler::Scheduler;
 use super::worker::Worker;
 use super::worker_loss::LossCause;
@@ -111,10 +113,19 @@
     /// answered may still reach the new incarnation, so their runs are stopped there before the tasks are placed again.
     pub(super) fn worker_restarted(&mut self, now_us: u64, entry: WorkerEntry) {
         let id = entry.id.clone();
-        log::warn!("worker={id} started_unix_ms={} outcome=restarted", entry.started_unix_ms);
         let starts_in_flight = self.starts_in_flight(&id);
+        if let Some(former) = self.workers.get(&id) {
+            log::warn!(
+                "worker={id} started_unix_ms={} former={} tasks={} orders_in_flight={} list_age_ms={} outcome=restarted",
+                entry.started_unix_ms,
+                former.entry.started_unix_ms,
+                former.tasks.len(),
+                starts_in_flight.len(),
+                self.list_age_ms(now_us, &id)
+            );
+        }
         self.worker_lives(now_us, &id, entry.started_unix_ms, false);
-        self.release_lost_tasks(now_us, &id, LossCause::Crashed);
+        self.release_lost_tasks(now_us, &id, LossCause::Crashed, RunOver::WorkerGone);
         self.set_untracked_usage(&id, Vec::new());
         let had_session = self.workers.get(&id).is_some_and(|worker| worker.has_session);
         let mut worker = Worker::new(now_us, entry);
@@ -149,7 +160,7 @@
     /// Orders the worker's new incarnation to stop a run, which may still start there.
     fn stop_in_new_incarnation(&mut self, now_us: u64, task_ref: &TaskRef, run: u32, incarnation: &WorkerIncarnation) {
         self.place_run(now_us, task_ref, incarnation, run, RunPhase::Ordered);
-        self.order_stop(now_us, task_ref, &incarnation.id);
+        self.order_stop(now_us, task_ref, &incarnation.id, StopReason::Restarted);
         self.refresh_job(&task_ref.job);
     }
 
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -19,6 +19,8 @@
 use super::policies::Policies;
 use super::ready_jobs::ReadyJobs;
 use super::record::{restore_job, RecordError};
+use super::run_end::{ReleaseCounts, RunOver};
+use super::run_stops::StopCounts;
 use super::run_times::RunTimes;
 use super::share::ArrivalRates;
 use super::stages::{Stage, StageLog};
@@ -138,6 +140,8 @@
     pub(super) wants_placement: bool,
     pub(super) stage_log: StageLog,
     pub(super) work_counts: WorkCounts,
+    pub(super) stop_counts: StopCounts,
+    pub(super) release_counts: ReleaseCounts,
     pub(super) organisation_counts: HashMap<Arc<str>, OrganisationCounts>,
 }
 
@@ -189,6 +193,8 @@
             wants_placement: true,
             stage_log: StageLog::default(),
             work_counts: WorkCounts::default(),
+            stop_counts: StopCounts::default(),
+            release_counts: ReleaseCounts::default(),
             organisation_counts: HashMap::default(),
         }
     }
@@ -359,7 +365,7 @@
                 && worker.is_within_capacity()
         });
         if is_final || !can_start || lease_until_us <= now_us {
-            self.release_run(now_us, task_ref, &incarnation.id);
+            self.release_run(now_us, task_ref, &incarnation.id, RunOver::NeverOrdered);
             return;
         }
         let ticket = self.ticket(now_us, task_ref, &incarnation.id);
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -10,6 +10,8 @@
 use super::action::Action;
 use super::host_orders::HostOrder;
 use super::model::{HostOrderOutcome, HostPhase, HostRecord, Step, TaskRef, WaveOrder};
+use super::run_end::RunOver;
+use super::run_stops::StopReason;
 use super::scheduler::Scheduler;
 use super::worker_loss::LossCause;
 use crate::clock::US_PER_MS;
@@ -311,7 +313,7 @@
                 false => waited_ms >= MAINTENANCE_DRAIN_MS || checkpoints,
             };
             if may_stop {
-                self.order_stop(now_us, task_ref, worker);
+                self.order_stop(now_us, task_ref, worker, StopReason::HostDrained);
             }
         }
         runs.is_empty()
@@ -364,7 +366,7 @@
     /// Handles a host that the provider has taken away: its tasks are lost, and its worker is gone.
     pub(super) fn host_removed(&mut self, now_us: u64, host: &str) {
         for id in self.possible_workers_on(host) {
-            self.release_lost_tasks(now_us, &id, LossCause::Planned);
+            self.release_lost_tasks(now_us, &id, LossCause::Planned, RunOver::WorkerGone);
             self.worker_unlisted(now_us, &id);
         }
         if let Some(record) = self.hosts.get_mut(host) {
