Simulate stops that take time, and restarts that the leader is not told of

A stopped run was removed when its order arrived, and the leader was told of a restart at once, so the simulation could not show a run that goes on while its task is placed again. A stop now takes effect up to the grace period later, runs are kept by task and number so that several runs of one task on a worker count, and the registry or a hold answer tells of a restart. Hold requests to an incarnation that has ended fail, and a restarted worker's time of day may be stepped.

--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -7,11 +7,14 @@
 mod fixtures;
 mod hosts;
 mod job_checks;
+mod leader;
 mod message;
 mod observation;
 mod quotas;
 mod registry;
+mod restarts;
 mod run_durations;
+mod stops;
 mod worker;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -20,7 +23,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::action::{Action, Batch, HoldPlan};
+use super::action::Batch;
 use super::admission::AdmissionReport;
 use super::model::{Catalog, JobId, JobSpec, OrderOutcome, TaskRef, WaveOrder, WorkerEntry};
 use super::scheduler::{SchedSettings, Scheduler};
@@ -35,7 +38,10 @@
 use hosts::{HostAction, SimHost};
 use message::Message;
 use registry::SimRegistry;
+use restarts::Restarts;
+pub(super) use restarts::{ClockSteps, HoldEnd};
 pub(crate) use run_durations::Stragglers;
+pub(super) use stops::{StopListing, StopTimes};
 use worker::{sim_worker, SimWorker};
 
 /// Virtual time per tick of the simulation.
@@ -117,7 +123,10 @@
     pub(crate) stragglers: Stragglers,
     /// Number of starts while another run of the same task was at work.
     pub(super) copy_start_count: u32,
-    restart_count: u32,
+    /// What happens when a worker restarts under its ID.
+    pub(super) restarts: Restarts,
+    pub(super) stop_listing: StopListing,
+    pub(super) stop_times: StopTimes,
     crashes: Crashes,
     /// When the quotas were last changed; 0 if they never were.
     quotas_changed_us: u64,
@@ -188,7 +197,9 @@
             run_time_spread: 0.0,
             stragglers: Stragglers::default(),
             copy_start_count: 0,
-            restart_count: 0,
+            restarts: Restarts::default(),
+            stop_listing: StopListing::default(),
+            stop_times: StopTimes::default(),
             crashes: Crashes::default(),
             quotas_changed_us: 0,
             task_run_us: HashMap::new(),
@@ -319,7 +330,8 @@
         match message {
             Message::Start { start, token, answered, delayed_for_incarnation } => {
                 let incarnation = self.workers.get(&start.worker).map(|worker| worker.entry.started_unix_ms);
-                if delayed_for_incarnation.is_some() && delayed_for_incarnation != incarnation {
+                let is_for_former = delayed_for_incarnation.is_some() && delayed_for_incarnation != incarnation;
+                if is_for_former && !self.restarts.receives_delayed_starts {
                     return;
                 }
                 let outcome = self.handle_start(&start, token, delayed_for_incarnation.is_some());
@@ -333,9 +345,7 @@
                     self.send(DELAY_US, Message::StopAnswer { worker, task, run, leader: self.leader, outcome });
                 }
             }
-            Message::Hold { worker, lease_end_ms, acknowledged, until_us, sent_us, token } => {
-                self.handle_hold(worker, lease_end_ms, acknowledged, until_us, sent_us, token);
-            }
+            Message::Hold(request) => self.handle_hold(request),
             Message::HostOrder { order, leader, token } => self.handle_host_order(order, leader, token),
             Message::HostOrderAnswer { order, leader, outcome } => {
                 if self.is_current_leader(leader) {
@@ -350,6 +360,9 @@
             }
             Message::StopAnswer { worker, task, run, leader, outcome } => {
                 if self.is_current_leader(leader) {
+                    if matches!(outcome, OrderOutcome::Accepted { .. }) {
+                        self.stop_times.stop_acknowledged(self.now_us, &task);
+                    }
                     self.scheduler.on_stop_outcome(self.now_us, &worker, &task, run, &outcome);
                 }
             }
@@ -408,78 +421,4 @@
         let answer = Message::CommitAnswer { leader, batch, sent_us, is_confirmed };
         self.send((5 + self.faults.commit_delay_ms) * US_PER_MS, answer);
     }
-
-    fn run_leader(&mut self) {
-        if !self.is_leader_up() {
-            return;
-        }
-        self.read_registry();
-        self.list_hosts();
-        let unix_ms = self.unix_ms();
-        self.scheduler.tick(self.now_us, unix_ms);
-        for action in self.scheduler.take_actions() {
-            self.execute(action);
-        }
-        let idle: Vec<Arc<str>> =
-            self.scheduler.workers.keys().filter(|id| !self.holds_in_flight.contains(*id)).cloned().collect();
-        for id in idle {
-            let plan = self.scheduler.plan_hold(self.now_us, &id);
-            let HoldPlan::Send { lease_end_ms, acknowledged, wait_ms, .. } = plan else { continue };
-            self.holds_in_flight.insert(id.clone());
-            let until_us = self.now_us + wait_ms * US_PER_MS;
-            let (sent_us, token) = (self.now_us, self.token);
-            self.send(DELAY_US, Message::Hold { worker: id, lease_end_ms, acknowledged, until_us, sent_us, token });
-        }
-        self.scheduler.acknowledge_without_commit();
-        if !self.commit_in_flight {
-            // An empty batch is committed, too: it renews leadership.
-            self.commit_in_flight = true;
-            let batch = self.scheduler.take_batch(self.now_us);
-            let commit = Message::Commit { leader: self.leader, token: self.token, batch, sent_us: self.now_us };
-            self.send(DELAY_US + self.faults.commit_delay_ms * US_PER_MS, commit);
-        }
-    }
-
-    fn execute(&mut self, action: Action) {
-        let (token, leader) = (self.token, self.leader);
-        let roll = self.rng.random::<f64>();
-        let delayed_below = self.faults.order_delay_rate;
-        let lost_below = delayed_below + self.faults.order_loss_rate;
-        let unanswered_below = lost_below + self.faults.answer_loss_rate;
-        let after_us = if roll < delayed_below { self.rng.random_range(2_000_000..12_000_000) } else { DELAY_US };
-        let (arrives, answered) = (roll < delayed_below || roll >= lost_below, roll >= unanswered_below);
-        match action {
-            Action::Start(start) => {
-                if arrives {
-                    let incarnation = self.workers.get(&start.worker).map(|worker| worker.entry.started_unix_ms);
-                    let delayed_for_incarnation = if roll < delayed_below { incarnation } else { None };
-                    self.send(
-                        after_us,
-                        Message::Start { start: start.clone(), token, answered, delayed_for_incarnation },
-                    );
-                }
-                if !answered {
-                    let answer = Message::StartAnswer { start, leader, outcome: OrderOutcome::Unanswered };
-                    self.send(ORDER_TIMEOUT_US, answer);
-                }
-            }
-            Action::Stop { worker, task, run } => {
-                if arrives {
-                    let stop = Message::Stop { worker: worker.clone(), task: task.clone(), run, token, answered };
-                    self.send(after_us, stop);
-                }
-                if !answered {
-                    let answer = Message::StopAnswer { worker, task, run, leader, outcome: OrderOutcome::Unanswered };
-                    self.send(ORDER_TIMEOUT_US, answer);
-                }
-            }
-            Action::MoveHost { host, pool } => self.send_host_order(HostAction::Move { host, pool }),
-            Action::MaintainHost { host, wave } => self.send_host_order(HostAction::Maintain { host, wave }),
-            Action::ReportWave { wave, complete } => self.report_wave(wave, complete),
-            Action::OpenSession { .. }
-            | Action::Pace { .. }
-            | Action::RequestAdvice { .. }
-            | Action::CheckLeadership => {}
-        }
-    }
 }
--- a/src/sched/sim/availability.rs
+++ b/src/sched/sim/availability.rs
@@ -42,8 +42,8 @@
     }
 
     fn is_fully_at_work(&self, task: &TaskRef) -> bool {
-        let mut runs = self.workers.values().filter(|worker| worker.is_up).filter_map(|worker| worker.runs.get(task));
-        runs.any(|run| run.is_fully_at_work(self.now_us))
+        let workers = self.workers.values().filter(|worker| worker.is_up);
+        workers.flat_map(|worker| worker.runs_of(task)).any(|(_, run)| run.is_fully_at_work(self.now_us))
     }
 
     pub(super) fn update_availability(&mut self) {
--- a/src/sched/sim/capacity.rs
+++ b/src/sched/sim/capacity.rs
@@ -47,7 +47,7 @@
     /// CPU reserved by the runs on a worker. Simulated workers accept every run, even beyond their capacity.
     fn cpu_in_use_milli(&self, id: &Arc<str>) -> u64 {
         let mut used_milli = 0;
-        for task_ref in self.workers[id].runs.keys() {
+        for (task_ref, _) in self.workers[id].runs.keys() {
             let step = self.specs.get(&task_ref.job).and_then(|spec| spec.steps.get(task_ref.step as usize));
             used_milli += step.map_or(0, |step| step.reserved().cpu_milli);
         }
--- a/src/sched/sim/crashes.rs
+++ b/src/sched/sim/crashes.rs
@@ -103,7 +103,7 @@
     /// Counts the crash of a worker for the tasks that it runs.
     pub(super) fn count_crash(&mut self, id: &Arc<str>) {
         let Some(worker) = self.workers.get(id) else { return };
-        for task in worker.runs.keys() {
+        for (task, _) in worker.runs.keys() {
             *self.crashes.with_task.entry(task.clone()).or_default() += 1;
         }
     }
@@ -133,7 +133,7 @@
         self.count_crash(id);
         let crashing = &self.crashes.tasks;
         let Some(worker) = self.workers.get_mut(id) else { return };
-        self.crashes.others_lost.push(worker.runs.keys().filter(|task| !crashing.contains(*task)).count());
+        self.crashes.others_lost.push(worker.runs.keys().filter(|(task, _)| !crashing.contains(task)).count());
         worker.is_up = false;
         worker.runs.clear();
         let mut entry = worker.entry.clone();
--- a/src/sched/sim/faults.rs
+++ b/src/sched/sim/faults.rs
@@ -2,8 +2,7 @@
 
 use rand::Rng;
 
-use super::worker::sim_worker;
-use super::{worker_entry, Sim, START_UNIX_MS, TICK_US};
+use super::{worker_entry, Sim, TICK_US};
 use crate::clock::US_PER_MS;
 
 /// Rates at which faults are injected.
@@ -17,7 +16,7 @@
     pub(in crate::sched) order_loss_rate: f64,
     /// Share of runs that fail.
     pub(in crate::sched) run_failure_rate: f64,
-    /// Worker crashes per second; each worker restarts at once as a new incarnation.
+    /// Worker crashes per second; each worker restarts at once as a new incarnation, see [`Sim::crash`].
     pub(in crate::sched) crashes_per_s: f64,
     /// Network partitions of workers per second, during which their runs continue.
     pub(in crate::sched) partitions_per_s: f64,
@@ -40,21 +39,6 @@
         self.leader += 1;
     }
 
-    /// Crashes a worker, which restarts at once.
-    pub(in crate::sched) fn crash(&mut self, number: usize) {
-        let id = worker_entry(number, 0).id;
-        self.count_crash(&id);
-        self.restart_count += 1;
-        let entry = worker_entry(number, START_UNIX_MS + u64::from(self.restart_count));
-        let rate = self.rng.random_range(0.98..1.0);
-        self.workers.insert(id, sim_worker(self.now_us, entry.clone(), rate));
-        self.registry.insert(entry.clone());
-        self.last_disturbance_us = self.now_us;
-        if self.leader_down_until_us.is_none() {
-            self.scheduler.worker_listed(self.now_us, entry);
-        }
-    }
-
     /// Makes a worker unreachable for `for_ms`; its runs continue.
     pub(in crate::sched) fn partition(&mut self, number: usize, for_ms: u64) {
         let id = worker_entry(number, 0).id;
@@ -78,8 +62,7 @@
         let tick_s = TICK_US as f64 / 1e6;
         let count = self.workers.len();
         if self.chance(self.faults.crashes_per_s * tick_s) {
-            let number = self.rng.random_range(0..count);
-            self.crash(number);
+            self.crash_any();
         }
         if self.chance(self.faults.partitions_per_s * tick_s) {
             let number = self.rng.random_range(0..count);
--- a/src/sched/sim/hosts.rs
+++ b/src/sched/sim/hosts.rs
@@ -165,7 +165,7 @@
         let Some(id) = worker else { return HostOrderOutcome::Done };
         self.registry.remove(&id);
         let Some(worker) = self.workers.remove(&id) else { return HostOrderOutcome::Done };
-        for (task, run) in &worker.runs {
+        for ((task, _), run) in &worker.runs {
             self.check_disruption(task, run, worker.entry.draining, &format!("{order:?}"));
         }
         HostOrderOutcome::Done
--- a/src/sched/sim/message.rs
+++ b/src/sched/sim/message.rs
@@ -6,6 +6,21 @@
 use super::super::model::{HoldAnswer, HostOrderOutcome, OrderOutcome, TaskRef};
 use super::hosts::HostAction;
 
+/// A hold request, as the current leader or a former one has sent it.
+#[derive(Debug, Clone)]
+pub(super) struct HoldRequest {
+    pub(super) worker: Arc<str>,
+    /// When the incarnation to which the request was sent started. A later one does not receive it.
+    pub(super) incarnation_started_us: u64,
+    pub(super) lease_end_ms: Option<u64>,
+    pub(super) acknowledged: u64,
+    /// Until then, the worker may wait for a run to end before it answers.
+    pub(super) until_us: u64,
+    pub(super) sent_us: u64,
+    pub(super) leader: u32,
+    pub(super) token: u64,
+}
+
 /// A message in flight. `leader` is the number of the leader that sent it or that is to receive it, `token` the fencing
 /// token of the leader that sent it; `answered` tells whether its answer will arrive.
 #[derive(Debug, Clone)]
@@ -37,15 +52,7 @@
         leader: u32,
         outcome: OrderOutcome,
     },
-    Hold {
-        worker: Arc<str>,
-        lease_end_ms: Option<u64>,
-        acknowledged: u64,
-        /// Until then, the worker may wait for a run to end before it answers.
-        until_us: u64,
-        sent_us: u64,
-        token: u64,
-    },
+    Hold(HoldRequest),
     HoldAnswer {
         worker: Arc<str>,
         /// When the hold request was sent.
@@ -89,7 +96,7 @@
             | Message::HostOrderAnswer { .. } => true,
             Message::Start { .. }
             | Message::Stop { .. }
-            | Message::Hold { .. }
+            | Message::Hold(_)
             | Message::Commit { .. }
             | Message::HostOrder { .. } => false,
         }
--- a/src/sched/sim/quotas.rs
+++ b/src/sched/sim/quotas.rs
@@ -62,7 +62,7 @@
     pub(in crate::sched) fn held_by(&self, organisation: &str) -> (Resources, u32) {
         let mut held = Held::new();
         for worker in self.workers.values().filter(|worker| worker.is_up) {
-            for task_ref in worker.runs.keys() {
+            for (task_ref, _) in worker.runs.keys() {
                 let Some(spec) = self.specs.get(&task_ref.job) else { continue };
                 let Some(name) = spec.organisation.as_ref().filter(|name| &***name == organisation) else { continue };
                 if !self.has_gang_ended(task_ref) {
--- a/src/sched/sim/registry.rs
+++ b/src/sched/sim/registry.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Makes a worker write its entry at this time.
+    pub(super) fn write_later(&mut self, at_us: u64, id: Arc<str>) {
+        self.returning.push((at_us, id));
+    }
+
     /// Reads all entries, as a new leader does.
     pub(super) fn read_all(&mut self) -> Vec<WorkerEntry> {
         self.unread.clear();
@@ -88,7 +93,7 @@
         self.registry.returning = later;
         let due: Vec<(u64, Arc<str>)> = due;
         for (_, id) in due {
-            if let Some(worker) = self.workers.get(&id) {
+            if let Some(worker) = self.workers.get(&id).filter(|worker| worker.is_up) {
                 self.registry.insert(worker.entry.clone());
             }
         }
--- a/src/sched/sim/worker.rs
+++ b/src/sched/sim/worker.rs
@@ -8,23 +8,26 @@
     ActiveRun, EndedRun, HoldAnswer, OrderOutcome, OrderRefusal, RunOutcome, TaskRef, WorkerEntry,
 };
 use super::capacity::FormerCapacity;
+use super::message::HoldRequest;
+use super::stops::PendingStop;
 use super::{Message, Sim, Violation, DELAY_US, MAX_ATTEMPTS, ORDER_TIMEOUT_US, TICK_US};
 use crate::clock::US_PER_MS;
 
 /// Time from the start of a long-running run until it reports 100 percent.
 const WARM_UP_US: u64 = 1_500 * US_PER_MS;
 
-/// Time that a run which continues from a checkpoint takes to restore it.
-const RESTORE_US: u64 = 250 * US_PER_MS;
+/// Maximum number of ended runs that a worker lists in one answer.
+const MAX_LISTED_ENDED_RUNS: usize = 500;
 
 #[derive(Debug, Clone)]
 pub(super) struct Run {
-    pub(super) number: u32,
     pub(super) started_us: u64,
     pub(super) ends_us: u64,
     pub(super) fails: bool,
     pub(super) is_long_running: bool,
     pub(super) reports_progress: bool,
+    /// A stop order that has arrived. The run goes on until it takes effect.
+    pub(super) stop: Option<PendingStop>,
 }
 
 impl Run {
@@ -38,6 +41,18 @@
         (elapsed_us * 100 / full_us.max(1)).min(100) as u32
     }
 
+    /// How the run ends now, if it does.
+    fn outcome_at(&self, now_us: u64, is_lease_over: bool) -> Option<RunOutcome> {
+        let stop_us = self.stop.map_or(u64::MAX, |stop| stop.at_us);
+        if now_us >= self.ends_us && self.ends_us <= stop_us {
+            return Some(if self.fails { RunOutcome::Failed } else { RunOutcome::Done });
+        }
+        if now_us >= stop_us {
+            return Some(RunOutcome::Stopped);
+        }
+        is_lease_over.then_some(RunOutcome::LeaseExpired)
+    }
+
     pub(super) fn is_fully_at_work(&self, now_us: u64) -> bool {
         self.percent(now_us) >= 100
     }
@@ -53,7 +68,9 @@
     /// Highest fencing token seen.
     pub(super) token: u64,
     pub(super) lease_end_ms: u64,
-    pub(super) runs: BTreeMap<TaskRef, Run>,
+    /// Active runs by task and number, also those that are being stopped.
+    pub(super) runs: BTreeMap<(TaskRef, u32), Run>,
+    /// Highest number of a run of each task that has ended, or was ordered to stop.
     pub(super) highest_ended_run: HashMap<TaskRef, u32>,
     pub(super) ended: Vec<EndedRun>,
     /// Number of the latest ended run.
@@ -103,7 +120,8 @@
         }
         worker.token = token;
         worker.lease_end_ms = worker.lease_end_ms.max(start.lease_end_ms);
-        if worker.runs.get(&start.task).is_some_and(|run| run.number == start.run) {
+        let same_run = worker.runs.get(&(start.task.clone(), start.run));
+        if same_run.is_some_and(|run| run.stop.is_none()) {
             return OrderOutcome::Accepted { clock_ms: Some(clock_ms) };
         }
         if worker.highest_ended_run.get(&start.task).is_some_and(|highest| start.run <= *highest) {
@@ -113,9 +131,10 @@
             return OrderOutcome::Refused(OrderRefusal::LeaseExpired);
         }
         let ends_us = now_us + run_duration_us;
-        let run = Run { number: start.run, started_us: now_us, ends_us, fails, is_long_running, reports_progress };
-        worker.runs.insert(start.task.clone(), run);
+        let run = Run { started_us: now_us, ends_us, fails, is_long_running, reports_progress, stop: None };
+        worker.runs.insert((start.task.clone(), start.run), run);
         self.start_count += 1;
+        self.stop_times.run_started(now_us, &start.task);
         self.check_start(start, token, is_delayed);
         self.check_capacity(&start.task, &start.worker);
         self.check_quota(&start.task);
@@ -129,14 +148,21 @@
         let step = self.specs.get(&task_ref.job).and_then(|spec| spec.steps.get(task_ref.step as usize));
         let max_other_runs = usize::from(step.is_some_and(|step| step.allows_copies()));
         let mut others = Vec::new();
-        for worker in self.workers.values() {
-            if worker.is_up && worker.entry.id != start.worker && worker.runs.contains_key(task_ref) {
-                others.push(worker.entry.id.clone());
+        for worker in self.workers.values().filter(|worker| worker.is_up) {
+            for (number, run) in worker.runs_of(task_ref) {
+                if worker.entry.id == start.worker && number == start.run {
+                    continue;
+                }
+                let stopping = if run.stop.is_some() { " (stopping)" } else { "" };
+                others.push(format!("{} as run {number}{stopping}", worker.entry.id));
             }
         }
         if others.len() > max_other_runs {
-            let others = others.join(" and ");
-            violations.push(format!("DUPLICATE RUN: {task_ref:?} runs on {others} and {}", start.worker));
+            let (others, worker, run) = (others.join(" and "), &start.worker, start.run);
+            let at_ms = self.now_us / US_PER_MS;
+            violations.push(format!(
+                "DUPLICATE RUN at {at_ms} ms: {task_ref:?} runs on {others}, and starts on {worker} as run {run}"
+            ));
         }
         self.copy_start_count += u32::from(!others.is_empty());
         if self.acknowledged_done.contains(task_ref) {
@@ -165,58 +191,20 @@
         self.violations.extend(violations.into_iter().map(Violation));
     }
 
-    pub(super) fn handle_stop(&mut self, id: &Arc<str>, task: &TaskRef, run: u32, token: u64) -> OrderOutcome {
-        if !self.is_reachable(id) {
-            return OrderOutcome::Unanswered;
-        }
-        let Some(worker) = self.workers.get_mut(id) else { return OrderOutcome::Unanswered };
-        if token < worker.token {
-            return OrderOutcome::Refused(OrderRefusal::Fenced);
-        }
-        worker.token = token;
-        let mut stopped = None;
-        if worker.runs.get(task).is_some_and(|known| known.number <= run) {
-            stopped = worker.runs.remove(task);
-            worker.record_end(task, run, RunOutcome::Stopped);
-        }
-        let highest = worker.highest_ended_run.entry(task.clone()).or_default();
-        *highest = (*highest).max(run);
-        let is_draining = worker.entry.draining;
-        if let Some(stopped) = &stopped {
-            self.keep_progress(task, stopped);
-        }
-        if let Some(stopped) = stopped {
-            self.check_disruption(task, &stopped, is_draining, "a stop order");
-        }
-        OrderOutcome::Accepted { clock_ms: None }
-    }
-
-    /// The next run of a task that writes checkpoints continues where this one was stopped.
-    fn keep_progress(&mut self, task: &TaskRef, stopped: &Run) {
-        let step = self.specs.get(&task.job).and_then(|spec| spec.steps.get(task.step as usize));
-        if step.is_some_and(|step| step.checkpoints && !step.long_running) {
-            let remaining_us = stopped.ends_us.saturating_sub(self.now_us);
-            self.task_run_us.insert(task.clone(), remaining_us + RESTORE_US);
-        }
-    }
-
-    pub(super) fn handle_hold(
-        &mut self,
-        id: Arc<str>,
-        lease_end_ms: Option<u64>,
-        acknowledged: u64,
-        until_us: u64,
-        sent_us: u64,
-        token: u64,
-    ) {
+    pub(super) fn handle_hold(&mut self, mut request: HoldRequest) {
         let now_us = self.now_us;
-        let leader = self.leader;
-        if !self.is_reachable(&id) {
-            let answer = Message::HoldAnswer { worker: id, sent_us, leader, answer: None };
+        let HoldRequest { worker: ref id, lease_end_ms, acknowledged, sent_us, leader, token, .. } = request;
+        if !self.is_reachable(id) {
+            let answer = Message::HoldAnswer { worker: id.clone(), sent_us, leader, answer: None };
             self.send(ORDER_TIMEOUT_US, answer);
             return;
         }
-        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let listing = self.stop_listing;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.started_us != request.incarnation_started_us {
+            self.fail_hold_of_former_incarnation(request);
+            return;
+        }
         if token < worker.token {
             return;
         }
@@ -235,16 +223,19 @@
                 }
             }
         }
-        worker.acknowledged_cursor = worker.acknowledged_cursor.max(acknowledged);
+        worker.acknowledged_cursor = worker.acknowledged_cursor.max(acknowledged.min(worker.last_ended_number));
         worker.ended.retain(|ended_run| ended_run.number > acknowledged);
-        if worker.ended.is_empty() && now_us < until_us {
-            let repeat = Message::Hold { worker: id, lease_end_ms, acknowledged, until_us, sent_us, token };
-            self.send(TICK_US, repeat);
+        if worker.ended.is_empty() && now_us < request.until_us {
+            // A worker acknowledges on arrival only. The cursor of a former incarnation must not cover later ends.
+            request.acknowledged = 0;
+            self.send(TICK_US, Message::Hold(request));
             return;
         }
-        let running = worker.runs.iter().map(|(task, run)| ActiveRun {
+        let lists_stopping_runs = listing.lists_stopping_runs(id);
+        let listed = worker.runs.iter().filter(|(_, run)| run.stop.is_none() || lists_stopping_runs);
+        let running = listed.map(|((task, number), run)| ActiveRun {
             task: task.clone(),
-            run: run.number,
+            run: *number,
             checkpoint: Arc::from(""),
             percent: run.percent(now_us),
             load: None,
@@ -253,14 +244,14 @@
             clock_ms: worker.clock_ms(now_us),
             started_unix_ms: Some(worker.entry.started_unix_ms),
             running: running.collect(),
-            ended: worker.ended.clone(),
+            ended: worker.ended.iter().take(MAX_LISTED_ENDED_RUNS).cloned().collect(),
         };
-        self.send(DELAY_US, Message::HoldAnswer { worker: id, sent_us, leader, answer: Some(answer) });
+        self.send(DELAY_US, Message::HoldAnswer { worker: id.clone(), sent_us, leader, answer: Some(answer) });
     }
 
     pub(super) fn run_workers(&mut self) {
         let now_us = self.now_us;
-        let mut expired = Vec::new();
+        let mut ended_by_leader = Vec::new();
         for worker in self.workers.values_mut() {
             if !worker.is_up {
                 continue;
@@ -269,19 +260,13 @@
             if lapsed {
                 worker.lapsed_lease_cursor = worker.last_ended_number;
             }
-            let ended: Vec<(TaskRef, Run)> = worker
-                .runs
-                .iter()
-                .filter(|(_, run)| lapsed || now_us >= run.ends_us)
-                .map(|(task, run)| (task.clone(), run.clone()))
-                .collect();
-            for (task, run) in ended {
-                worker.runs.remove(&task);
-                let outcome = match (now_us >= run.ends_us, run.fails) {
-                    (true, false) => RunOutcome::Done,
-                    (true, true) => RunOutcome::Failed,
-                    (false, _) => RunOutcome::LeaseExpired,
-                };
+            let mut ended = Vec::new();
+            for (key, run) in &worker.runs {
+                ended.extend(run.outcome_at(now_us, lapsed).map(|outcome| (key.clone(), outcome)));
+            }
+            for (key, outcome) in ended {
+                let Some(run) = worker.runs.remove(&key) else { continue };
+                let (task, number) = key;
                 match outcome {
                     RunOutcome::Done => {
                         self.done.insert(task.clone());
@@ -289,14 +274,17 @@
                     RunOutcome::Failed => *self.failures.entry(task.clone()).or_default() += 1,
                     _ => {}
                 }
-                worker.record_end(&task, run.number, outcome);
-                if outcome == RunOutcome::LeaseExpired {
-                    expired.push((task, run, worker.entry.draining));
+                worker.record_end(&task, number, outcome);
+                if matches!(outcome, RunOutcome::Stopped | RunOutcome::LeaseExpired) {
+                    ended_by_leader.push((task, run, worker.entry.draining));
                 }
             }
         }
-        for (task, run, is_draining) in expired {
-            self.check_lease_expiry(&task, &run, is_draining);
+        for (task, run, is_draining) in ended_by_leader {
+            match run.stop {
+                Some(stop) if now_us >= stop.at_us => self.run_stopped(&task, &run, stop),
+                Some(_) | None => self.check_lease_expiry(&task, &run, is_draining),
+            }
         }
     }
 }
