End the simulated runs of a completed gang together

Simulated members of a gang went on after another member had completed, so they held capacity that the leader no longer counted: plays without any fault exceeded a worker's capacity once run times varied.

--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod faults;
 mod fixtures;
+mod gangs;
 mod hosts;
 mod job_checks;
 mod leader;
--- a/src/sched/sim/worker.rs
+++ b/src/sched/sim/worker.rs
@@ -252,6 +252,7 @@
     pub(super) fn run_workers(&mut self) {
         let now_us = self.now_us;
         let mut ended_by_leader = Vec::new();
+        let mut completed = Vec::new();
         for worker in self.workers.values_mut() {
             if !worker.is_up {
                 continue;
@@ -270,6 +271,7 @@
                 match outcome {
                     RunOutcome::Done => {
                         self.done.insert(task.clone());
+                        completed.push(task.clone());
                     }
                     RunOutcome::Failed => *self.failures.entry(task.clone()).or_default() += 1,
                     _ => {}
@@ -280,6 +282,9 @@
                 }
             }
         }
+        for task in completed {
+            self.end_gang_of(&task);
+        }
         for (task, run, is_draining) in ended_by_leader {
             match run.stop {
                 Some(stop) if now_us >= stop.at_us => self.run_stopped(&task, &run, stop),
