Hold back a task while a worker lists an unexpected run of it

A run that a worker listed but the leader had taken to be over was stopped by an order without any state behind it: its task waited, and could be placed at once, beside the run that was ending. Such a run is now placed on that worker as one that is being stopped, and a run of the task that has not been ordered yet gives way, so that the task starts only when the listed run is over.

--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::action::{Action, StartRun};
-use super::job::{RunPhase, WorkerIncarnation};
+use super::job::{RunPhase, TaskState, WorkerIncarnation};
 use super::model::{ActiveRun, EndedRun, HoldAnswer, JobPhase, OrderOutcome, OrderRefusal, Resources, Step, TaskRef};
 use super::run_end::Observation;
 use super::run_stops::StopReason;
@@ -104,6 +104,9 @@
                 continue;
             }
             self.log_unexpected_run(now_us, sent_us, &incarnation, active_run);
+            if self.track_unexpected_run(now_us, &incarnation, active_run) {
+                continue;
+            }
             self.push_stop(id, &active_run.task, active_run.run, StopReason::Unexpected);
             // The needs of a run of an unknown job are not known, so its worker gets no new tasks until it has ended.
             untracked.add(&self.step_of(&active_run.task).map_or(Resources::MAX, Step::reserved));
@@ -138,6 +141,28 @@
         );
     }
 
+    /// Places a run that a worker lists unexpectedly on that worker and orders it to stop, so that its task does not start
+    /// before the run is over. Returns `false` if the task needs no other run, or has one that may have started.
+    fn track_unexpected_run(&mut self, now_us: u64, worker: &WorkerIncarnation, active_run: &ActiveRun) -> bool {
+        let task_ref = &active_run.task;
+        let Some(job) = self.jobs.get(&task_ref.job).filter(|job| !job.phase.is_final()) else { return false };
+        let Some(task) = job.task(task_ref) else { return false };
+        if !job.spec.steps[task_ref.step as usize].allows_copies() {
+            for placed_on in task.worker_ids() {
+                self.release_if_over(now_us, task_ref, &placed_on, Observation::Withdrawn);
+            }
+        }
+        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+        if task.is_none_or(|task| task.state != TaskState::Waiting) {
+            return false;
+        }
+        self.place_run(now_us, task_ref, worker, active_run.run, RunPhase::Running { since_us: now_us });
+        self.order_stop(now_us, task_ref, &worker.id, StopReason::Unexpected);
+        self.mark_dirty(&task_ref.job);
+        self.refresh_job(&task_ref.job);
+        true
+    }
+
     fn run_listed(&mut self, now_us: u64, id: &Arc<str>, task_ref: &TaskRef, active_run: &ActiveRun) {
         let Some(job) = self.jobs.get_mut(&task_ref.job) else { return };
         let is_final = job.phase.is_final();
