Acknowledge ends only to the incarnation that has listed them

A task ran again after its completion had been acknowledged. A worker numbers its ends anew when it restarts, but every hold request carried the cursor of the former incarnation, so the new one forgot its first ends before the leader had read them. The run then looked lost.

The cursor is now sent once for new ends, and not after a failed request until the worker has answered again.

--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -42,6 +42,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_clock(now_us, answer.clock_ms);
         worker.last_answer_us = now_us;
+        worker.acknowledged_cursor = worker.acknowledged_cursor.max(worker.acknowledging_cursor);
         worker.report_requested_us = worker.report_requested_us.max(sent_us);
         worker.is_silent = false;
         if worker.superseded_us.is_some_and(|superseded_us| sent_us > superseded_us) {
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -156,14 +156,14 @@
             lease_end_ms = worker.lease_end_for(lease_until_us);
         }
         worker.lease_end_ms = worker.lease_end_ms.max(lease_end_ms.unwrap_or(0));
-        worker.acknowledged_cursor = worker.stored_cursor;
+        let acknowledged = worker.cursor_to_acknowledge();
+        worker.acknowledging_cursor = acknowledged;
         let wait_ms = match (worker.is_synced, worker.tasks.is_empty()) {
             (false, _) | (_, true) => 0,
             (true, false) if worker.latency_target_count > 0 && worker.best_effort_count > 0 => HOLD_WAIT_SHARED_MS,
             (true, false) if is_starting => HOLD_WAIT_STARTING_MS,
             (true, false) => HOLD_WAIT_MS,
         };
-        let acknowledged = worker.stored_cursor;
         HoldPlan::Send { address: worker.entry.address, lease_end_ms, acknowledged, wait_ms }
     }
 
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -58,8 +58,10 @@
     pub(crate) processed_cursor: u64,
     /// Highest number of an ended run whose effect is committed to the store.
     pub(crate) stored_cursor: u64,
-    /// Highest number of an ended run that has been acknowledged to the worker, which may then forget it.
+    /// Highest number of an ended run that the worker knows to be acknowledged, so that it may have forgotten it.
     pub(crate) acknowledged_cursor: u64,
+    /// The same, as sent with the hold request that has not been answered yet.
+    pub(crate) acknowledging_cursor: u64,
     /// Processed ended runs beyond `stored_cursor`, by number, with their jobs.
     pub(crate) unstored_ends: VecDeque<(u64, JobId)>,
     /// Ended runs, by number, of tasks that are done but have another run which must be stopped before the end is
@@ -111,6 +113,7 @@
             processed_cursor: 0,
             stored_cursor: 0,
             acknowledged_cursor: 0,
+            acknowledging_cursor: 0,
             unstored_ends: VecDeque::new(),
             withheld_ends: Vec::new(),
             tasks: BTreeSet::new(),
@@ -252,6 +255,16 @@
         clock.clock_ms + elapsed_ms as u64 > self.lease_end_ms
     }
 
+    /// Cursor to send with the next hold request; 0 if there is nothing to acknowledge, or if the worker may have restarted:
+    /// it would number its ends anew, and forget the first ones unread at a cursor of its former incarnation.
+    pub(crate) fn cursor_to_acknowledge(&self) -> u64 {
+        let may_have_restarted = self.is_silent || self.unconfirmed_entry.is_some();
+        match self.stored_cursor > self.acknowledged_cursor && !may_have_restarted {
+            true => self.stored_cursor,
+            false => 0,
+        }
+    }
+
     /// Counts a run that completed.
     pub(crate) fn record_success(&mut self) {
         self.failure_average *= 1.0 - FAILURE_WEIGHT;
