Stand-in: workers that stop slowly, restart under their IDs and lose calls

The workers of the users' platform's stand-in ended a stopped run at once, kept one run per task, did not compare runs on the same worker and never restarted. Faults between the leader and a worker could not be seen.

- Runs are kept by task and number.
A start is compared with all active runs of the task on all workers, the same one included.
A violation names the runs, workers and times, and lists the events of the task.
- restart_worker: the connections, runs, ends, clock, fencing token and numbers of ends start anew, at once or after a while, with a time of day that may be wrong.
The registration follows within one heartbeat interval.
It does nothing if a run or end of the same task would be lost with a restart a second time, because a task with which two workers crash may be given up.
- Registrations get heartbeats and are removed after three missed ones.
Leases are shortened to holdMaxMs.
Requests for another worker get 421.
A job's spec can set the duration of its runs.

--- a/src/platform/users_platform_standin.rs
+++ b/src/platform/users_platform_standin.rs
@@ -5,6 +5,9 @@
 //! orders that they receive and record violations, such as a task that runs twice at the same time.
 
 mod worker;
+mod worker_faults;
+#[cfg(test)]
+mod worker_tests;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io::{Read, Write};
@@ -13,9 +16,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use jiff::Timestamp;
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
 use serde_json::{json, Value};
 
-use worker::Worker;
+use worker::{Response, Worker, MAX_LEASE_MS, STOP_GRACE_MS};
+
+pub use worker_faults::WorkerRestart;
 
 /// Table, partition and key.
 type RowId = (String, String, String);
@@ -28,6 +36,22 @@
     rows: BTreeMap<RowId, (u64, Option<String>)>,
 }
 
+impl RowStore {
+    fn put(&mut self, table: &str, key: &str, value: &Value) {
+        self.version += 1;
+        let id = (table.to_owned(), String::new(), key.to_owned());
+        self.rows.insert(id, (self.version, Some(base64(value.to_string().as_bytes()))));
+    }
+
+    /// Removes a row, if it exists.
+    fn remove(&mut self, table: &str, key: &str) {
+        let id = (table.to_owned(), String::new(), key.to_owned());
+        let Some(row) = self.rows.get_mut(&id).filter(|(_, value)| value.is_some()) else { return };
+        self.version += 1;
+        *row = (self.version, None);
+    }
+}
+
 /// Runs that the stand-in's workers have executed, and violations that they have detected.
 #[derive(Debug, Default)]
 pub struct RunLog {
@@ -35,17 +59,49 @@
     pub starts: u64,
     /// Tasks with a run that has succeeded.
     pub done: HashSet<String>,
-    /// Tasks whose success the control role has acknowledged; they must not start again.
-    acknowledged_done: HashSet<String>,
+    /// Number of active runs that were ordered to stop.
+    pub stops: u64,
+    /// Number of restarts of workers.
+    pub restarts: u64,
+    /// Number of runs that have started on a worker before its registration or a response told of its restart.
+    pub starts_before_announcement: u64,
+    /// Tasks whose success the control role has acknowledged, and how; they must not start again.
+    acknowledged_done: HashMap<String, String>,
+    /// Tasks of which a run or an end was lost with a restart.
+    lost: HashSet<String>,
+    /// What has happened to the runs of each task, with the time of day.
+    events: HashMap<String, Vec<String>>,
     /// Descriptions of the violations.
     pub violations: Vec<String>,
 }
 
-#[derive(Default)]
+impl RunLog {
+    fn record(&mut self, task: &str, event: String) {
+        self.events.entry(task.to_owned()).or_default().push(format!("{} {event}", time_of_day()));
+    }
+
+    fn record_violation(&mut self, task: &str, violation: &str) {
+        let events = self.events.get(task).map_or(String::new(), |events| events.join("; "));
+        self.violations.push(format!("{violation}. Events of the task: {events}"));
+    }
+}
+
+/// Whether workers list a stopped run as active until it has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoppingRuns {
+    /// All workers list it.
+    Listed,
+    /// No worker lists it.
+    Unlisted,
+    /// Every other worker lists it.
+    ListedByEvenWorkers,
+}
+
 struct State {
     store: RowStore,
     workers: Vec<Worker>,
     run_log: RunLog,
+    rng: SmallRng,
 }
 
 /// Stand-in for the users' platform. Clones share its state.
@@ -70,13 +126,21 @@
     }
 }
 
+#[derive(Clone)]
 struct Request {
+    /// ID of the worker that the request is for.
+    expected_instance: Option<String>,
     method: String,
     path: String,
     query: HashMap<String, String>,
     body: Value,
 }
 
+/// Time of day in UTC, as in the daemons' logs.
+fn time_of_day() -> String {
+    Timestamp::now().strftime("%H:%M:%S%.3f").to_string()
+}
+
 fn base64(bytes: &[u8]) -> String {
     use base64::Engine;
     base64::engine::general_purpose::STANDARD.encode(bytes)
@@ -96,11 +160,27 @@
     /// Starts the services and `worker_count` workers, with one queue `print.example/jobs/`. Each run takes
     /// `run_time_ms`.
     pub fn start(worker_count: usize, run_time_ms: u64) -> UsersPlatformStandIn {
+        UsersPlatformStandIn::start_seeded(worker_count, run_time_ms, StoppingRuns::Listed, 0)
+    }
+
+    /// Like [`UsersPlatformStandIn::start`]; random choices of the workers depend on `seed`.
+    pub fn start_seeded(
+        worker_count: usize,
+        run_time_ms: u64,
+        stopping_runs: StoppingRuns,
+        seed: u64,
+    ) -> UsersPlatformStandIn {
         let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
         let (store, provider) = (bind(), bind());
         let address = |listener: &TcpListener| listener.local_addr().expect("an address");
+        let state = State {
+            store: RowStore::default(),
+            workers: Vec::new(),
+            run_log: RunLog::default(),
+            rng: SmallRng::seed_from_u64(seed),
+        };
         let platform = UsersPlatformStandIn {
-            state: Arc::default(),
+            state: Arc::new((Mutex::new(state), Condvar::new())),
             store_address: address(&store),
             provider_address: address(&provider),
             run_time_ms,
@@ -109,8 +189,9 @@
         platform.serve(provider, |_, _| (200, json!({ "machines": [], "nextToken": null })));
         platform.put("op", "config", &configuration(1));
         for index in 0..worker_count {
-            platform.add_worker(index);
+            platform.add_worker(index, stopping_runs);
         }
+        platform.keep_workers_registered();
         platform
     }
 
@@ -129,17 +210,18 @@
         self.put("op", "config", &config);
     }
 
-    fn add_worker(&self, index: usize) {
+    fn add_worker(&self, index: usize, stopping_runs: StoppingRuns) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let id = format!("w{index}");
         let entry = json!({
             "service": "press", "addr": listener.local_addr().expect("an address").to_string(), "zone": "a",
-            "state": "ready", "born": 1, "capacity": { "cpu": 8_000, "memMb": 32_000, "gpu": 0 },
-            "labels": ["a", "r1"], "machine": format!("m{index}"), "seq": 1,
+            "state": "ready", "capacity": { "cpu": 8_000, "memMb": 32_000, "gpu": 0 },
+            "labels": ["a", "r1"], "machine": format!("m{index}"),
         });
-        self.lock().workers.push(Worker::new());
-        self.put("servers", &id, &entry);
-        self.serve(listener, move |platform, request| platform.handle_worker_request(index, request));
+        let mut state = self.lock();
+        state.workers.push(Worker::new(index, stopping_runs, entry));
+        state.write_due_heartbeats();
+        drop(state);
+        self.serve_worker(index, listener);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -147,11 +229,7 @@
     }
 
     fn put(&self, table: &str, key: &str, value: &Value) {
-        let mut state = self.lock();
-        state.store.version += 1;
-        let version = state.store.version;
-        let id = (table.to_owned(), String::new(), key.to_owned());
-        state.store.rows.insert(id, (version, Some(base64(value.to_string().as_bytes()))));
+        self.lock().store.put(table, key, value);
         self.state.1.notify_all();
     }
 
@@ -162,7 +240,7 @@
             "node": daemon, "zone": "a",
             "listen": { "front": callers.to_string(), "readiness": readiness.to_string() },
             "limits": { "cpuShare": 0.5 }, "orders": "call",
-            "bounds": { "holdMaxMs": 10_000, "stopGraceMs": 100, "leaseMs": 3_000, "moveS": 1.5, "upkeepS": 2,
+            "bounds": { "holdMaxMs": MAX_LEASE_MS, "stopGraceMs": STOP_GRACE_MS, "leaseMs": 3_000, "moveS": 1.5, "upkeepS": 2,
                 "graceS": 6 },
             "platform": { "addr": store.to_string() },
             "cloudApi": { "addr": self.provider_address.to_string(), "dutyPerS": 64 },
@@ -195,7 +273,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (platform, handler) = (platform.clone(), handler.clone());
-                thread::spawn(move || serve_connection(stream, |request| handler(&platform, request)));
+                thread::spawn(move || serve_connection(&stream, |request| Some(handler(&platform, request))));
             }
         });
     }
@@ -290,10 +368,12 @@
     }
 }
 
-fn serve_connection(mut stream: TcpStream, handler: impl Fn(&Request) -> (u16, Value)) {
+/// Serves requests until one gets no response.
+fn serve_connection(stream: &TcpStream, handler: impl Fn(&Request) -> Response) {
+    let mut stream = stream;
     let _ = stream.set_nodelay(true);
     while let Some(request) = read_request(&mut stream) {
-        let (status, body) = handler(&request);
+        let Some((status, body)) = handler(&request) else { return };
         let body = body.to_string();
         let response = format!(
             "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
@@ -305,7 +385,7 @@
     }
 }
 
-fn read_request(stream: &mut TcpStream) -> Option<Request> {
+fn read_request(stream: &mut impl Read) -> Option<Request> {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
@@ -313,10 +393,12 @@
         head.push(byte[0]);
     }
     let head = String::from_utf8_lossy(&head).into_owned();
-    let length = head.lines().find_map(|line| {
-        let (name, value) = line.split_once(':')?;
-        name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse().ok())?
-    });
+    let header = |name: &str| {
+        let mut fields = head.lines().filter_map(|line| line.split_once(':'));
+        fields.find(|(field, _)| field.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim().to_owned())
+    };
+    let length = header("content-length").and_then(|length| length.parse().ok());
+    let expected_instance = header("x-expect-instance");
     let mut body = vec![0; length.unwrap_or(0)];
     stream.read_exact(&mut body).ok()?;
     let mut words = head.split(' ');
@@ -325,5 +407,6 @@
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = pairs.map(|(name, value)| (name.to_owned(), value.replace("%00", "\0"))).collect();
-    Some(Request { method, path: path.to_owned(), query, body: serde_json::from_slice(&body).unwrap_or(Value::Null) })
+    let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    Some(Request { expected_instance, method, path: path.to_owned(), query, body })
 }
