--- /dev/null
+++ b/tests/support/control_daemon.rs
@@ -0,0 +1,72 @@
+//! A daemon process with the control role, whose connections to the row store pass through a proxy.
+
+use std::fs::File;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use sardineseam::UsersPlatformStandIn;
+
+use super::proxy::Proxy;
+
+pub struct ControlDaemon {
+    pub name: String,
+    /// Address of the job API for callers.
+    pub front_address: String,
+    settings_path: PathBuf,
+    pub proxy: Proxy,
+    child: Option<Child>,
+}
+
+fn free_port() -> u16 {
+    TcpListener::bind("127.0.0.1:0").expect("a free port").local_addr().expect("an address").port()
+}
+
+impl ControlDaemon {
+    /// Writes the daemon's settings; `test` makes the names of its files unique.
+    pub fn prepare(test: &str, number: usize, platform: &UsersPlatformStandIn) -> ControlDaemon {
+        let proxy = Proxy::start(platform.store_address);
+        let name = format!("daemon-{number}");
+        let front_address = format!("127.0.0.1:{}", free_port());
+        let settings_path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{name}.json"));
+        let readiness_address = ([127, 0, 0, 1], free_port()).into();
+        let caller_address = front_address.parse().expect("an address");
+        let text = platform.settings(&name, caller_address, readiness_address, proxy.address);
+        std::fs::write(&settings_path, text).expect("the settings file is written");
+        File::create(settings_path.with_extension("log")).expect("a log file");
+        ControlDaemon { name, front_address, settings_path, proxy, child: None }
+    }
+
+    /// Starts the process. The log of an earlier process is continued.
+    pub fn start(&mut self) {
+        let log = File::options().append(true).open(self.settings_path.with_extension("log")).expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_sardineseamd"))
+            .arg("--control")
+            .env("SARDINESEAM_BOOT", &self.settings_path)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("a log file"))
+            .stderr(log)
+            .spawn();
+        self.child = Some(child.expect("the daemon starts"));
+    }
+
+    pub fn signal(&self, name: &str) {
+        let Some(child) = &self.child else { return };
+        let sent = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // Fails if the process has already exited.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for ControlDaemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/tests/support/control_faults.rs
@@ -0,0 +1,125 @@
+//! Randomized faults of daemons with the control role and of the workers, several of them at the same time.
+
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::Rng;
+use sardineseam::{UsersPlatformStandIn, WorkerRestart};
+
+use super::control_daemon::ControlDaemon;
+use super::proxy::Mode;
+
+/// Number of daemons that have a fault at the same time; at least one other daemon must accept jobs.
+const MAX_DAEMON_FAULTS: usize = 2;
+/// Time for which a fault lasts.
+const DURATION_MS: std::ops::Range<u64> = 200..4_000;
+/// Error of the time of day that a restarted worker may report.
+const TIME_ERROR_MS: std::ops::RangeInclusive<i64> = -3_000..=3_000;
+
+#[derive(Debug, Clone, Copy)]
+enum DaemonFault {
+    /// SIGKILL was sent.
+    Killed,
+    /// SIGSTOP was sent.
+    Paused,
+    /// SIGTERM was sent.
+    Stopped,
+    /// The connections to the store are stalled or closed.
+    StoreUnreachable,
+}
+
+struct ActiveFault {
+    daemon: usize,
+    fault: DaemonFault,
+    ends_at: Instant,
+}
+
+/// Daemons' faults that have not ended yet. The faults of workers end by themselves.
+#[derive(Default)]
+pub struct Faults {
+    active: Vec<ActiveFault>,
+}
+
+impl Faults {
+    /// Injects a random fault: at the leader with a probability of 0.6, otherwise at a daemon chosen at random.
+    pub fn inject_into_daemon(
+        &mut self,
+        daemons: &mut [ControlDaemon],
+        platform: &UsersPlatformStandIn,
+        rng: &mut SmallRng,
+    ) {
+        let leader = platform.leader();
+        let leader_number = daemons.iter().position(|daemon| Some(&daemon.name) == leader.as_ref());
+        let target = match leader_number {
+            Some(number) if rng.random_bool(0.6) => number,
+            _ => rng.random_range(0..daemons.len()),
+        };
+        let is_affected = self.active.iter().any(|active| active.daemon == target);
+        if is_affected || self.active.len() == MAX_DAEMON_FAULTS {
+            return;
+        }
+        let daemon = &mut daemons[target];
+        let fault = match rng.random_range(0..5) {
+            0 => {
+                daemon.kill();
+                DaemonFault::Killed
+            }
+            1 => {
+                daemon.signal("STOP");
+                DaemonFault::Paused
+            }
+            2 => {
+                daemon.signal("TERM");
+                DaemonFault::Stopped
+            }
+            kind => {
+                daemon.proxy.set_mode(if kind == 3 { Mode::Stall } else { Mode::Disconnect });
+                DaemonFault::StoreUnreachable
+            }
+        };
+        let ends_at = Instant::now() + Duration::from_millis(rng.random_range(DURATION_MS));
+        self.active.push(ActiveFault { daemon: target, fault, ends_at });
+    }
+
+    /// Ends the faults of daemons that are due; daemons that were killed or stopped are started again.
+    pub fn clear_due(&mut self, daemons: &mut [ControlDaemon]) {
+        let now = Instant::now();
+        self.clear(daemons, |active| active.ends_at <= now);
+    }
+
+    pub fn clear_all(&mut self, daemons: &mut [ControlDaemon]) {
+        self.clear(daemons, |_| true);
+    }
+
+    fn clear(&mut self, daemons: &mut [ControlDaemon], ends: impl Fn(&ActiveFault) -> bool) {
+        let (ended, active) = std::mem::take(&mut self.active).into_iter().partition(ends);
+        self.active = active;
+        let ended: Vec<ActiveFault> = ended;
+        for ActiveFault { daemon, fault, .. } in ended {
+            let daemon = &mut daemons[daemon];
+            match fault {
+                DaemonFault::Killed => daemon.start(),
+                DaemonFault::Paused => daemon.signal("CONT"),
+                DaemonFault::Stopped => {
+                    daemon.kill();
+                    daemon.start();
+                }
+                DaemonFault::StoreUnreachable => daemon.proxy.set_mode(Mode::Forward),
+            }
+        }
+    }
+}
+
+/// Injects a random fault into a worker: a restart in three of five cases, otherwise a partition or delayed orders.
+pub fn inject_into_worker(platform: &UsersPlatformStandIn, workers: usize, rng: &mut SmallRng) {
+    let target = rng.random_range(0..workers);
+    match rng.random_range(0..10) {
+        0..6 => {
+            let down_ms = if rng.random_bool(0.7) { 0 } else { rng.random_range(DURATION_MS) };
+            let time_error_ms = if rng.random_bool(0.8) { 0 } else { rng.random_range(TIME_ERROR_MS) };
+            platform.restart_worker(target, WorkerRestart { down_ms, time_error_ms });
+        }
+        6..8 => platform.cut_off_worker(target, rng.random_range(DURATION_MS)),
+        _ => platform.delay_orders_of_worker(target, rng.random_range(DURATION_MS)),
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "no test program uses every helper")]
 
 pub mod cluster;
+pub mod control_daemon;
+pub mod control_faults;
 pub mod endpoint;
 pub mod proxy;
 
