End the simulated runs of a completed gang together

Simulated members of a gang went on after another member had completed, so they held capacity that the leader no longer counted: plays without any fault exceeded a worker's capacity once run times varied. A member whose start order is delayed until its gang has completed ends at once. A worker that takes the place of a crashed one may have a stepped time of day, too.

--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod faults;
 mod fixtures;
+mod gangs;
 mod hosts;
 mod job_checks;
 mod leader;
@@ -109,6 +110,8 @@
     pub(crate) move_count: u32,
     /// Tasks with a run that completed.
     done: HashSet<TaskRef>,
+    /// Gangs of which a run completed, by their first task, and the number of the run.
+    completed_gangs: HashSet<(TaskRef, u32)>,
     /// Tasks whose completion the leader has acknowledged.
     acknowledged_done: HashSet<TaskRef>,
     /// Number of failed runs of each task that the leader has acknowledged.
@@ -188,6 +191,7 @@
             disruption_count: 0,
             move_count: 0,
             done: HashSet::new(),
+            completed_gangs: HashSet::new(),
             acknowledged_done: HashSet::new(),
             acknowledged_failures: HashMap::new(),
             failures: HashMap::new(),
--- a/src/sched/sim/crashes.rs
+++ b/src/sched/sim/crashes.rs
@@ -140,7 +140,8 @@
         self.crashes.life_count += 1;
         let life = self.crashes.life_count;
         let return_us = self.now_us + self.crashes.down_us;
-        entry.started_unix_ms = START_UNIX_MS + return_us / US_PER_MS + u64::from(life);
+        entry.started_unix_ms =
+            self.draw_start_unix_ms(entry.started_unix_ms, START_UNIX_MS + return_us / US_PER_MS + u64::from(life));
         if self.crashes.next_id == NextWorkerId::New {
             entry.id = format!("{}-{life}", entry.host.as_deref().unwrap_or("host")).into();
             self.crashes.lapsing.push((self.now_us + ENTRY_LAPSE_US, id.clone()));
--- a/src/sched/sim/restarts.rs
+++ b/src/sched/sim/restarts.rs
@@ -80,7 +80,7 @@
         let mut entry = former.entry.clone();
         let partitioned_until_us = former.partitioned_until_us;
         entry.draining = false;
-        entry.started_unix_ms = self.draw_start_unix_ms(entry.started_unix_ms);
+        entry.started_unix_ms = self.draw_start_unix_ms(entry.started_unix_ms, self.unix_ms());
         let rate = self.rng.random_range(0.98..1.0);
         let mut worker = sim_worker(self.now_us, entry, rate);
         worker.partitioned_until_us = partitioned_until_us;
@@ -91,17 +91,18 @@
         self.last_disturbance_us = self.now_us;
     }
 
-    /// Start time of a new incarnation by its own time of day. It always differs from that of the former one.
-    fn draw_start_unix_ms(&mut self, former_unix_ms: u64) -> u64 {
+    /// Start time, by its own time of day, of a new incarnation that starts at `unix_ms`. It always differs from that of
+    /// the former one.
+    pub(super) fn draw_start_unix_ms(&mut self, former_unix_ms: u64, unix_ms: u64) -> u64 {
         let steps = match self.restarts.clock_steps {
             ClockSteps::Mixed => [ClockSteps::None, ClockSteps::Back, ClockSteps::Ahead][self.rng.random_range(0..3)],
             steps => steps,
         };
         let step_ms = self.rng.random_range(1..=MAX_CLOCK_STEP_MS);
         let start_unix_ms = match steps {
-            ClockSteps::None | ClockSteps::Mixed => self.unix_ms(),
-            ClockSteps::Back => former_unix_ms.min(self.unix_ms()) - step_ms,
-            ClockSteps::Ahead => self.unix_ms() + step_ms,
+            ClockSteps::None | ClockSteps::Mixed => unix_ms,
+            ClockSteps::Back => former_unix_ms.min(unix_ms) - step_ms,
+            ClockSteps::Ahead => unix_ms + step_ms,
         };
         start_unix_ms + u64::from(start_unix_ms == former_unix_ms)
     }
--- a/src/sched/sim/worker.rs
+++ b/src/sched/sim/worker.rs
@@ -136,6 +136,9 @@
         self.start_count += 1;
         self.stop_times.run_started(now_us, &start.task);
         self.check_start(start, token, is_delayed);
+        if self.end_late_gang_member(start) {
+            return OrderOutcome::Accepted { clock_ms: Some(clock_ms) };
+        }
         self.check_capacity(&start.task, &start.worker);
         self.check_quota(&start.task);
         self.check_crashing_start(&start.task, &start.worker);
@@ -252,6 +255,7 @@
     pub(super) fn run_workers(&mut self) {
         let now_us = self.now_us;
         let mut ended_by_leader = Vec::new();
+        let mut completed = Vec::new();
         for worker in self.workers.values_mut() {
             if !worker.is_up {
                 continue;
@@ -270,6 +274,7 @@
                 match outcome {
                     RunOutcome::Done => {
                         self.done.insert(task.clone());
+                        completed.push((task.clone(), number));
                     }
                     RunOutcome::Failed => *self.failures.entry(task.clone()).or_default() += 1,
                     _ => {}
@@ -280,6 +285,9 @@
                 }
             }
         }
+        for (task, number) in completed {
+            self.end_gang_of(&task, number);
+        }
         for (task, run, is_draining) in ended_by_leader {
             match run.stop {
                 Some(stop) if now_us >= stop.at_us => self.run_stopped(&task, &run, stop),
