Test that crashes before the start of a run do not count against its task

A restarted worker accepts a run before the leader knows of the restart; the crash is then blamed on that run, and jobs fail although none of their tasks was on the worker when it crashed.

--- a/src/sched/duplicate_run_tests.rs
+++ b/src/sched/duplicate_run_tests.rs
@@ -56,6 +56,23 @@
     }
 }
 
+// Guards against a job that fails for crashes which its workers had before its runs started there.
+#[test]
+fn crash_of_a_worker_before_a_run_started_there_does_not_count_against_its_task() {
+    for seed in 0..8 {
+        let mut sim = sim_with_heartbeat(seed, 4, 1_500);
+
+        for number in 0..4 {
+            sim.crash(number);
+        }
+        sim.submit(JOB, spec(vec![step(1, &[])]));
+        sim.run_for(2_000);
+
+        let losses = &task(&sim.scheduler, JOB).losses;
+        assert_eq!((sim.crash_count(&only_task(JOB)), losses.len()), (0, 0), "seed {seed}: {losses:?}");
+    }
+}
+
 /// A simulation of two workers, of which the first returned one is busy and has restarted without the leader's knowledge,
 /// and has then accepted the only task of a job. The other one is idle.
 fn sim_with_run_on_restarted_worker(seed: u64, uptime_ms: u64, run_us: u64) -> (Sim, usize) {
@@ -206,8 +223,9 @@
 // Guards against a restart that is taken for a stale message because the worker's time of day was stepped back.
 #[test]
 fn restart_of_a_worker_whose_time_of_day_was_stepped_back_neither_repeats_nor_blocks_its_tasks() {
-    for seed in 0..8 {
+    for (seed, hold_end) in (0..8).zip([HoldEnd::ConnectionReset, HoldEnd::Timeout].into_iter().cycle()) {
         let mut sim = sim_with_heartbeat(seed, 2, 500);
+        sim.restarts.hold_end = hold_end;
         sim.restarts.clock_steps = ClockSteps::Back;
         sim.submit(JOB, spec(vec![step(6, &[])]));
         sim.run_for(1_000);
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -36,7 +36,7 @@
 pub(crate) use faults::Faults;
 pub(crate) use fixtures::{catalog, settings, spec, worker_entry};
 pub(super) use fixtures::{organisation, organisations, queue, spec_of, step};
-use hosts::{HostAction, SimHost};
+use hosts::SimHost;
 use message::Message;
 use registry::SimRegistry;
 use restarts::Restarts;
