--- a/src/sched/sim/crashes.rs
+++ b/src/sched/sim/crashes.rs
@@ -103,7 +103,10 @@
     /// Counts the crash of a worker for the tasks that it runs.
     pub(super) fn count_crash(&mut self, id: &Arc<str>) {
         let Some(worker) = self.workers.get(id) else { return };
-        for (task, _) in worker.runs.keys() {
+        // An end that the leader has not read is lost as well, so it cannot tell such a run from one that was active.
+        let unread = worker.ended.iter().map(|ended_run| &ended_run.task);
+        let lost: HashSet<&TaskRef> = worker.runs.keys().map(|(task, _)| task).chain(unread).collect();
+        for task in lost {
             *self.crashes.with_task.entry(task.clone()).or_default() += 1;
         }
     }
--- a/src/sched/sim/worker.rs
+++ b/src/sched/sim/worker.rs
@@ -88,6 +88,12 @@
         ((now_us - self.started_us) as f64 * self.clock_rate) as u64 / US_PER_MS
     }
 
+    /// Extends the lease, by at most `max_lease_ms` on the worker's own clock.
+    fn extend_lease(&mut self, now_us: u64, lease_end_ms: u64, max_lease_ms: u64) {
+        let longest_ms = self.clock_ms(now_us) + max_lease_ms;
+        self.lease_end_ms = self.lease_end_ms.max(lease_end_ms.min(longest_ms));
+    }
+
     pub(super) fn record_end(&mut self, task: &TaskRef, run: u32, outcome: RunOutcome) {
         self.last_ended_number += 1;
         let ended =
@@ -113,13 +119,14 @@
         let is_long_running = step.is_some_and(|step| step.long_running);
         let run_duration_us = if is_long_running { u64::MAX / 2 } else { self.draw_run_duration_us(start) };
         let reports_progress = is_long_running || self.stragglers.report_progress;
+        let max_lease_ms = self.settings.max_lease_ms;
         let Some(worker) = self.workers.get_mut(&start.worker) else { return OrderOutcome::Unanswered };
         let clock_ms = worker.clock_ms(now_us);
         if token < worker.token {
             return OrderOutcome::Refused(OrderRefusal::Fenced);
         }
         worker.token = token;
-        worker.lease_end_ms = worker.lease_end_ms.max(start.lease_end_ms);
+        worker.extend_lease(now_us, start.lease_end_ms, max_lease_ms);
         let same_run = worker.runs.get(&(start.task.clone(), start.run));
         if same_run.is_some_and(|run| run.stop.is_none()) {
             return OrderOutcome::Accepted { clock_ms: Some(clock_ms) };
@@ -136,6 +143,9 @@
         self.start_count += 1;
         self.stop_times.run_started(now_us, &start.task);
         self.check_start(start, token, is_delayed);
+        if self.end_late_gang_member(start) {
+            return OrderOutcome::Accepted { clock_ms: Some(clock_ms) };
+        }
         self.check_capacity(&start.task, &start.worker);
         self.check_quota(&start.task);
         self.check_crashing_start(&start.task, &start.worker);
@@ -199,7 +209,7 @@
             self.send(ORDER_TIMEOUT_US, answer);
             return;
         }
-        let listing = self.stop_listing;
+        let (listing, max_lease_ms) = (self.stop_listing, self.settings.max_lease_ms);
         let Some(worker) = self.workers.get_mut(id) else { return };
         if worker.started_us != request.incarnation_started_us {
             self.fail_hold_of_former_incarnation(request);
@@ -209,7 +219,7 @@
             return;
         }
         worker.token = token;
-        worker.lease_end_ms = worker.lease_end_ms.max(lease_end_ms.unwrap_or(0));
+        worker.extend_lease(now_us, lease_end_ms.unwrap_or(0), max_lease_ms);
         for ended_run in &worker.ended {
             if ended_run.number <= acknowledged
                 && ended_run.number > worker.acknowledged_cursor.max(worker.lapsed_lease_cursor)
@@ -243,6 +253,7 @@
         let answer = HoldAnswer {
             clock_ms: worker.clock_ms(now_us),
             started_unix_ms: Some(worker.entry.started_unix_ms),
+           
             running: running.collect(),
             ended: worker.ended.iter().take(MAX_LISTED_ENDED_RUNS).cloned().collect(),
         };
@@ -271,7 +282,7 @@
                 match outcome {
                     RunOutcome::Done => {
                         self.done.insert(task.clone());
-                        completed.push(task.clone());
+                        completed.push((task.clone(), number));
                     }
                     RunOutcome::Failed => *self.failures.entry(task.clone()).or_default() += 1,
                     _ => {}
@@ -282,8 +293,8 @@
                 }
             }
         }
-        for task in completed {
-            self.end_gang_of(&task);
+        for (task, number) in completed {
+            self.end_gang_of(&task, number);
         }
         for (task, run, is_draining) in ended_by_leader {
             match run.stop {
