Count a lost run once, and order the workers of a host by their registration

A task now has lost no more runs than it has started.

Of two workers on a host, the one with the later start time was taken for the later one. Start times come from clocks that may be stepped; a live worker with an earlier one counted as gone after one failed hold request. A worker now counts as replaced only if another one was registered on its host later; of two in one copy of the registry neither is.

A test measures isolation from when the loss is known, for as long as before.

--- a/src/sched/worker_loss.rs
+++ b/src/sched/worker_loss.rs
@@ -97,13 +97,20 @@
 /// Number of runs lost for each cause since they were last taken, in the order of [`LossCause::ALL`].
 pub(crate) type LossCounts = [u64; LossCause::ALL.len()];
 
+/// A worker, and when it was first found in the registry.
+#[derive(Debug, Clone)]
+struct RegisteredWorker {
+    incarnation: WorkerIncarnation,
+    registered_us: u64,
+}
+
 /// Workers that were lost, as far as it may still turn out why, and who is on their hosts.
 #[derive(Debug, Default)]
 pub(super) struct LostWorkers {
     /// Tasks that lost a run with a silent worker, by worker ID.
     silent: HashMap<Arc<str>, SilentWorker>,
-    /// Worker on each host that started last, as far as registered.
-    latest_on_host: HashMap<Arc<str>, WorkerIncarnation>,
+    /// Worker on each host that was registered last.
+    latest_on_host: HashMap<Arc<str>, RegisteredWorker>,
     /// Tasks that may have crashed a worker, see [`Task::is_suspect`].
     pub(super) suspects: HashSet<TaskRef>,
     counts: LossCounts,
@@ -176,6 +183,10 @@
         if (is_long_running && blame == Blame::None) || task.losses.iter().any(|loss| loss.worker == *worker) {
             return;
         }
+        // A run whose order may still arrive is kept through several restarts, but can have been lost only once.
+        if task.losses.len() >= task.last_run as usize {
+            return;
+        }
         let (is_crash, has_begun) = (cause == LossCause::Crashed, has_begun(&placed));
         task.losses.push(WorkerLoss { worker: worker.clone(), is_crash, has_begun, blame });
         task.isolated_until_us = now_us + ISOLATION_WAIT_MS * US_PER_MS;
@@ -249,23 +260,23 @@
         self.resolve_silent(now_us, id, !was_cut_off);
     }
 
-    /// Notes a registered worker on its host. A worker that started there earlier has ended.
+    /// Notes a registered worker on its host. A worker that was registered there earlier has ended.
     pub(super) fn worker_on_host_registered(&mut self, now_us: u64, entry: &WorkerEntry) {
         let Some(host) = &entry.host else { return };
-        let registered = WorkerIncarnation { id: entry.id.clone(), started_unix_ms: entry.started_unix_ms };
-        let Some(known) = self.lost_workers.latest_on_host.insert(host.clone(), registered.clone()) else { return };
-        if known.id == registered.id {
+        let incarnation = WorkerIncarnation { id: entry.id.clone(), started_unix_ms: entry.started_unix_ms };
+        let latest = RegisteredWorker { incarnation, registered_us: now_us };
+        let Some(known) = self.lost_workers.latest_on_host.insert(host.clone(), latest.clone()) else { return };
+        // Times of day may be stepped, so of two workers in one copy of the registry it is not known which one is later.
+        if known.incarnation.id == entry.id || known.registered_us == now_us {
             return;
         }
-        let (former, latest) =
-            if known.started_unix_ms < registered.started_unix_ms { (known, registered) } else { (registered, known) };
+        let (former, latest) = (known.incarnation, latest.incarnation);
         if let Some(worker) = self.workers.get_mut(&former.id) {
             worker.superseded_us.get_or_insert(now_us);
             // Each host that changes its pool has a new worker, but its former one has no tasks.
             let level = if worker.tasks.is_empty() { log::Level::Debug } else { log::Level::Info };
             log::log!(level, "worker={} host={host} successor={} outcome=superseded", former.id, latest.id);
         }
-        self.lost_workers.latest_on_host.insert(host.clone(), latest);
         let silent = self.lost_workers.silent.get(&former.id);
         if silent.is_some_and(|silent| silent.started_unix_ms == former.started_unix_ms) {
             self.resolve_silent(now_us, &former.id, true);
--- a/src/sched/worker_loss_tests.rs
+++ b/src/sched/worker_loss_tests.rs
@@ -353,8 +353,14 @@
     let number = (0..8).find(|number| *worker == *format!("w{number}")).expect("a worker of the simulation");
 
     sim.crash(number);
-    let mut most_isolated = 0;
     for _ in (0..RESTART_KNOWN_MS).step_by(20) {
+        if !task(&sim.scheduler, JOB).losses.is_empty() {
+            break;
+        }
+        sim.run_for(20);
+    }
+    let mut most_isolated = 0;
+    for _ in 0..40 {
         sim.run_for(20);
         most_isolated = most_isolated.max(sim.scheduler.isolated_workers(sim.now_us).len());
     }
