Wait for the longest lease of an incarnation that is not known

- A lease end computed on the clock of a former incarnation is shortened by the worker to the longest lease on its own clock, which lasts longer than the leader counted: a start elsewhere at 5.7 s beside a run that works on to 11 s.
A run that the known incarnation has neither listed nor accepted, by a clock that no later one can have reached, is over by its lease only after the longest one; so are runs on a worker that restarted lately.
- A worker that registers again at another address was asked at the former one for ever.
Both are tried in turn while it is silent; no lease is renewed meanwhile.
- An acknowledgement of a stop by the former incarnation counted for the new one.
The clock in the answer tells.
- A run that the new incarnation took and ended before its first answer counted as a crash.
- The last end of a worker that becomes idle was acknowledged up to 6 s later, when it was next asked; now 0.3 s after it is stored.
- Null entries in a list were skipped, so a list could count as complete, or an end as read, that was not.
Such lists, and missing ones, are not complete, and ends behind a null entry are not read.

Also: the latest run of a task that a worker lists unexpectedly goes on; the end of a second run of a task that is done releases it; an answer of 2xx other than 200 leaves an order open.

--- a/src/lab/leader_work.rs
+++ b/src/lab/leader_work.rs
@@ -59,7 +59,13 @@
         let entry: WorkerEntry = worker_entry(number, START_UNIX_MS);
         let id = entry.id.clone();
         leader.worker_listed(BEGIN_US, entry);
-        let answer = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+        let answer = HoldAnswer {
+            clock_ms: 20_000,
+            started_unix_ms: None,
+            is_complete: true,
+            running: Vec::new(),
+            ended: Vec::new(),
+        };
         leader.on_hold_answer(BEGIN_US, BEGIN_US, &id, &answer);
     }
     let filler = Step { count: load.workers as u32, long_running: true, ..task_step(16_000) };
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -22,6 +22,8 @@
 
 /// Timeout of an order, in addition to the time for which a lease renewal asks the worker to wait.
 const ORDER_TIMEOUT_MS: u64 = 600;
+/// Maximum number of ended runs that a worker lists in one answer.
+const MAX_LISTED_ENDED_RUNS: usize = 500;
 /// Header with the ID of the worker instance that an order is for; any other instance refuses the order.
 const EXPECT_INSTANCE_HEADER: &str = "x-expect-instance";
 
@@ -110,10 +112,8 @@
 struct HoldResponseBody {
     clock_ms: u64,
     born: Option<u64>,
-    #[serde(default)]
-    running: Vec<Option<ActiveRunArray>>,
-    #[serde(default)]
-    ended_runs: Vec<Option<EndedRunArray>>,
+    running: Option<Vec<Option<ActiveRunArray>>>,
+    ended_runs: Option<Vec<Option<EndedRunArray>>>,
 }
 
 #[derive(Deserialize)]
@@ -342,14 +342,21 @@
     }
 }
 
-/// Decodes a worker's response to a lease renewal. Entries that are null are skipped.
+/// Decodes a worker's response to a lease renewal. A list that is missing, is cut at the maximum or has entries that are
+/// null does not tell which runs the worker does not have. Ended runs that follow a null entry are not read: their numbers
+/// would acknowledge it.
 pub(crate) fn decode_hold_response(body: &[u8]) -> Result<HoldAnswer, serde_json::Error> {
     let response: HoldResponseBody = serde_json::from_slice(body)?;
+    let has_both_lists = response.running.is_some() && response.ended_runs.is_some();
+    let (running, ended_runs) = (response.running.unwrap_or_default(), response.ended_runs.unwrap_or_default());
+    let has_null = running.iter().any(Option::is_none) || ended_runs.iter().any(Option::is_none);
+    let is_complete = has_both_lists && !has_null && ended_runs.len() < MAX_LISTED_ENDED_RUNS;
     Ok(HoldAnswer {
         clock_ms: response.clock_ms,
         started_unix_ms: response.born,
-        running: response.running.into_iter().flatten().map(|array| array.0).collect(),
-        ended: response.ended_runs.into_iter().flatten().map(|array| array.0).collect(),
+        is_complete,
+        running: running.into_iter().flatten().map(|array| array.0).collect(),
+        ended: ended_runs.into_iter().map_while(|entry| entry).map(|array| array.0).collect(),
     })
 }
 
@@ -364,7 +371,8 @@
         (409, Some("ticket")) => OrderRefusal::TicketRejected,
         (421, _) => OrderRefusal::WrongWorker,
         (429 | 503, _) => OrderRefusal::Unhealthy,
-        (500..=599, _) => return OrderOutcome::Unanswered,
+        // Whether a worker that answers like this has carried out the order is not known.
+        (200..=299 | 500..=599, _) => return OrderOutcome::Unanswered,
         _ => OrderRefusal::Invalid,
     };
     OrderOutcome::Refused(refusal)
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -88,6 +88,8 @@
 #[cfg(test)]
 mod host_tests;
 #[cfg(test)]
+mod incarnation_tests;
+#[cfg(test)]
 mod leader_fixtures;
 #[cfg(test)]
 mod operator_views_tests;
--- a/src/sched/batches.rs
+++ b/src/sched/batches.rs
@@ -137,6 +137,7 @@
             if worker.entry.started_unix_ms == *started_unix_ms {
                 worker.stored_cursor = worker.stored_cursor.max(*cursor);
                 self.ends_stored(id);
+                self.hold_after_commit(now_us, id);
             }
         }
         for (task_ref, run) in &batch.starts {
--- a/src/sched/copies_tests.rs
+++ b/src/sched/copies_tests.rs
@@ -36,13 +36,20 @@
 }
 
 fn answer(leader: &mut Scheduler, now_us: u64, worker: &str, running: Vec<ActiveRun>, ended: Vec<EndedRun>) {
-    let answer = HoldAnswer { clock_ms: 20_000 + now_us / 1_000, started_unix_ms: None, running, ended };
+    let answer =
+        HoldAnswer { clock_ms: 20_000 + now_us / 1_000, started_unix_ms: None, is_complete: true, running, ended };
     leader.on_hold_answer(now_us, now_us, &worker.into(), &answer);
 }
 
 /// Passes the first answer of a worker's second incarnation to the leader. It has no runs.
 fn answer_after_restart(leader: &mut Scheduler, now_us: u64, worker: &str) {
-    let answer = HoldAnswer { clock_ms: 10, started_unix_ms: Some(2), running: Vec::new(), ended: Vec::new() };
+    let answer = HoldAnswer {
+        clock_ms: 10,
+        started_unix_ms: Some(2),
+        is_complete: true,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
     leader.on_hold_answer(now_us, now_us, &worker.into(), &answer);
 }
 
--- a/src/sched/critical_path_tests.rs
+++ b/src/sched/critical_path_tests.rs
@@ -18,7 +18,13 @@
     let worker = task(leader, JOB).placed_on().expect("the task is placed").id.clone();
     let task = TaskRef { job: JOB.into(), occurrence: 0, step: 0, index: 0 };
     let running = vec![ActiveRun { task, run: 1, checkpoint: "".into(), percent, load: None }];
-    let answer = HoldAnswer { clock_ms: 20_000 + now_us / 1_000, started_unix_ms: None, running, ended: Vec::new() };
+    let answer = HoldAnswer {
+        clock_ms: 20_000 + now_us / 1_000,
+        started_unix_ms: None,
+        is_complete: true,
+        running,
+        ended: Vec::new(),
+    };
     leader.on_hold_answer(now_us, now_us, &worker, &answer);
 }
 
--- a/src/sched/dirty_jobs_tests.rs
+++ b/src/sched/dirty_jobs_tests.rs
@@ -28,7 +28,13 @@
     let task = TaskRef { job: job.clone(), occurrence: 0, step: 0, index: 0 };
     let worker = leader.jobs[job].task(&task).and_then(|task| task.placed_on()).expect("the task runs").id.clone();
     let ended = EndedRun { number: 1, task, run: 1, outcome: RunOutcome::Done, checkpoint: "".into() };
-    let answer = HoldAnswer { clock_ms: 40_000, started_unix_ms: None, running: Vec::new(), ended: vec![ended] };
+    let answer = HoldAnswer {
+        clock_ms: 40_000,
+        started_unix_ms: None,
+        is_complete: true,
+        running: Vec::new(),
+        ended: vec![ended],
+    };
     leader.on_hold_answer(now_us, now_us, &worker, &answer);
     worker
 }
--- a/src/sched/duplicate_run_tests.rs
+++ b/src/sched/duplicate_run_tests.rs
@@ -194,7 +194,7 @@
     let answer = HoldAnswer {
         clock_ms: 30_000,
         started_unix_ms: Some(1),
-       
+        is_complete: true,
         running: vec![active],
         ended: Vec::new(),
     };
@@ -255,7 +255,7 @@
     let answer = HoldAnswer {
         clock_ms: 500,
         started_unix_ms: Some(0),
-       
+        is_complete: true,
         running: Vec::new(),
         ended: Vec::new(),
     };
@@ -286,7 +286,7 @@
     let answer = HoldAnswer {
         clock_ms: 500,
         started_unix_ms: Some(0),
-       
+        is_complete: true,
         running: Vec::new(),
         ended: Vec::new(),
     };
--- a/src/sched/host_demand_tests.rs
+++ b/src/sched/host_demand_tests.rs
@@ -85,7 +85,7 @@
 
 /// The worker and its runs are gone, and its host no longer is in the list.
 fn lose_worker(leader: &mut Scheduler, now_us: u64, entry: &WorkerEntry) {
-    leader.release_lost_tasks(now_us, &entry.id, LossCause::Silent, Observation::LeasesExpired);
+    leader.release_lost_tasks(now_us, &entry.id, LossCause::Silent, Observation::LeasesExpired { now_us });
     leader.workers.remove(&entry.id);
     let hosts = leader.hosts.values().filter(|host| Some(&host.name) != entry.host.as_ref()).cloned().collect();
     leader.hosts_listed(now_us, now_us, hosts);
--- a/src/sched/host_tests.rs
+++ b/src/sched/host_tests.rs
@@ -20,7 +20,13 @@
     config.pools.push(PoolConfig { name: "spare".into(), spare: true });
     scheduler.configure(Arc::new(config));
     scheduler.worker_listed(0, worker_entry(0, 1));
-    let answer = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+    let answer = HoldAnswer {
+        clock_ms: 20_000,
+        started_unix_ms: None,
+        is_complete: true,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
     scheduler.on_hold_answer(0, 0, &"w0".into(), &answer);
     let host = |name: &str, pool: &str, kind: &str| HostRecord {
         name: name.into(),
@@ -81,7 +87,13 @@
         let mut other_worker = worker_entry(1, 1);
         other_worker.labels = [other_kind.into(), other_worker.labels[1].clone()].into();
         scheduler.worker_listed(0, other_worker);
-        let answer = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+        let answer = HoldAnswer {
+            clock_ms: 20_000,
+            started_unix_ms: None,
+            is_complete: true,
+            running: Vec::new(),
+            ended: Vec::new(),
+        };
         let mut long_step = step(1, &[]);
         long_step.long_running = true;
         long_step.required_label = Some("a".into());
@@ -111,7 +123,7 @@
     scheduler.submit(SECOND_US, 0, "job".into(), spec(vec![step(8, &[])]));
     let task_ref = |job: &str| TaskRef { job: job.into(), occurrence: 0, step: 0, index: 0 };
     let running = vec![ActiveRun { task: task_ref("job"), run: 3, checkpoint: "".into(), percent: 10, load: None }];
-    let answer = HoldAnswer { clock_ms: 21_000, started_unix_ms: None, running, ended: Vec::new() };
+    let answer = HoldAnswer { clock_ms: 21_000, started_unix_ms: None, is_complete: true, running, ended: Vec::new() };
 
     scheduler.on_hold_answer(SECOND_US, SECOND_US, &"w0".into(), &answer);
     let free = scheduler.workers["w0"].free_capacity();
@@ -161,8 +173,13 @@
     confirmed_moves_at(&mut scheduler, 10 * SECOND_US);
     let task_ref = TaskRef { job: "long-running".into(), occurrence: 0, step: 0, index: 0 };
     let active_run = ActiveRun { task: task_ref.clone(), run: 1, checkpoint: "".into(), percent: 100, load: None };
-    let hold_answer =
-        HoldAnswer { clock_ms: 31_000, started_unix_ms: None, running: vec![active_run], ended: Vec::new() };
+    let hold_answer = HoldAnswer {
+        clock_ms: 31_000,
+        started_unix_ms: None,
+        is_complete: true,
+        running: vec![active_run],
+        ended: Vec::new(),
+    };
     scheduler.on_hold_answer(11 * SECOND_US, 11 * SECOND_US, &"w0".into(), &hold_answer);
     let mut draining = worker_entry(0, 1);
     draining.draining = true;
@@ -226,7 +243,13 @@
         zone: "hall-a".into(),
         labels: worker_entry(number, 1).labels,
     };
-    let answer = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+    let answer = HoldAnswer {
+        clock_ms: 20_000,
+        started_unix_ms: None,
+        is_complete: true,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
     for number in 0..4 {
         scheduler.worker_listed(0, worker_entry(number, 1));
         scheduler.on_hold_answer(10 * SECOND_US, 10 * SECOND_US, &format!("w{number}").into(), &answer);
@@ -294,7 +317,13 @@
     let sheets = Arc::new(sheets);
     config.queues.push(sheets.clone());
     scheduler.configure(Arc::new(config));
-    let answer = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+    let answer = HoldAnswer {
+        clock_ms: 20_000,
+        started_unix_ms: None,
+        is_complete: true,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
     let mut hosts = Vec::new();
     for number in 0..2 {
         let entry = worker_entry(number, 1);
--- a/src/sched/leader_fixtures.rs
+++ b/src/sched/leader_fixtures.rs
@@ -70,7 +70,7 @@
             running.push(ActiveRun { task, run, checkpoint: "".into(), percent: 100, load: None });
         }
         let clock_ms = 20_000 + now_us / 1_000;
-        let answer = HoldAnswer { clock_ms, started_unix_ms: None, running, ended: Vec::new() };
+        let answer = HoldAnswer { clock_ms, started_unix_ms: None, is_complete: true, running, ended: Vec::new() };
         leader.on_hold_answer(now_us, now_us, &id, &answer);
     }
 }
--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -116,7 +116,7 @@
             let long_silent = !worker.is_listed && now_us > worker.last_answer_us + self.lease_expiry_wait_us();
             let leases_ended = worker.lease_certainly_expired(now_us) || (long_silent && former_leader_leases_ended);
             if leases_ended || never_answered {
-                lost.push((worker.entry.id.clone(), Observation::LeasesExpired));
+                lost.push((worker.entry.id.clone(), Observation::LeasesExpired { now_us }));
             } else if worker.is_replaced() {
                 lost.push((worker.entry.id.clone(), Observation::WorkerGone));
             }
@@ -128,7 +128,7 @@
         if former_leader_leases_ended && now_us >= self.next_orphan_check_us {
             self.next_orphan_check_us = now_us + ORPHAN_CHECK_INTERVAL_MS * US_PER_MS;
             let orphans = self.orphans();
-            self.release_orphans(now_us, &orphans, Observation::LeasesExpired);
+            self.release_orphans(now_us, &orphans, Observation::LeasesExpired { now_us });
             self.prune_silent_workers();
         }
     }
@@ -229,7 +229,14 @@
         observation: Observation,
     ) {
         let Some(worker) = self.workers.get(id) else { return };
-        let lost: Vec<TaskRef> = worker.tasks.iter().cloned().collect();
+        let mut lost = Vec::new();
+        for task_ref in &worker.tasks {
+            let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+            let placed = task.and_then(|task| task.run_on(id));
+            if placed.is_some_and(|placed| self.run_over(&placed, observation).is_some()) {
+                lost.push(task_ref.clone());
+            }
+        }
         self.release_lost(now_us, id, &lost, cause, observation);
         if let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.tasks.is_empty()) {
             worker.lease_end_ms = 0;
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -351,6 +351,8 @@
     /// Time since the worker started, on its own clock.
     pub(crate) clock_ms: u64,
     pub(crate) started_unix_ms: Option<u64>,
+    /// Whether the lists hold all active runs, and all ended runs that are not acknowledged.
+    pub(crate) is_complete: bool,
     pub(crate) running: Vec<ActiveRun>,
     pub(crate) ended: Vec<EndedRun>,
 }
--- a/src/sched/planned_work_tests.rs
+++ b/src/sched/planned_work_tests.rs
@@ -285,7 +285,8 @@
             ActiveRun { task, run, checkpoint: "".into(), percent, load: None }
         });
         let running = running.collect();
-        let answer = HoldAnswer { clock_ms: sent_ms, started_unix_ms: None, running, ended: Vec::new() };
+        let answer =
+            HoldAnswer { clock_ms: sent_ms, started_unix_ms: None, is_complete: true, running, ended: Vec::new() };
         scheduler.on_hold_answer(now_ms * US_PER_MS, sent_ms * US_PER_MS, &id, &answer);
     }
 }
--- a/src/sched/progress.rs
+++ b/src/sched/progress.rs
@@ -155,7 +155,13 @@
         }
         self.mark_progressed(&task_ref.job);
         match ended_run.outcome {
-            RunOutcome::Done if !long_running => self.task_done(now_us, task_ref, ended_run.run),
+            RunOutcome::Done if !long_running => {
+                self.task_done(now_us, task_ref, ended_run.run);
+                // Another run may have completed the task before.
+                if is_current {
+                    self.release_if_over(now_us, task_ref, worker, Observation::EndListed);
+                }
+            }
             // A long-running task should run until it is stopped, so any other end is a failure.
             RunOutcome::Done | RunOutcome::Failed => self.task_failed(now_us, worker, task_ref, is_current),
             RunOutcome::Stopped
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -9,10 +9,9 @@
 use super::run_stops::StopReason;
 use super::scheduler::Scheduler;
 use super::work_counts::Work;
+use super::worker::MAX_ANSWER_AGE_MS;
 use crate::clock::US_PER_MS;
 
-/// Maximum number of ended runs that a worker lists in one answer.
-const MAX_LISTED_ENDED_RUNS: usize = 500;
 /// How long a worker gets no new tasks after it refused one for lack of capacity.
 const INSUFFICIENT_CAPACITY_BLOCK_MS: u64 = 200;
 /// How long a worker gets no new tasks after it could not be reached.
@@ -23,9 +22,6 @@
 const UNHEALTHY_BLOCK_MS: u64 = 700;
 /// Delay before a task is placed again after its start order was refused as invalid.
 const INVALID_ORDER_DELAY_MS: u64 = 700;
-/// If the clock in an answer is behind an earlier reading by more than this, the worker has restarted in between. Answers
-/// may overtake each other by less.
-const MAX_ANSWER_AGE_MS: u64 = 2_000;
 /// A run without progress for this long is stopped and placed again.
 const STALL_TIMEOUT_MS: u64 = 2_500;
 /// Progress from which the run time can be told. Percentages are whole numbers, so smaller ones are inexact.
@@ -67,20 +63,13 @@
             self.unacknowledged_workers.insert(id.clone());
         }
         self.discard_withheld_ends(id);
-        let all_ended_runs_listed = answer.ended.len() < MAX_LISTED_ENDED_RUNS;
-        self.reconcile_runs(now_us, sent_us, id, &answer.running, all_ended_runs_listed);
+        self.reconcile_runs(now_us, sent_us, id, answer);
         self.schedule_hold(now_us, id, false);
     }
 
     /// Compares a worker's active runs with the tasks placed on it, and stops runs that it should not have.
-    fn reconcile_runs(
-        &mut self,
-        now_us: u64,
-        sent_us: u64,
-        id: &Arc<str>,
-        active_runs: &[ActiveRun],
-        all_ended_runs_listed: bool,
-    ) {
+    fn reconcile_runs(&mut self, now_us: u64, sent_us: u64, id: &Arc<str>, answer: &HoldAnswer) {
+        let active_runs = &answer.running;
         let mut listed: Vec<&ActiveRun> = active_runs.iter().collect();
         listed.sort_unstable_by(|a, b| (&a.task, a.run).cmp(&(&b.task, b.run)));
         let Some(worker) = self.workers.get(id) else { return };
@@ -92,7 +81,7 @@
             let latest = listed[..following].last().filter(|active_run| active_run.task == *task_ref);
             match latest {
                 Some(active_run) => self.run_listed(now_us, id, task_ref, active_run),
-                None if all_ended_runs_listed => self.run_not_listed(now_us, sent_us, id, task_ref),
+                None if answer.is_complete => self.run_not_listed(now_us, sent_us, id, task_ref),
                 None => {}
             }
         }
@@ -142,8 +131,8 @@
         );
     }
 
-    /// Places a run that a worker lists unexpectedly on that worker and orders it to stop, so that its task does not start
-    /// before the run is over. Returns `false` if the task needs no other run, or has one that may have started.
+    /// Places a run that a worker lists unexpectedly on that worker, so that its task does not start before the run is
+    /// over, and orders it to stop unless it is the task's latest one. Returns `false` if the task needs no other run, or has one that may have started.
     fn track_unexpected_run(&mut self, now_us: u64, worker: &WorkerIncarnation, active_run: &ActiveRun) -> bool {
         let task_ref = &active_run.task;
         let Some(job) = self.jobs.get(&task_ref.job).filter(|job| !job.phase.is_final()) else { return false };
@@ -157,8 +146,14 @@
         if task.is_none_or(|task| task.state != TaskState::Waiting) {
             return false;
         }
+        // The latest run of a task may as well go on.
+        let is_latest =
+            task.is_some_and(|task| task.last_run == active_run.run && task.highest_ended_run < active_run.run);
+        let is_gang = self.step_of(task_ref).is_some_and(|step| step.gang);
         self.place_run(now_us, task_ref, worker, active_run.run, RunPhase::Running { since_us: now_us });
-        self.order_stop(now_us, task_ref, &worker.id, StopReason::Unexpected);
+        if !is_latest || is_gang {
+            self.order_stop(now_us, task_ref, &worker.id, StopReason::Unexpected);
+        }
         self.mark_dirty(&task_ref.job);
         self.refresh_job(&task_ref.job);
         true
@@ -179,6 +174,7 @@
         // A checkpoint of a copy may be older than those of the run beside it.
         let checkpoint = Some(&active_run.checkpoint).filter(|text| !text.is_empty() && !placed.is_copy);
         report.is_listed = true;
+        report.is_confirmed = true;
         report.load = active_run.load;
         if report.percent != active_run.percent {
             report.percent = active_run.percent;
@@ -317,10 +313,12 @@
         self.record_answer(now_us, &start.worker, outcome);
         self.handle_refusal(now_us, &start.worker, outcome);
         self.log_other_incarnation(start, outcome);
+        let is_confirmed = self.is_answer_of_known_incarnation(now_us, &start.worker, outcome);
         let Some(job) = self.jobs.get_mut(&task_ref.job) else { return };
         let was_queued = job.phase == JobPhase::Queued;
         let Some(task) = job.task_mut(task_ref) else { return };
         let Some(placed) = task.run_on_mut(&start.worker).filter(|placed| placed.run == start.run) else { return };
+        placed.report.is_confirmed |= is_confirmed;
         match (outcome, *placed.phase) {
             (OrderOutcome::Accepted { .. }, RunPhase::Ordered) => {
                 *placed.phase = RunPhase::Running { since_us: now_us };
@@ -356,6 +354,14 @@
         }
     }
 
+    /// Whether the incarnation of a worker that has accepted an order is certainly the known one: a later one has started
+    /// after the latest answered hold request was sent, so that its clock cannot be as far yet.
+    fn is_answer_of_known_incarnation(&self, now_us: u64, id: &Arc<str>, outcome: &OrderOutcome) -> bool {
+        let OrderOutcome::Accepted { clock_ms: Some(clock_ms) } = outcome else { return false };
+        let Some(worker) = self.workers.get(id).filter(|worker| worker.is_synced) else { return false };
+        *clock_ms > now_us.saturating_sub(worker.report_requested_us) / US_PER_MS
+    }
+
     /// Logs a start order that a later incarnation of the worker has accepted than the one that it was meant for.
     fn log_other_incarnation(&self, start: &StartRun, outcome: &OrderOutcome) {
         let OrderOutcome::Accepted { clock_ms: Some(clock_ms) } = outcome else { return };
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -33,6 +33,9 @@
 const MAX_HOLD_BACKOFF_MS: u64 = 340;
 /// Delay between hold requests to a worker without tasks, which only keep the estimate of its clock current.
 const IDLE_HOLD_INTERVAL_MS: u64 = 6_000;
+/// Delay from the commit of the ends of an idle worker to their acknowledgement, so that one request can acknowledge
+/// several.
+const ACKNOWLEDGE_DELAY_MS: u64 = 300;
 /// Delay before a failed hold request is repeated.
 const HOLD_RETRY_DELAY_MS: u64 = 250;
 
@@ -152,7 +155,8 @@
         }
         let mut lease_end_ms = None;
         // The lease of a worker that does not answer is not extended, so that its tasks can be placed elsewhere soon.
-        if !worker.tasks.is_empty() && lease_until_us > now_us && worker.has_answered_recently(now_us) {
+        let may_renew = worker.has_answered_recently(now_us) && worker.unconfirmed_entry.is_none();
+        if !worker.tasks.is_empty() && lease_until_us > now_us && may_renew {
             lease_end_ms = worker.lease_end_for(lease_until_us);
         }
         worker.lease_end_ms = worker.lease_end_ms.max(lease_end_ms.unwrap_or(0));
@@ -160,11 +164,12 @@
         worker.acknowledging_cursor = acknowledged;
         let wait_ms = match (worker.is_synced, worker.tasks.is_empty()) {
             (false, _) | (_, true) => 0,
+            _ if worker.unconfirmed_entry.is_some() => 0,
             (true, false) if worker.latency_target_count > 0 && worker.best_effort_count > 0 => HOLD_WAIT_SHARED_MS,
             (true, false) if is_starting => HOLD_WAIT_STARTING_MS,
             (true, false) => HOLD_WAIT_MS,
         };
-        HoldPlan::Send { address: worker.entry.address, lease_end_ms, acknowledged, wait_ms }
+        HoldPlan::Send { address: worker.next_hold_address(), lease_end_ms, acknowledged, wait_ms }
     }
 
     /// Whether a worker with long-running tasks runs one that has a disruption budget and started a short time ago, but is
@@ -202,6 +207,17 @@
         worker.next_hold_us = now_us + delay_ms * US_PER_MS;
     }
 
+    /// Makes sure that the ends of an idle worker are acknowledged soon after they are stored.
+    pub(super) fn hold_after_commit(&mut self, now_us: u64, id: &Arc<str>) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let acknowledge_us = now_us + ACKNOWLEDGE_DELAY_MS * US_PER_MS;
+        if worker.cursor_to_acknowledge() == 0 || worker.next_hold_us <= acknowledge_us {
+            return;
+        }
+        worker.next_hold_us = acknowledge_us;
+        self.wake_session(id.clone());
+    }
+
     /// Makes sure that a worker is asked for its runs after a start, also if it had no tasks before.
     pub(super) fn hold_after_start(&mut self, now_us: u64, id: &Arc<str>) {
         let soon_us = now_us + self.hold_backoff_ms() * US_PER_MS;
--- a/src/sched/restarts.rs
+++ b/src/sched/restarts.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use super::job::RunPhase;
-use super::model::{ActiveRun, HoldAnswer, TaskRef, WorkerEntry};
+use super::model::{HoldAnswer, TaskRef, WorkerEntry};
 use super::run_end::Observation;
 use super::run_stops::StopReason;
 use super::scheduler::Scheduler;
@@ -30,12 +30,15 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct FirstList<'a> {
     requested_us: u64,
-    running: &'a [ActiveRun],
+    answer: &'a HoldAnswer,
 }
 
 impl FirstList<'_> {
+    /// Whether a run is listed, as active or as ended.
     fn contains(&self, task_ref: &TaskRef, run: u32) -> bool {
-        self.running.iter().any(|active_run| active_run.run == run && active_run.task == *task_ref)
+        let HoldAnswer { running, ended, .. } = self.answer;
+        running.iter().any(|active_run| active_run.run == run && active_run.task == *task_ref)
+            || ended.iter().any(|ended_run| ended_run.run == run && ended_run.task == *task_ref)
     }
 }
 
@@ -48,7 +51,7 @@
     MayArrive,
     /// The order has just been sent, or accepted by one of the incarnations: the next list tells by which.
     Undecided,
-    /// The new incarnation has the run.
+    /// The new incarnation has, or had, the run.
     Listed,
 }
 
@@ -74,7 +77,7 @@
     ) -> bool {
         let Some(started_unix_ms) = answer.started_unix_ms else { return true };
         let Some(worker) = self.workers.get_mut(id) else { return false };
-        if worker.former_starts_unix_ms.contains(&started_unix_ms) {
+        if worker.former_starts_unix_ms.contains(&started_unix_ms) && sent_us < worker.known_since_us {
             return false;
         }
         if worker.entry.started_unix_ms == started_unix_ms {
@@ -83,7 +86,7 @@
             let unconfirmed = worker.unconfirmed_entry.take().map(|unconfirmed| unconfirmed.entry);
             let mut entry = unconfirmed.unwrap_or_else(|| worker.entry.clone());
             entry.started_unix_ms = started_unix_ms;
-            self.worker_restarted(now_us, entry, Some(FirstList { requested_us: sent_us, running: &answer.running }));
+            self.worker_restarted(now_us, entry, Some(FirstList { requested_us: sent_us, answer }));
         }
         self.worker_lives(now_us, id, started_unix_ms, true);
         true
@@ -187,6 +190,7 @@
         let mut worker = Worker::new(now_us, entry);
         worker.has_session = former.has_session;
         worker.is_cordoned = is_cordoned;
+        worker.unknown_lease_end_us = now_us + self.longest_lease_wait_us();
         worker.former_starts_unix_ms = former.former_starts_unix_ms;
         worker.former_starts_unix_ms.push(former.entry.started_unix_ms);
         if worker.former_starts_unix_ms.len() > MAX_FORMER_STARTS {
@@ -201,7 +205,8 @@
         let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
         let Some(placed) = task.run_on_mut(id) else { return };
         *placed.worker = incarnation.clone();
-        *placed.report = RunReport::new(now_us);
+        let longest_lease_end_us = placed.report.longest_lease_end_us;
+        *placed.report = RunReport { longest_lease_end_us, ..RunReport::new(now_us) };
         let run = placed.run;
         if let RunPhase::Stopping { acknowledged_us, .. } = placed.phase {
             *acknowledged_us = None;
--- a/src/sched/run_end.rs
+++ b/src/sched/run_end.rs
@@ -27,8 +27,8 @@
     EndListed,
     /// A complete list that was requested at `requested_us` has neither the run nor its end.
     NotListed { requested_us: u64 },
-    /// The worker's leases have expired.
-    LeasesExpired,
+    /// Every lease granted to the known incarnation of the worker has expired at `now_us`.
+    LeasesExpired { now_us: u64 },
     /// A later incarnation of the worker has answered, to a request of `requested_us`, that it does not have the run; or
     /// has only registered so far.
     WorkerRestarted { requested_us: Option<u64> },
@@ -84,7 +84,13 @@
     pub(super) fn run_over(&self, placed: &PlacedRun<'_>, observation: Observation) -> Option<RunOver> {
         match (observation, placed.phase) {
             (Observation::EndListed, _) => Some(RunOver::EndListed),
-            (Observation::LeasesExpired, _) => Some(RunOver::LeaseExpired),
+            (Observation::LeasesExpired { now_us }, _) => {
+                // A lease that was meant for the known incarnation may last longer on the clock of a later one.
+                let worker = self.workers.get(&placed.worker.id);
+                let unknown_lease_end_us = worker.map_or(0, |worker| worker.unknown_lease_end_us);
+                let is_confirmed = placed.report.is_confirmed || now_us >= placed.report.longest_lease_end_us;
+                (is_confirmed && now_us >= unknown_lease_end_us).then_some(RunOver::LeaseExpired)
+            }
             (Observation::WorkerGone, _) => Some(RunOver::WorkerGone),
             (
                 Observation::Withdrawn | Observation::StartRefused | Observation::WorkerRestarted { .. },
--- a/src/sched/run_end_tests.rs
+++ b/src/sched/run_end_tests.rs
@@ -29,6 +29,7 @@
     HoldAnswer {
         clock_ms: 20_000 + now_us / US_PER_MS,
         started_unix_ms: Some(started_unix_ms),
+        is_complete: true,
         running: runs.iter().map(active).collect(),
         ended: Vec::new(),
     }
--- a/src/sched/run_stops.rs
+++ b/src/sched/run_stops.rs
@@ -174,6 +174,9 @@
     ) {
         self.record_answer(now_us, worker, outcome);
         self.handle_refusal(now_us, worker, outcome);
+        if self.is_answer_of_former_incarnation(now_us, worker, outcome) {
+            return;
+        }
         let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
         let Some(placed) = task.run_on_mut(worker).filter(|placed| placed.run == run) else { return };
         let RunPhase::Stopping { next_retry_us, acknowledged_us } = placed.phase else { return };
@@ -191,6 +194,11 @@
         }
     }
 
+    fn is_answer_of_former_incarnation(&self, now_us: u64, id: &Arc<str>, outcome: &OrderOutcome) -> bool {
+        let OrderOutcome::Accepted { clock_ms: Some(clock_ms) } = outcome else { return false };
+        self.workers.get(id).is_some_and(|worker| worker.is_clock_of_former_incarnation(now_us, *clock_ms))
+    }
+
     /// Age of the latest list of runs from a worker; `u64::MAX` milliseconds if it has sent none.
     pub(super) fn list_age_ms(&self, now_us: u64, worker: &str) -> u64 {
         match self.workers.get(worker).map_or(0, |worker| worker.report_requested_us) {
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -370,6 +370,7 @@
             return;
         }
         let ticket = self.ticket(now_us, task_ref, &incarnation.id);
+        let longest_lease_end_us = now_us + self.longest_lease_wait_us();
         let Some(worker) = self.workers.get_mut(&incarnation.id) else { return };
         let lease_end_ms = worker.lease_end_for(lease_until_us).unwrap_or(0);
         worker.lease_end_ms = worker.lease_end_ms.max(lease_end_ms);
@@ -379,6 +380,7 @@
         let Some(task) = job.task_mut(task_ref) else { return };
         if let Some(placed) = task.run_on_mut(&incarnation.id) {
             *placed.phase = RunPhase::Ordered;
+            placed.report.longest_lease_end_us = longest_lease_end_us;
         }
         if task.run == run {
             task.stages.pass(Stage::Committed, now_us);
@@ -437,10 +439,14 @@
         self.leader_since_us + self.lease_expiry_wait_us()
     }
 
+    /// Time after which a lease has expired on any incarnation of a worker, which shortens it to the maximum on its own clock.
+    pub(super) fn longest_lease_wait_us(&self) -> u64 {
+        lease_expiry_wait_us(self.settings.max_lease_ms)
+    }
+
     /// Time without an answer after which a worker's lease has expired for certain.
     pub(super) fn lease_expiry_wait_us(&self) -> u64 {
-        let wait_ms = (self.max_granted_lease_ms() as f64 * LEASE_EXPIRY_FACTOR) as u64 + LEASE_EXPIRY_MARGIN_MS;
-        wait_ms * US_PER_MS
+        lease_expiry_wait_us(self.max_granted_lease_ms())
     }
 
     /// Records by how much the timer that drives [`Scheduler::tick`] was late: if the leader has too little processor time,
@@ -512,6 +518,12 @@
     catalog.queue(&spec.queue.name).unwrap_or(&spec.queue).clone()
 }
 
+/// Time after which a lease of this length has expired for certain.
+fn lease_expiry_wait_us(lease_ms: u64) -> u64 {
+    let wait_ms = (lease_ms as f64 * LEASE_EXPIRY_FACTOR) as u64 + LEASE_EXPIRY_MARGIN_MS;
+    wait_ms * US_PER_MS
+}
+
 /// When a job was accepted, in this process's monotonic time.
 fn accepted_us(now_us: u64, now_unix_ms: u64, job: &Job) -> u64 {
     /// Upper bound on the age, in case the clock of the daemon that accepted the job is wrong.
--- a/src/sched/sim/worker.rs
+++ b/src/sched/sim/worker.rs
@@ -253,7 +253,7 @@
         let answer = HoldAnswer {
             clock_ms: worker.clock_ms(now_us),
             started_unix_ms: Some(worker.entry.started_unix_ms),
-           
+            is_complete: true,
             running: running.collect(),
             ended: worker.ended.iter().take(MAX_LISTED_ENDED_RUNS).cloned().collect(),
         };
--- a/src/sched/stages_tests.rs
+++ b/src/sched/stages_tests.rs
@@ -41,7 +41,13 @@
 
 fn report_end(leader: &mut Scheduler, at_us: u64, start: &StartRun, number: u64, outcome: RunOutcome) {
     let ended = EndedRun { number, task: start.task.clone(), run: start.run, outcome, checkpoint: Arc::from("") };
-    let answer = HoldAnswer { clock_ms: at_us / MS, started_unix_ms: None, running: Vec::new(), ended: vec![ended] };
+    let answer = HoldAnswer {
+        clock_ms: at_us / MS,
+        started_unix_ms: None,
+        is_complete: true,
+        running: Vec::new(),
+        ended: vec![ended],
+    };
     leader.on_hold_answer(at_us, at_us, &start.worker, &answer);
 }
 
--- a/src/sched/takeover_tests.rs
+++ b/src/sched/takeover_tests.rs
@@ -23,7 +23,13 @@
 }
 
 fn answer(scheduler: &mut Scheduler, now_us: u64, worker: &str) {
-    let answer = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running: Vec::new(), ended: Vec::new() };
+    let answer = HoldAnswer {
+        clock_ms: 20_000,
+        started_unix_ms: None,
+        is_complete: true,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
     scheduler.on_hold_answer(now_us, now_us, &worker.into(), &answer);
 }
 
@@ -134,7 +140,7 @@
 
     leader.worker_listed(now_us + SECOND_US, worker_entry(0, 1));
     let running = vec![ActiveRun { task: only_task(), run: 1, checkpoint: "".into(), percent: 100, load: None }];
-    let listed = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, running, ended: Vec::new() };
+    let listed = HoldAnswer { clock_ms: 20_000, started_unix_ms: None, is_complete: true, running, ended: Vec::new() };
     leader.on_hold_answer(now_us + SECOND_US, now_us + SECOND_US, &"w0".into(), &listed);
     leader.tick(now_us + SECOND_US, 0);
     commit(&mut leader, now_us + SECOND_US);
@@ -170,7 +176,13 @@
     let registered = vec![worker_entry(0, 1), worker_entry(1, 1)];
     let mut leader = new_leader_with_record(now_us, registered, &record_of_task_on_w0(2));
 
-    let answer = HoldAnswer { clock_ms: 20_000, started_unix_ms: Some(2), running: Vec::new(), ended: Vec::new() };
+    let answer = HoldAnswer {
+        clock_ms: 20_000,
+        started_unix_ms: Some(2),
+        is_complete: true,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
     leader.on_hold_answer(now_us, now_us, &"w0".into(), &answer);
     run_with(&mut leader, now_us, REPLACED_WITHIN_MS, &["w0", "w1"]);
 
@@ -192,7 +204,13 @@
 fn late_entry_of_a_former_incarnation_does_not_end_the_runs_of_the_present_one() {
     let mut leader = leader_with_workers(1);
     let former = leader.workers["w0"].entry.clone();
-    let answer = HoldAnswer { clock_ms: 1_000, started_unix_ms: Some(2), running: Vec::new(), ended: Vec::new() };
+    let answer = HoldAnswer {
+        clock_ms: 1_000,
+        started_unix_ms: Some(2),
+        is_complete: true,
+        running: Vec::new(),
+        ended: Vec::new(),
+    };
     leader.on_hold_answer(10 * SECOND_US, 10 * SECOND_US, &"w0".into(), &answer);
     leader.submit(10 * SECOND_US, 0, JOB.into(), spec(vec![step(1, &[])]));
     run(&mut leader, 10 * SECOND_US, 300);
--- a/src/sched/task_runs.rs
+++ b/src/sched/task_runs.rs
@@ -12,6 +12,10 @@
 pub(crate) struct RunReport {
     /// Whether the worker has listed the run as active.
     pub(crate) is_listed: bool,
+    /// Whether it is certain that no later incarnation of the worker than the known one has the run.
+    pub(crate) is_confirmed: bool,
+    /// When the lease of the run has ended on any incarnation; 0 if a former leader has ordered the run.
+    pub(crate) longest_lease_end_us: u64,
     /// Latest reported progress in percent. A long-running task at 100 is fully in service.
     pub(crate) percent: u32,
     /// When `percent` last changed, or the run started.
@@ -24,7 +28,15 @@
 
 impl RunReport {
     pub(crate) fn new(now_us: u64) -> RunReport {
-        RunReport { is_listed: false, percent: 0, percent_since_us: now_us, load: None, pace_percent: 100 }
+        RunReport {
+            is_listed: false,
+            is_confirmed: false,
+            longest_lease_end_us: 0,
+            percent: 0,
+            percent_since_us: now_us,
+            load: None,
+            pace_percent: 100,
+        }
     }
 }
 
--- a/src/sched/usage_tests.rs
+++ b/src/sched/usage_tests.rs
@@ -308,7 +308,13 @@
     leader.cancel(now_us, &CANCELLED_JOB.into());
     let task = TaskRef { job: CANCELLED_JOB.into(), occurrence: 0, step: 0, index: 0 };
     let running = vec![ActiveRun { task, run: 9, checkpoint: "".into(), percent: 0, load: None }];
-    HoldAnswer { clock_ms: 20_000 + now_us / 1_000, started_unix_ms: None, running, ended: Vec::new() }
+    HoldAnswer {
+        clock_ms: 20_000 + now_us / 1_000,
+        started_unix_ms: None,
+        is_complete: true,
+        running,
+        ended: Vec::new(),
+    }
 }
 
 // Guards against untracked runs that hold resources but do not count, or count for ever.
@@ -351,7 +357,8 @@
     leader.on_hold_answer(10 * SECOND_US, 10 * SECOND_US, &"w1".into(), &answer);
     assert_eq!(leader.usage.of("kora").run_count, 1);
 
-    let restarted = HoldAnswer { clock_ms: 10, started_unix_ms: Some(2), running: Vec::new(), ..answer };
+    let restarted =
+        HoldAnswer { clock_ms: 10, started_unix_ms: Some(2), is_complete: true, running: Vec::new(), ..answer };
     leader.on_hold_answer(10_100_000, 10_100_000, &"w1".into(), &restarted);
 
     assert_eq!(leader.usage.of("kora").run_count, 0);
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -1,6 +1,7 @@
 //! The leader's state of one worker.
 
 use std::collections::{BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::job::WorkerIncarnation;
@@ -17,6 +18,8 @@
 /// A worker has reported its runs lately if the hold request that it answered was sent no longer ago than this. The
 /// worker may wait for a second before it answers, and as long passes until its next answer.
 const MAX_REPORT_AGE_MS: u64 = 2_800;
+/// Answers of an incarnation may overtake each other by up to this time.
+pub(super) const MAX_ANSWER_AGE_MS: u64 = 2_000;
 /// Weight of the latest run in a worker's moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.34;
 /// A worker whose average of failures exceeds this value gets no new tasks for [`QUARANTINE_MS`].
@@ -39,7 +42,7 @@
     pub(crate) is_listed: bool,
     /// When the entry was last removed from the registry.
     pub(crate) unlisted_us: u64,
-    /// When a worker that started later was found to have registered on the same host. Unless this one still answers,
+    /// When another worker was found to have registered later on the same host. Unless this one still answers,
     /// it has ended.
     pub(crate) superseded_us: Option<u64>,
     /// Entry of another incarnation that the registry has, until the worker has answered.
@@ -53,6 +56,8 @@
     clock: Option<ClockReading>,
     /// Latest end of the lease that any order or hold request may have granted, on the worker's clock.
     pub(crate) lease_end_ms: u64,
+    /// When every lease has ended that the worker may have been granted before the leader knew of this incarnation.
+    pub(crate) unknown_lease_end_us: u64,
     /// Highest number of an ended run whose report has been processed. A worker numbers its ended runs, and a cursor is
     /// the number up to which they have been handled.
     pub(crate) processed_cursor: u64,
@@ -93,6 +98,10 @@
     pub(super) speed: WorkerSpeed,
     /// Whether the worker's host is about to be taken away, so that the worker gets no new tasks.
     pub(crate) is_cordoned: bool,
+    /// When this incarnation became known.
+    pub(crate) known_since_us: u64,
+    /// Whether the next hold request goes to the address of `unconfirmed_entry`.
+    pub(crate) tries_unconfirmed_address: bool,
     /// When the worker's last task was removed, or when the worker was added.
     pub(crate) idle_since_us: u64,
 }
@@ -110,6 +119,7 @@
             has_session: false,
             clock: None,
             lease_end_ms: 0,
+            unknown_lease_end_us: 0,
             processed_cursor: 0,
             stored_cursor: 0,
             acknowledged_cursor: 0,
@@ -133,6 +143,8 @@
             last_failed_job: None,
             speed: WorkerSpeed::default(),
             is_cordoned: false,
+            known_since_us: now_us,
+            tries_unconfirmed_address: false,
             idle_since_us: now_us,
         }
     }
@@ -255,6 +267,20 @@
         clock.clock_ms + elapsed_ms as u64 > self.lease_end_ms
     }
 
+    /// Address for the next hold request. A worker may have registered again at another address; while one does not
+    /// answer, both are tried in turn.
+    pub(crate) fn next_hold_address(&mut self) -> SocketAddr {
+        let unconfirmed = self.unconfirmed_entry.as_ref().map(|unconfirmed| unconfirmed.entry.address);
+        self.tries_unconfirmed_address = self.is_silent && unconfirmed.is_some() && !self.tries_unconfirmed_address;
+        unconfirmed.filter(|_| self.tries_unconfirmed_address).unwrap_or(self.entry.address)
+    }
+
+    /// Whether an answer comes from a later incarnation's predecessor: its clock is further than the known one can be.
+    pub(crate) fn is_clock_of_former_incarnation(&self, now_us: u64, clock_ms: u64) -> bool {
+        let Some(clock) = self.clock.filter(|_| !self.former_starts_unix_ms.is_empty()) else { return false };
+        clock_ms > clock.clock_ms + now_us.saturating_sub(clock.answered_us) / US_PER_MS + MAX_ANSWER_AGE_MS
+    }
+
     /// Cursor to send with the next hold request; 0 if there is nothing to acknowledge, or if the worker may have restarted:
     /// it would number its ends anew, and forget the first ones unread at a cursor of its former incarnation.
     pub(crate) fn cursor_to_acknowledge(&self) -> u64 {
