Do not send the start order of a run that was stopped meanwhile

A start order that waits behind others of its worker could be sent after its run had been stopped or released; an incarnation that has seen neither would begin it. The sender now asks just before it sends, and reports the order as not sent.

--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -75,7 +75,9 @@
 async fn send(leader: &Rc<Leader>, address: &WorkerAddress, order: &Action) -> OrderOutcome {
     match order {
         Action::Start(start) => {
-            leader.scheduler.borrow_mut().on_start_sent(leader.now_us(), start);
+            if !leader.scheduler.borrow_mut().on_start_sent(leader.now_us(), start) {
+                return OrderOutcome::NotSent;
+            }
             let order = StartOrder {
                 task: start.task.clone(),
                 run: start.run,
--- a/src/sched/stages_tests.rs
+++ b/src/sched/stages_tests.rs
@@ -35,7 +35,7 @@
 }
 
 fn answer_start(leader: &mut Scheduler, at_us: u64, start: &StartRun, outcome: &OrderOutcome) {
-    leader.on_start_sent(at_us, start);
+    assert!(leader.on_start_sent(at_us, start));
     leader.on_start_outcome(at_us + 7 * MS, start, outcome);
 }
 
