Test: tasks of a step stay at work when another one has lost three workers

The test fails on this code: the task that lost its worker three times is taken to be at fault, its job fails, and the other tasks of its step are stopped while it is away, whatever the disruption budget.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -75,6 +75,8 @@
 #[cfg(test)]
 mod dirty_jobs_tests;
 #[cfg(test)]
+mod early_stop_tests;
+#[cfg(test)]
 mod fair_order_tests;
 #[cfg(test)]
 mod forecast_tests;
