--- a/src/sched.rs
+++ b/src/sched.rs
@@ -80,6 +80,8 @@
 #[cfg(test)]
 mod duplicate_run_tests;
 #[cfg(test)]
+mod early_stop_tests;
+#[cfg(test)]
 mod fair_order_tests;
 #[cfg(test)]
 mod forecast_tests;
