Give up a long-running task only for crashes that no other task can have caused

Callers saw tasks of a step stopped about a second after their start, beyond the step's disruption budget (AVAIL): a long-running task had lost three workers that other tasks had crashed, so its job was given up, and its other tasks were stopped while it was away.

Cause: if a crashed worker had listed all its runs, each of them is a suspect, and three such crashes, or five losses of any kind, give a task up. That fails the job and stops all its runs without regard to the budget. For a long-running task only crashes now count of which it is the only suspect, two of them for certain. Its runs have no limit of attempts for callers.

--- a/src/sched/worker_loss.rs
+++ b/src/sched/worker_loss.rs
@@ -223,7 +223,13 @@
         let (blamed, crashed, lost) = (task.blamed_crash_count(), task.crash_count(), task.losses.len());
         let max_blamed = if task.was_sole_suspect() { MAX_CRASHES_SOLE } else { MAX_CRASHES_BLAMED };
         let is_to_blame = blamed >= max_blamed && crashed >= MIN_CERTAIN_CRASHES;
-        if job.phase.is_final() || task.is_done || !(is_to_blame || lost >= MAX_LOSSES) {
+        // The other tasks of a long-running job are at work, and its failure would stop them all. So only crashes count for
+        // which no other task can be to blame.
+        let is_exhausted = match job.spec.steps[task_ref.step as usize].long_running {
+            true => task.sole_crash_count() >= MAX_CRASHES_SOLE && crashed >= MIN_CERTAIN_CRASHES,
+            false => is_to_blame || lost >= MAX_LOSSES,
+        };
+        if job.phase.is_final() || task.is_done || !is_exhausted {
             return;
         }
         log::warn!(
@@ -344,9 +350,14 @@
         self.losses.iter().filter(|loss| loss.is_crash && loss.blame != Blame::None).count()
     }
 
+    /// Number of crashes that no other task can have caused.
+    fn sole_crash_count(&self) -> usize {
+        self.losses.iter().filter(|loss| loss.is_crash && loss.blame == Blame::Sole).count()
+    }
+
     /// Whether no other task can have caused one of the crashes.
     fn was_sole_suspect(&self) -> bool {
-        self.losses.iter().any(|loss| loss.is_crash && loss.blame == Blame::Sole)
+        self.sole_crash_count() > 0
     }
 
     /// Whether the task may have crashed a worker: it is to blame for a crash, or has lost several workers.
