Compare the workers of a pool once for all tasks of a step

The tasks of a step have the same needs, so the comparisons differ only in the worker that was chosen last.

Ruled out: to keep the chosen worker until it is full. The best worker is the fullest one that has room, so it seldom takes a second task.

Change: one comparison orders the workers that have room in a heap; after each placement only the chosen worker is compared again. The workers chosen are the same.

Conclusion: fewer comparisons, with the same choices.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -37,6 +37,7 @@
 mod placement;
 pub(crate) mod policies;
 mod progress;
+mod ranked_workers;
 mod ready_jobs;
 mod rebalance;
 mod reconcile;
@@ -93,6 +94,8 @@
 #[cfg(test)]
 mod planned_work_tests;
 #[cfg(test)]
+mod ranked_workers_tests;
+#[cfg(test)]
 mod record_tests;
 #[cfg(test)]
 mod run_times_tests;
--- a/src/sched/candidate.rs
+++ b/src/sched/candidate.rs
@@ -110,6 +110,12 @@
         self.capacity_excluding_long_running.count_of(&step.reserved()).min(limit)
     }
 
+    /// Whether a task of a step can start on the worker now.
+    pub(super) fn can_take(&self, step: &Step) -> bool {
+        let is_free = !self.is_isolated && (!self.is_reserved || step.long_running);
+        is_free && step.reserved().fits_in(&self.free_capacity) && self.admits(step, self.siblings)
+    }
+
     /// Whether a task may run on the worker, its capacity left aside. `siblings` is the number of tasks of the same
     /// step that run there already.
     pub(super) fn admits(&self, step: &Step, siblings: u32) -> bool {
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -12,6 +12,7 @@
 use super::job::{Job, RunPhase, TaskState};
 use super::model::{JobId, Step, TaskRef};
 use super::organisation::Organisation;
+use super::ranked_workers::RankedWorkers;
 use super::scheduler::Scheduler;
 use super::urgency::Urgency;
 use super::usage::BlockedJobs;
@@ -272,6 +273,7 @@
     ) {
         let needs = step.reserved();
         let mut chosen: Vec<Arc<str>> = Vec::new();
+        let mut ranked: Option<RankedWorkers> = None;
         let tracks_siblings = step.has_placement_by_siblings();
         if tracks_siblings {
             set_siblings(workers, &self.siblings_per_worker(&waiting[0], step));
@@ -282,7 +284,12 @@
             {
                 break;
             }
-            let Some(index) = self.choose(now_us, task_ref, step, workers) else {
+            let is_shared = self.is_choice_shared(task_ref, step);
+            let best = match is_shared {
+                true => ranked.get_or_insert_with(|| self.rank_workers(step, workers)).take_best(),
+                false => self.choose(now_us, task_ref, step, workers),
+            };
+            let Some(index) = best else {
                 if self.waits_to_be_alone(now_us, task_ref) {
                     continue;
                 }
@@ -298,6 +305,10 @@
             };
             self.reserve(task_ref, step, &mut workers[index]);
             workers[index].siblings += u32::from(tracks_siblings);
+            match &mut ranked {
+                Some(ranked) if is_shared => ranked.put_back(index, step, workers),
+                _ => ranked = None,
+            }
             let worker = workers[index].id.clone();
             let run =
                 self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)).map_or(1, |task| task.last_run + 1);
@@ -341,7 +352,6 @@
     /// Index of the best worker that has capacity for a task.
     pub(super) fn choose(&self, now_us: u64, task_ref: &TaskRef, step: &Step, workers: &[Candidate]) -> Option<usize> {
         let task = self.jobs.get(&task_ref.job)?.task(task_ref)?;
-        let reserved = step.reserved();
         let is_suspect = self.is_suspect(task_ref);
         let must_be_alone = self.must_be_alone(now_us, task_ref, task);
         if must_be_alone && !may_isolate_another(workers) {
@@ -350,13 +360,7 @@
         self.work_counts.add(Work::WorkersCompared, workers.len());
         let mut best: Option<(Score, usize)> = None;
         for (index, worker) in workers.iter().enumerate() {
-            if !reserved.fits_in(&worker.free_capacity) || !worker.admits(step, worker.siblings) {
-                continue;
-            }
-            if worker.is_isolated || (must_be_alone && worker.task_count > 0) {
-                continue;
-            }
-            if worker.is_reserved && !step.long_running {
+            if !worker.can_take(step) || (must_be_alone && worker.task_count > 0) {
                 continue;
             }
             let score = score(worker, step, task.avoided_workers.contains(&worker.id), is_suspect);
@@ -367,6 +371,20 @@
         best.map(|(_, index)| index)
     }
 
+    /// Whether the tasks of a step that this one belongs to may all be placed by one comparison of the workers: nothing but
+    /// the step tells which worker is the best.
+    fn is_choice_shared(&self, task_ref: &TaskRef, step: &Step) -> bool {
+        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+        let has_own_choice = task.is_none_or(|task| !task.avoided_workers.is_empty()) || self.is_suspect(task_ref);
+        !step.long_running && !has_own_choice
+    }
+
+    /// Compares the workers for the tasks of a step whose choice is shared.
+    fn rank_workers(&self, step: &Step, workers: &[Candidate]) -> RankedWorkers {
+        self.work_counts.add(Work::WorkersCompared, workers.len());
+        RankedWorkers::new(step, workers)
+    }
+
     /// Places a run of a task on a worker. The start order is sent once the job's record is committed.
     pub(super) fn assign(&mut self, now_us: u64, task_ref: &TaskRef, worker: &Arc<str>, run: u32) {
         let Some(incarnation) = self.workers.get(worker).map(Worker::incarnation) else { return };
