Start all waiting long-running jobs in a round without starts left

Cause: long-running tasks are exempt from the limit on starts, but a round whose limit allowed no start ended after its first job, so the other long-running jobs waited for later rounds, one job in each.

Change: a round without starts left goes on as long as the jobs that follow are long-running, which come first. Guarded by `all_long_running_jobs_start_at_once_where_starts_are_limited`.

--- a/src/sched/candidate.rs
+++ b/src/sched/candidate.rs
@@ -170,7 +170,12 @@
 
     /// Whether no further tasks are placed in this round.
     pub(super) fn is_over(&self) -> bool {
-        self.placements_left == 0 || self.steps_without_capacity >= MAX_STEPS_WITHOUT_CAPACITY
+        self.placements_left == 0 || self.has_no_capacity()
+    }
+
+    /// Whether so many steps found no worker that the others are not tried.
+    pub(super) fn has_no_capacity(&self) -> bool {
+        self.steps_without_capacity >= MAX_STEPS_WITHOUT_CAPACITY
     }
 
     /// Whether a worker may have capacity: no equal or smaller needs have failed in this round.
--- a/src/sched/overload_tests.rs
+++ b/src/sched/overload_tests.rs
@@ -250,3 +250,31 @@
 
     assert!(leader.jobs[JOB].has_begun());
 }
+
+/// A leader whose limit on starts allows none now.
+fn leader_without_starts_left(now_us: u64) -> Scheduler {
+    let mut leader = leader_with_workers(4);
+    run(&mut leader, now_us - 200_000, 200);
+    leader.start_rate.adjust(now_us - 100_000, false);
+    (0..100).for_each(|_| leader.start_rate.record_start());
+    leader.start_rate.adjust(now_us, true);
+    let allowed = leader.start_rate.allowance(now_us).expect("starts are limited");
+    (0..allowed).for_each(|_| leader.start_rate.record_start());
+    leader
+}
+
+#[test]
+fn all_long_running_jobs_start_at_once_where_starts_are_limited() {
+    let now_us = 10_300_000;
+    let mut leader = leader_without_starts_left(now_us);
+    for number in 0..3 {
+        leader.submit(now_us, 10_300, format!("long-{number}").into(), spec(vec![long_step(1, 2_000)]));
+    }
+    leader.submit(now_us, 10_300, "short".into(), spec(vec![step(1, &[])]));
+
+    leader.place_now(now_us);
+
+    let begun: Vec<bool> =
+        ["long-0", "long-1", "long-2", "short"].iter().map(|id| leader.jobs[*id].has_begun()).collect();
+    assert_eq!(begun, [true, true, true, false]);
+}
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -160,9 +160,13 @@
         let mut order = FairOrder::new(jobs, level, self.settings.policies.late_jobs);
         let mut workers = std::mem::take(&mut round.workers);
         while let Some(urgency) = order.next(|organisation| self.weighted_share(organisation)) {
+            // Starts of long-running tasks are not limited.
+            if round.placements_left == 0 && !urgency.is_long_running() {
+                self.wants_placement = true;
+                break;
+            }
             self.place_job(now_us, &urgency.id, &mut workers, round);
-            if round.is_over() {
-                self.wants_placement |= round.placements_left == 0;
+            if round.has_no_capacity() {
                 break;
             }
         }
@@ -245,7 +249,7 @@
                 if needs_advice {
                     workers.iter_mut().for_each(|worker| worker.is_allowed = true);
                 }
-                if round.placements_left == 0 {
+                if round.placements_left == 0 && !step.long_running {
                     return;
                 }
             }
