Limit starts by a queue that stands, and start no copies meanwhile

A single long decision makes one tick late by 20 to 60 ms, and then cost four decreases although fewer starts would not have helped.

Ruled out: late jobs that wait while starts are limited.

Change: the limit falls if every tick since the last adjustment was late; a delay that passes by itself does not count. Copies are not started while the limit is in force. Holds, rounds and late jobs follow the peak as before. Guarded by `starts_are_limited_while_all_ticks_are_late_but_not_after_a_single_one` and `leader_starts_no_copies_while_starts_are_limited`; with these two, the two tests of ranked workers and the one of long-running jobs, the five guards were taken out together and all five tests failed.

--- a/src/sched/overload_tests.rs
+++ b/src/sched/overload_tests.rs
@@ -13,6 +13,7 @@
 use super::model::{JobId, JobPhase, JobSpec, PoolConfig, Queue, Step};
 use super::scheduler::Scheduler;
 use super::sim::{catalog, spec, step, Faults, Sim};
+use super::work_counts::Work;
 
 const HOSTS: usize = 12;
 const PLAY_MS: u64 = 24_000;
@@ -278,3 +279,43 @@
         ["long-0", "long-1", "long-2", "short"].iter().map(|id| leader.jobs[*id].has_begun()).collect();
     assert_eq!(begun, [true, true, true, false]);
 }
+
+/// Lets the leader start tasks for a second while its ticks, two between adjustments of the limit, are late by these times.
+/// Returns the limit on starts.
+fn limit_after_ticks(late_ms: [u64; 2]) -> Option<f64> {
+    let mut leader = leader_with_workers(1);
+    for sweep in 0..10 {
+        (0..100).for_each(|_| leader.start_rate.record_start());
+        late_ms.into_iter().for_each(|late_ms| leader.record_lag(late_ms * 1_000));
+        run(&mut leader, 10 * SECOND_US + sweep * 100_000, 100);
+    }
+    leader.start_rate.limit_per_s()
+}
+
+#[test]
+fn starts_are_limited_while_all_ticks_are_late_but_not_after_a_single_one() {
+    let all_late = limit_after_ticks([60, 40]);
+    let one_late = limit_after_ticks([60, 5]);
+
+    assert!(all_late.is_some());
+    assert_eq!(one_late, None);
+}
+
+#[test]
+fn leader_starts_no_copies_while_starts_are_limited() {
+    let mut leader = leader_with_workers(2);
+    let copied = Step { speculative: true, ..step(4, &[]) };
+    leader.submit(10 * SECOND_US, 10_000, JOB.into(), spec(vec![copied]));
+    run(&mut leader, 10 * SECOND_US, 300);
+    let checked = |leader: &Scheduler| leader.work_counts().of(Work::CopiesChecked);
+    let without_limit = checked(&leader);
+    (0..100).for_each(|_| leader.start_rate.record_start());
+    leader.start_rate.adjust(10_300_000, true);
+
+    // The next sweep adjusts the limit, which stays in force for some time.
+    run(&mut leader, 10_300_000, 100);
+
+    assert!(without_limit > 0);
+    assert!(leader.start_rate.limit_per_s().is_some());
+    assert_eq!(checked(&leader), without_limit);
+}
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -127,6 +127,8 @@
     pub(super) start_rate: StartRate,
     /// By how much the leader is behind its own timer; falls slowly.
     pub(super) lag_ms: u64,
+    /// The least by which a tick was late since the limit on starts was last adjusted.
+    least_late_ms: Option<u64>,
     /// When tasks on workers that are no longer known are searched for next.
     pub(super) next_orphan_check_us: u64,
     /// Worker on each host, as last listed by the provider or the registry.
@@ -182,6 +184,7 @@
             has_postponed_jobs: false,
             start_rate: StartRate::default(),
             lag_ms: 0,
+            least_late_ms: None,
             next_orphan_check_us: 0,
             worker_by_host: HashMap::default(),
             next_placement_us: 0,
@@ -439,7 +442,15 @@
     /// Records by how much the timer that drives [`Scheduler::tick`] was late: if the leader has too little processor time,
     /// everything that it does waits for as long.
     pub(crate) fn record_lag(&mut self, late_us: u64) {
-        self.lag_ms = (late_us / US_PER_MS).max(self.lag_ms * 7 / 8);
+        let late_ms = late_us / US_PER_MS;
+        self.lag_ms = late_ms.max(self.lag_ms * 7 / 8);
+        self.least_late_ms = Some(self.least_late_ms.map_or(late_ms, |known| known.min(late_ms)));
+    }
+
+    /// Whether every tick since the last call was late. One late tick tells of one long decision, whose delay passes without
+    /// fewer starts; if all are late, more work arrives than is done.
+    fn take_standing_queue(&mut self) -> bool {
+        self.least_late_ms.take().is_some_and(|late_ms| late_ms >= BEHIND_LAG_MS)
     }
 
     /// Whether the leader has too little processor time for all that it has to do.
@@ -452,7 +463,8 @@
         let is_sweep_due = now_us >= self.next_sweep_us;
         if is_sweep_due {
             self.next_sweep_us = now_us + SWEEP_INTERVAL_MS * US_PER_MS;
-            self.start_rate.adjust(now_us, self.is_behind());
+            let has_standing_queue = self.take_standing_queue();
+            self.start_rate.adjust(now_us, has_standing_queue);
             self.begin_all_due_occurrences(now_us, now_unix_ms);
             self.expire_leases(now_us);
             self.expire_untracked_usage(now_us);
@@ -468,7 +480,8 @@
             }
         }
         self.place(now_us);
-        if is_sweep_due && !self.is_behind() {
+        // While starts are limited, a copy would take the start of a task that has none.
+        if is_sweep_due && !self.is_behind() && self.start_rate.limit_per_s().is_none() {
             self.start_copies(now_us);
         }
         self.stage_log.report_slowest(now_us);
--- a/src/sched/start_rate.rs
+++ b/src/sched/start_rate.rs
@@ -1,8 +1,9 @@
 //! Limits the starts of tasks to what the leader has processor time for.
 //!
 //! The load that this answers: more tasks could start than the leader can order, store and follow. Each start then delays
-//! all others and the notice of ended runs, until no job is on time. The limit follows by how much the leader is behind: it
-//! falls while the leader is, and rises again slowly. Jobs wait for their turn where their order can still be decided.
+//! all others and the notice of ended runs, until no job is on time. The limit follows whether the leader is behind all the
+//! time: it falls while the leader is, and rises again slowly. A delay that passes by itself does not count. Jobs wait for
+//! their turn where their order can still be decided.
 
 use crate::clock::{US_PER_MS, US_PER_S};
 
