--- a/src/sched/candidate.rs
+++ b/src/sched/candidate.rs
@@ -110,6 +110,12 @@
         self.capacity_excluding_long_running.count_of(&step.reserved()).min(limit)
     }
 
+    /// Whether a task of a step can start on the worker now.
+    pub(super) fn can_take(&self, step: &Step) -> bool {
+        let is_free = !self.is_isolated && (!self.is_reserved || step.long_running);
+        is_free && step.reserved().fits_in(&self.free_capacity) && self.admits(step, self.siblings)
+    }
+
     /// Whether a task may run on the worker, its capacity left aside. `siblings` is the number of tasks of the same
     /// step that run there already.
     pub(super) fn admits(&self, step: &Step, siblings: u32) -> bool {
@@ -164,7 +170,12 @@
 
     /// Whether no further tasks are placed in this round.
     pub(super) fn is_over(&self) -> bool {
-        self.placements_left == 0 || self.steps_without_capacity >= MAX_STEPS_WITHOUT_CAPACITY
+        self.placements_left == 0 || self.has_no_capacity()
+    }
+
+    /// Whether so many steps found no worker that the others are not tried.
+    pub(super) fn has_no_capacity(&self) -> bool {
+        self.steps_without_capacity >= MAX_STEPS_WITHOUT_CAPACITY
     }
 
     /// Whether a worker may have capacity: no equal or smaller needs have failed in this round.
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -12,6 +12,7 @@
 use super::job::{Job, RunPhase, TaskState};
 use super::model::{JobId, Step, TaskRef};
 use super::organisation::Organisation;
+use super::ranked_workers::RankedWorkers;
 use super::scheduler::Scheduler;
 use super::urgency::Urgency;
 use super::usage::BlockedJobs;
@@ -159,9 +160,13 @@
         let mut order = FairOrder::new(jobs, level, self.settings.policies.late_jobs);
         let mut workers = std::mem::take(&mut round.workers);
         while let Some(urgency) = order.next(|organisation| self.weighted_share(organisation)) {
+            // Starts of long-running tasks are not limited.
+            if round.placements_left == 0 && !urgency.is_long_running() {
+                self.wants_placement = true;
+                break;
+            }
             self.place_job(now_us, &urgency.id, &mut workers, round);
-            if round.is_over() {
-                self.wants_placement |= round.placements_left == 0;
+            if round.has_no_capacity() {
                 break;
             }
         }
@@ -171,6 +176,7 @@
     /// Workers of a pool that may get new tasks.
     pub(super) fn candidates(&self, now_us: u64, pool: &str) -> Vec<Candidate> {
         let mut candidates = Vec::new();
+        let mut slow: Vec<(f64, usize)> = Vec::new();
         let isolated = self.isolated_workers(now_us);
         for worker in self.workers.values() {
             if &*worker.entry.pool != pool || !worker.accepts_new_tasks(now_us) {
@@ -179,27 +185,16 @@
             let is_isolated = isolated.contains(&worker.entry.id);
             let host = worker.entry.host.as_ref();
             let awaits_maintenance = host.is_some_and(|host| self.waves.awaits_maintenance(host));
+            if worker.speed.is_slow(now_us) {
+                slow.push((worker.speed.ratio(), candidates.len()));
+            }
             candidates.push(Candidate { is_isolated, awaits_maintenance, ..Candidate::of_worker(worker) });
         }
         self.work_counts.add(Work::WorkersListed, self.workers.len());
-        self.mark_slow(now_us, &mut candidates);
+        mark_slow(slow, &mut candidates);
         candidates
     }
 
-    /// Marks the slowest of the workers that are clearly slower than others, up to a share of them all.
-    fn mark_slow(&self, now_us: u64, candidates: &mut [Candidate]) {
-        let mut slow: Vec<(f64, usize)> = Vec::new();
-        for (index, candidate) in candidates.iter().enumerate() {
-            let speed = self.workers.get(&candidate.id).map(|worker| &worker.speed);
-            slow.extend(speed.filter(|speed| speed.is_slow(now_us)).map(|speed| (speed.ratio(), index)));
-        }
-        slow.sort_by(|(a, _), (b, _)| b.total_cmp(a));
-        let max_slow = (candidates.len() as f64 * MAX_SLOW_SHARE) as usize;
-        for (_, index) in slow.into_iter().take(max_slow) {
-            candidates[index].is_slow = true;
-        }
-    }
-
     /// Places the waiting tasks of a job's steps whose dependencies have completed.
     fn place_job(&mut self, now_us: u64, id: &JobId, workers: &mut [Candidate], round: &mut PlacementRound) {
         let Some(job) = self.jobs.get(id) else { return };
@@ -244,7 +239,7 @@
                 if needs_advice {
                     workers.iter_mut().for_each(|worker| worker.is_allowed = true);
                 }
-                if round.placements_left == 0 {
+                if round.placements_left == 0 && !step.long_running {
                     return;
                 }
             }
@@ -272,6 +267,7 @@
     ) {
         let needs = step.reserved();
         let mut chosen: Vec<Arc<str>> = Vec::new();
+        let mut ranked: Option<RankedWorkers> = None;
         let tracks_siblings = step.has_placement_by_siblings();
         if tracks_siblings {
             set_siblings(workers, &self.siblings_per_worker(&waiting[0], step));
@@ -282,7 +278,12 @@
             {
                 break;
             }
-            let Some(index) = self.choose(now_us, task_ref, step, workers) else {
+            let is_shared = self.is_choice_shared(task_ref, step);
+            let best = match is_shared {
+                true => ranked.get_or_insert_with(|| self.rank_workers(step, workers)).take_best(),
+                false => self.choose(now_us, task_ref, step, workers),
+            };
+            let Some(index) = best else {
                 if self.waits_to_be_alone(now_us, task_ref) {
                     continue;
                 }
@@ -298,6 +299,10 @@
             };
             self.reserve(task_ref, step, &mut workers[index]);
             workers[index].siblings += u32::from(tracks_siblings);
+            match &mut ranked {
+                Some(ranked) if is_shared => ranked.put_back(index, step, workers),
+                _ => ranked = None,
+            }
             let worker = workers[index].id.clone();
             let run =
                 self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)).map_or(1, |task| task.last_run + 1);
@@ -341,7 +346,6 @@
     /// Index of the best worker that has capacity for a task.
     pub(super) fn choose(&self, now_us: u64, task_ref: &TaskRef, step: &Step, workers: &[Candidate]) -> Option<usize> {
         let task = self.jobs.get(&task_ref.job)?.task(task_ref)?;
-        let reserved = step.reserved();
         let is_suspect = self.is_suspect(task_ref);
         let must_be_alone = self.must_be_alone(now_us, task_ref, task);
         if must_be_alone && !may_isolate_another(workers) {
@@ -350,13 +354,7 @@
         self.work_counts.add(Work::WorkersCompared, workers.len());
         let mut best: Option<(Score, usize)> = None;
         for (index, worker) in workers.iter().enumerate() {
-            if !reserved.fits_in(&worker.free_capacity) || !worker.admits(step, worker.siblings) {
-                continue;
-            }
-            if worker.is_isolated || (must_be_alone && worker.task_count > 0) {
-                continue;
-            }
-            if worker.is_reserved && !step.long_running {
+            if !worker.can_take(step) || (must_be_alone && worker.task_count > 0) {
                 continue;
             }
             let score = score(worker, step, task.avoided_workers.contains(&worker.id), is_suspect);
@@ -367,6 +365,20 @@
         best.map(|(_, index)| index)
     }
 
+    /// Whether the tasks of a step that this one belongs to may all be placed by one comparison of the workers: nothing but
+    /// the step tells which worker is the best.
+    fn is_choice_shared(&self, task_ref: &TaskRef, step: &Step) -> bool {
+        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+        let has_own_choice = task.is_none_or(|task| !task.avoided_workers.is_empty()) || self.is_suspect(task_ref);
+        !step.long_running && !has_own_choice
+    }
+
+    /// Compares the workers for the tasks of a step whose choice is shared.
+    fn rank_workers(&self, step: &Step, workers: &[Candidate]) -> RankedWorkers {
+        self.work_counts.add(Work::WorkersCompared, workers.len());
+        RankedWorkers::new(step, workers)
+    }
+
     /// Places a run of a task on a worker. The start order is sent once the job's record is committed.
     pub(super) fn assign(&mut self, now_us: u64, task_ref: &TaskRef, worker: &Arc<str>, run: u32) {
         let Some(incarnation) = self.workers.get(worker).map(Worker::incarnation) else { return };
@@ -390,6 +402,16 @@
     }
 }
 
+/// Marks the slowest of the workers that are clearly slower than others, up to a share of them all. `slow` holds how their
+/// run times compare, and their indices.
+fn mark_slow(mut slow: Vec<(f64, usize)>, candidates: &mut [Candidate]) {
+    slow.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+    let max_slow = (candidates.len() as f64 * MAX_SLOW_SHARE) as usize;
+    for (_, index) in slow.into_iter().take(max_slow) {
+        candidates[index].is_slow = true;
+    }
+}
+
 /// Keeps all other tasks off the worker that is likely to be the first with enough capacity for a long-running task:
 /// the one with the most free CPU. Otherwise small tasks would take the capacity as it becomes free, and the
 /// long-running task would wait for as long as there are small tasks.
