Take a worker for replaced only if another one started later and was registered later

Cause: workers of a host were ordered by their registration alone. An old copy of the registry brought back the entry of a worker that had ended, its successor i-643e20168f counted as replaced (superseded at 8.36 s), and one failed hold request released its runs (lease_over silent_ms=262 cause=crashed at 10.38 s) while it worked on. Both orders are required now.

entry_of_a_predecessor_that_is_read_late_does_not_end_the_runs_of_the_present_worker fails without the condition.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -26,6 +26,7 @@
 mod isolation;
 pub(crate) mod job;
 mod labels;
+mod leases;
 mod lost_workers;
 pub(crate) mod model;
 mod operator_views;
@@ -91,6 +92,8 @@
 #[cfg(test)]
 mod host_tests;
 #[cfg(test)]
+mod incarnation_fixtures;
+#[cfg(test)]
 mod incarnation_tests;
 #[cfg(test)]
 mod leader_fixtures;
--- a/src/sched/incarnation_tests.rs
+++ b/src/sched/incarnation_tests.rs
@@ -1,73 +1,23 @@
 //! Tests of runs that may go on for longer than the leader believes, and of workers that it cannot reach any more.
 
-use std::sync::Arc;
-
-use super::action::{Action, HoldPlan, StartRun};
+use super::action::{HoldPlan, StartRun};
+use super::incarnation_fixtures::{
+    answer, answer_of, decide, leader_with_workers, only_task, start_task, starts_in, worker, FORMER_START_UNIX_MS,
+    JOB, LATER_START_UNIX_MS,
+};
 use super::leader_fixtures::{task, SECOND_US};
-use super::model::{ActiveRun, EndedRun, HoldAnswer, OrderOutcome, RunOutcome, TaskRef, WorkerEntry};
+use super::model::{EndedRun, HoldAnswer, OrderOutcome, RunOutcome, WorkerEntry};
 use super::scheduler::Scheduler;
 use super::sim::{catalog, settings, spec, step, worker_entry};
 use crate::clock::US_PER_MS;
 
-const JOB: &str = "job";
-const FORMER_START_UNIX_MS: u64 = 50_000;
-const LATER_START_UNIX_MS: u64 = 60_000;
-
-fn only_task() -> TaskRef {
-    TaskRef { job: JOB.into(), occurrence: 0, step: 0, index: 0 }
-}
-
-fn worker(number: usize) -> Arc<str> {
-    format!("w{number}").into()
-}
-
-fn answer_of(started_unix_ms: u64, clock_ms: u64, runs: &[u32]) -> HoldAnswer {
-    let active = |run: &u32| ActiveRun { task: only_task(), run: *run, checkpoint: "".into(), percent: 50, load: None };
-    HoldAnswer {
-        clock_ms,
-        started_unix_ms: Some(started_unix_ms),
-        is_complete: true,
-        running: runs.iter().map(active).collect(),
-        ended: Vec::new(),
-    }
-}
-
-/// An answer of the first incarnation of a worker, whose clock is at 400 s at the time 0.
-fn answer(leader: &mut Scheduler, now_us: u64, number: usize, runs: &[u32]) {
-    let answer = answer_of(FORMER_START_UNIX_MS, 400_000 + now_us / US_PER_MS, runs);
-    leader.on_hold_answer(now_us, now_us, &worker(number), &answer);
-}
-
-fn leader_with_workers(count: usize) -> Scheduler {
-    let mut leader = Scheduler::new(0, settings());
-    leader.configure(catalog());
-    for number in 0..count {
-        leader.worker_listed(0, worker_entry(number, FORMER_START_UNIX_MS));
-        answer(&mut leader, 0, number, &[]);
-    }
-    leader
-}
-
-fn decide(leader: &mut Scheduler, now_us: u64) -> Vec<Action> {
-    leader.tick(now_us, 0);
-    let batch = leader.take_batch(now_us);
-    leader.batch_committed(now_us, now_us, &batch);
-    leader.take_actions()
+/// An answer with this reading of the worker's clock.
+fn answer_at(started_unix_ms: u64, clock_ms: u64, runs: &[u32]) -> HoldAnswer {
+    HoldAnswer { clock_ms, ..answer_of(started_unix_ms, 0, runs) }
 }
 
-fn starts_in(actions: &[Action]) -> Vec<StartRun> {
-    let start = |action: &Action| match action {
-        Action::Start(start) => Some(start.clone()),
-        _ => None,
-    };
-    actions.iter().filter_map(start).collect()
-}
-
-fn start_task(leader: &mut Scheduler) -> StartRun {
-    leader.submit(SECOND_US, 0, JOB.into(), spec(vec![step(1, &[])]));
-    let starts = starts_in(&decide(leader, SECOND_US));
-    assert_eq!(&*starts[0].worker, "w0");
-    starts[0].clone()
+fn start_only_task(leader: &mut Scheduler) -> StartRun {
+    start_task(leader, spec(vec![step(1, &[])]))
 }
 
 /// Starts of the task elsewhere while hold requests to `w0` fail and `w1` answers; returns the time of the first.
@@ -88,7 +38,7 @@
 #[test]
 fn run_accepted_by_an_unknown_incarnation_that_is_cut_off_is_not_started_before_the_longest_lease_ends() {
     let mut leader = leader_with_workers(2);
-    let start = start_task(&mut leader);
+    let start = start_only_task(&mut leader);
     // The later incarnation has accepted, with a clock of 0.3 s: it shortens the lease to its maximum from now.
     assert!(start.lease_end_ms > 300 + settings().max_lease_ms);
     let accepted_us = SECOND_US + 2 * US_PER_MS;
@@ -107,7 +57,7 @@
 #[test]
 fn lease_that_a_hold_request_gave_to_an_unknown_incarnation_is_waited_for() {
     let mut leader = leader_with_workers(2);
-    let start = start_task(&mut leader);
+    let start = start_only_task(&mut leader);
     leader.on_start_outcome(SECOND_US + 2 * US_PER_MS, &start, &OrderOutcome::Accepted { clock_ms: None });
     answer(&mut leader, SECOND_US + 100 * US_PER_MS, 0, &[1]);
     let sent_us = SECOND_US + 200 * US_PER_MS;
@@ -116,7 +66,7 @@
 
     // The worker has restarted; the new incarnation answers, and the task starts there once more.
     let answered_us = sent_us + 2 * US_PER_MS;
-    leader.on_hold_answer(answered_us, sent_us, &worker(0), &answer_of(LATER_START_UNIX_MS, 300, &[]));
+    leader.on_hold_answer(answered_us, sent_us, &worker(0), &answer_at(LATER_START_UNIX_MS, 300, &[]));
     leader.worker_unlisted(answered_us, &worker(1));
     let again = starts_in(&decide(&mut leader, answered_us + US_PER_MS));
     leader.worker_listed(answered_us + 2 * US_PER_MS, worker_entry(1, FORMER_START_UNIX_MS));
@@ -124,7 +74,7 @@
     let accepted_us = answered_us + 3 * US_PER_MS;
     leader.on_start_outcome(accepted_us, &again[0], &OrderOutcome::Accepted { clock_ms: Some(303) });
     let listed_us = answered_us + 100 * US_PER_MS;
-    let listed = answer_of(LATER_START_UNIX_MS, 400, &[again[0].run]);
+    let listed = answer_at(LATER_START_UNIX_MS, 400, &[again[0].run]);
     leader.on_hold_answer(listed_us, listed_us - US_PER_MS, &worker(0), &listed);
 
     let until_us = answered_us + settings().max_lease_ms * US_PER_MS;
@@ -159,13 +109,13 @@
 #[test]
 fn late_acknowledgement_of_a_stop_by_the_former_incarnation_does_not_count_for_the_new_one() {
     let mut leader = leader_with_workers(2);
-    let start = start_task(&mut leader);
+    let start = start_only_task(&mut leader);
     leader.on_start_outcome(SECOND_US + 600 * US_PER_MS, &start, &OrderOutcome::Unanswered);
     // The worker does not list the run, so that it is ordered to stop.
     answer(&mut leader, SECOND_US + 700 * US_PER_MS, 0, &[]);
     leader.take_actions();
     let restarted_us = SECOND_US + 900 * US_PER_MS;
-    let restarted = answer_of(LATER_START_UNIX_MS, 100, &[]);
+    let restarted = answer_at(LATER_START_UNIX_MS, 100, &[]);
     leader.on_hold_answer(restarted_us, restarted_us - US_PER_MS, &worker(0), &restarted);
     leader.take_actions();
 
@@ -173,7 +123,7 @@
     let acknowledged = OrderOutcome::Accepted { clock_ms: Some(400_700) };
     leader.on_stop_outcome(restarted_us + US_PER_MS, &worker(0), &only_task(), 1, &acknowledged);
     let later_us = restarted_us + 300 * US_PER_MS;
-    let later = answer_of(LATER_START_UNIX_MS, 400, &[]);
+    let later = answer_at(LATER_START_UNIX_MS, 400, &[]);
     leader.on_hold_answer(later_us, later_us - US_PER_MS, &worker(0), &later);
     answer(&mut leader, later_us, 1, &[]);
     let actions = decide(&mut leader, later_us);
@@ -206,15 +156,32 @@
     assert_eq!(starts_in(&actions), []);
 }
 
+// Guards against a worker that lives being taken for the predecessor on its host, because an old copy of the registry brings
+// back the predecessor's entry.
+#[test]
+fn entry_of_a_predecessor_that_is_read_late_does_not_end_the_runs_of_the_present_worker() {
+    let mut leader = leader_with_workers(2);
+    let start = start_only_task(&mut leader);
+    leader.on_start_outcome(SECOND_US + 2 * US_PER_MS, &start, &OrderOutcome::Accepted { clock_ms: Some(21_000) });
+    let predecessor = WorkerEntry { host: Some("h0".into()), ..worker_entry(7, FORMER_START_UNIX_MS - 3_000) };
+    leader.worker_listed(2 * SECOND_US, predecessor);
+
+    leader.on_hold_failure(2 * SECOND_US + 100 * US_PER_MS, &worker(0), &OrderOutcome::Unanswered);
+    answer(&mut leader, 2 * SECOND_US + 200 * US_PER_MS, 1, &[]);
+    let actions = decide(&mut leader, 2 * SECOND_US + 300 * US_PER_MS);
+
+    assert_eq!(starts_in(&actions), []);
+}
+
 // Guards against a run that the new incarnation took and ended being blamed for the crash of the former one.
 #[test]
 fn run_that_ended_in_the_new_incarnation_is_not_lost_with_the_former_one() {
     let mut leader = leader_with_workers(1);
-    let start = start_task(&mut leader);
+    let start = start_only_task(&mut leader);
     leader.on_start_outcome(SECOND_US + 2 * US_PER_MS, &start, &OrderOutcome::Accepted { clock_ms: Some(100) });
 
     let ended = EndedRun { number: 1, task: only_task(), run: 1, outcome: RunOutcome::Failed, checkpoint: "".into() };
-    let first = HoldAnswer { ended: vec![ended], ..answer_of(LATER_START_UNIX_MS, 900, &[]) };
+    let first = HoldAnswer { ended: vec![ended], ..answer_at(LATER_START_UNIX_MS, 900, &[]) };
     leader.on_hold_answer(2 * SECOND_US, SECOND_US + 800 * US_PER_MS, &worker(0), &first);
 
     assert_eq!(task(&leader, JOB).losses, []);
@@ -225,10 +192,10 @@
 #[test]
 fn last_end_of_a_worker_is_acknowledged_soon_after_it_is_stored() {
     let mut leader = leader_with_workers(1);
-    let start = start_task(&mut leader);
+    let start = start_only_task(&mut leader);
     leader.on_start_outcome(SECOND_US + 2 * US_PER_MS, &start, &OrderOutcome::Accepted { clock_ms: Some(401_002) });
     let ended = EndedRun { number: 1, task: only_task(), run: 1, outcome: RunOutcome::Done, checkpoint: "".into() };
-    let listed = HoldAnswer { ended: vec![ended], ..answer_of(FORMER_START_UNIX_MS, 402_000, &[]) };
+    let listed = HoldAnswer { ended: vec![ended], ..answer_at(FORMER_START_UNIX_MS, 402_000, &[]) };
     leader.on_hold_answer(2 * SECOND_US, SECOND_US + 3 * US_PER_MS, &worker(0), &listed);
     decide(&mut leader, 2 * SECOND_US + 5 * US_PER_MS);
 
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -132,7 +132,8 @@
     }
 
     /// Places a run that a worker lists unexpectedly on that worker, so that its task does not start before the run is
-    /// over, and orders it to stop unless it is the task's latest one. Returns `false` if the task needs no other run, or has one that may have started.
+    /// over, and orders it to stop unless it is the task's latest one. Returns `false` if the task needs no other run, or
+    /// has one that may have started.
     fn track_unexpected_run(&mut self, now_us: u64, worker: &WorkerIncarnation, active_run: &ActiveRun) -> bool {
         let task_ref = &active_run.task;
         let Some(job) = self.jobs.get(&task_ref.job).filter(|job| !job.phase.is_final()) else { return false };
--- a/src/sched/restarts.rs
+++ b/src/sched/restarts.rs
@@ -47,7 +47,7 @@
 enum RestartEffect {
     /// The run ended with the former incarnation.
     Lost,
-    /// The run ended with the former incarnation, or its order may still reach the new one, which must refuse it then.
+    /// The run ended with the former incarnation, or its order may still reach the new one, so that it is stopped there.
     MayArrive,
     /// The order has just been sent, or accepted by one of the incarnations: the next list tells by which.
     Undecided,
@@ -83,9 +83,9 @@
         if worker.entry.started_unix_ms == started_unix_ms {
             worker.unconfirmed_entry.take_if(|unconfirmed| unconfirmed.read_us < sent_us);
         } else {
-            let unconfirmed = worker.unconfirmed_entry.take().map(|unconfirmed| unconfirmed.entry);
-            let mut entry = unconfirmed.unwrap_or_else(|| worker.entry.clone());
-            entry.started_unix_ms = started_unix_ms;
+            let listed = worker.unconfirmed_entry.take().map(|unconfirmed| unconfirmed.entry);
+            let listed = listed.filter(|entry| entry.started_unix_ms == started_unix_ms);
+            let entry = listed.unwrap_or_else(|| WorkerEntry { started_unix_ms, ..worker.entry.clone() });
             self.worker_restarted(now_us, entry, Some(FirstList { requested_us: sent_us, answer }));
         }
         self.worker_lives(now_us, id, started_unix_ms, true);
--- a/src/sched/run_end_tests.rs
+++ b/src/sched/run_end_tests.rs
@@ -1,84 +1,21 @@
 //! Tests that a task is not started again before its former run is over.
 
-use std::sync::Arc;
-
 use super::action::{Action, StartRun};
+use super::incarnation_fixtures::{
+    answer, answer_of, decide, leader_with_workers, only_task, start_task, starts_in, worker, FORMER_START_UNIX_MS,
+    JOB, LATER_START_UNIX_MS,
+};
 use super::job::RunPhase;
 use super::leader_fixtures::{long_step, task, SECOND_US};
-use super::model::{ActiveRun, EndedRun, HoldAnswer, JobSpec, OrderOutcome, OrderRefusal, RunOutcome, TaskRef};
+use super::model::{EndedRun, HoldAnswer, OrderOutcome, OrderRefusal, RunOutcome};
 use super::scheduler::Scheduler;
 use super::sim::{catalog, settings, spec, step, worker_entry};
 use crate::clock::US_PER_MS;
 
-const JOB: &str = "job";
-/// Start times of two incarnations of a worker.
-const FORMER_START_UNIX_MS: u64 = 50_000;
-const LATER_START_UNIX_MS: u64 = 60_000;
-
-fn only_task() -> TaskRef {
-    TaskRef { job: JOB.into(), occurrence: 0, step: 0, index: 0 }
-}
-
-fn worker(number: usize) -> Arc<str> {
-    format!("w{number}").into()
-}
-
-/// A worker's answer at `now_us`, which lists these runs of the task as active.
-fn answer_of(started_unix_ms: u64, now_us: u64, runs: &[u32]) -> HoldAnswer {
-    let active = |run: &u32| ActiveRun { task: only_task(), run: *run, checkpoint: "".into(), percent: 50, load: None };
-    HoldAnswer {
-        clock_ms: 20_000 + now_us / US_PER_MS,
-        started_unix_ms: Some(started_unix_ms),
-        is_complete: true,
-        running: runs.iter().map(active).collect(),
-        ended: Vec::new(),
-    }
-}
-
-/// Passes the answer of a worker's first incarnation to the leader.
-fn answer(leader: &mut Scheduler, now_us: u64, number: usize, runs: &[u32]) {
-    leader.on_hold_answer(now_us, now_us, &worker(number), &answer_of(FORMER_START_UNIX_MS, now_us, runs));
-}
-
-/// A leader with workers that have answered.
-fn leader_with_workers(count: usize) -> Scheduler {
-    let mut leader = Scheduler::new(0, settings());
-    leader.configure(catalog());
-    for number in 0..count {
-        leader.worker_listed(0, worker_entry(number, FORMER_START_UNIX_MS));
-        answer(&mut leader, 0, number, &[]);
-    }
-    leader
-}
-
-/// Lets the leader decide and commit at `now_us`; returns its orders.
-fn decide(leader: &mut Scheduler, now_us: u64) -> Vec<Action> {
-    leader.tick(now_us, 0);
-    let batch = leader.take_batch(now_us);
-    leader.batch_committed(now_us, now_us, &batch);
-    leader.take_actions()
-}
-
-fn starts_in(actions: &[Action]) -> Vec<StartRun> {
-    let start = |action: &Action| match action {
-        Action::Start(start) => Some(start.clone()),
-        _ => None,
-    };
-    actions.iter().filter_map(start).collect()
-}
-
 fn is_stop(action: &Action) -> bool {
     matches!(action, Action::Stop { .. })
 }
 
-/// Submits a job with one task at 1 s; returns the start order for it, to the worker `w0`.
-fn start_task(leader: &mut Scheduler, spec: JobSpec) -> StartRun {
-    leader.submit(SECOND_US, 0, JOB.into(), spec);
-    let starts = starts_in(&decide(leader, SECOND_US));
-    assert_eq!(&*starts[0].worker, "w0");
-    starts[0].clone()
-}
-
 fn accept(leader: &mut Scheduler, now_us: u64, start: &StartRun) {
     leader.on_start_outcome(now_us, start, &OrderOutcome::Accepted { clock_ms: Some(1) });
 }
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -275,7 +275,7 @@
         unconfirmed.filter(|_| self.tries_unconfirmed_address).unwrap_or(self.entry.address)
     }
 
-    /// Whether an answer comes from a later incarnation's predecessor: its clock is further than the known one can be.
+    /// Whether an answer comes from a former incarnation: its clock is further than that of the known one can be.
     pub(crate) fn is_clock_of_former_incarnation(&self, now_us: u64, clock_ms: u64) -> bool {
         let Some(clock) = self.clock.filter(|_| !self.former_starts_unix_ms.is_empty()) else { return false };
         clock_ms > clock.clock_ms + now_us.saturating_sub(clock.answered_us) / US_PER_MS + MAX_ANSWER_AGE_MS
--- a/src/sched/worker_loss.rs
+++ b/src/sched/worker_loss.rs
@@ -109,7 +109,7 @@
 pub(super) struct LostWorkers {
     /// Tasks that lost a run with a silent worker, by worker ID.
     silent: HashMap<Arc<str>, SilentWorker>,
-    /// Worker on each host that was registered last.
+    /// Worker on each host that was registered last, and started after the one before it.
     latest_on_host: HashMap<Arc<str>, RegisteredWorker>,
     /// Tasks that may have crashed a worker, see [`Task::is_suspect`].
     pub(super) suspects: HashSet<TaskRef>,
@@ -266,11 +266,16 @@
         self.resolve_silent(now_us, id, !was_cut_off);
     }
 
-    /// Notes a registered worker on its host. A worker that was registered there earlier has ended.
+    /// Notes a registered worker on its host. A worker that started and was registered there earlier has ended.
     pub(super) fn worker_on_host_registered(&mut self, now_us: u64, entry: &WorkerEntry) {
         let Some(host) = &entry.host else { return };
         let incarnation = WorkerIncarnation { id: entry.id.clone(), started_unix_ms: entry.started_unix_ms };
         let latest = RegisteredWorker { incarnation, registered_us: now_us };
+        let known = self.lost_workers.latest_on_host.get(host);
+        // A copy of the registry may be old, and bring back the entry of a worker that has ended.
+        if known.is_some_and(|known| known.incarnation.started_unix_ms >= entry.started_unix_ms) {
+            return;
+        }
         let Some(known) = self.lost_workers.latest_on_host.insert(host.clone(), latest.clone()) else { return };
         // Times of day may be stepped, so of two workers in one copy of the registry it is not known which one is later.
         if known.incarnation.id == entry.id || known.registered_us == now_us {
