Release all members of a gang that is lost with a restarted worker

Cause: the release of the first member has the others ordered to stop. Those were to be released next, but a run that is being stopped did not count as lost with the former incarnation; they stayed placed on it and waited for the longest lease. A run that the former incarnation had listed is now lost in any phase, and one that was stopped meanwhile is carried over and stopped in the new incarnation. Orphans whose leases may last are no longer logged as released.

--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -78,7 +78,7 @@
     }
 
     /// Incarnation of a worker on which a run of a task is placed.
-    fn placed_incarnation(&self, task_ref: &TaskRef, id: &str) -> Option<WorkerIncarnation> {
+    pub(super) fn placed_incarnation(&self, task_ref: &TaskRef, id: &str) -> Option<WorkerIncarnation> {
         let task = self.jobs.get(&task_ref.job)?.task(task_ref)?;
         task.run_on(id).map(|placed| placed.worker.clone())
     }
@@ -167,6 +167,11 @@
             let runs = task.into_iter().flat_map(Task::placed_runs).filter(is_orphan);
             let workers: Vec<WorkerIncarnation> = runs.map(|placed| placed.worker.clone()).collect();
             for worker in workers {
+                let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+                let placed = task.and_then(|task| task.run_on(&worker.id));
+                if placed.is_none_or(|placed| self.run_over(&placed, observation).is_none()) {
+                    continue;
+                }
                 let blame = self.blame_without_report(task_ref);
                 self.record_loss(now_us, task_ref, &worker, (LossCause::Silent, blame));
                 let worker = worker.id;
--- a/src/sched/restarts.rs
+++ b/src/sched/restarts.rs
@@ -136,7 +136,11 @@
         self.set_untracked_usage(&id, Vec::new());
         self.replace_incarnation(now_us, entry);
         for (task_ref, effect) in effects {
-            if effect != RestartEffect::Lost {
+            // Of a gang that is lost, the other members were ordered to stop with the first one.
+            let was_stopped = effect == RestartEffect::Lost && self.placed_incarnation(&task_ref, &id).is_some();
+            if was_stopped {
+                self.carry_over(now_us, &task_ref, &id, RestartEffect::MayArrive);
+            } else if effect != RestartEffect::Lost {
                 self.carry_over(now_us, &task_ref, &id, effect);
             }
         }
--- a/src/sched/run_end.rs
+++ b/src/sched/run_end.rs
@@ -105,9 +105,9 @@
                 (requested_us > at_us + self.stop_grace_us()).then_some(RunOver::Stopped)
             }
             // The order may have been accepted by either incarnation, unless the former one has listed the run.
+            (Observation::WorkerRestarted { .. }, _) if placed.report.is_listed => Some(RunOver::WorkerGone),
             (Observation::WorkerRestarted { requested_us }, RunPhase::Running { since_us }) => {
-                let is_elsewhere = requested_us.is_some_and(|requested_us| requested_us > since_us);
-                (placed.report.is_listed || is_elsewhere).then_some(RunOver::WorkerGone)
+                requested_us.is_some_and(|requested_us| requested_us > since_us).then_some(RunOver::WorkerGone)
             }
             (
                 Observation::Withdrawn
--- a/src/sched/run_end_tests.rs
+++ b/src/sched/run_end_tests.rs
@@ -7,8 +7,9 @@
 };
 use super::job::RunPhase;
 use super::leader_fixtures::{long_step, task, SECOND_US};
-use super::model::{EndedRun, HoldAnswer, OrderOutcome, OrderRefusal, RunOutcome};
+use super::model::{EndedRun, HoldAnswer, OrderOutcome, OrderRefusal, RunOutcome, Step};
 use super::scheduler::Scheduler;
+
 use super::sim::{catalog, settings, spec, step, worker_entry};
 use crate::clock::US_PER_MS;
 
@@ -179,3 +180,31 @@
 
     assert_eq!(starts_in(&actions), []);
 }
+
+// Guards against members of a gang that keep waiting for a lease, because the loss of the first one has them stopped.
+#[test]
+fn gang_that_is_lost_with_a_restarted_worker_starts_again_at_once() {
+    let mut leader = leader_with_workers(4);
+    leader.submit(SECOND_US, 0, JOB.into(), spec(vec![Step { gang: true, ..step(3, &[]) }]));
+    for start in starts_in(&decide(&mut leader, SECOND_US)) {
+        accept(&mut leader, SECOND_US + 2 * US_PER_MS, &start);
+    }
+
+    let restarted = answer_of(LATER_START_UNIX_MS, 2 * SECOND_US, &[]);
+    leader.on_hold_answer(2 * SECOND_US, 2 * SECOND_US - US_PER_MS, &worker(0), &restarted);
+    let stops = decide(&mut leader, 2 * SECOND_US);
+    acknowledge_stops(&mut leader, 2 * SECOND_US, &stops);
+    let later_us = 2 * SECOND_US + 2 * settings().stop_grace_ms * US_PER_MS;
+    leader.on_hold_answer(later_us, later_us, &worker(0), &answer_of(LATER_START_UNIX_MS, later_us, &[]));
+    // Suspects wait for workers of their own for a second.
+    let mut starts = Vec::new();
+    for elapsed_ms in (0..1_200).step_by(100) {
+        let now_us = later_us + elapsed_ms * US_PER_MS;
+        for number in 1..4 {
+            answer(&mut leader, now_us, number, &[]);
+        }
+        starts.extend(starts_in(&decide(&mut leader, now_us)));
+    }
+
+    assert_eq!(starts.len(), 3);
+}
