--- a/src/platform/users_platform_standin/worker_tests.rs
+++ b/src/platform/users_platform_standin/worker_tests.rs
@@ -1,3 +1,5 @@
+//! Tests of the stand-in's workers: slow stops, restarts under the same ID, partitions and delayed orders.
+
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
