Soak: give each test process a loopback address of its own

Cause: another soak process had taken the port that was free when the test picked it; the daemon ended with "Address already in use", and its callers reached a daemon of the other soak, which accepted the job. Addresses are now on a loopback address that the process ID determines. No check or bound changes.

--- a/tests/support/control_daemon.rs
+++ b/tests/support/control_daemon.rs
@@ -1,7 +1,7 @@
 //! A daemon process with the control role, whose connections to the row store pass through a proxy.
 
 use std::fs::File;
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
@@ -18,8 +18,15 @@
     child: Option<Child>,
 }
 
-fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").expect("a free port").local_addr().expect("an address").port()
+/// A loopback address that no other process uses: a port that is free now must still be free when a daemon starts, or its
+/// callers would reach the daemon of another test.
+fn loopback_ip() -> Ipv4Addr {
+    let [_, second, third, fourth] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 + (second & 63), third, fourth)
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind((loopback_ip(), 0)).expect("a free port").local_addr().expect("an address")
 }
 
 impl ControlDaemon {
@@ -27,14 +34,12 @@
     pub fn prepare(test: &str, number: usize, platform: &UsersPlatformStandIn) -> ControlDaemon {
         let proxy = Proxy::start(platform.store_address);
         let name = format!("daemon-{number}");
-        let front_address = format!("127.0.0.1:{}", free_port());
+        let caller_address = free_address();
         let settings_path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{name}.json"));
-        let readiness_address = ([127, 0, 0, 1], free_port()).into();
-        let caller_address = front_address.parse().expect("an address");
-        let text = platform.settings(&name, caller_address, readiness_address, proxy.address);
+        let text = platform.settings(&name, caller_address, free_address(), proxy.address);
         std::fs::write(&settings_path, text).expect("the settings file is written");
         File::create(settings_path.with_extension("log")).expect("a log file");
-        ControlDaemon { name, front_address, settings_path, proxy, child: None }
+        ControlDaemon { name, front_address: caller_address.to_string(), settings_path, proxy, child: None }
     }
 
     /// Starts the process. The log of an earlier process is continued.
