Review case 1: a late write of a step-down makes a task run twice

Cause: the write with which a leader steps down is conditional only on the owner row. If the store does it late, while the same daemon leads again with the same token, the leader takes the changed sequence row for its own transaction, which was not applied.

Shows: the leader's zone is cut off for 5.5 s and the store loses answers. Ends of runs that the record does not hold are acknowledged, and the next leader starts these tasks again (rule TWICE).

--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -3,8 +3,10 @@
 
 mod crashing_item;
 mod daemons;
+mod draining;
 mod http;
 mod large_jobs;
+mod late_release;
 mod record;
 mod store_proxy;
 mod workers;
@@ -107,6 +109,8 @@
     let script = Script { record, folder: PathBuf::from(folder), has_trouble };
     let verdict = match case.as_str() {
         "crashing-item" => crashing_item::run(&script),
+        "draining" => draining::run(&script),
+        "late-release" => late_release::run(&script),
         "large-jobs" => large_jobs::run(&script),
         _ => Verdict::CouldNotRun("no such case".to_owned()),
     };
--- a/review/src/workers.rs
+++ b/review/src/workers.rs
@@ -61,10 +61,12 @@
     id: String,
     address: SocketAddr,
     machine: String,
+    state: &'static str,
+    labels: Vec<String>,
     cpu: u64,
     number: u32,
     life: Life,
-    /// Answers nothing until then; what it runs goes on.
+    /// Until then, requests that arrive are neither carried out nor answered; what runs goes on.
     silent_until: Instant,
     next_heartbeat: Instant,
 }
@@ -174,6 +176,8 @@
                 id: format!("w{index}"),
                 address: listener.local_addr().expect("an address"),
                 machine: format!("m{index}"),
+                state: "ready",
+                labels: vec!["a".to_owned(), "r1".to_owned()],
                 cpu,
                 number: 1,
                 life: Life::new(now, unix_ms()),
@@ -195,15 +199,26 @@
         self.world.0.lock().expect("lock")
     }
 
-    /// Cuts workers off: they neither receive nor answer anything, and run on.
-    pub fn cut_off(&self, indices: &[usize], duration: Duration) {
-        let mut world = self.lock();
-        for index in indices {
-            world.workers[*index].silent_until = Instant::now() + duration;
-        }
+    /// Lets all requests to a worker hang for some time; none of these is carried out.
+    pub fn hang(&self, index: usize, duration: Duration) {
+        self.lock().workers[index].silent_until = Instant::now() + duration;
         self.world.1.notify_all();
     }
 
+    /// Has a worker report that it drains. Returns when the store has accepted the report.
+    pub fn drain(&self, index: usize) -> Option<Instant> {
+        let mut world = self.lock();
+        world.workers[index].state = "draining";
+        let rows = vec![world.workers[index].row()];
+        drop(world);
+        self.register(&rows).then(Instant::now)
+    }
+
+    /// Gives a worker other labels.
+    pub fn set_labels(&self, index: usize, labels: &[&str]) {
+        self.lock().workers[index].labels = labels.iter().map(|label| (*label).to_owned()).collect();
+    }
+
     pub fn events(&self) -> Vec<Event> {
         self.lock().events.clone()
     }
@@ -247,7 +262,10 @@
         if Instant::now() < world.workers[index].life.started {
             return Reply::Close;
         }
-        if self.wait_while_silent(index, &mut world).is_some() {
+        let left = world.workers[index].silent_until.saturating_duration_since(Instant::now());
+        if !left.is_zero() {
+            drop(world);
+            thread::sleep(left);
             return Reply::Close;
         }
         if request.header("x-expect-instance").is_some_and(|expected| expected != world.workers[index].id) {
@@ -260,22 +278,13 @@
             "/pace" => answer(200, json!({ "clockMs": world.workers[index].life.clock_ms() })),
             _ => answer(404, json!({})),
         };
-        if world.workers[index].number != life || self.wait_while_silent(index, &mut world).is_some() {
+        if world.workers[index].number != life {
             return Reply::Close;
         }
         self.world.1.notify_all();
         reply
     }
 
-    /// Holds a message back while the worker is cut off; what was held back is lost then.
-    fn wait_while_silent(&self, index: usize, world: &mut MutexGuard<'_, World>) -> Option<()> {
-        let until = world.workers[index].silent_until;
-        let left = until.checked_duration_since(Instant::now()).filter(|left| !left.is_zero())?;
-        // The lock is held by the caller; a sleep of this thread must not hold it.
-        let _ = left;
-        Some(())
-    }
-
     fn start_run(&self, world: &mut World, index: usize, body: &Value) -> Reply {
         let (task, run) = (body["task"].as_str().unwrap_or("").to_owned(), body["run"].as_u64().unwrap_or(0));
         let spec: Arc<str> = body["spec"].as_str().unwrap_or("").into();
@@ -334,7 +343,13 @@
         }
         loop {
             let worker = &world.workers[index];
-            if worker.number != number || Instant::now() < worker.silent_until {
+            if worker.number != number {
+                return Reply::Close;
+            }
+            let left = worker.silent_until.saturating_duration_since(Instant::now());
+            if !left.is_zero() {
+                drop(world);
+                thread::sleep(left);
                 return Reply::Close;
             }
             let left = deadline.saturating_duration_since(Instant::now());
@@ -392,7 +407,7 @@
                 self.note(&mut world, index, &task, run, how);
             }
             let worker = &mut world.workers[index];
-            if now >= worker.next_heartbeat {
+            if now >= worker.next_heartbeat && now >= worker.silent_until {
                 worker.next_heartbeat = now + HEARTBEAT;
                 rows.push(worker.row());
             }
@@ -400,10 +415,16 @@
         self.world.1.notify_all();
         drop(world);
         if !rows.is_empty() {
-            let body = json!({ "expectedRev": [], "upserts": rows, "remove": [], "across": false }).to_string();
-            call(self.store, "POST", "/rows-tx", &[], body.as_bytes(), Duration::from_secs(2));
+            self.register(&rows);
         }
     }
+
+    /// Writes rows of the registry; returns whether the store has accepted them.
+    fn register(&self, rows: &[Value]) -> bool {
+        let body = json!({ "expectedRev": [], "upserts": rows, "remove": [], "across": false }).to_string();
+        let answer = call(self.store, "POST", "/rows-tx", &[], body.as_bytes(), Duration::from_secs(2));
+        answer.is_some_and(|(status, _)| status == 200)
+    }
 }
 
 impl Worker {
@@ -411,8 +432,8 @@
     fn row(&self) -> Value {
         let entry = json!({
             "service": "press", "addr": self.address.to_string(), "zone": "a", "version": "1", "slots": 8,
-            "state": "ready", "coldRemainingMs": 0, "seq": self.life.clock_ms(), "born": self.life.born,
-            "capacity": { "cpu": self.cpu, "memMb": 64_000, "gpu": 0 }, "labels": ["a", "r1"], "machine": self.machine,
+            "state": self.state, "coldRemainingMs": 0, "seq": self.life.clock_ms(), "born": self.life.born,
+            "capacity": { "cpu": self.cpu, "memMb": 64_000, "gpu": 0 }, "labels": self.labels, "machine": self.machine,
         });
         json!({ "table": "servers", "part": "", "key": self.id, "value": STANDARD.encode(entry.to_string()) })
     }
