--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,9 +1,9 @@
 #!/bin/bash
-# run-case.sh CASE FOLDER: runs one script of the review from the repository's root, in a temporary folder, and ends every
+# run-case.sh CASE RECORD: runs one script of the review from the repository's root, in a temporary folder, and ends every
 # process that it started. Used by the run.sh of each case.
 set -u
 root=$(cd "$(dirname "$0")/.." && pwd)
-case_folder=$2
+record=$2
 cd "$root" || exit 2
 program=review/target/release/review-script
 if [ ! -x "$program" ] || [ ! -x target/release/sardineseamd ]; then
@@ -22,7 +22,7 @@
 }
 trap end_all EXIT
 trap 'exit 2' INT TERM HUP
-"$program" "$1" "$temporary" "$case_folder/record.txt" &
+"$program" "$1" "$temporary" "$record" &
 script_pid=$!
 wait "$script_pid"
 status=$?
--- a/review/src/draining.rs
+++ b/review/src/draining.rs
@@ -9,8 +9,8 @@
 use crate::workers::Workers;
 use crate::{Script, Verdict};
 
-/// One worker of ten is disturbed: `share` 0.1.
-const WORKERS: usize = 10;
+/// One worker of 16 is disturbed and drains: a share of 0.0625.
+const WORKERS: usize = 16;
 const JOB: &str = "5c0e7a21d94b36f8";
 const ITEMS: usize = 30;
 /// Time for which the worker's requests hang.
--- a/review/src/starved.rs
+++ b/review/src/starved.rs
@@ -20,6 +20,8 @@
 const LARGE_CPU: u64 = 15_000;
 const SMALL_CPU: u64 = 500;
 const LARGE_JOBS: usize = 60;
+/// Time between two large jobs, which is the usual one of the sheet's large jobs: 2.43 a second.
+const LARGE_INTERVAL: Duration = Duration::from_millis(412);
 const SMALL_JOBS: usize = 10;
 /// The burst: jobs that come at once, with as many items in all as there is room for. Each item takes 3.5 s.
 const BURST_JOBS: u64 = WORKERS as u64;
@@ -56,6 +58,7 @@
     for number in 0..LARGE_JOBS {
         let id = format!("{:x}b00000000000{number:03x}", number % 16);
         is_accepted &= script.submit(&daemons[number % 3], &id, &large) == Some(200);
+        thread::sleep(LARGE_INTERVAL);
     }
     thread::sleep(Duration::from_secs(6));
     if !is_accepted || workers.active().len() != WORKERS {
