Move the transactions of a term of leadership into one module

Claim, renewal and release were built in three modules, each with conditions of its own, and the conclusion from a conflict in a fourth place. control/term.rs holds them together, so that they can be tested without a store. No change of behaviour.

--- a/src/control.rs
+++ b/src/control.rs
@@ -39,6 +39,7 @@
 mod stage_metrics;
 mod status;
 mod submissions;
+mod term;
 mod writer;
 
 use std::cell::{Cell, RefCell};
--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -12,8 +12,9 @@
 
 use super::candidacy::{leader_name, Candidacy, Decision};
 use super::leader::{self, Claim};
+use super::term::claim_transaction;
 use super::{ControlDaemon, LEADER_PARTITION, LEADER_TABLE};
-use crate::row_store::{RowId, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction, StoredRow};
+use crate::row_store::{RowId, RowStoreCommitOutcome, RowStoreError, StoredRow};
 
 const POLL_INTERVAL_MS: u64 = 400;
 /// Poll interval once a poll has found the sequence row unchanged.
@@ -80,12 +81,7 @@
 }
 
 async fn write_claim(daemon: &Rc<ControlDaemon>, owner_version: u64, claim_value: &[u8]) -> Option<Claim> {
-    let transaction = RowStoreTransaction {
-        expected: vec![(owner_row(), owner_version)],
-        writes: vec![(owner_row(), claim_value.to_vec()), (sequence_row(), Vec::new())],
-        removals: Vec::new(),
-    };
-    match daemon.store.commit(&transaction).await {
+    match daemon.store.commit(&claim_transaction(owner_version, claim_value)).await {
         Ok(RowStoreCommitOutcome::Applied { version }) => {
             Some(Claim { fencing_token: version, sequence_version: version, claimed_us: daemon.now_us() })
         }
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -7,11 +7,10 @@
 
 use foldhash::{HashMap, HashSet};
 
-use super::candidacy::RELEASED;
-use super::election::{owner_row, sequence_row};
 use super::leader_load::LeaderLoad;
 use super::orders::OrderQueues;
 use super::stage_metrics::StageMetrics;
+use super::term::release_transaction;
 use super::{
     calls, feeds, organisation_metrics, sessions, submissions, writer, ControlDaemon, CANCEL_SUFFIX, HOST_TABLE,
     JOB_TABLE, LEADER_PARTITION, RECORD_TABLE, WAVE_TABLE,
@@ -21,7 +20,7 @@
 use crate::platform::hosts::HostClient;
 use crate::platform::workers::{decode_worker_entry, WorkerClient};
 use crate::reactor::{spawn, Condvar};
-use crate::row_store::{RowStoreCommitOutcome, RowStoreError, RowStoreTransaction, StoredRow};
+use crate::row_store::{RowStoreCommitOutcome, RowStoreError, StoredRow};
 use crate::sched::action::Action;
 use crate::sched::copies::CopyCounts;
 use crate::sched::model::{Catalog, WaveOrder};
@@ -149,12 +148,7 @@
     leader.has_ended.set(true);
     leader.writer_condvar.notify();
     leader.wake_all_sessions();
-    let transaction = RowStoreTransaction {
-        expected: vec![(owner_row(), leader.fencing_token)],
-        writes: vec![(sequence_row(), RELEASED.to_vec())],
-        removals: Vec::new(),
-    };
-    match daemon.store.commit(&transaction).await {
+    match daemon.store.commit(&release_transaction(leader.fencing_token)).await {
         Ok(RowStoreCommitOutcome::Applied { .. }) => log::info!("daemon={} outcome=stepped_down", daemon.settings.name),
         Ok(RowStoreCommitOutcome::Conflict { .. }) => {}
         Err(error) => log::warn!("daemon={} error={error} outcome=step_down_failed", daemon.settings.name),
--- a/src/control/writer.rs
+++ b/src/control/writer.rs
@@ -2,14 +2,14 @@
 
 use std::rc::Rc;
 
-use super::election::{owner_row, sequence_row};
 use super::leader::Leader;
+use super::term::{applied_sequence_version, renewal_transaction};
 use super::{
     ADMISSION_KEY, HOST_TABLE, LEADER_PARTITION, ORDERED_HOSTS_KEY, PENDING_COUNTS_KEY, PHASE_TABLE, RECORD_TABLE,
     WAVE_TABLE,
 };
 use crate::clock::{US_PER_MS, US_PER_S};
-use crate::row_store::{RowId, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction, StoredRow};
+use crate::row_store::{RowId, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction};
 use crate::sched::action::Batch;
 use crate::sched::record::{encode_admission, encode_hosts, encode_pending_counts, encode_published_phases};
 
@@ -83,7 +83,9 @@
                 return true;
             }
             Ok(RowStoreCommitOutcome::Conflict { current }) => {
-                let Some(sequence_version) = applied_sequence_version(leader, &current) else { return false };
+                let known_version = leader.sequence_version.get();
+                let applied = applied_sequence_version(leader.fencing_token, known_version, &current);
+                let Some(sequence_version) = applied else { return false };
                 // Only earlier, unanswered attempts at this batch can have changed the sequence row, so one of them was
                 // applied.
                 leader.sequence_version.set(sequence_version);
@@ -105,26 +107,8 @@
     false
 }
 
-/// After a conflict: the new version of the sequence row, or `None` if another daemon has taken over.
-fn applied_sequence_version(leader: &Rc<Leader>, current: &[StoredRow]) -> Option<u64> {
-    let mut applied_version = None;
-    for row in current {
-        if row.id == owner_row() && row.version != leader.fencing_token {
-            return None;
-        }
-        if row.id == sequence_row() && row.version > leader.sequence_version.get() {
-            applied_version = Some(row.version);
-        }
-    }
-    applied_version
-}
-
 fn build_transaction(leader: &Rc<Leader>, batch: &Batch) -> RowStoreTransaction {
-    let mut transaction = RowStoreTransaction {
-        expected: vec![(owner_row(), leader.fencing_token), (sequence_row(), leader.sequence_version.get())],
-        writes: vec![(sequence_row(), Vec::new())],
-        removals: Vec::new(),
-    };
+    let mut transaction = renewal_transaction(leader.fencing_token, leader.sequence_version.get());
     for id in &batch.removed_records {
         transaction.removals.push(RowId::new(RECORD_TABLE, LEADER_PARTITION, id));
     }
