Give each term of leadership a fencing token of its own, and prove that a batch was applied

Cause: a daemon whose step-down got no answer resumed its claim, and so led a second term with the same fencing token. The late write of the step-down still found its condition, the version of the owner row, met. The leader's next batch then conflicted, and since the owner was unchanged and the sequence row newer, it took the batch for applied. Ends of runs in it were acknowledged, though no record held them.

Change: a token that has served a term is never led with again; the daemon claims anew, after its pause if it was cut off. Each transaction of the leader writes an ID of its own to the sequence row, and after a conflict it counts as applied only if the rows hold this ID. The cause of a conflict is logged (`batch_conflict`) and counted (`leader_conflicts_total`). A configuration is now looked for before the term begins, so that a claim without one can still be used later.

Ruled out: a step-down conditional on the sequence row as well. It would conflict with a batch in flight, and others would wait for the timeout.

The test `daemon_that_stepped_down_leaves_leadership_to_others_during_its_pause` asserted that a daemon resumes with its old token. That is the fault; it now asserts a new claim, and also covers a step-down without an answer.

--- a/src/control/candidacy.rs
+++ b/src/control/candidacy.rs
@@ -25,7 +25,8 @@
     Claim {
         owner_version: u64,
     },
-    /// An earlier claim of this process is in force: its answer was lost, or the daemon could not lead at the time.
+    /// An earlier claim of this process is in force, and it has not led with it yet: the claim's answer was lost, or the
+    /// daemon could not lead at the time.
     Lead {
         fencing_token: u64,
         sequence_version: u64,
@@ -57,6 +58,9 @@
     /// The daemon's name and a space; every claim of a process with this name begins with it.
     claim_prefix: Vec<u8>,
     claim_value: Vec<u8>,
+    /// Fencing token of the latest term that this process has begun. The term's writes may still take effect, so that
+    /// the next term needs another token.
+    begun_token: Option<u64>,
     observed: LeaderObservation,
 }
 
@@ -67,10 +71,16 @@
             is_small: cpu_share < SMALL_DAEMON_CPU_SHARE,
             claim_prefix: format!("{name} ").into_bytes(),
             claim_value: format!("{name} {process_id:016x}").into_bytes(),
+            begun_token: None,
             observed: LeaderObservation::default(),
         }
     }
 
+    /// Records that a term begins.
+    pub(super) fn begin_term(&mut self, fencing_token: u64) {
+        self.begun_token = Some(fencing_token);
+    }
+
     /// Value of the owner row with which this process claims leadership.
     pub(super) fn claim_value(&self) -> &[u8] {
         &self.claim_value
@@ -86,8 +96,7 @@
         self.observed.polls > 1
     }
 
-    /// Decides from the rows as just read. Before `no_claim_until_us`, the daemon makes no new claim and does not resume
-    /// one that it has released.
+    /// Decides from the rows as just read. Before `no_claim_until_us`, the daemon makes no new claim.
     pub(super) fn decide(
         &mut self,
         now_us: u64,
@@ -100,13 +109,17 @@
         let owner_value = owner.and_then(|row| row.value.as_deref()).unwrap_or_default();
         let is_released = sequence.is_some_and(|row| row.value.as_deref() == Some(RELEASED));
         let may_claim = now_us >= no_claim_until_us;
-        // After a step-down, the claim is left to the other daemons for the time of the pause.
-        if owner_value == self.claim_value && (may_claim || !is_released) {
+        let is_own_claim = owner_value == self.claim_value;
+        if is_own_claim && self.begun_token != Some(owner_version) {
             return Decision::Lead { fencing_token: owner_version, sequence_version };
         }
+        // After a step-down, leadership is left to the other daemons for the time of the pause.
         if !may_claim {
             return Decision::Wait;
         }
+        if is_own_claim {
+            return Decision::Claim { owner_version };
+        }
         // An earlier process of this daemon has ended, so nobody needs to be waited for.
         let is_vacant = owner.is_none() || is_released || owner_value.starts_with(&self.claim_prefix);
         if (self.is_small || !is_vacant) && !self.has_waited(now_us, sequence_version, is_vacant) {
--- a/src/control/candidacy/candidacy_tests.rs
+++ b/src/control/candidacy/candidacy_tests.rs
@@ -85,14 +85,29 @@
 
 #[test]
 fn daemon_that_stepped_down_leaves_leadership_to_others_during_its_pause() {
+    // Guards against a daemon that leads on at once because its step-down got no answer, and against a second term with
+    // the same fencing token.
     let mut candidacy = large("d1");
-    let (owner, released) = (row(7, candidacy.claim_value()), row(9, RELEASED));
+    candidacy.begin_term(7);
+    let owner = row(7, candidacy.claim_value());
+
+    for sequence in [row(9, RELEASED), row(9, b"")] {
+        let during = candidacy.decide(0, 6_000_000, Some(&owner), Some(&sequence));
+        let after = candidacy.decide(6_000_000, 6_000_000, Some(&owner), Some(&sequence));
 
-    let during = candidacy.decide(0, 6_000_000, Some(&owner), Some(&released));
-    let after = candidacy.decide(6_000_000, 6_000_000, Some(&owner), Some(&released));
+        assert_eq!(during, Decision::Wait);
+        assert_eq!(after, Decision::Claim { owner_version: 7 }, "no other daemon has claimed it");
+    }
+}
+
+#[test]
+fn daemon_whose_term_has_ended_claims_anew_at_once() {
+    // Guards against a wait after a takeover that failed, for small daemons too: nobody else is known to lead.
+    let mut candidacy = Candidacy::new("d1", 0.12, 2);
+    candidacy.begin_term(7);
+    let owner = row(7, candidacy.claim_value());
 
-    assert_eq!(during, Decision::Wait);
-    assert_eq!(after, Decision::Lead { fencing_token: 7, sequence_version: 9 }, "no other daemon has claimed it");
+    assert_eq!(candidacy.decide(0, 0, Some(&owner), Some(&row(9, b""))), Decision::Claim { owner_version: 7 });
 }
 
 #[test]
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -73,14 +73,9 @@
 }
 
 /// Leads until leadership is lost or given up.
-pub(super) async fn lead(daemon: &Rc<ControlDaemon>, claim: Claim) {
+pub(super) async fn lead(daemon: &Rc<ControlDaemon>, claim: Claim, catalog: Arc<Catalog>) {
     log::info!("daemon={} token={} outcome=leading", daemon.settings.name, claim.fencing_token);
     metrics::counter!("leaderships_total").increment(1);
-    let Some(catalog) = daemon.catalog() else {
-        // Nothing can be placed without a configuration. The claim stays in force, and the next poll finds it again.
-        log::warn!("daemon={} outcome=leading_without_configuration", daemon.settings.name);
-        return;
-    };
     let leader = Rc::new(Leader::new(daemon, claim));
     leader.configure(catalog);
     // The writer renews leadership from the start, since restoring the state may take longer than the time after which
--- a/src/control/term.rs
+++ b/src/control/term.rs
@@ -4,6 +4,11 @@
 //! term is conditional on that version. The store may apply a write seconds after its answer was lost, so a token must
 //! not be used for a second term: the late write would still find its condition met.
 
+#[cfg(test)]
+mod term_tests;
+
+use rand::Rng;
+
 use super::candidacy::RELEASED;
 use super::election::{owner_row, sequence_row};
 use crate::row_store::{RowStoreTransaction, StoredRow};
@@ -26,29 +31,69 @@
     }
 }
 
+/// Value that a transaction of the leader writes to the sequence row, by which it is recognised.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct TransactionId(String);
+
+impl TransactionId {
+    pub(super) fn random() -> TransactionId {
+        TransactionId(format!("{:016x}", rand::rng().random::<u64>()))
+    }
+}
+
 /// Transaction that renews leadership, to which the leader adds a batch.
-pub(super) fn renewal_transaction(fencing_token: u64, sequence_version: u64) -> RowStoreTransaction {
+pub(super) fn renewal_transaction(
+    fencing_token: u64,
+    sequence_version: u64,
+    id: &TransactionId,
+) -> RowStoreTransaction {
     RowStoreTransaction {
         expected: vec![(owner_row(), fencing_token), (sequence_row(), sequence_version)],
-        writes: vec![(sequence_row(), Vec::new())],
+        writes: vec![(sequence_row(), id.0.clone().into_bytes())],
         removals: Vec::new(),
     }
 }
 
-/// After a conflict: the new version of the sequence row, or `None` if another daemon has taken over.
-pub(super) fn applied_sequence_version(
-    fencing_token: u64,
-    sequence_version: u64,
-    current: &[StoredRow],
-) -> Option<u64> {
-    let mut applied_version = None;
-    for row in current {
-        if row.id == owner_row() && row.version != fencing_token {
-            return None;
-        }
-        if row.id == sequence_row() && row.version > sequence_version {
-            applied_version = Some(row.version);
+/// What the leader rows show about a transaction that has conflicted, so that it will not be applied any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ConflictCause {
+    /// An earlier, unanswered attempt was applied.
+    AlreadyApplied { sequence_version: u64 },
+    /// Another claim is in force.
+    ClaimReplaced,
+    /// The term was marked as released.
+    Released,
+    /// Another write than this transaction has changed the sequence row.
+    OtherWrite,
+}
+
+impl ConflictCause {
+    /// Name in logs and metrics.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            ConflictCause::AlreadyApplied { .. } => "already_applied",
+            ConflictCause::ClaimReplaced => "claim_replaced",
+            ConflictCause::Released => "released",
+            ConflictCause::OtherWrite => "other_write",
         }
     }
-    applied_version
+}
+
+/// Tells from the leader rows, read after a conflict, why a transaction of the term has conflicted. A newer version of the
+/// sequence row does not show which write has changed it; its value does.
+pub(super) fn conflict_cause(
+    fencing_token: u64,
+    id: &TransactionId,
+    owner: Option<&StoredRow>,
+    sequence: Option<&StoredRow>,
+) -> ConflictCause {
+    if owner.map(|row| row.version) != Some(fencing_token) {
+        return ConflictCause::ClaimReplaced;
+    }
+    let Some(sequence) = sequence else { return ConflictCause::OtherWrite };
+    match sequence.value.as_deref() {
+        Some(value) if value == id.0.as_bytes() => ConflictCause::AlreadyApplied { sequence_version: sequence.version },
+        Some(RELEASED) => ConflictCause::Released,
+        _ => ConflictCause::OtherWrite,
+    }
 }
--- a/src/control/writer.rs
+++ b/src/control/writer.rs
@@ -2,8 +2,9 @@
 
 use std::rc::Rc;
 
+use super::election::LeaderRows;
 use super::leader::Leader;
-use super::term::{applied_sequence_version, renewal_transaction};
+use super::term::{conflict_cause, renewal_transaction, ConflictCause, TransactionId};
 use super::{
     ADMISSION_KEY, HOST_TABLE, LEADER_PARTITION, ORDERED_HOSTS_KEY, PENDING_COUNTS_KEY, PHASE_TABLE, RECORD_TABLE,
     WAVE_TABLE,
@@ -64,7 +65,8 @@
 
 /// Retries a batch until it is committed. Returns `false` if leadership has ended first.
 async fn commit_batch(leader: &Rc<Leader>, batch: &Batch) -> bool {
-    let mut transaction = build_transaction(leader, batch);
+    let id = TransactionId::random();
+    let mut transaction = build_transaction(leader, batch, &id);
     for attempt in 0_u64.. {
         if leader.has_ended.get() {
             return false;
@@ -82,16 +84,18 @@
                 leader.scheduler.borrow_mut().batch_committed(leader.now_us(), sent_us, batch);
                 return true;
             }
-            Ok(RowStoreCommitOutcome::Conflict { current }) => {
-                let known_version = leader.sequence_version.get();
-                let applied = applied_sequence_version(leader.fencing_token, known_version, &current);
-                let Some(sequence_version) = applied else { return false };
-                // Only earlier, unanswered attempts at this batch can have changed the sequence row, so one of them was
-                // applied.
-                leader.sequence_version.set(sequence_version);
-                leader.scheduler.borrow_mut().batch_committed(leader.now_us(), sent_us, batch);
-                return true;
-            }
+            Ok(RowStoreCommitOutcome::Conflict { .. }) => match read_conflict_cause(leader, &id).await {
+                Ok(ConflictCause::AlreadyApplied { sequence_version }) => {
+                    leader.sequence_version.set(sequence_version);
+                    leader.scheduler.borrow_mut().batch_committed(leader.now_us(), sent_us, batch);
+                    return true;
+                }
+                Ok(_) => return false,
+                Err(error) => {
+                    log::debug!("error={error} outcome=leader_read_failed");
+                    leader.daemon.sleep_ms(RETRY_DELAY_MS).await;
+                }
+            },
             Err(RowStoreError::ResponseLost(reason)) => {
                 // Warns only once for each batch: a store that resets connections does so many times a second.
                 let level = if attempt == 0 { log::Level::Warn } else { log::Level::Debug };
@@ -107,8 +111,17 @@
     false
 }
 
-fn build_transaction(leader: &Rc<Leader>, batch: &Batch) -> RowStoreTransaction {
-    let mut transaction = renewal_transaction(leader.fencing_token, leader.sequence_version.get());
+/// Reads why the transaction with this ID has conflicted.
+async fn read_conflict_cause(leader: &Rc<Leader>, id: &TransactionId) -> Result<ConflictCause, RowStoreError> {
+    let rows = LeaderRows::read(&leader.daemon.store).await?;
+    let cause = conflict_cause(leader.fencing_token, id, rows.owner(), rows.sequence());
+    metrics::counter!("leader_conflicts_total", "cause" => cause.label()).increment(1);
+    log::info!("token={} cause={} outcome=batch_conflict", leader.fencing_token, cause.label());
+    Ok(cause)
+}
+
+fn build_transaction(leader: &Rc<Leader>, batch: &Batch, id: &TransactionId) -> RowStoreTransaction {
+    let mut transaction = renewal_transaction(leader.fencing_token, leader.sequence_version.get(), id);
     for id in &batch.removed_records {
         transaction.removals.push(RowId::new(RECORD_TABLE, LEADER_PARTITION, id));
     }
