Check a worker again right before a start order is sent

Cause: start orders wait in the queue of their worker, three in flight for up to 600 ms each. The worker was checked when an order was queued; right before it was sent, only the phase of the run was.

Change: one check, `Scheduler::start_obstacle`, when an order is queued and again when it is sent: the run is wanted, the worker is listed, not draining, not cordoned, answers, fits its tasks and is the same incarnation, and the lease has not ended. Otherwise the order is withdrawn and its task placed again. Withdrawn orders are counted by reason (`starts_withdrawn_total`) and no longer block the worker as unreachable. On the related path of a restart, an order carries the incarnation that it was decided for, since its lease and ticket are that one's.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -29,6 +29,7 @@
 use crate::sched::run_end::RunOver;
 use crate::sched::run_stops::StopReason;
 use crate::sched::scheduler::{SchedSettings, Scheduler};
+use crate::sched::start_orders::StartObstacle;
 use crate::sched::worker_loss::{LossCause, LossCounts};
 
 /// Interval of the scheduler's timer.
@@ -376,6 +377,11 @@
             metrics::counter!("run_stops_total", "reason" => reason.label()).increment(count);
         }
     }
+    for (obstacle, count) in StartObstacle::ALL.into_iter().zip(scheduler.take_withdrawn_counts()) {
+        if count > 0 {
+            metrics::counter!("starts_withdrawn_total", "reason" => obstacle.label()).increment(count);
+        }
+    }
     for (over, count) in RunOver::ALL.into_iter().zip(scheduler.take_release_counts()) {
         if count > 0 {
             metrics::counter!("runs_released_total", "evidence" => over.label()).increment(count);
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -63,7 +63,7 @@
     while let Some(order) = leader.orders.next_order(&worker) {
         let address = leader.scheduler.borrow().worker_address(&worker);
         let Some(address) = address.filter(|_| !leader.has_ended.get()) else {
-            report_outcome(&leader, &worker, order, OrderOutcome::NotSent);
+            report_outcome(&leader, &worker, order, OrderOutcome::Withdrawn);
             continue;
         };
         let address = WorkerAddress { id: worker.clone(), address };
@@ -76,7 +76,7 @@
     match order {
         Action::Start(start) => {
             if !leader.scheduler.borrow_mut().on_start_sent(leader.now_us(), start) {
-                return OrderOutcome::NotSent;
+                return OrderOutcome::Withdrawn;
             }
             let order = StartOrder {
                 task: start.task.clone(),
@@ -136,6 +136,7 @@
         OrderOutcome::Accepted { .. } => "accepted",
         OrderOutcome::Refused(_) => "refused",
         OrderOutcome::NotSent => "not_sent",
+        OrderOutcome::Withdrawn => "withdrawn",
         OrderOutcome::Unanswered => "unanswered",
     }
 }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -51,6 +51,7 @@
 pub(crate) mod scheduler;
 mod share;
 pub(crate) mod stages;
+pub(crate) mod start_orders;
 mod start_rate;
 mod task_runs;
 mod tickets;
@@ -126,6 +127,8 @@
 #[cfg(test)]
 mod stages_tests;
 #[cfg(test)]
+mod start_orders_tests;
+#[cfg(test)]
 mod start_rate_tests;
 #[cfg(test)]
 mod takeover_tests;
--- a/src/sched/action.rs
+++ b/src/sched/action.rs
@@ -61,6 +61,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct StartRun {
     pub(crate) worker: Arc<str>,
+    /// Start time of the worker's incarnation for which the lease and the ticket are meant.
+    pub(crate) started_unix_ms: u64,
     pub(crate) task: TaskRef,
     pub(crate) run: u32,
     /// The job's [`task_spec`](super::model::JobSpec::task_spec).
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -381,8 +381,10 @@
         clock_ms: Option<u64>,
     },
     Refused(OrderRefusal),
-    /// The order was not sent, so it has certainly not been carried out.
+    /// The worker could not be reached, so the order has certainly not been carried out.
     NotSent,
+    /// The order was not sent, since what it was decided on no longer holds.
+    Withdrawn,
     /// No answer arrived; the worker may have carried out the order, or may do so later.
     Unanswered,
 }
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -285,7 +285,9 @@
         match outcome {
             OrderOutcome::Accepted { .. } => {}
             OrderOutcome::Refused(refusal) if *refusal != OrderRefusal::WrongWorker => {}
-            OrderOutcome::Refused(_) | OrderOutcome::NotSent | OrderOutcome::Unanswered => return,
+            OrderOutcome::Refused(_) | OrderOutcome::NotSent | OrderOutcome::Withdrawn | OrderOutcome::Unanswered => {
+                return
+            }
         }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.last_answer_us = worker.last_answer_us.max(now_us);
@@ -340,7 +342,10 @@
                     self.block_worker(now_us, &start.worker, UNREACHABLE_BLOCK_MS);
                 }
             }
-            (OrderOutcome::Refused(_) | OrderOutcome::NotSent, RunPhase::Ordered | RunPhase::Stopping { .. }) => {
+            (
+                OrderOutcome::Refused(_) | OrderOutcome::NotSent | OrderOutcome::Withdrawn,
+                RunPhase::Ordered | RunPhase::Stopping { .. },
+            ) => {
                 if *outcome == OrderOutcome::NotSent {
                     self.block_worker(now_us, &start.worker, UNREACHABLE_BLOCK_MS);
                 }
--- a/src/sched/run_stops.rs
+++ b/src/sched/run_stops.rs
@@ -188,7 +188,7 @@
                     worker.next_hold_us = worker.next_hold_us.min(effective_us);
                 }
             }
-            OrderOutcome::Refused(_) | OrderOutcome::NotSent | OrderOutcome::Unanswered => {
+            OrderOutcome::Refused(_) | OrderOutcome::NotSent | OrderOutcome::Withdrawn | OrderOutcome::Unanswered => {
                 *next_retry_us = now_us + STOP_RETRY_DELAY_MS * US_PER_MS;
             }
         }
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -13,17 +13,18 @@
 use super::forecast::DemandForecast;
 use super::host_moves::HostMoves;
 use super::host_orders::HostOrders;
-use super::job::{Job, RunPhase, ShareClass};
+use super::job::{Job, ShareClass};
 use super::model::{Catalog, HostRecord, JobId, JobPhase, JobSpec, Queue, ReportedPhase, Resources, Step, TaskRef};
 use super::organisation_counts::OrganisationCounts;
 use super::policies::Policies;
 use super::ready_jobs::ReadyJobs;
 use super::record::{restore_job, RecordError};
-use super::run_end::{Observation, ReleaseCounts};
+use super::run_end::ReleaseCounts;
 use super::run_stops::StopCounts;
 use super::run_times::RunTimes;
 use super::share::ArrivalRates;
 use super::stages::{Stage, StageLog};
+use super::start_orders::WithdrawnCounts;
 use super::start_rate::StartRate;
 use super::usage::Usage;
 use super::waves::Waves;
@@ -129,6 +130,7 @@
     pub(super) stage_log: StageLog,
     pub(super) work_counts: WorkCounts,
     pub(super) stop_counts: StopCounts,
+    pub(super) withdrawn_counts: WithdrawnCounts,
     pub(super) release_counts: ReleaseCounts,
     pub(super) organisation_counts: HashMap<Arc<str>, OrganisationCounts>,
 }
@@ -183,6 +185,7 @@
             stage_log: StageLog::default(),
             work_counts: WorkCounts::default(),
             stop_counts: StopCounts::default(),
+            withdrawn_counts: WithdrawnCounts::default(),
             release_counts: ReleaseCounts::default(),
             organisation_counts: HashMap::default(),
         }
@@ -334,59 +337,6 @@
         self.refresh_job(id);
     }
 
-    /// Requests the start order for a run whose record is committed. Releases the task if the job's phase is final by
-    /// now or the worker cannot take the task now.
-    pub(super) fn order_start(&mut self, now_us: u64, task_ref: &TaskRef, run: u32) {
-        let Some(job) = self.jobs.get(&task_ref.job) else { return };
-        let Some(task) = job.task(task_ref) else { return };
-        let Some(placed) = task.placed_runs().find(|placed| placed.run == run) else { return };
-        if placed.phase != RunPhase::Committing {
-            return;
-        }
-        let incarnation = placed.worker.clone();
-        let is_final = job.phase.is_final();
-        let lease_until_us = self.lease_until_us(now_us);
-        let can_start = self.workers.get(&incarnation.id).is_some_and(|worker| {
-            worker.incarnation() == incarnation
-                && worker.is_listed
-                && worker.unconfirmed_entry.is_none()
-                && !worker.entry.draining
-                && worker.can_receive_start(now_us)
-                && worker.is_within_capacity()
-        });
-        if is_final || !can_start || lease_until_us <= now_us {
-            self.release_if_over(now_us, task_ref, &incarnation.id, Observation::Withdrawn);
-            return;
-        }
-        let ticket = self.ticket(now_us, task_ref, &incarnation.id);
-        let longest_lease_end_us = now_us + self.longest_lease_wait_us();
-        let Some(worker) = self.workers.get_mut(&incarnation.id) else { return };
-        let lease_end_ms = worker.lease_end_for(lease_until_us).unwrap_or(0);
-        worker.lease_end_ms = worker.lease_end_ms.max(lease_end_ms);
-        self.hold_after_start(now_us, &incarnation.id);
-        let Some(job) = self.jobs.get_mut(&task_ref.job) else { return };
-        let spec = job.spec.task_spec.clone();
-        let Some(task) = job.task_mut(task_ref) else { return };
-        if let Some(placed) = task.run_on_mut(&incarnation.id) {
-            *placed.phase = RunPhase::Ordered;
-            placed.report.longest_lease_end_us = longest_lease_end_us;
-        }
-        if task.run == run {
-            task.stages.pass(Stage::Committed, now_us);
-        }
-        let checkpoint = task.checkpoint.clone();
-        let start = super::action::StartRun {
-            worker: incarnation.id,
-            task: task_ref.clone(),
-            run,
-            spec,
-            lease_end_ms,
-            checkpoint,
-            ticket,
-        };
-        self.actions.push(Action::Start(start));
-    }
-
     /// Records by how much the timer that drives [`Scheduler::tick`] was late: if the leader has too little processor time,
     /// everything that it does waits for as long.
     pub(crate) fn record_lag(&mut self, late_us: u64) {
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -332,6 +332,11 @@
 
     fn handle(&mut self, message: Message) {
         match message {
+            Message::QueuedStart { start, leader } => {
+                if self.is_current_leader(leader) {
+                    self.send_start(start);
+                }
+            }
             Message::Start { start, token, answered, delayed_for_incarnation } => {
                 let incarnation = self.workers.get(&start.worker).map(|worker| worker.entry.started_unix_ms);
                 let is_for_former = delayed_for_incarnation.is_some() && delayed_for_incarnation != incarnation;
--- a/src/sched/sim/faults.rs
+++ b/src/sched/sim/faults.rs
@@ -14,6 +14,8 @@
     pub(in crate::sched) order_delay_rate: f64,
     /// Share of orders that never arrive.
     pub(in crate::sched) order_loss_rate: f64,
+    /// Upper bound of the time for which a start order waits in the leader's queue before it is sent; 0 sends it at once.
+    pub(in crate::sched) order_queue_ms: u64,
     /// Share of runs that fail.
     pub(in crate::sched) run_failure_rate: f64,
     /// Worker crashes per second; each worker restarts at once as a new incarnation, see [`Sim::crash`].
--- a/src/sched/sim/leader.rs
+++ b/src/sched/sim/leader.rs
@@ -4,13 +4,22 @@
 
 use rand::Rng;
 
-use super::super::action::{Action, HoldPlan};
+use super::super::action::{Action, HoldPlan, StartRun};
 use super::super::model::OrderOutcome;
 use super::hosts::HostAction;
 use super::message::{HoldRequest, Message};
-use super::{Sim, DELAY_US, ORDER_TIMEOUT_US};
+use super::{Sim, Violation, DELAY_US, ORDER_TIMEOUT_US};
 use crate::clock::US_PER_MS;
 
+/// What happens to an order on its way to a worker.
+#[derive(Debug)]
+struct OrderFate {
+    is_delayed: bool,
+    arrives: bool,
+    answered: bool,
+    after_us: u64,
+}
+
 impl Sim {
     pub(super) fn run_leader(&mut self) {
         if !self.is_leader_up() {
@@ -52,30 +61,53 @@
         }
     }
 
-    fn execute(&mut self, action: Action) {
-        let (token, leader) = (self.token, self.leader);
+    /// Sends a start order, unless the leader withdraws it.
+    pub(super) fn send_start(&mut self, start: StartRun) {
+        if !self.scheduler.on_start_sent(self.now_us, &start) {
+            self.scheduler.on_start_outcome(self.now_us, &start, &OrderOutcome::Withdrawn);
+            return;
+        }
+        if self.scheduler.workers.get(&start.worker).is_some_and(|worker| worker.entry.draining) {
+            self.violations.push(Violation(format!("{:?} is ordered on a draining worker", start.task)));
+        }
+        let OrderFate { is_delayed, arrives, answered, after_us } = self.order_fate();
+        if arrives {
+            let incarnation = self.workers.get(&start.worker).map(|worker| worker.entry.started_unix_ms);
+            let delayed_for_incarnation = incarnation.filter(|_| is_delayed);
+            let order = Message::Start { start: start.clone(), token: self.token, answered, delayed_for_incarnation };
+            self.send(after_us, order);
+        }
+        if !answered {
+            let answer = Message::StartAnswer { start, leader: self.leader, outcome: OrderOutcome::Unanswered };
+            self.send(ORDER_TIMEOUT_US, answer);
+        }
+    }
+
+    fn order_fate(&mut self) -> OrderFate {
         let roll = self.rng.random::<f64>();
         let delayed_below = self.faults.order_delay_rate;
         let lost_below = delayed_below + self.faults.order_loss_rate;
         let unanswered_below = lost_below + self.faults.answer_loss_rate;
-        let after_us = if roll < delayed_below { self.rng.random_range(2_000_000..12_000_000) } else { DELAY_US };
-        let (arrives, answered) = (roll < delayed_below || roll >= lost_below, roll >= unanswered_below);
+        let is_delayed = roll < delayed_below;
+        let after_us = if is_delayed { self.rng.random_range(2_000_000..12_000_000) } else { DELAY_US };
+        OrderFate {
+            is_delayed,
+            arrives: is_delayed || roll >= lost_below,
+            answered: roll >= unanswered_below,
+            after_us,
+        }
+    }
+
+    fn execute(&mut self, action: Action) {
+        let (token, leader) = (self.token, self.leader);
         match action {
-            Action::Start(start) => {
-                if arrives {
-                    let incarnation = self.workers.get(&start.worker).map(|worker| worker.entry.started_unix_ms);
-                    let delayed_for_incarnation = if roll < delayed_below { incarnation } else { None };
-                    self.send(
-                        after_us,
-                        Message::Start { start: start.clone(), token, answered, delayed_for_incarnation },
-                    );
-                }
-                if !answered {
-                    let answer = Message::StartAnswer { start, leader, outcome: OrderOutcome::Unanswered };
-                    self.send(ORDER_TIMEOUT_US, answer);
-                }
+            Action::Start(start) if self.faults.order_queue_ms > 0 => {
+                let wait_ms = self.rng.random_range(0..self.faults.order_queue_ms);
+                self.send(wait_ms * US_PER_MS, Message::QueuedStart { start, leader });
             }
+            Action::Start(start) => self.send_start(start),
             Action::Stop { worker, task, run } => {
+                let OrderFate { arrives, answered, after_us, .. } = self.order_fate();
                 self.stop_times.stop_sent(self.now_us, &task);
                 if arrives {
                     let stop = Message::Stop { worker: worker.clone(), task: task.clone(), run, token, answered };
--- a/src/sched/sim/message.rs
+++ b/src/sched/sim/message.rs
@@ -25,6 +25,11 @@
 /// token of the leader that sent it; `answered` tells whether its answer will arrive.
 #[derive(Debug, Clone)]
 pub(super) enum Message {
+    /// A start order that has waited in the leader's queue for the worker.
+    QueuedStart {
+        start: StartRun,
+        leader: u32,
+    },
     Start {
         start: StartRun,
         token: u64,
@@ -89,7 +94,8 @@
 impl Message {
     pub(super) fn is_for_leader(&self) -> bool {
         match self {
-            Message::StartAnswer { .. }
+            Message::QueuedStart { .. }
+            | Message::StartAnswer { .. }
             | Message::StopAnswer { .. }
             | Message::HoldAnswer { .. }
             | Message::CommitAnswer { .. }
--- a/src/sched/stages.rs
+++ b/src/sched/stages.rs
@@ -5,8 +5,7 @@
 //! once, when the run completes, or for a long-running task when its first run begins. The leader takes the recorded
 //! times with [`Scheduler::passed_stages`].
 
-use super::action::StartRun;
-use super::job::{RunPhase, Task};
+use super::job::Task;
 use super::model::{JobId, JobPhase, Step, TaskRef};
 use super::scheduler::Scheduler;
 use crate::clock::{US_PER_MS, US_PER_S};
@@ -173,20 +172,6 @@
         self.stage_log.passed.drain(..)
     }
 
-    /// Records that a start order is being sent. Returns `false` if the run has been stopped or released meanwhile, so that
-    /// the order must not be sent.
-    #[must_use]
-    pub(crate) fn on_start_sent(&mut self, now_us: u64, start: &StartRun) -> bool {
-        let task = self.jobs.get_mut(&start.task.job).and_then(|job| job.task_mut(&start.task));
-        let Some(task) = task else { return false };
-        let placed = task.run_on(&start.worker).filter(|placed| placed.run == start.run);
-        let is_ordered = placed.is_some_and(|placed| placed.phase == RunPhase::Ordered);
-        if task.run == start.run {
-            task.stages.pass(Stage::Ordered, now_us);
-        }
-        is_ordered
-    }
-
     /// Records that a task's latest run is in progress.
     pub(super) fn run_begun(&mut self, now_us: u64, task_ref: &TaskRef) {
         let Some(job) = self.jobs.get_mut(&task_ref.job) else { return };
