Percent-encode keys and tokens in requests for pages, and notice a page that repeats

Callers saw accepted jobs stay `queued` for good: a row of another writer whose key is not safe in a URL, at a page's end, made every takeover fail (`invalid uri character`), or, with `&` or `#`, made the leader read the same page until its memory was used up.

Cause: the key of the last row was put into the next request's path as it was. The same held for partition names and for the page token of the provider's host list. Nothing noticed that a page brought no further row, and an empty page that others follow passed for the end of the rows.

Change: all queries are built by `path_with_query`. A page continues from the last key itself; a key one byte longer could exceed the store's limit of 200 bytes. A page without a further row, if more follow, is an error, as is a repeated page token. The stand-in decodes queries as a server does, and can cut its pages short.

--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::http_client::HttpClient;
+use super::http_client::{path_with_query, HttpClient};
 use super::workers::CapacityBody;
 use crate::endpoint_client::CallOutcome;
 use crate::sched::model::{HostOrderOutcome, HostPhase, HostRecord};
@@ -85,10 +85,10 @@
     /// Reads all pages of the host list. An error is the text to log.
     pub(crate) async fn list(&self) -> Result<Vec<HostRecord>, String> {
         let mut hosts = Vec::new();
-        let mut page_token: Option<String> = None;
+        let mut page_tokens: Vec<String> = Vec::new();
         loop {
-            let path = match &page_token {
-                Some(page_token) => format!("/machines?pageToken={page_token}"),
+            let path = match page_tokens.last() {
+                Some(page_token) => path_with_query("/machines", &[("pageToken", page_token)]),
                 None => "/machines".to_owned(),
             };
             let response = self.http_client.send(self.address, "GET", &path, &[], Bytes::new(), CALL_TIMEOUT_MS).await;
@@ -98,11 +98,11 @@
             }
             let body: ListBody = serde_json::from_slice(&response.body).map_err(|error| error.to_string())?;
             hosts.extend(body.machines.into_iter().map(decode_host));
-            page_token = match body.next_token {
-                Some(serde_json::Value::String(text)) if !text.is_empty() => Some(text),
-                Some(serde_json::Value::Number(number)) => Some(number.to_string()),
-                _ => return Ok(hosts),
-            };
+            let Some(page_token) = body.next_token.and_then(decode_page_token) else { return Ok(hosts) };
+            if page_tokens.contains(&page_token) {
+                return Err(format!("the page token {page_token:?} is repeated"));
+            }
+            page_tokens.push(page_token);
         }
     }
 
@@ -141,6 +141,15 @@
     }
 }
 
+/// The token of the next page; `None` if there is none.
+fn decode_page_token(value: serde_json::Value) -> Option<String> {
+    match value {
+        serde_json::Value::String(text) if !text.is_empty() => Some(text),
+        serde_json::Value::Number(number) => Some(number.to_string()),
+        _ => None,
+    }
+}
+
 fn decode_host(body: MachineBody) -> HostRecord {
     HostRecord {
         name: body.machine,
--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -7,6 +7,7 @@
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderName, HeaderValue, Request};
 use http_body_util::Full;
+use percent_encoding::{utf8_percent_encode, NON_ALPHANUMERIC};
 
 use crate::buffered_body::ByteBudget;
 use crate::endpoint_client::{Call, CallOutcome, EndpointClient};
@@ -82,6 +83,18 @@
     }
 }
 
+/// A path with a query. Any text can be the value of a parameter: keys and page tokens come from other writers.
+pub(super) fn path_with_query(path: &str, parameters: &[(&str, &str)]) -> String {
+    let mut text = path.to_owned();
+    for (index, (name, value)) in parameters.iter().enumerate() {
+        text.push(if index == 0 { '?' } else { '&' });
+        text.push_str(name);
+        text.push('=');
+        text.extend(utf8_percent_encode(value, NON_ALPHANUMERIC));
+    }
+    text
+}
+
 fn build_request(
     address: SocketAddr,
     method: &str,
--- a/src/platform/platform_tests.rs
+++ b/src/platform/platform_tests.rs
@@ -4,11 +4,13 @@
 
 use proptest::prelude::*;
 
+use super::http_client::path_with_query;
 use super::job_api::{decode_job, is_job_id, InvalidJob};
+use super::row_store::append_page;
 use super::settings::parse;
 use super::workers::{decode_hold_response, decode_worker_entry};
 use super::{operator, task_names};
-use crate::row_store::{RowId, StoredRow};
+use crate::row_store::{RowId, RowPage, StoredRow};
 use crate::sched::model::{Catalog, Queue, Resources, RunOutcome};
 use crate::sched::organisation::KeyDigest;
 
@@ -258,3 +260,52 @@
         prop_assert_eq!(task_names::format_task_name(&task), name);
     }
 }
+
+fn stored_row(key: &str) -> StoredRow {
+    StoredRow { id: RowId::new("servers", "", key), version: 1, value: None }
+}
+
+fn page(keys: &[&str], has_more: bool) -> RowPage {
+    RowPage { rows: keys.iter().map(|key| stored_row(key)).collect(), has_more, version: 9 }
+}
+
+fn keys(page: &RowPage) -> Vec<&str> {
+    page.rows.iter().map(|row| &*row.id.key).collect()
+}
+
+#[test]
+fn page_that_begins_with_the_last_row_read_adds_only_the_following_ones() {
+    // Guards against a row that is read twice, and against a lost one.
+    let mut read = page(&["a", "a&x"], true);
+
+    append_page(&mut read, page(&["a&x", "b"], true)).expect("a further row");
+    append_page(&mut read, page(&["b"], false)).expect("the last page");
+
+    assert_eq!((keys(&read), read.has_more), (vec!["a", "a&x", "b"], false));
+}
+
+#[test]
+fn page_without_a_further_row_is_an_error_if_more_follow() {
+    // Guards against a read without end, which fills the memory, and against an incomplete read that passes for whole.
+    let mut read = page(&["a", "a&x"], true);
+
+    let repeated = append_page(&mut read, page(&["a", "a&x"], true));
+    let empty = append_page(&mut page(&[], true), page(&[], true));
+
+    assert!(repeated.is_err() && empty.is_err());
+    assert_eq!(keys(&read), ["a", "a&x"]);
+}
+
+proptest! {
+    #[test]
+    fn any_key_in_a_request_path_is_read_back_as_it_was(key in ".*", table in "[a-z]{1,8}") {
+        // Guards against characters that end a parameter, the query or the path.
+        let path = path_with_query("/rows-get", &[("table", &table), ("from", &key)]);
+
+        let uri: http::Uri = path.parse().expect("a valid path");
+        let query = uri.query().expect("a query");
+        let from = query.strip_prefix(&format!("table={table}&from=")).expect("the parameters in their order");
+        let read = percent_encoding::percent_decode_str(from).decode_utf8().expect("UTF-8");
+        prop_assert_eq!(read, key);
+    }
+}
--- a/src/platform/row_store.rs
+++ b/src/platform/row_store.rs
@@ -11,7 +11,7 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use serde::{Deserialize, Serialize};
 
-use super::http_client::{HttpClient, HttpResponse};
+use super::http_client::{path_with_query, HttpClient, HttpResponse};
 use crate::clock::{Clock, US_PER_MS};
 use crate::endpoint_client::{timeout_at, CallOutcome};
 use crate::row_store::repeated_call::{RepeatedCall, StoreHealth};
@@ -142,7 +142,9 @@
         from: &str,
         limit: u32,
     ) -> Result<RowPage, RowStoreError> {
-        let path = format!("/rows-get?table={table}&part={partition}&from={from}&limit={limit}");
+        let limit = limit.to_string();
+        let path =
+            path_with_query("/rows-get", &[("table", table), ("part", partition), ("from", from), ("limit", &limit)]);
         let response = self.send("GET", &path, Bytes::new(), 0).await?;
         decode_page(&response)
     }
@@ -152,14 +154,10 @@
         const PAGE_ROWS: u32 = 500;
         let mut page = self.read_page(table, partition, "", PAGE_ROWS).await?;
         while page.has_more {
-            // A zero byte after the last key gives the next possible key.
-            let Some(last) = page.rows.last() else { break };
-            let from = format!("{}%00", last.id.key);
+            // The last row is read again: a longer key than the last one may exceed the store's limit.
+            let from = page.rows.last().map_or_else(|| "".into(), |row| row.id.key.clone());
             let more = self.read_page(table, partition, &from, PAGE_ROWS).await?;
-            page.has_more = more.has_more;
-            // The result keeps the first page's version, so that waiting for changes since that version also returns
-            // the rows that changed between two pages.
-            page.rows.extend(more.rows);
+            append_page(&mut page, more)?;
         }
         Ok(page)
     }
@@ -174,7 +172,8 @@
         wait_ms: u64,
     ) -> Result<RowPage, RowStoreError> {
         let wait_ms = if self.health.borrow().is_failing() { 0 } else { wait_ms };
-        let path = format!("/rows-feed?table={table}&after={after}&waitMs={wait_ms}");
+        let (after, wait) = (after.to_string(), wait_ms.to_string());
+        let path = path_with_query("/rows-feed", &[("table", table), ("after", &after), ("waitMs", &wait)]);
         let response = self.send("GET", &path, Bytes::new(), wait_ms).await?;
         decode_page(&response)
     }
@@ -184,14 +183,14 @@
         let mut partitions: Vec<String> = Vec::new();
         loop {
             let path = match partitions.last() {
-                Some(last) => format!("/rows-parts?table={table}&after={last}"),
-                None => format!("/rows-parts?table={table}"),
+                Some(last) => path_with_query("/rows-parts", &[("table", table), ("after", last)]),
+                None => path_with_query("/rows-parts", &[("table", table)]),
             };
             let response = self.send("GET", &path, Bytes::new(), 0).await?;
             let body: PartsBody = decode(&response.body)?;
-            let more = body.more_pages && !body.parts.is_empty();
-            partitions.extend(body.parts);
-            if !more {
+            let has_more = body.more_pages;
+            append_partitions(&mut partitions, body)?;
+            if !has_more {
                 return Ok(partitions);
             }
         }
@@ -317,6 +316,34 @@
     }
 }
 
+/// Appends the page that follows, whose first row may be the last one read before.
+///
+/// # Errors
+/// Fails if more pages follow, but this one has no row beyond those read before: it would be read again without end.
+pub(super) fn append_page(page: &mut RowPage, more: RowPage) -> Result<(), RowStoreError> {
+    let read_count = page.rows.len();
+    let last = page.rows.last().map(|row| row.id.key.clone());
+    // The result keeps the first page's version, so that waiting for changes since that version also returns the rows
+    // that changed between two pages.
+    page.rows.extend(more.rows.into_iter().filter(|row| last.as_ref().is_none_or(|last| row.id.key > *last)));
+    page.has_more = more.has_more;
+    if page.has_more && page.rows.len() == read_count {
+        return Err(RowStoreError::Protocol(format!("the page from key {last:?} has no further row, but more follow")));
+    }
+    Ok(())
+}
+
+/// The same for a page of the names of a table's partitions.
+fn append_partitions(partitions: &mut Vec<String>, more: PartsBody) -> Result<(), RowStoreError> {
+    let read_count = partitions.len();
+    let last = partitions.last().cloned();
+    partitions.extend(more.parts.into_iter().filter(|name| last.as_ref().is_none_or(|last| name > last)));
+    if more.more_pages && partitions.len() == read_count {
+        return Err(RowStoreError::Protocol(format!("the page after partition {last:?} is empty, but more follow")));
+    }
+    Ok(())
+}
+
 /// Returns the kind of a row in the operators' table, which its key determines.
 pub(crate) fn operator_row_kind(row: &StoredRow) -> OperatorRowKind {
     if &*row.id.key == CONFIG_KEY {
--- a/src/platform/users_platform_standin.rs
+++ b/src/platform/users_platform_standin.rs
@@ -17,6 +17,7 @@
 use std::time::{Duration, Instant};
 
 use jiff::Timestamp;
+use percent_encoding::percent_decode_str;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use serde_json::{json, Value};
@@ -25,6 +26,9 @@
 
 pub use worker_faults::WorkerRestart;
 
+/// Maximum number of rows in a page of the store.
+const MAX_PAGE_ROWS: usize = 500;
+
 /// Table, partition and key.
 type RowId = (String, String, String);
 
@@ -38,9 +42,13 @@
 
 impl RowStore {
     fn put(&mut self, table: &str, key: &str, value: &Value) {
+        self.put_bytes(table, key, value.to_string().as_bytes());
+    }
+
+    fn put_bytes(&mut self, table: &str, key: &str, value: &[u8]) {
         self.version += 1;
         let id = (table.to_owned(), String::new(), key.to_owned());
-        self.rows.insert(id, (self.version, Some(base64(value.to_string().as_bytes()))));
+        self.rows.insert(id, (self.version, Some(base64(value))));
     }
 
     /// Removes a row, if it exists.
@@ -102,6 +110,8 @@
     workers: Vec<Worker>,
     run_log: RunLog,
     rng: SmallRng,
+    /// Maximum number of rows in a page.
+    page_rows: usize,
 }
 
 /// Stand-in for the users' platform. Clones share its state.
@@ -178,6 +188,7 @@
             workers: Vec::new(),
             run_log: RunLog::default(),
             rng: SmallRng::seed_from_u64(seed),
+            page_rows: MAX_PAGE_ROWS,
         };
         let platform = UsersPlatformStandIn {
             state: Arc::new((Mutex::new(state), Condvar::new())),
@@ -210,6 +221,19 @@
         self.put("op", "config", &config);
     }
 
+    /// Writes a row of another writer, in the partition that workers and operators use.
+    pub fn put_row(&self, table: &str, key: &str, value: &[u8]) {
+        let mut state = self.lock();
+        state.store.put_bytes(table, key, value);
+        drop(state);
+        self.state.1.notify_all();
+    }
+
+    /// Cuts pages of rows at this number of rows.
+    pub fn limit_pages(&self, rows: usize) {
+        self.lock().page_rows = rows;
+    }
+
     fn add_worker(&self, index: usize, stopping_runs: StoppingRuns) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let entry = json!({
@@ -328,7 +352,8 @@
 
     fn read_rows(&self, request: &Request) -> (u16, Value) {
         let state = self.lock();
-        let limit: usize = request.query.get("limit").and_then(|limit| limit.parse().ok()).unwrap_or(500);
+        let limit: usize = request.query.get("limit").and_then(|limit| limit.parse().ok()).unwrap_or(MAX_PAGE_ROWS);
+        let limit = limit.min(state.page_rows);
         let from = (request.query["table"].clone(), request.query["part"].clone(), request.query["from"].clone());
         let mut rows = Vec::new();
         let mut has_more = false;
@@ -406,7 +431,8 @@
     let target = words.next()?;
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let query = pairs.map(|(name, value)| (name.to_owned(), value.replace("%00", "\0"))).collect();
+    let decode = |text: &str| percent_decode_str(text).decode_utf8_lossy().into_owned();
+    let query = pairs.map(|(name, value)| (decode(name), decode(value))).collect();
     let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
     Some(Request { expected_instance, method, path: path.to_owned(), query, body })
 }
