Bound the numbers that other writers put into rows, jobs and answers

A worker's entry with a capacity of 2^64-1 or 1e308, or a job that needs as much, made sums over a pool overflow: with overflow checks the leader ended at once (`attempt to add with overflow`, demand.rs; `attempt to multiply`, forecast.rs), one leader after the other; in a release build the sums wrap and hosts are balanced by wrong figures.

Cause: numbers were converted to 64 bits and used without a limit.

Change: platform/limits.rs. A capacity that no worker has names no worker. Needs, durations and times of jobs and the validity of tickets are reduced to a bound within which sums fit in 64 bits: a task that needs more than any worker has waits in any case. A worker whose clock shows more than any clock can makes its answer invalid. The forecast multiplies in floating point, exactly as before for all usual work.

The test `values_that_no_worker_writes_harm_nobody_else` failed before in both places; it passes now, with three odd states of a live worker's own row and demand that no worker can satisfy behind the odd capacities.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -12,6 +12,7 @@
 mod http_client;
 pub(crate) mod job_api;
 pub mod job_client;
+mod limits;
 pub(crate) mod operator;
 pub(crate) mod row_store;
 pub mod settings;
--- a/src/platform/advice.rs
+++ b/src/platform/advice.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::http_client::HttpClient;
+use super::limits::bounded_ms;
 use crate::sched::model::Advice;
 
 /// Includes the time that a call waits for earlier ones, because the service handles one call at a time.
@@ -57,6 +58,6 @@
             return Err(format!("HTTP status {}", response.status));
         }
         let response: AdviceResponse = serde_json::from_slice(&response.body).map_err(|error| error.to_string())?;
-        Ok(Advice { tickets: response.good, valid_ms: response.valid_ms })
+        Ok(Advice { tickets: response.good, valid_ms: response.valid_ms.map(bounded_ms) })
     }
 }
--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -163,6 +163,6 @@
         worker: body.id,
         zone: body.zone,
         labels: body.labels.into(),
-        capacity: body.capacity.map(|capacity| capacity.resources()).unwrap_or_default(),
+        capacity: body.capacity.and_then(|capacity| capacity.resources()).unwrap_or_default(),
     }
 }
--- a/src/platform/job_api.rs
+++ b/src/platform/job_api.rs
@@ -4,8 +4,9 @@
 
 use serde::Deserialize;
 
+use super::limits::{bounded_ms, needed_resources};
 use crate::sched::job::MAX_JOB_TASKS;
-use crate::sched::model::{JobPhase, JobSpec, Queue, Resources, Step};
+use crate::sched::model::{JobPhase, JobSpec, Queue, Step};
 
 /// Length of a job ID, in hexadecimal digits.
 const JOB_ID_DIGITS: usize = 16;
@@ -110,8 +111,8 @@
         task_spec: body.spec,
         steps: body.steps.into_iter().map(decode_step).collect(),
         recurring_occurrences: body.times,
-        first_run_unix_ms: body.first_run_ms,
-        interval_ms: body.interval_ms,
+        first_run_unix_ms: bounded_ms(body.first_run_ms),
+        interval_ms: bounded_ms(body.interval_ms),
         accepted_unix_ms,
         organisation: None,
     })
@@ -120,8 +121,8 @@
 fn decode_step(body: StepBody) -> Step {
     Step {
         count: body.count,
-        needs: Resources { cpu_milli: body.cpu as u64, mem_mb: body.mem_mb as u64, gpus: body.gpu as u64 },
-        estimate_ms: body.estimate_ms as u64,
+        needs: needed_resources(body.cpu, body.mem_mb, body.gpu),
+        estimate_ms: bounded_ms(body.estimate_ms as u64),
         after: body.after,
         checkpoints: body.checkpoint,
         gang: body.gang,
@@ -132,7 +133,7 @@
         speculative: body.speculative,
         long_running: body.long_running,
         image: body.image,
-        target_ms: body.target_ms.map(|target| target as u64).filter(|target| *target > 0),
+        target_ms: body.target_ms.map(|target_ms| bounded_ms(target_ms as u64)).filter(|target| *target > 0),
         best_effort: body.fills,
         max_unavailable: body.optional.filter(|max| *max > 0),
     }
--- a/src/platform/platform_tests.rs
+++ b/src/platform/platform_tests.rs
@@ -309,3 +309,42 @@
         prop_assert_eq!(read, key);
     }
 }
+
+#[test]
+fn capacities_that_no_worker_has_name_no_worker() {
+    // Guards against sums over a pool that overflow.
+    let entry = |capacity: &str| {
+        let value =
+            format!(r#"{{"service":"press","addr":"10.0.0.1:80","zone":"a","state":"ready","capacity":{capacity}}}"#);
+        decode_worker_entry(&row("w", &value))
+    };
+
+    for capacity in [r#"{"cpu":1e308}"#, r#"{"cpu":-1}"#, r#"{"memMb":18446744073709551615}"#, r#"{"gpu":5e9}"#] {
+        assert!(entry(capacity).is_none(), "{capacity}");
+    }
+    assert!(entry(r#"{"cpu":16000,"memMb":65536}"#).is_some());
+}
+
+#[test]
+fn needs_and_times_beyond_any_limit_are_reduced_to_it() {
+    // Guards against arithmetic that overflows in the leader; such a task waits, as no worker has as much.
+    let body = br#"{"spec":"x","steps":[{"count":1,"cpu":1e300,"memMb":1e300,"estimateMs":1e300,"targetMs":1e300}],
+        "times":2,"firstRunMs":18446744073709551615,"intervalMs":18446744073709551615}"#;
+
+    let spec = decode_job(&queue(), body, 0).expect("a job");
+
+    let step = &spec.steps[0];
+    let most = u64::from(u32::MAX);
+    assert_eq!((step.needs.cpu_milli, step.needs.mem_mb, step.needs.gpus), (most, most, 0));
+    for time_ms in [step.estimate_ms, step.target_ms.unwrap_or(0), spec.first_run_unix_ms, spec.interval_ms] {
+        assert!(time_ms.checked_mul(200_000).is_some(), "{time_ms} ms");
+    }
+}
+
+#[test]
+fn clock_that_no_worker_can_have_is_refused() {
+    // Guards against leases that are calculated from it and overflow.
+    let answer = br#"{"clockMs":18446744073709551615,"running":[],"endedRuns":[]}"#;
+
+    assert!(decode_hold_response(answer).is_err());
+}
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Deserializer, Serialize};
 
 use super::http_client::{HttpClient, HttpResponse};
+use super::limits::{is_valid_ms, offered_resources};
 use super::task_names::{format_task_name, parse_task_name};
 use crate::endpoint_client::CallOutcome;
 use crate::row_store::StoredRow;
@@ -323,7 +324,7 @@
             return decode_refusal(&response);
         }
         let body: Option<OrderResponseBody> = serde_json::from_slice(&response.body).ok();
-        OrderOutcome::Accepted { clock_ms: body.and_then(|body| body.clock_ms) }
+        OrderOutcome::Accepted { clock_ms: body.and_then(|body| body.clock_ms).filter(|ms| is_valid_ms(*ms)) }
     }
 
     async fn send(
@@ -347,6 +348,9 @@
 /// would acknowledge it.
 pub(crate) fn decode_hold_response(body: &[u8]) -> Result<HoldAnswer, serde_json::Error> {
     let response: HoldResponseBody = serde_json::from_slice(body)?;
+    if !is_valid_ms(response.clock_ms) {
+        return Err(serde::de::Error::custom("clockMs is larger than any clock can show"));
+    }
     let has_both_lists = response.running.is_some() && response.ended_runs.is_some();
     let (running, ended_runs) = (response.running.unwrap_or_default(), response.ended_runs.unwrap_or_default());
     let has_null = running.iter().any(Option::is_none) || ended_runs.iter().any(Option::is_none);
@@ -417,14 +421,19 @@
 }
 
 impl CapacityBody {
-    pub(super) fn resources(&self) -> Resources {
-        Resources { cpu_milli: self.cpu as u64, mem_mb: self.mem_mb as u64, gpus: self.gpu as u64 }
+    /// `None` if no worker can have these.
+    pub(super) fn resources(&self) -> Option<Resources> {
+        offered_resources(self.cpu, self.mem_mb, self.gpu)
     }
 }
 
 /// Decodes a worker's registration; `None` if the row was deleted or is malformed.
 pub(crate) fn decode_worker_entry(row: &StoredRow) -> Option<WorkerEntry> {
     let body: WorkerEntryBody = serde_json::from_slice(row.value.as_deref()?).ok()?;
+    let capacity = match body.capacity {
+        Some(capacity) => capacity.resources()?,
+        None => Resources::default(),
+    };
     Some(WorkerEntry {
         id: row.id.key.clone(),
         address: body.addr,
@@ -432,7 +441,7 @@
         zone: body.zone,
         started_unix_ms: body.born.unwrap_or(0),
         draining: body.state == WorkerState::Draining,
-        capacity: body.capacity.map(|capacity| capacity.resources()).unwrap_or_default(),
+        capacity,
         labels: body.labels.into(),
         host: body.machine,
     })
--- a/src/sched/forecast.rs
+++ b/src/sched/forecast.rs
@@ -80,14 +80,14 @@
     /// Adds a new job's work to the arriving work of its pool. `run_time_ratio` is the average run time in its queue as a
     /// multiple of the estimate.
     pub(super) fn record_arrival(&mut self, now_us: u64, pool: &Arc<str>, job: &Job, run_time_ratio: f64) {
-        let mut work = 0;
+        let mut work = 0.0;
         for step in &job.spec.steps {
             if !step.long_running {
-                work += u64::from(step.count) * step.reserved().cpu_milli * step.estimate_ms;
+                work += f64::from(step.count) * step.reserved().cpu_milli as f64 * step.estimate_ms as f64;
             }
         }
         let recent = self.arrivals.entry(pool.clone()).or_default();
-        recent.push_back((now_us, (work as f64 * run_time_ratio) as u64));
+        recent.push_back((now_us, (work * run_time_ratio) as u64));
     }
 
     /// CPU that arriving jobs will keep busy when a host that is ordered now can run tasks.
--- a/tests/row_tests.rs
+++ b/tests/row_tests.rs
@@ -62,3 +62,67 @@
 
     serve_before_and_after_a_restart("odd-keys", &platform);
 }
+
+/// A worker's entry in which one field has another value.
+fn entry(changed: &str, value: &str) -> Vec<u8> {
+    let fields = [
+        ("service", r#""press""#),
+        ("addr", r#""127.0.0.1:9""#),
+        ("zone", r#""a""#),
+        ("state", r#""ready""#),
+        ("labels", r#"["a","r1"]"#),
+        ("capacity", r#"{"cpu":8000,"memMb":32000}"#),
+        ("machine", r#""odd-host""#),
+        ("born", "1"),
+    ];
+    let mut members = Vec::new();
+    for (name, usual) in fields {
+        members.push(format!("\"{name}\":{}", if name == changed { value } else { usual }));
+    }
+    format!("{{{}}}", members.join(",")).into_bytes()
+}
+
+#[test]
+fn values_that_no_worker_writes_harm_nobody_else() {
+    // Guards against processes that end, or stop following the registry, at one row of another writer.
+    let nested = |text: &str| text.repeat(100_000).into_bytes();
+    let values = [
+        nested("["),
+        nested("{\"a\":"),
+        entry("addr", r#""127.0.0.1:65536""#),
+        entry("addr", r#""127.0.0.1:0""#),
+        entry("addr", r#""[::]:0""#),
+        entry("addr", r#""127.0.0.1:-1""#),
+        entry("born", r#"18446744073709551615"#),
+        entry("born", r#"1e400"#),
+        entry("born", r#"-1"#),
+        entry("capacity", r#"{"cpu":1e308,"memMb":18446744073709551615,"gpu":1e308}"#),
+        entry("capacity", r#"{"cpu":-1,"memMb":-1}"#),
+        entry("state", r#""unknown""#),
+        vec![0xff, 0xfe, 0],
+        Vec::new(),
+    ];
+    let platform = UsersPlatformStandIn::start(WORKERS, RUN_MS);
+    for (number, value) in values.iter().enumerate() {
+        platform.put_row("servers", &format!("odd-{number}"), value);
+        platform.put_row("op", &format!("odd-{number}"), value);
+    }
+
+    // Demand that no worker can satisfy waits behind the odd capacities.
+    let mut daemon = ControlDaemon::prepare("odd-values", 1, &platform);
+    daemon.start();
+    let huge = r#"{"spec":"print","steps":[{"count":2500,"cpu":1e300,"memMb":1e300,"gpu":1e300,"estimateMs":1e300}]}"#;
+    for id in ["20000000000000a3", "30000000000000a4"] {
+        eventually("the huge job is accepted", || {
+            status_of(&daemon, "POST", id, huge).is_some_and(|(status, _)| status == 200)
+        });
+    }
+    complete_job(&daemon, "00000000000000a1");
+    daemon.kill();
+    daemon.start();
+    complete_job(&daemon, "10000000000000a2");
+    for (number, value) in values.iter().enumerate() {
+        platform.put_row("servers", &format!("w{}", number % WORKERS), value);
+    }
+    complete_job(&daemon, "40000000000000a5");
+}
