Write the status of a wave on condition of the row that it replaces

Operators could see a finished wave as `running` for good. Cause, the same as that of late step-downs: a write whose condition does not name the state that it was decided on. The status of a wave was written without a condition, so a `running` whose answer was lost could be applied after `completed`; and a former leader could write `running` again.

Change: the row is read first, the write is conditional on its version, and `completed` is final.

Test: `late_status_of_a_wave_does_not_replace_a_newer_one`; without the condition and the check of `completed` it fails.

--- a/src/platform/platform_tests.rs
+++ b/src/platform/platform_tests.rs
@@ -6,7 +6,7 @@
 
 use super::http_client::path_with_query;
 use super::job_api::{decode_job, is_job_id, InvalidJob};
-use super::row_store::append_page;
+use super::row_store::{append_page, wave_status_transaction};
 use super::settings::parse;
 use super::workers::{decode_hold_response, decode_worker_entry};
 use super::{operator, task_names};
@@ -348,3 +348,20 @@
 
     assert!(decode_hold_response(answer).is_err());
 }
+
+#[test]
+fn late_status_of_a_wave_does_not_replace_a_newer_one() {
+    // Guards against a wave that stays `running` for operators, because a write whose answer was lost is applied after
+    // that of `completed`, or because a former leader writes again.
+    let late = wave_status_transaction(7, false, None).expect("no status is stored");
+    let (id, value) = late.writes[0].clone();
+    let running = StoredRow { id: id.clone(), version: 5, value: Some(value) };
+
+    let complete = wave_status_transaction(7, true, Some(&running)).expect("the wave was running");
+    let completed = StoredRow { id: id.clone(), version: 6, value: Some(complete.writes[0].1.clone()) };
+
+    assert_eq!(late.expected, [(id.clone(), 0)], "applied only while there is no status");
+    assert_eq!(complete.expected, [(id, 5)]);
+    assert_eq!(wave_status_transaction(7, false, Some(&completed)), None, "completed is final");
+    assert_eq!(wave_status_transaction(7, true, Some(&completed)), None);
+}
--- a/src/platform/row_store.rs
+++ b/src/platform/row_store.rs
@@ -15,7 +15,9 @@
 use crate::clock::{Clock, US_PER_MS};
 use crate::endpoint_client::{timeout_at, CallOutcome};
 use crate::row_store::repeated_call::{RepeatedCall, StoreHealth};
-use crate::row_store::{RowId, RowPage, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction, StoredRow};
+use crate::row_store::{
+    RowId, RowPage, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction, StoredRow, ABSENT_ROW_VERSION,
+};
 
 /// Timeout of a call, in addition to the time for which it asks the store to wait for changes.
 const CALL_TIMEOUT_MS: u64 = 1_500;
@@ -216,18 +218,19 @@
         self.wait_for_changes(WORKER_TABLE, after, wait_ms).await
     }
 
-    /// Writes the row that tells operators whether a maintenance wave is complete.
+    /// Writes the row that tells operators whether a maintenance wave is complete, unless it tells so already.
     pub(crate) async fn report_wave(
         &self,
         number: u64,
         complete: bool,
     ) -> Result<RowStoreCommitOutcome, RowStoreError> {
-        let state = if complete { "completed" } else { "running" };
-        let value = serde_json::json!({ "wave": number, "state": state }).to_string();
-        let id = RowId::new(STATUS_TABLE, SHARED_PARTITION, &format!("{WAVE_PREFIX}{number}"));
-        let transaction =
-            RowStoreTransaction { writes: vec![(id, value.into_bytes())], ..RowStoreTransaction::default() };
-        self.commit(&transaction).await
+        let key = wave_status_key(number);
+        let page = self.read_page(STATUS_TABLE, SHARED_PARTITION, &key, 1).await?;
+        let current = page.rows.iter().find(|row| *row.id.key == *key);
+        match wave_status_transaction(number, complete, current) {
+            Some(transaction) => self.commit(&transaction).await,
+            None => Ok(RowStoreCommitOutcome::Applied { version: page.version }),
+        }
     }
 
     /// Whether the store can be expected to answer this daemon.
@@ -316,6 +319,32 @@
     }
 }
 
+fn wave_status_key(number: u64) -> String {
+    format!("{WAVE_PREFIX}{number}")
+}
+
+/// Transaction that writes the status of a maintenance wave; `None` if the `current` row has it already, or says that
+/// the wave is complete, which is final. The write is conditional on that row: the store may apply one whose answer was
+/// lost seconds later, when a newer status has been written.
+pub(super) fn wave_status_transaction(
+    number: u64,
+    complete: bool,
+    current: Option<&StoredRow>,
+) -> Option<RowStoreTransaction> {
+    let status = |complete: bool| {
+        let state = if complete { "completed" } else { "running" };
+        serde_json::json!({ "wave": number, "state": state }).to_string().into_bytes()
+    };
+    let value = status(complete);
+    let current_value = current.and_then(|row| row.value.as_ref());
+    if current_value.is_some_and(|current| *current == value || *current == status(true)) {
+        return None;
+    }
+    let id = RowId::new(STATUS_TABLE, SHARED_PARTITION, &wave_status_key(number));
+    let version = current.map_or(ABSENT_ROW_VERSION, |row| row.version);
+    Some(RowStoreTransaction { expected: vec![(id.clone(), version)], writes: vec![(id, value)], removals: Vec::new() })
+}
+
 /// Appends the page that follows, whose first row may be the last one read before.
 ///
 /// # Errors
