Count only workers that are alive when the leader looks whether it is cut off

Cause: the leader steps down if more than 0.6 of the workers are silent, so that another daemon may reach more of them. Workers that had never answered counted, though nothing shows that any daemon reaches them.

Change: a worker counts as silent only if it has answered this leader, or has renewed its entry since the leader knows it: workers write theirs about every 1.5 s. A leader that takes over while it is cut off from live workers still steps down, by one heartbeat later. A read of the whole registry is no renewal.

Tests: silent_workers_tests. With the former condition, `entries_that_nobody_renews_do_not_make_the_leader_step_down` fails.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -118,6 +118,8 @@
 mod scheduler_tests;
 #[cfg(test)]
 mod share_tests;
+#[cfg(test)]
+mod silent_workers_tests;
 #[cfg(any(test, feature = "lab"))]
 #[cfg_attr(
     not(all(test, feature = "lab")),
--- a/src/sched/demand.rs
+++ b/src/sched/demand.rs
@@ -132,11 +132,13 @@
         self.host_moves.silent_zones = counts.into_iter().filter(mostly_silent).map(|(zone, _)| zone).collect();
     }
 
-    /// Share of silent workers among those that have answered this leader or have failed to.
+    /// Share of silent workers among those that are known to be alive: they have answered this leader, or renew their entries
+    /// in the registry without answering. A worker that does neither is reached by no other leader either.
     pub(crate) fn silent_share(&self) -> f64 {
         let (mut silent, mut known) = (0.0, 0.0);
         for worker in self.workers.values() {
-            if !worker.is_listed || !(worker.is_silent || worker.is_synced) {
+            let is_alive = worker.is_synced || (worker.is_silent && worker.has_renewed_entry);
+            if !worker.is_listed || !is_alive {
                 continue;
             }
             silent += f64::from(u8::from(worker.is_silent));
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -40,8 +40,21 @@
 const HOLD_RETRY_DELAY_MS: u64 = 250;
 
 impl Scheduler {
-    /// Adds or updates a worker from its entry in the registry.
+    /// Adds or updates a worker whose entry in the registry has changed.
     pub(crate) fn worker_listed(&mut self, now_us: u64, entry: WorkerEntry) {
+        let id = entry.id.clone();
+        let is_renewal = self
+            .workers
+            .get(&id)
+            .is_some_and(|worker| worker.is_listed && worker.entry.started_unix_ms == entry.started_unix_ms);
+        self.apply_entry(now_us, entry);
+        if let Some(worker) = self.workers.get_mut(&id).filter(|_| is_renewal) {
+            worker.has_renewed_entry = true;
+        }
+    }
+
+    /// Adds or updates a worker from its entry in the registry.
+    fn apply_entry(&mut self, now_us: u64, entry: WorkerEntry) {
         self.wants_placement = true;
         let id = entry.id.clone();
         let is_cordoned = self.is_on_leaving_host(&entry);
@@ -136,7 +149,7 @@
             self.worker_unlisted(now_us, &id);
         }
         for entry in entries {
-            self.worker_listed(now_us, entry);
+            self.apply_entry(now_us, entry);
         }
     }
 
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -40,6 +40,8 @@
     pub(crate) entry: WorkerEntry,
     /// Whether the worker's entry is in the registry.
     pub(crate) is_listed: bool,
+    /// Whether the worker has renewed its entry since this incarnation became known, which shows that it is alive.
+    pub(crate) has_renewed_entry: bool,
     /// When the entry was last removed from the registry.
     pub(crate) unlisted_us: u64,
     /// When another worker was found to have registered later on the same host. Unless this one still answers,
@@ -111,6 +113,7 @@
         Worker {
             entry,
             is_listed: true,
+            has_renewed_entry: false,
             unlisted_us: 0,
             superseded_us: None,
             unconfirmed_entry: None,
