Tests of odd rows with three daemons, and of deeply nested messages

The tests with real processes now start three daemons, kill all of them and start them again. Messages nested 100,000 deep are refused by each decoder of rows, jobs and workers' answers.

--- a/src/platform/platform_tests.rs
+++ b/src/platform/platform_tests.rs
@@ -341,6 +341,23 @@
     }
 }
 
+#[test]
+fn deeply_nested_messages_are_refused() {
+    // Guards against a stack overflow, which ends the process.
+    for part in ["[", "{\"a\":"] {
+        let nested = part.repeat(100_000);
+        let hold = format!(r#"{{"clockMs":1,"running":{nested}"#);
+        let unknown_field = format!(r#"{{"clockMs":1,"other":{nested}"#);
+
+        assert!(decode_worker_entry(&row("w", &nested)).is_none());
+        assert!(decode_hold_response(hold.as_bytes()).is_err());
+        assert!(decode_hold_response(unknown_field.as_bytes()).is_err());
+        assert!(decode_job(&queue(), nested.as_bytes(), 0).is_err());
+        assert!(operator::decode_catalog(nested.as_bytes()).is_err());
+        assert!(operator::decode_wave(nested.as_bytes()).is_err());
+    }
+}
+
 #[test]
 fn clock_that_no_worker_can_have_is_refused() {
     // Guards against leases that are calculated from it and overflow.
--- a/tests/row_tests.rs
+++ b/tests/row_tests.rs
@@ -1,4 +1,4 @@
-//! Runs jobs on a daemon process while the store holds odd rows of other writers, beside those of the workers.
+//! Runs jobs on daemon processes while the store holds odd rows of other writers, beside those of the workers.
 
 mod support;
 
@@ -9,6 +9,7 @@
 use support::{eventually, try_http_within};
 
 const RUN_MS: u64 = 50;
+const DAEMONS: usize = 3;
 const WORKERS: usize = 4;
 const JOB: &str = r#"{"spec":"print","steps":[{"count":4,"cpu":1000,"memMb":100,"estimateMs":50}]}"#;
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -30,14 +31,17 @@
     });
 }
 
-/// Completes a job, and another one after a restart of the daemon, which reads all rows again.
-fn serve_before_and_after_a_restart(test: &str, platform: &UsersPlatformStandIn) {
-    let mut daemon = ControlDaemon::prepare(test, 1, platform);
-    daemon.start();
-    complete_job(&daemon, "00000000000000a1");
-    daemon.kill();
-    daemon.start();
-    complete_job(&daemon, "10000000000000a2");
+fn start_daemons(test: &str, platform: &UsersPlatformStandIn) -> Vec<ControlDaemon> {
+    let mut daemons: Vec<ControlDaemon> =
+        (1..=DAEMONS).map(|number| ControlDaemon::prepare(test, number, platform)).collect();
+    daemons.iter_mut().for_each(ControlDaemon::start);
+    daemons
+}
+
+/// Kills all daemons at the same time and starts them again, so that each reads all rows and one takes over.
+fn restart(daemons: &mut [ControlDaemon]) {
+    daemons.iter_mut().for_each(ControlDaemon::kill);
+    daemons.iter_mut().for_each(ControlDaemon::start);
 }
 
 /// Keys with characters that do not belong in a URL as they are. They sort before the keys of the workers.
@@ -60,7 +64,10 @@
         platform.put_row("op", &key, b"null");
     }
 
-    serve_before_and_after_a_restart("odd-keys", &platform);
+    let mut daemons = start_daemons("odd-keys", &platform);
+    complete_job(&daemons[0], "00000000000000a1");
+    restart(&mut daemons);
+    complete_job(&daemons[1], "10000000000000a2");
 }
 
 /// A worker's entry in which one field has another value.
@@ -109,20 +116,18 @@
     }
 
     // Demand that no worker can satisfy waits behind the odd capacities.
-    let mut daemon = ControlDaemon::prepare("odd-values", 1, &platform);
-    daemon.start();
+    let mut daemons = start_daemons("odd-values", &platform);
     let huge = r#"{"spec":"print","steps":[{"count":2500,"cpu":1e300,"memMb":1e300,"gpu":1e300,"estimateMs":1e300}]}"#;
     for id in ["20000000000000a3", "30000000000000a4"] {
         eventually("the huge job is accepted", || {
-            status_of(&daemon, "POST", id, huge).is_some_and(|(status, _)| status == 200)
+            status_of(&daemons[0], "POST", id, huge).is_some_and(|(status, _)| status == 200)
         });
     }
-    complete_job(&daemon, "00000000000000a1");
-    daemon.kill();
-    daemon.start();
-    complete_job(&daemon, "10000000000000a2");
+    complete_job(&daemons[0], "00000000000000a1");
+    restart(&mut daemons);
+    complete_job(&daemons[1], "10000000000000a2");
     for (number, value) in values.iter().enumerate() {
         platform.put_row("servers", &format!("w{}", number % WORKERS), value);
     }
-    complete_job(&daemon, "40000000000000a5");
+    complete_job(&daemons[2], "40000000000000a5");
 }
