Put an accepted sheet in force at its daemon before the answer

What callers saw: an operator who applied two sheets to one daemon in a row got "version 1 of team bootstrap stands" for the second one, although no other operator had changed anything. `sheet show` right after `sheet apply` printed the former sheet or none.

The daemon answered an apply as soon as the platform had accepted the sheet, and only then fetched the body back from the object store. Until that was done, a second apply named the former version.

Change: the handler passes the body that it has just stored to the event loop, which puts the sheet in force, and then answers. A conflict still means that someone else's version stands.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -312,9 +312,11 @@
         match sheet_store::apply(&*self.platform, &apply) {
             Ok(ApplyOutcome::Accepted(accepted)) => {
                 metrics::counter!("sheets_accepted_total").increment(1);
-                // Sending fails only if this daemon is stopping; the other daemons find the new version in the
-                // platform's table.
-                let _ = self.calls.unbounded_send(AdminCall::SheetAccepted(accepted.reference.clone()));
+                let is_sent_body = Sheet::digest(&request.body) == accepted.reference.digest;
+                let body = is_sent_body.then(|| request.body.clone());
+                // Fails only if this daemon is stopping or overloaded; it and the other daemons find the new version in
+                // the platform's table.
+                let _ = self.call_daemon(|reply| AdminCall::SheetAccepted(accepted.reference.clone(), body, reply));
                 Ok(ApiResponse::json(200, &AppliedSheet { accepted }))
             }
             Ok(ApplyOutcome::Conflict(standing)) => {
--- a/src/daemon/updates.rs
+++ b/src/daemon/updates.rs
@@ -23,7 +23,16 @@
         }
     }
 
-    /// Puts a fetched sheet in force, unless one at least as new is in force already.
+    /// Handles a sheet that was accepted through this daemon: it is in force here before the operator gets the answer.
+    /// Without its body, it is fetched.
+    pub(crate) fn sheet_accepted(&self, reference: &SheetRef, body: Option<Vec<u8>>) {
+        self.record_sheet_announcement(reference);
+        if let Some(body) = body {
+            self.put_sheet_in_force(reference, body);
+        }
+    }
+
+    /// Puts a sheet in force, unless one at least as new is in force already.
     pub(crate) fn put_sheet_in_force(&self, reference: &SheetRef, body: Vec<u8>) {
         let changed = self.sheet.borrow_mut().put_in_force(reference, body);
         match changed {
--- a/src/view.rs
+++ b/src/view.rs
@@ -22,8 +22,9 @@
     Hosts(SyncSender<Vec<HostEntry>>),
     Waves(SyncSender<Vec<Wave>>),
     Sheet(SyncSender<Option<Arc<AcceptedSheet>>>),
-    /// A sheet was accepted through this daemon.
-    SheetAccepted(SheetRef),
+    /// A sheet was accepted through this daemon. Its body is known unless the request that was accepted held another one.
+    /// The reply tells that this daemon has handled it.
+    SheetAccepted(SheetRef, Option<Vec<u8>>, SyncSender<()>),
 }
 
 /// State of one daemon.
@@ -104,7 +105,10 @@
             AdminCall::Hosts(reply) => drop(reply.try_send(self.fleet.borrow().hosts())),
             AdminCall::Waves(reply) => drop(reply.try_send(self.waves())),
             AdminCall::Sheet(reply) => drop(reply.try_send(self.sheet.borrow().in_force().cloned())),
-            AdminCall::SheetAccepted(reference) => self.record_sheet_announcement(&reference),
+            AdminCall::SheetAccepted(reference, body, reply) => {
+                self.sheet_accepted(&reference, body);
+                let _ = reply.try_send(());
+            }
         }
     }
 
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{http, http_bytes, run, try_http, try_http_within, Answer, Output, Process};
+use super::{eventually, http, http_bytes, run, try_http, try_http_within, Answer, Output, Process};
 
 pub const DAEMON: &str = env!("CARGO_BIN_EXE_sardineseamd");
 pub const CLI: &str = env!("CARGO_BIN_EXE_sardineseam");
@@ -156,3 +156,16 @@
     }
     daemons
 }
+
+/// Applies a sheet, which must succeed.
+pub fn apply(daemon: &Daemon, sheet: &str) {
+    let output = daemon.cli(&["sheet", "apply", sheet]);
+    assert_eq!(output.status, 0, "{}", output.stderr);
+}
+
+/// Waits until all daemons have put this version of the sheet in force.
+pub fn wait_for_version(daemons: &[Daemon], version: u64) {
+    for daemon in daemons {
+        eventually("the sheet is in force at the daemon", || daemon.sheet_version() == version);
+    }
+}
