Complete a wave only by a host list requested after the wave was received

The status of a maintenance wave became `completed` although one to three of its hosts, which had joined a moment before the wave was written, were up and had never begun their maintenance.

Cause: a host of a wave that the latest copy of the provider's list lacked was taken for gone, and stayed finished for good. The list is read every 500 ms, so the copy may be older than the wave, and nothing compared the two. That the host appeared in the next list changed nothing.

Change: each wave stores when this leader received it; a host counts as unlisted only by a list that was requested afterwards. Such a host does not hold up the wave, but is due again once it is listed. One whose maintenance had begun is not maintained twice.

Related: whether a host is up again after its maintenance was judged by the time at which the list was answered; a late answer shows the host as it was before. The time of the request counts now.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -194,7 +194,7 @@
     }
 
     pub(super) fn add_wave(&self, order: WaveOrder) {
-        self.scheduler.borrow_mut().add_wave(order);
+        self.scheduler.borrow_mut().add_wave(self.now_us(), order);
     }
 
     pub(super) fn now_us(&self) -> u64 {
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -139,6 +139,8 @@
 #[cfg(test)]
 mod usage_tests;
 #[cfg(test)]
+mod wave_tests;
+#[cfg(test)]
 mod work_counts_tests;
 #[cfg(test)]
 mod worker_loss_tests;
--- a/src/sched/copies_tests.rs
+++ b/src/sched/copies_tests.rs
@@ -450,7 +450,7 @@
     assert_eq!(workers_of(task(&leader, JOB)), ["w0", "w4"]);
     leader.hosts.insert("h4".into(), host(&worker_entry(4, 1), true));
 
-    leader.add_wave(WaveOrder { number: 1, hosts: vec!["h4".into()], duration_ms: 30_000, max_down: 1 });
+    leader.add_wave(0, WaveOrder { number: 1, hosts: vec!["h4".into()], duration_ms: 30_000, max_down: 1 });
     let actions = drive(&mut leader, COPIED_US, COPIED_US + 500_000, &[]);
 
     let stops: Vec<&Action> = actions.iter().filter(|action| matches!(action, Action::Stop { .. })).collect();
--- a/src/sched/host_demand_tests.rs
+++ b/src/sched/host_demand_tests.rs
@@ -104,7 +104,7 @@
     let (busy, _) = busy_and_idle(&leader);
 
     lose_worker(&mut leader, 11 * SECOND_US, &busy[0]);
-    leader.add_wave(wave_of(&busy[1]));
+    leader.add_wave(0, wave_of(&busy[1]));
     let moves = run(&mut leader, 11 * SECOND_US, 3_000);
 
     assert!(leader.workers[&busy[1].id].is_cordoned, "the budget does not allow a second task to be stopped");
@@ -127,7 +127,7 @@
     other.required_label = Some("other".into());
     leader.submit(10_500_000, 0, "other".into(), spec(vec![other]));
     run(&mut leader, 10_500_000, 500);
-    leader.add_wave(wave_of(&idle[0]));
+    leader.add_wave(0, wave_of(&idle[0]));
     run(&mut leader, 11 * SECOND_US, 500);
     assert!(leader.workers[&idle[0].id].is_cordoned, "the wave drains the worker");
 
@@ -279,7 +279,7 @@
             leader.submit(now_us, now_us / 1_000, format!("short-{now_us}").into(), job);
         }
         if let Some(wave) = wave.take_if(|_| now_us >= 13 * SECOND_US) {
-            leader.add_wave(wave);
+            leader.add_wave(0, wave);
         }
         complete_tasks(leader, now_us, "w1");
     });
@@ -317,7 +317,7 @@
     let hosts: Vec<Arc<str>> = ["h0", "h1", "h2"].map(Arc::from).into();
     leader.hosts.get_mut("h0").expect("the host is listed").phase = HostPhase::Maintenance;
 
-    leader.add_wave(WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: 1 });
+    leader.add_wave(0, WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: 1 });
     let orders = run_with(&mut leader, 10 * SECOND_US, 1_000, |_, _| {});
 
     assert_eq!(orders.maintenance_count, 0, "one host is down, and no more may be");
--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -53,8 +53,8 @@
 pub(crate) struct HostMoves {
     /// Until then, no order is sent for a host that a former leader may have sent an order for recently.
     pub(super) former_leader_orders_until_us: u64,
-    /// When the provider's host list was last read.
-    pub(super) hosts_listed_us: u64,
+    /// When the provider's latest host list was requested; it shows the hosts as of a later moment.
+    pub(super) list_requested_us: u64,
     next_decision_us: u64,
     /// Moves that may still be ordered now.
     pub(super) moves_left: u32,
@@ -82,7 +82,7 @@
     pub(super) fn new(now_us: u64, leader_change_wait_ms: u64) -> HostMoves {
         HostMoves {
             former_leader_orders_until_us: now_us + (leader_change_wait_ms + LEADER_CHANGE_MARGIN_MS) * US_PER_MS,
-            hosts_listed_us: 0,
+            list_requested_us: 0,
             next_decision_us: 0,
             moves_left: 0,
             move_allowance: 0.0,
@@ -156,7 +156,7 @@
                 self.worker_by_host.insert(name.clone(), worker.clone());
             }
         }
-        self.host_moves.hosts_listed_us = now_us;
+        self.host_moves.list_requested_us = requested_us;
         let mut completed = Vec::new();
         for (host, host_move) in &self.host_moves.moving {
             let worker_has_joined = self
--- a/src/sched/host_tests.rs
+++ b/src/sched/host_tests.rs
@@ -103,7 +103,7 @@
         let host = scheduler.workers["w0"].entry.host.clone().expect("the worker has a host");
 
         let hosts = vec![host];
-        scheduler.add_wave(WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: 1 });
+        scheduler.add_wave(0, WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: 1 });
         let task_ref = TaskRef { job: "long-running".into(), occurrence: 0, step: 0, index: 0 };
         let active_run = ActiveRun { task: task_ref, run: 1, checkpoint: "".into(), percent: 100, load: None };
         let hold_answer = HoldAnswer { running: vec![active_run], ..answer };
@@ -264,7 +264,7 @@
         scheduler.workers.values().filter(|worker| !worker.tasks.is_empty()).map(host_of).collect();
 
     let hosts = (0..4).map(|number| format!("h{number}").into()).collect();
-    scheduler.add_wave(WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: 2 });
+    scheduler.add_wave(0, WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: 2 });
     commit_batch(&mut scheduler, 11 * SECOND_US);
     scheduler.tick(11 * SECOND_US + 200_000, 0);
     commit_batch(&mut scheduler, 11 * SECOND_US + 200_000);
@@ -294,7 +294,7 @@
 fn wave_without_a_practical_limit_takes_its_hosts_down() {
     let mut scheduler = leader_with_spare_hosts();
     let hosts = vec!["h0".into()];
-    scheduler.add_wave(WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: u32::MAX });
+    scheduler.add_wave(0, WaveOrder { number: 1, hosts, duration_ms: 20_000, max_down: u32::MAX });
 
     commit_batch(&mut scheduler, 10 * SECOND_US);
     scheduler.tick(10 * SECOND_US + 200_000, 0);
--- a/src/sched/leader_fixtures.rs
+++ b/src/sched/leader_fixtures.rs
@@ -51,8 +51,13 @@
 
 /// Adds hosts to the provider's list.
 pub(super) fn add_hosts(leader: &mut Scheduler, added: impl IntoIterator<Item = HostRecord>) {
+    add_hosts_at(leader, 10 * SECOND_US, added);
+}
+
+/// Adds hosts to the provider's list, which is requested and answered at `now_us`.
+pub(super) fn add_hosts_at(leader: &mut Scheduler, now_us: u64, added: impl IntoIterator<Item = HostRecord>) {
     let hosts = leader.hosts.values().cloned().chain(added).collect();
-    leader.hosts_listed(10 * SECOND_US, 10 * SECOND_US, hosts);
+    leader.hosts_listed(now_us, now_us, hosts);
 }
 
 /// Lets every worker report that the tasks placed on it run at 100 percent, except those that it has stopped.
--- a/src/sched/planned_work_tests.rs
+++ b/src/sched/planned_work_tests.rs
@@ -294,7 +294,7 @@
 /// Orders a wave of all hosts, of which one may be down.
 fn add_wave(scheduler: &mut Scheduler) {
     let hosts = (0..4).map(|number| format!("h{number}").into()).collect();
-    scheduler.add_wave(WaveOrder { number: WAVE, hosts, duration_ms: 30_000, max_down: 1 });
+    scheduler.add_wave(0, WaveOrder { number: WAVE, hosts, duration_ms: 30_000, max_down: 1 });
 }
 
 fn stop_order_count(scheduler: &mut Scheduler) -> usize {
@@ -339,7 +339,7 @@
             }
         }
         let hosts = vec!["h0".into()];
-        scheduler.add_wave(WaveOrder { number: WAVE, hosts, duration_ms: 30_000, max_down: 1 });
+        scheduler.add_wave(0, WaveOrder { number: WAVE, hosts, duration_ms: 30_000, max_down: 1 });
 
         scheduler.tick(11_200 * US_PER_MS, 0);
 
@@ -465,7 +465,7 @@
     commit(&mut scheduler, 10_500);
     report_runs(&mut scheduler, 10_600, 10_600, 100);
     let hosts = (0..4).map(|number| format!("h{number}").into()).collect();
-    scheduler.add_wave(WaveOrder { number: WAVE, hosts, duration_ms: 30_000, max_down: 2 });
+    scheduler.add_wave(0, WaveOrder { number: WAVE, hosts, duration_ms: 30_000, max_down: 2 });
 
     for at_ms in (11_000..12_500).step_by(100) {
         scheduler.tick(at_ms * US_PER_MS, 0);
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -234,7 +234,7 @@
         }
         self.scheduler.restore_host_orders(Some(self.ordered_hosts.clone()));
         for wave in &self.waves {
-            self.scheduler.add_wave(wave.clone());
+            self.scheduler.add_wave(self.now_us, wave.clone());
         }
         for id in self.cancelled.keys() {
             self.scheduler.cancel(self.now_us, id);
--- a/src/sched/sim/hosts.rs
+++ b/src/sched/sim/hosts.rs
@@ -85,7 +85,7 @@
         let hosts = self.hosts.keys().cloned().collect();
         let wave = WaveOrder { number, hosts, duration_ms: 30_000, max_down };
         self.waves.push(wave.clone());
-        self.scheduler.add_wave(wave);
+        self.scheduler.add_wave(self.now_us, wave);
     }
 
     pub(super) fn list_hosts(&mut self) {
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -48,12 +48,23 @@
     Down {
         since_us: u64,
     },
+    /// The provider does not list the host. It is due again if it is listed later.
+    Unlisted,
     Finished,
 }
 
+impl HostStage {
+    /// Whether the wave need not wait for the host.
+    fn is_over(self) -> bool {
+        matches!(self, HostStage::Unlisted | HostStage::Finished)
+    }
+}
+
 #[derive(Debug)]
 struct WaveState {
     order: WaveOrder,
+    /// When this leader learned of the wave. A list that was requested earlier may lack hosts that the wave names.
+    received_us: u64,
     stages: BTreeMap<Arc<str>, HostStage>,
     /// Whether the wave is complete, as last reported to operators; `None` before the first report.
     reported: Option<bool>,
@@ -98,16 +109,15 @@
     /// Whether a wave is draining or maintaining the host.
     pub(super) fn is_handling(&self, host: &str) -> bool {
         let mut stages = self.states.values().filter_map(|wave| wave.stages.get(host));
-        stages.any(|stage| !matches!(stage, HostStage::Waiting { .. } | HostStage::Finished))
+        stages.any(|stage| !matches!(stage, HostStage::Waiting { .. }) && !stage.is_over())
     }
 
     /// Whether waves only wait for the tasks of the host to leave it, and none has ordered its maintenance.
     pub(super) fn is_only_draining(&self, host: &str) -> bool {
         let mut stages = self.states.values().filter_map(|wave| wave.stages.get(host));
         self.is_handling(host)
-            && stages.all(|stage| {
-                matches!(stage, HostStage::Draining { .. } | HostStage::Waiting { .. } | HostStage::Finished)
-            })
+            && stages
+                .all(|stage| stage.is_over() || matches!(stage, HostStage::Draining { .. } | HostStage::Waiting { .. }))
     }
 
     /// Hosts that waves are draining.
@@ -150,7 +160,7 @@
                 HostStage::Waiting { .. } | HostStage::Draining { .. } => {
                     hosts.get(host).is_some_and(|record| record.phase == HostPhase::Maintenance)
                 }
-                HostStage::Finished => false,
+                HostStage::Unlisted | HostStage::Finished => false,
             };
             count += u32::from(is_down);
         }
@@ -162,23 +172,27 @@
     }
 }
 
+/// Stage of a host when the leader learns of the wave, or when the provider lists the host again. `started` holds the hosts
+/// whose maintenance has begun; the next host list shows whether they are up again.
+fn initial_stage(started: &BTreeSet<Arc<str>>, host: &str) -> HostStage {
+    match started.contains(host) {
+        true => HostStage::Down { since_us: 0 },
+        false => HostStage::Waiting { not_before_us: 0 },
+    }
+}
+
 impl Scheduler {
-    /// Adds a wave that an operator ordered. Idempotent.
-    pub(crate) fn add_wave(&mut self, order: WaveOrder) {
+    /// Adds a wave that an operator ordered, and of which this leader learned at `received_us`. Idempotent.
+    pub(crate) fn add_wave(&mut self, received_us: u64, order: WaveOrder) {
         if self.waves.states.contains_key(&order.number) {
             return;
         }
         let started = self.waves.started.entry(order.number).or_default();
         let mut stages = BTreeMap::new();
         for host in &order.hosts {
-            // If a former leader ordered the host's maintenance, the next host list shows whether it is up again.
-            let stage = match started.contains(host) {
-                true => HostStage::Down { since_us: 0 },
-                false => HostStage::Waiting { not_before_us: 0 },
-            };
-            stages.insert(host.clone(), stage);
+            stages.insert(host.clone(), initial_stage(started, host));
         }
-        let state = WaveState { stages, reported: None, is_reporting: false, report_retry_us: 0, order };
+        let state = WaveState { order, received_us, stages, reported: None, is_reporting: false, report_retry_us: 0 };
         self.waves.states.insert(state.order.number, state);
     }
 
@@ -194,6 +208,7 @@
         }
         let numbers: Vec<u64> = self.waves.states.keys().copied().collect();
         for number in numbers {
+            self.update_unlisted_hosts(number);
             self.finish_returned_hosts(number);
             self.start_draining(now_us, number);
             self.drain_and_order(now_us, number);
@@ -207,21 +222,35 @@
         }
     }
 
-    /// Marks hosts as finished that are up again after their maintenance, or are no longer listed.
+    /// Notices which hosts of a wave the latest list lacks, and which are listed again.
+    fn update_unlisted_hosts(&mut self, number: u64) {
+        let Some(wave) = self.waves.states.get_mut(&number) else { return };
+        if self.host_moves.list_requested_us < wave.received_us {
+            return;
+        }
+        let started = self.waves.started.entry(number).or_default();
+        for (host, stage) in &mut wave.stages {
+            let is_listed = self.hosts.contains_key(host);
+            if is_listed && *stage == HostStage::Unlisted {
+                log::info!("host={host} wave={number} outcome=host_listed_again");
+                *stage = initial_stage(started, host);
+            }
+            if !is_listed && !stage.is_over() && *stage != HostStage::Ordered {
+                log::warn!("host={host} wave={number} outcome=host_gone");
+                *stage = HostStage::Unlisted;
+            }
+        }
+    }
+
+    /// Marks hosts as finished that are up again after their maintenance.
     fn finish_returned_hosts(&mut self, number: u64) {
         let maintenance_us = (self.settings.host_maintenance_ms + RETURN_MARGIN_MS) * US_PER_MS;
         let Some(wave) = self.waves.states.get_mut(&number) else { return };
         let mut returned = Vec::new();
         for (host, stage) in &mut wave.stages {
-            let Some(record) = self.hosts.get(host) else {
-                if !matches!(stage, HostStage::Ordered | HostStage::Finished) {
-                    log::warn!("host={host} wave={number} outcome=host_gone");
-                    *stage = HostStage::Finished;
-                }
-                continue;
-            };
+            let Some(record) = self.hosts.get(host) else { continue };
             let HostStage::Down { since_us } = *stage else { continue };
-            let is_listed_after_maintenance = self.host_moves.hosts_listed_us >= since_us + maintenance_us;
+            let is_listed_after_maintenance = self.host_moves.list_requested_us >= since_us + maintenance_us;
             if is_listed_after_maintenance && record.phase == HostPhase::Up {
                 *stage = HostStage::Finished;
                 returned.push(host.clone());
@@ -377,7 +406,7 @@
     /// Reports to operators whether a wave is complete, if that has changed.
     fn report_wave(&mut self, now_us: u64, number: u64) {
         let Some(wave) = self.waves.states.get_mut(&number) else { return };
-        let is_complete = wave.stages.values().all(|stage| *stage == HostStage::Finished);
+        let is_complete = wave.stages.values().all(|stage| stage.is_over());
         if wave.reported == Some(is_complete) || wave.is_reporting || now_us < wave.report_retry_us {
             return;
         }
