Let the stand-in's store refuse what the users' platform refuses

The stand-in took transactions of any size. The platform answers 400 to more than 100 entries, more than 1 MB, a row of more than 64 KiB, a name of more than 200 bytes or entries of two partitions, and 403 to writes of operators' and workers' tables; its pages end at 500 rows or 1 MB.

The store is now a module of its own, with these limits, which tests may lower. A conflict returns all rows of the condition, and changes are returned in their order, as the platform's page says.

--- a/src/platform/users_platform_standin.rs
+++ b/src/platform/users_platform_standin.rs
@@ -4,12 +4,15 @@
 //! It serves the row store, the workers and an empty host provider over HTTP on loopback. Its workers check the
 //! orders that they receive and record violations, such as a task that runs twice at the same time.
 
+mod store;
+#[cfg(test)]
+mod store_tests;
 mod worker;
 mod worker_faults;
 #[cfg(test)]
 mod worker_tests;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -22,44 +25,11 @@
 use rand::SeedableRng;
 use serde_json::{json, Value};
 
+use store::RowStore;
 use worker::{Response, Worker, MAX_LEASE_MS, STOP_GRACE_MS};
 
 pub use worker_faults::WorkerRestart;
 
-/// Maximum number of rows in a page of the store.
-const MAX_PAGE_ROWS: usize = 500;
-
-/// Table, partition and key.
-type RowId = (String, String, String);
-
-#[derive(Default)]
-struct RowStore {
-    /// Version of the last change.
-    version: u64,
-    /// Version and base64 value of each row; the value of a deleted row is `None`.
-    rows: BTreeMap<RowId, (u64, Option<String>)>,
-}
-
-impl RowStore {
-    fn put(&mut self, table: &str, key: &str, value: &Value) {
-        self.put_bytes(table, key, value.to_string().as_bytes());
-    }
-
-    fn put_bytes(&mut self, table: &str, key: &str, value: &[u8]) {
-        self.version += 1;
-        let id = (table.to_owned(), String::new(), key.to_owned());
-        self.rows.insert(id, (self.version, Some(base64(value))));
-    }
-
-    /// Removes a row, if it exists.
-    fn remove(&mut self, table: &str, key: &str) {
-        let id = (table.to_owned(), String::new(), key.to_owned());
-        let Some(row) = self.rows.get_mut(&id).filter(|(_, value)| value.is_some()) else { return };
-        self.version += 1;
-        *row = (self.version, None);
-    }
-}
-
 /// Runs that the stand-in's workers have executed, and violations that they have detected.
 #[derive(Debug, Default)]
 pub struct RunLog {
@@ -110,8 +80,6 @@
     workers: Vec<Worker>,
     run_log: RunLog,
     rng: SmallRng,
-    /// Maximum number of rows in a page.
-    page_rows: usize,
 }
 
 /// Stand-in for the users' platform. Clones share its state.
@@ -144,6 +112,14 @@
     path: String,
     query: HashMap<String, String>,
     body: Value,
+    body_bytes: usize,
+}
+
+impl Request {
+    /// A number in the query; 0 if there is none.
+    fn number(&self, name: &str) -> u64 {
+        self.query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
 }
 
 /// Time of day in UTC, as in the daemons' logs.
@@ -151,11 +127,6 @@
     Timestamp::now().strftime("%H:%M:%S%.3f").to_string()
 }
 
-fn base64(bytes: &[u8]) -> String {
-    use base64::Engine;
-    base64::engine::general_purpose::STANDARD.encode(bytes)
-}
-
 /// A configuration with one queue, in a fleet that is not shared.
 fn configuration(version: u64) -> Value {
     json!({
@@ -188,7 +159,6 @@
             workers: Vec::new(),
             run_log: RunLog::default(),
             rng: SmallRng::seed_from_u64(seed),
-            page_rows: MAX_PAGE_ROWS,
         };
         let platform = UsersPlatformStandIn {
             state: Arc::new((Mutex::new(state), Condvar::new())),
@@ -231,7 +201,19 @@
 
     /// Cuts pages of rows at this number of rows.
     pub fn limit_pages(&self, rows: usize) {
-        self.lock().page_rows = rows;
+        self.lock().store.limits.page_rows = rows;
+    }
+
+    /// Refuses calls with more than `call_bytes`, and calls that write a row of more than `row_bytes`.
+    pub fn limit_writes(&self, call_bytes: usize, row_bytes: usize) {
+        let mut state = self.lock();
+        state.store.limits.call_bytes = call_bytes;
+        state.store.limits.row_bytes = row_bytes;
+    }
+
+    /// Number of calls to the store that were refused because of a limit.
+    pub fn refused_call_count(&self) -> u64 {
+        self.lock().store.refused_calls
     }
 
     fn add_worker(&self, index: usize, stopping_runs: StoppingRuns) {
@@ -274,11 +256,8 @@
 
     /// Name of the leading daemon, according to the leader row in the store.
     pub fn leader(&self) -> Option<String> {
-        use base64::Engine;
-        let state = self.lock();
-        let id = ("lead".to_owned(), "sched".to_owned(), "owner".to_owned());
-        let value = state.store.rows.get(&id)?.1.clone()?;
-        let text = String::from_utf8(base64::engine::general_purpose::STANDARD.decode(value).ok()?).ok()?;
+        let value = self.lock().store.value("lead", "sched", "owner")?;
+        let text = String::from_utf8(value).ok()?;
         text.split(' ').next().map(str::to_owned)
     }
 
@@ -304,89 +283,26 @@
 
     fn handle_store_request(&self, request: &Request) -> (u16, Value) {
         match (request.method.as_str(), request.path.as_str()) {
-            ("POST", "/rows-tx") => self.commit(&request.body),
-            ("GET", "/rows-get") => self.read_rows(request),
-            ("GET", "/rows-feed") => self.wait_for_changes(request),
-            ("GET", "/rows-parts") => {
-                let state = self.lock();
-                let table = &request.query["table"];
-                let parts: std::collections::BTreeSet<&String> =
-                    state.store.rows.keys().filter(|id| id.0 == *table).map(|id| &id.1).collect();
-                (200, json!({ "parts": parts, "morePages": false }))
+            ("POST", "/rows-tx") => {
+                let response = self.lock().store.commit(request);
+                self.state.1.notify_all();
+                response
             }
+            ("GET", "/rows-get") => self.lock().store.read(request),
+            ("GET", "/rows-feed") => self.wait_for_changes(request),
+            ("GET", "/rows-parts") => self.lock().store.list_partitions(request),
             _ => (404, json!({})),
         }
     }
 
-    fn commit(&self, body: &Value) -> (u16, Value) {
-        let id = |row: &Value| {
-            let text = |name: &str| row[name].as_str().unwrap_or("").to_owned();
-            (text("table"), text("part"), text("key"))
-        };
-        let rows_in = |name: &str| body[name].as_array().cloned().unwrap_or_default();
-        let mut state = self.lock();
-        let mut conflicts = Vec::new();
-        for row in rows_in("expectedRev") {
-            let current_version =
-                state.store.rows.get(&id(&row)).filter(|(_, value)| value.is_some()).map_or(0, |(version, _)| *version);
-            if current_version != row["ver"].as_u64().unwrap_or(0) {
-                let (table, part, key) = id(&row);
-                conflicts
-                    .push(json!({ "table": table, "part": part, "key": key, "ver": current_version, "value": "" }));
-            }
-        }
-        if !conflicts.is_empty() {
-            return (412, json!({ "rows": conflicts, "ver": state.store.version }));
-        }
-        state.store.version += 1;
-        let version = state.store.version;
-        for row in rows_in("upserts") {
-            state.store.rows.insert(id(&row), (version, row["value"].as_str().map(str::to_owned)));
-        }
-        for row in rows_in("remove") {
-            state.store.rows.insert(id(&row), (version, None));
-        }
-        self.state.1.notify_all();
-        (200, json!({ "ver": version, "nowMs": 1 }))
-    }
-
-    fn read_rows(&self, request: &Request) -> (u16, Value) {
-        let state = self.lock();
-        let limit: usize = request.query.get("limit").and_then(|limit| limit.parse().ok()).unwrap_or(MAX_PAGE_ROWS);
-        let limit = limit.min(state.page_rows);
-        let from = (request.query["table"].clone(), request.query["part"].clone(), request.query["from"].clone());
-        let mut rows = Vec::new();
-        let mut has_more = false;
-        for (id, (version, value)) in state.store.rows.range(from.clone()..) {
-            if (&id.0, &id.1) != (&from.0, &from.1) {
-                break;
-            }
-            let Some(value) = value else { continue };
-            has_more = rows.len() == limit;
-            if has_more {
-                break;
-            }
-            rows.push(json!({ "table": id.0, "part": id.1, "key": id.2, "value": value, "ver": version }));
-        }
-        (200, json!({ "rows": rows, "morePages": has_more, "ver": state.store.version, "nowMs": 1 }))
-    }
-
     fn wait_for_changes(&self, request: &Request) -> (u16, Value) {
-        let number = |name: &str| request.query.get(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
-        let deadline = Instant::now() + Duration::from_millis(number("waitMs"));
+        let deadline = Instant::now() + Duration::from_millis(request.number("waitMs"));
         let mut state = self.lock();
         loop {
-            let mut rows = Vec::new();
-            for (id, (version, value)) in &state.store.rows {
-                if id.0 == request.query["table"] && *version > number("after") {
-                    let is_deleted = value.is_none();
-                    rows.push(json!({ "table": id.0, "part": id.1, "key": id.2, "value": value, "ver": version,
-                        "tombstone": is_deleted }));
-                }
-            }
+            let changes = state.store.changes(&request.query["table"], request.number("after"));
             let remaining = deadline.saturating_duration_since(Instant::now());
-            if !rows.is_empty() || remaining.is_zero() {
-                return (200, json!({ "rows": rows, "ver": state.store.version, "nowMs": 1 }));
+            if !changes.is_empty() || remaining.is_zero() {
+                return (200, json!({ "rows": changes, "ver": state.store.version(), "nowMs": 1 }));
             }
             state = self.state.1.wait_timeout(state, remaining).expect("lock").0;
         }
@@ -433,6 +349,7 @@
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let decode = |text: &str| percent_decode_str(text).decode_utf8_lossy().into_owned();
     let query = pairs.map(|(name, value)| (decode(name), decode(value))).collect();
+    let body_bytes = body.len();
     let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
-    Some(Request { expected_instance, method, path: path.to_owned(), query, body })
+    Some(Request { expected_instance, method, path: path.to_owned(), query, body, body_bytes })
 }
--- a/src/platform/users_platform_standin/worker_faults.rs
+++ b/src/platform/users_platform_standin/worker_faults.rs
@@ -162,7 +162,7 @@
 impl State {
     /// Returns whether a row of the registry has changed.
     pub(super) fn write_due_heartbeats(&mut self) -> bool {
-        let version = self.store.version;
+        let version = self.store.version();
         let now = Instant::now();
         let heartbeat = Duration::from_millis(HEARTBEAT_MS);
         for index in 0..self.workers.len() {
@@ -182,6 +182,6 @@
             let entry = worker.entry.clone();
             self.store.put("servers", &id, &entry);
         }
-        self.store.version > version
+        self.store.version() > version
     }
 }
--- a/src/platform/users_platform_standin/worker_tests.rs
+++ b/src/platform/users_platform_standin/worker_tests.rs
@@ -17,7 +17,14 @@
 
 fn request(path: &str, body: Value) -> Request {
     let expected_instance = Some("w0".to_owned());
-    Request { expected_instance, method: "POST".to_owned(), path: path.to_owned(), query: Default::default(), body }
+    Request {
+        expected_instance,
+        method: "POST".to_owned(),
+        path: path.to_owned(),
+        query: Default::default(),
+        body,
+        body_bytes: 0,
+    }
 }
 
 fn start_order(run: u64, fence: u64) -> Request {
@@ -48,10 +55,8 @@
 }
 
 fn registered(platform: &UsersPlatformStandIn) -> Value {
-    use base64::Engine;
-    let id = ("servers".to_owned(), String::new(), "w0".to_owned());
-    let value = platform.lock().store.rows[&id].1.clone().expect("a row");
-    serde_json::from_slice(&base64::engine::general_purpose::STANDARD.decode(value).expect("base64")).expect("JSON")
+    let value = platform.lock().store.value("servers", "", "w0").expect("a row");
+    serde_json::from_slice(&value).expect("JSON")
 }
 
 #[test]
