Try all waiting jobs from time to time, not only the first that fit nowhere

Ten small late jobs stayed `queued` for as long as the script watched, with 84 of 96 cores free: they waited behind 60 jobs that fit on no worker at present.

Cause: a placement round ends after 48 steps in a row that found no worker, and each round begins with the same jobs. Jobs that are late come by their deadlines, so those behind the 48 are never tried. Besides, no event asked for another round.

Related path: late jobs that stand apart were never tried while 48 jobs on time found no worker.

Change: 250 ms after a round has ended early, a complete one is due in this pool, which tries all jobs. It tries the late jobs that stand apart only if a quarter of the capacity is free, so that a full pool with a backlog costs no more than before (work_counts_tests). A complete round is not repeated until something changes.

The limits of a round are in a module of their own, sched/placement_round.rs.

Before: two of the three tests of placement_round_tests.rs failed without a complete round, with the small job not started; the third bounds the rounds.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -36,6 +36,7 @@
 mod pace;
 mod packed_row;
 mod placement;
+mod placement_round;
 pub(crate) mod policies;
 mod progress;
 mod ranked_workers;
@@ -106,6 +107,8 @@
 #[cfg(test)]
 mod overload_tests;
 #[cfg(test)]
+mod placement_round_tests;
+#[cfg(test)]
 mod planned_work_tests;
 #[cfg(test)]
 mod ranked_workers_tests;
--- a/src/sched/candidate.rs
+++ b/src/sched/candidate.rs
@@ -11,11 +11,6 @@
 /// A worker that started less than this long ago is not the first choice for a task that may crash its worker.
 const NEW_WORKER_MS: u64 = 10_000;
 
-/// A round ends after this many consecutive steps for which no worker had capacity.
-const MAX_STEPS_WITHOUT_CAPACITY: u32 = 48;
-/// Maximum number of tasks placed in one round of a pool, to keep the round short. Tasks of gangs do not count.
-const MAX_PLACED_PER_ROUND: usize = 400;
-
 /// A worker considered in a placement round.
 #[derive(Debug, Clone)]
 pub(super) struct Candidate {
@@ -144,57 +139,6 @@
     }
 }
 
-/// Limits and findings of one placement round in one pool.
-#[derive(Debug)]
-pub(super) struct PlacementRound {
-    /// Workers that may get tasks.
-    pub(super) workers: Vec<Candidate>,
-    /// Tasks that may still be placed in this round, not counting those of gangs.
-    pub(super) placements_left: usize,
-    /// Resource needs for which no worker had capacity. Needs that exceed others in this list are left out.
-    pub(super) unplaceable_needs: Vec<Resources>,
-    /// Consecutive steps for which no worker had capacity.
-    pub(super) steps_without_capacity: u32,
-}
-
-impl PlacementRound {
-    /// A round in which at most `max_starts` tasks are placed.
-    pub(super) fn new(workers: Vec<Candidate>, max_starts: usize) -> PlacementRound {
-        PlacementRound {
-            workers,
-            placements_left: max_starts.min(MAX_PLACED_PER_ROUND),
-            unplaceable_needs: Vec::new(),
-            steps_without_capacity: 0,
-        }
-    }
-
-    /// Whether no further tasks are placed in this round.
-    pub(super) fn is_over(&self) -> bool {
-        self.placements_left == 0 || self.has_no_capacity()
-    }
-
-    /// Whether so many steps found no worker that the others are not tried.
-    pub(super) fn has_no_capacity(&self) -> bool {
-        self.steps_without_capacity >= MAX_STEPS_WITHOUT_CAPACITY
-    }
-
-    /// Whether a worker may have capacity: no equal or smaller needs have failed in this round.
-    pub(super) fn may_fit(&self, needs: &Resources) -> bool {
-        !self.unplaceable_needs.iter().any(|failed| failed.fits_in(needs))
-    }
-
-    pub(super) fn record_placed(&mut self) {
-        self.placements_left = self.placements_left.saturating_sub(1);
-        self.steps_without_capacity = 0;
-    }
-
-    /// Records that no worker has capacity for these needs.
-    pub(super) fn record_unplaceable(&mut self, needs: Resources) {
-        self.unplaceable_needs.retain(|known| !needs.fits_in(known));
-        self.unplaceable_needs.push(needs);
-    }
-}
-
 /// How well a worker suits a task; smaller is better. The fields are compared in order.
 #[derive(Debug, PartialEq, PartialOrd)]
 pub(super) struct Score {
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -6,12 +6,13 @@
 
 use foldhash::HashMap;
 
-use super::candidate::{score, set_siblings, Candidate, PlacementRound, Score};
+use super::candidate::{score, set_siblings, Candidate, Score};
 use super::fair_order::FairOrder;
 use super::isolation::may_isolate_another;
 use super::job::{Job, RunPhase, TaskState};
 use super::model::{JobId, Step, TaskRef};
 use super::organisation::Organisation;
+use super::placement_round::PlacementRound;
 use super::ranked_workers::RankedWorkers;
 use super::scheduler::Scheduler;
 use super::urgency::Urgency;
@@ -44,7 +45,8 @@
 impl Scheduler {
     /// Runs a placement round if one is wanted and due.
     pub(super) fn place(&mut self, now_us: u64) {
-        if !self.wants_placement || now_us < self.next_placement_us || self.lease_until_us(now_us) <= now_us {
+        let is_wanted = self.wants_placement || self.complete_rounds.are_due(now_us);
+        if !is_wanted || now_us < self.next_placement_us || self.lease_until_us(now_us) <= now_us {
             return;
         }
         self.wants_placement = false;
@@ -55,11 +57,12 @@
         let pool_count = by_pool.len();
         for (index, (pool, jobs)) in by_pool.into_iter().enumerate() {
             let max_starts = self.max_starts(now_us, pool_count - index);
-            let mut round = PlacementRound::new(self.candidates(now_us, &pool), max_starts);
+            let mut round = self.new_round(now_us, &pool, max_starts);
             self.place_in_pool(now_us, &pool, jobs, &mut round);
             rounds.insert(pool, round);
         }
         ranked_count += self.place_late_jobs(now_us, &mut rounds);
+        self.complete_rounds.record(now_us, &rounds);
         for (pool, round) in rounds {
             if round.workers.is_empty() {
                 continue;
@@ -75,6 +78,10 @@
         self.next_placement_us = now_us + interval_ms * US_PER_MS;
     }
 
+    fn new_round(&self, now_us: u64, pool: &str, max_starts: usize) -> PlacementRound {
+        PlacementRound::new(self.candidates(now_us, pool), max_starts, self.complete_rounds.is_due_in(now_us, pool))
+    }
+
     /// The urgency of all jobs that have begun or can be on time; the others are set aside.
     fn rank_jobs(&mut self, now_us: u64) -> Ranking {
         let mut ranking = Ranking::default();
@@ -123,10 +130,10 @@
                 Entry::Occupied(entry) => entry.into_mut(),
                 Entry::Vacant(entry) => {
                     let max_starts = self.max_starts(now_us, 1);
-                    entry.insert(PlacementRound::new(self.candidates(now_us, &pool), max_starts))
+                    entry.insert(self.new_round(now_us, &pool, max_starts))
                 }
             };
-            if round.is_over() || round.workers.is_empty() {
+            if !round.allows_late_jobs() {
                 continue;
             }
             let jobs = self.ready_jobs.late_in(&pool).filter_map(|id| self.jobs.get(id));
@@ -144,7 +151,7 @@
         allowance.map_or(usize::MAX, |allowance| allowance.div_ceil(pools_left.max(1)))
     }
 
-    /// Places jobs of one pool until no worker has room.
+    /// Places jobs of one pool until the round ends.
     fn place_in_pool(&mut self, now_us: u64, pool: &str, mut jobs: Vec<Urgency>, round: &mut PlacementRound) {
         if round.workers.is_empty() {
             return;
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -16,6 +16,7 @@
 use super::job::{Job, ShareClass};
 use super::model::{Catalog, HostRecord, JobId, JobPhase, JobSpec, Queue, ReportedPhase, Resources, Step, TaskRef};
 use super::organisation_counts::OrganisationCounts;
+use super::placement_round::CompleteRounds;
 use super::policies::Policies;
 use super::ready_jobs::ReadyJobs;
 use super::record::{restore_job, RecordError};
@@ -129,6 +130,7 @@
     pub(super) pools_without_room: BTreeSet<Arc<str>>,
     /// Whether something has changed that may let a task start.
     pub(super) wants_placement: bool,
+    pub(super) complete_rounds: CompleteRounds,
     pub(super) stage_log: StageLog,
     pub(super) work_counts: WorkCounts,
     pub(super) stop_counts: StopCounts,
@@ -185,6 +187,7 @@
             next_placement_us: 0,
             pools_without_room: BTreeSet::new(),
             wants_placement: true,
+            complete_rounds: CompleteRounds::default(),
             stage_log: StageLog::default(),
             work_counts: WorkCounts::default(),
             stop_counts: StopCounts::default(),
