Read the rest of the host list when one entry cannot be read

What callers would see: one odd entry in the provider's list, such as an unknown state or a deeply nested field, and the leader does not follow the list any more. Waves do not end, hosts are not moved, and tasks of hosts that have left wait for their leases.

Cause: a page was decoded as a whole. The rows of workers and operators are decoded one by one.

Change: an entry that cannot be read is left out and counted (unreadable_hosts_total). A list with such an entry shows what its other entries say, but of no host that it is gone.

Tests: platform/odd_answer_tests.rs plays the provider, the advice service and workers with entries that cannot be read, page tokens that need encoding or repeat, bodies that are cut off or never end, and nested or mistyped answers. Before, the test of unreadable entries failed, and the one of lists in part (sched/wave_tests.rs); the others passed at once: tokens, truncated and endless bodies, and odd answers of the advice service and of workers were handled.

--- a/src/control/feeds.rs
+++ b/src/control/feeds.rs
@@ -123,10 +123,17 @@
 /// Polls the provider's list of hosts.
 pub(super) async fn follow_hosts(leader: Rc<Leader>) {
     let Some(client) = leader.host_client.clone() else { return };
+    let mut is_complete = true;
     while !leader.has_ended.get() {
         let requested_us = leader.now_us();
         match client.list().await {
-            Ok(hosts) => leader.scheduler.borrow_mut().hosts_listed(leader.now_us(), requested_us, hosts),
+            Ok(list) => {
+                if list.is_complete != is_complete {
+                    is_complete = list.is_complete;
+                    log::warn!("is_complete={is_complete} hosts={} outcome=host_list_changed", list.hosts.len());
+                }
+                leader.scheduler.borrow_mut().host_list_read(leader.now_us(), requested_us, list);
+            }
             Err(reason) => log::debug!("error={reason} outcome=host_list_failed"),
         }
         leader.run_scheduler();
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -20,6 +20,8 @@
 pub mod users_platform_standin;
 pub(crate) mod workers;
 
+#[cfg(test)]
+mod odd_answer_tests;
 #[cfg(test)]
 mod platform_tests;
 
--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -9,11 +9,12 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use super::http_client::{path_with_query, HttpClient};
 use super::workers::CapacityBody;
 use crate::endpoint_client::CallOutcome;
-use crate::sched::model::{HostOrderOutcome, HostPhase, HostRecord};
+use crate::sched::model::{HostList, HostOrderOutcome, HostPhase, HostRecord};
 
 const CALL_TIMEOUT_MS: u64 = 1_500;
 /// Header with the name of the daemon that sends the order.
@@ -23,8 +24,8 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct ListBody {
-    machines: Vec<MachineBody>,
+struct ListBody<T> {
+    machines: Vec<T>,
     next_token: Option<serde_json::Value>,
 }
 
@@ -83,8 +84,8 @@
     }
 
     /// Reads all pages of the host list. An error is the text to log.
-    pub(crate) async fn list(&self) -> Result<Vec<HostRecord>, String> {
-        let mut hosts = Vec::new();
+    pub(crate) async fn list(&self) -> Result<HostList, String> {
+        let mut list = HostList { hosts: Vec::new(), is_complete: true };
         let mut page_tokens: Vec<String> = Vec::new();
         loop {
             let path = match page_tokens.last() {
@@ -96,9 +97,8 @@
             if response.status != 200 {
                 return Err(format!("HTTP status {}", response.status));
             }
-            let body: ListBody = serde_json::from_slice(&response.body).map_err(|error| error.to_string())?;
-            hosts.extend(body.machines.into_iter().map(decode_host));
-            let Some(page_token) = body.next_token.and_then(decode_page_token) else { return Ok(hosts) };
+            let page_token = append_page(&mut list, &response.body).map_err(|error| error.to_string())?;
+            let Some(page_token) = page_token else { return Ok(list) };
             if page_tokens.contains(&page_token) {
                 return Err(format!("the page token {page_token:?} is repeated"));
             }
@@ -141,6 +141,26 @@
     }
 }
 
+/// Appends a page of the host list, and returns the token of the next one. An entry that cannot be read is left out.
+fn append_page(list: &mut HostList, page: &[u8]) -> Result<Option<String>, serde_json::Error> {
+    if let Ok(body) = serde_json::from_slice::<ListBody<MachineBody>>(page) {
+        list.hosts.extend(body.machines.into_iter().map(decode_host));
+        return Ok(body.next_token.and_then(decode_page_token));
+    }
+    let body: ListBody<&RawValue> = serde_json::from_slice(page)?;
+    for entry in body.machines {
+        match serde_json::from_str::<MachineBody>(entry.get()) {
+            Ok(machine) => list.hosts.push(decode_host(machine)),
+            Err(error) => {
+                metrics::counter!("unreadable_hosts_total").increment(1);
+                log::debug!("error={error} outcome=host_unreadable");
+                list.is_complete = false;
+            }
+        }
+    }
+    Ok(body.next_token.and_then(decode_page_token))
+}
+
 /// The token of the next page; `None` if there is none.
 fn decode_page_token(value: serde_json::Value) -> Option<String> {
     match value {
--- a/src/sched/host_moves.rs
+++ b/src/sched/host_moves.rs
@@ -12,7 +12,7 @@
 use super::allocation::PoolBalance;
 use super::host_orders::HostOrder;
 use super::labels::{is_needed_for_label, LabelBalances};
-use super::model::{HostOrderOutcome, HostPhase, HostRecord, JobId};
+use super::model::{HostList, HostOrderOutcome, HostPhase, HostRecord, JobId};
 use super::scheduler::Scheduler;
 use crate::clock::{US_PER_MS, US_PER_S};
 
@@ -55,6 +55,8 @@
     pub(super) former_leader_orders_until_us: u64,
     /// When the provider's latest host list was requested; it shows the hosts as of a later moment.
     pub(super) list_requested_us: u64,
+    /// The same, for the latest list of which every entry could be read.
+    pub(super) complete_list_requested_us: u64,
     next_decision_us: u64,
     /// Moves that may still be ordered now.
     pub(super) moves_left: u32,
@@ -83,6 +85,7 @@
         HostMoves {
             former_leader_orders_until_us: now_us + (leader_change_wait_ms + LEADER_CHANGE_MARGIN_MS) * US_PER_MS,
             list_requested_us: 0,
+            complete_list_requested_us: 0,
             next_decision_us: 0,
             moves_left: 0,
             move_allowance: 0.0,
@@ -147,10 +150,29 @@
 }
 
 impl Scheduler {
+    /// Applies a list of hosts that was requested at `requested_us`. One that is not complete shows of no host that it is
+    /// gone.
+    pub(crate) fn host_list_read(&mut self, now_us: u64, requested_us: u64, list: HostList) {
+        if list.is_complete {
+            self.hosts_listed(now_us, requested_us, list.hosts);
+            return;
+        }
+        let mut hosts = std::mem::take(&mut self.hosts);
+        hosts.extend(list.hosts.into_iter().map(|host| (host.name.clone(), host)));
+        self.update_hosts(now_us, requested_us, hosts);
+    }
+
     /// Replaces the list of hosts by a new one from the provider, which was requested at `requested_us`. Drops moves that
     /// are complete, and releases the tasks of workers that have gone.
     pub(crate) fn hosts_listed(&mut self, now_us: u64, requested_us: u64, hosts: Vec<HostRecord>) {
-        self.hosts = hosts.into_iter().map(|host| (host.name.clone(), host)).collect();
+        let hosts = hosts.into_iter().map(|host| (host.name.clone(), host)).collect();
+        self.update_hosts(now_us, requested_us, hosts);
+        self.host_moves.complete_list_requested_us = requested_us;
+        self.release_tasks_of_gone_workers(now_us, requested_us);
+    }
+
+    fn update_hosts(&mut self, now_us: u64, requested_us: u64, hosts: BTreeMap<Arc<str>, HostRecord>) {
+        self.hosts = hosts;
         for (name, host) in &self.hosts {
             if let Some(worker) = &host.worker {
                 self.worker_by_host.insert(name.clone(), worker.clone());
@@ -171,7 +193,6 @@
             self.host_moves.moving.remove(&host);
             self.set_cordoned(&host, false);
         }
-        self.release_tasks_of_gone_workers(now_us, requested_us);
     }
 
     /// Decides which hosts move to which pools.
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -413,6 +413,14 @@
     pub(crate) labels: Arc<[Arc<str>]>,
 }
 
+/// The provider's list of hosts.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct HostList {
+    pub(crate) hosts: Vec<HostRecord>,
+    /// Whether every entry could be read; otherwise a host that is missing may still exist.
+    pub(crate) is_complete: bool,
+}
+
 impl HostRecord {
     /// Whether the host has a label, if one is required, and these resources.
     pub(crate) fn offers(&self, label: Option<&Arc<str>>, needs: &Resources) -> bool {
--- a/src/sched/wave_tests.rs
+++ b/src/sched/wave_tests.rs
@@ -4,7 +4,7 @@
 
 use super::action::Action;
 use super::leader_fixtures::{add_hosts, add_hosts_at, answer_holds, entry_in, host, leader_with_workers, SECOND_US};
-use super::model::{HostOrderOutcome, HostRecord, WaveOrder};
+use super::model::{HostList, HostOrderOutcome, HostRecord, WaveOrder};
 use super::scheduler::Scheduler;
 
 const WAVE: u64 = 1;
@@ -121,3 +121,18 @@
     assert_eq!(after_late_answer, Outcome::default());
     assert_eq!(after_list, Outcome { reports: vec![true], ..Outcome::default() });
 }
+
+#[test]
+fn list_with_an_unreadable_entry_shows_of_no_host_that_it_is_gone() {
+    // Guards against a wave that is complete, and tasks that start again, because an entry of the list cannot be read.
+    let mut leader = leader_with_workers(2);
+    add_hosts(&mut leader, [joining_host()]);
+    leader.add_wave(10 * SECOND_US, wave(&["h5"]));
+    let other = HostRecord { pool: "spare".into(), ..leader.hosts["h0"].clone() };
+
+    leader.host_list_read(10 * SECOND_US, 10 * SECOND_US, HostList { hosts: vec![other], is_complete: false });
+    let outcome = run_for_a_second(&mut leader, 10 * SECOND_US);
+
+    assert_eq!((outcome.maintained, outcome.reports), (vec!["h5".to_owned()], vec![false]));
+    assert_eq!(&*leader.hosts["h0"].pool, "spare", "what the list shows counts");
+}
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -232,7 +232,7 @@
     /// Notices which hosts of a wave the latest list lacks, and which are listed again.
     fn update_unlisted_hosts(&mut self, number: u64) {
         let Some(wave) = self.waves.states.get_mut(&number) else { return };
-        if self.host_moves.list_requested_us < wave.received_us {
+        if self.host_moves.complete_list_requested_us < wave.received_us {
             return;
         }
         let started = self.waves.started.entry(number).or_default();
