Finish a job only once its final phase is stored

A job whose phase became final while a batch was in flight was marked as finished by the commit of this batch, which held its earlier phase. Its submission was then removed, without a condition on the leader's term, before any record said that the job had ended: a leader that lost its office in between left a record by which the next one goes on with the job.

Now the phase must be the one that was last stored. The new test of dirty_jobs_tests.rs failed without this condition.

--- a/src/sched/batches.rs
+++ b/src/sched/batches.rs
@@ -196,11 +196,12 @@
         }
     }
 
-    /// If a job's phase is final and no run is left, marks it as finished, drops the state of its tasks and queues its
-    /// submission for removal.
+    /// If a job's phase is final and stored, and no run is left, marks it as finished, drops the state of its tasks and
+    /// queues its submission for removal.
     pub(super) fn try_finish_job(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        if job.phase.is_final() && !job.is_finished && !job.has_placed_tasks() {
+        let is_stored = job.published_phase == job.phase;
+        if job.phase.is_final() && is_stored && !job.is_finished && !job.has_placed_tasks() {
             job.occurrences.clear();
             job.is_finished = true;
             self.finished_jobs.push(job.spec.reported_phase(id.clone(), job.phase));
--- a/src/sched/dirty_jobs_tests.rs
+++ b/src/sched/dirty_jobs_tests.rs
@@ -133,3 +133,23 @@
     assert_eq!((full.records.len(), acknowledged(&full, &worker)), (90, None));
     assert_eq!(acknowledged(&next, &worker), Some(1));
 }
+
+#[test]
+fn job_is_finished_only_once_its_final_phase_is_stored() {
+    // Guards against a submission that is removed by a leader which then loses its office: the next one would find a record
+    // by which the job goes on.
+    let mut leader = leader_with_workers(1);
+    leader.submit(10 * SECOND_US, 0, id(1), spec(vec![step(1, &[])]));
+    leader.mark_dirty(&id(1));
+    let batch = leader.take_batch(10 * SECOND_US);
+    leader.cancel(10 * SECOND_US, &id(1));
+
+    leader.batch_committed(10 * SECOND_US, 10 * SECOND_US, &batch);
+    let before = leader.take_finished_jobs();
+    let batch = leader.take_batch(10 * SECOND_US);
+    leader.batch_committed(10 * SECOND_US, 10 * SECOND_US, &batch);
+    let after = leader.take_finished_jobs();
+
+    assert_eq!(before, []);
+    assert_eq!(after.iter().map(|finished| &finished.job).collect::<Vec<_>>(), [&id(1)]);
+}
