Try a refused record again before all others

The records of the last refused batch are now first, in their order. The new test refused_record_is_found_soon_while_other_records_change_all_the_time failed before: the job was still running after 40 batches.

Only the handling of refused batches changes.

--- a/src/sched/dirty_jobs.rs
+++ b/src/sched/dirty_jobs.rs
@@ -31,6 +31,7 @@
     turns: HashMap<JobId, Turn>,
     order: BTreeMap<Turn, JobId>,
     marked_count: u64,
+    put_back_count: u64,
 }
 
 impl DirtyJobs {
@@ -53,13 +54,15 @@
         self.order.insert(turn, id.clone());
     }
 
-    /// Puts a job whose record was taken but not stored before all others, behind those put back earlier.
-    pub(super) fn put_back(&mut self, id: &JobId) {
-        self.remove(id);
-        self.marked_count += 1;
-        let turn = (0, self.marked_count);
-        self.turns.insert(id.clone(), turn);
-        self.order.insert(turn, id.clone());
+    /// Puts jobs whose records were taken but not stored before all others, in this order.
+    pub(super) fn put_back<'a>(&mut self, ids: impl DoubleEndedIterator<Item = &'a JobId>) {
+        for id in ids.rev() {
+            self.remove(id);
+            self.put_back_count += 1;
+            let turn = (0, u64::MAX - self.put_back_count);
+            self.turns.insert(id.clone(), turn);
+            self.order.insert(turn, id.clone());
+        }
     }
 
     /// The job whose turn is next.
--- a/src/sched/refused_batches.rs
+++ b/src/sched/refused_batches.rs
@@ -95,9 +95,7 @@
         if limit == BatchLimit::RenewalOnly {
             return RefusalConsequence::RenewalRefused;
         }
-        for (id, _) in &batch.records {
-            self.dirty_jobs.put_back(id);
-        }
+        self.dirty_jobs.put_back(batch.records.iter().map(|(id, _)| id));
         self.uncommitted_starts.extend(batch.starts);
         self.records_to_remove.extend(batch.removed_records);
         self.waves.put_back(&batch.waves);
--- a/src/sched/refused_batches_tests.rs
+++ b/src/sched/refused_batches_tests.rs
@@ -120,6 +120,25 @@
     assert_eq!(restored.phase, JobPhase::Failed);
 }
 
+#[test]
+fn refused_record_is_found_soon_while_other_records_change_all_the_time() {
+    // Guards against a search that always finds another record to try first, and stores one record after several refusals.
+    const MAX_REFUSALS: usize = 12;
+    let mut leader = leader_with_workers(30);
+    for number in 0..80 {
+        submit(&mut leader, number, if number == 40 { 100_000 } else { 10 });
+    }
+
+    let mut refusals = 0;
+    for round in 0..40 {
+        (0..80).filter(|number| *number != 40).for_each(|number| leader.mark_dirty(&id(number)));
+        refusals += run(&mut leader, START_US + round * SECOND_US / 10, 1, has_large_row).refusals;
+    }
+
+    assert_eq!(leader.jobs[&id(40)].phase, JobPhase::Failed);
+    assert!(refusals <= MAX_REFUSALS, "{refusals}");
+}
+
 #[test]
 fn several_refused_records_end_their_jobs_while_others_go_on() {
     // Guards against a search for one refused record that the next one starts over again.
