Soak: a store that throttles, answers late or not at all, and drops its history

The stand-in's store answers 429 to a share of the calls, leaves a share of the transactions unanswered and applies half of these 1 to 6 s later, if their condition still holds, and drops its history on request (410). The soak has all of it beside the former faults: 1% throttled, 2% unanswered, a dropped history in three of ten rounds.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -88,7 +88,7 @@
 };
 pub use platform::job_client::{JobClient, JobState, JobSubmission, KEY_VARIABLE};
 pub use platform::settings::{load as load_control_settings, parse as parse_control_settings};
-pub use platform::users_platform_standin::{StoppingRuns, UsersPlatformStandIn, WorkerRestart};
+pub use platform::users_platform_standin::{StoppingRuns, StoreFaults, UsersPlatformStandIn, WorkerRestart};
 pub use platform::{HostChanges, HostEntry, HostState, Platform, PlatformError};
 pub use settings::{LogFormat, PlatformSetting, Settings};
 pub use sheet::{Pool, Sheet, SheetProblem, SheetRejected, Wave};
--- a/src/platform/users_platform_standin.rs
+++ b/src/platform/users_platform_standin.rs
@@ -22,7 +22,7 @@
 use jiff::Timestamp;
 use percent_encoding::percent_decode_str;
 use rand::rngs::SmallRng;
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
 
 use store::RowStore;
@@ -30,6 +30,9 @@
 
 pub use worker_faults::WorkerRestart;
 
+/// After how long a late write is applied.
+const LATE_WRITE_MS: std::ops::Range<u64> = 1_000..6_000;
+
 /// Runs that the stand-in's workers have executed, and violations that they have detected.
 #[derive(Debug, Default)]
 pub struct RunLog {
@@ -75,13 +78,44 @@
     ListedByEvenWorkers,
 }
 
+/// Faults of the stand-in's row store, as shares of its calls.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct StoreFaults {
+    /// Calls that are answered with 429 and have no effect.
+    pub throttled: f64,
+    /// Transactions that get no answer. Half of them are applied at once, the others seconds later, if their condition
+    /// still holds.
+    pub unanswered: f64,
+}
+
 struct State {
     store: RowStore,
+    store_faults: StoreFaults,
     workers: Vec<Worker>,
     run_log: RunLog,
     rng: SmallRng,
 }
 
+/// A fault that a call to the row store meets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StoreFault {
+    Throttled,
+    Unanswered { delay_ms: u64 },
+}
+
+impl State {
+    fn draw_store_fault(&mut self, is_write: bool) -> Option<StoreFault> {
+        if self.rng.random_bool(self.store_faults.throttled) {
+            return Some(StoreFault::Throttled);
+        }
+        if !is_write || !self.rng.random_bool(self.store_faults.unanswered) {
+            return None;
+        }
+        let delay_ms = if self.rng.random_bool(0.5) { 0 } else { self.rng.random_range(LATE_WRITE_MS) };
+        Some(StoreFault::Unanswered { delay_ms })
+    }
+}
+
 /// Stand-in for the users' platform. Clones share its state.
 #[derive(Clone)]
 pub struct UsersPlatformStandIn {
@@ -156,6 +190,7 @@
         let address = |listener: &TcpListener| listener.local_addr().expect("an address");
         let state = State {
             store: RowStore::default(),
+            store_faults: StoreFaults::default(),
             workers: Vec::new(),
             run_log: RunLog::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -167,7 +202,7 @@
             run_time_ms,
         };
         platform.serve(store, |platform, request| platform.handle_store_request(request));
-        platform.serve(provider, |_, _| (200, json!({ "machines": [], "nextToken": null })));
+        platform.serve(provider, |_, _| Some((200, json!({ "machines": [], "nextToken": null }))));
         platform.put("op", "config", &configuration(1));
         for index in 0..worker_count {
             platform.add_worker(index, stopping_runs);
@@ -204,6 +239,17 @@
         self.lock().store.limits.page_rows = rows;
     }
 
+    /// Replaces the faults of the row store.
+    pub fn set_store_faults(&self, faults: StoreFaults) {
+        self.lock().store_faults = faults;
+    }
+
+    /// Drops the history of changes, so that requests for the changes since an earlier version are answered with 410.
+    pub fn drop_store_history(&self) {
+        self.lock().store.drop_history();
+        self.state.1.notify_all();
+    }
+
     /// Refuses calls with more than `call_bytes`, and calls that write a row of more than `row_bytes`.
     pub fn limit_writes(&self, call_bytes: usize, row_bytes: usize) {
         let mut state = self.lock();
@@ -269,19 +315,41 @@
     fn serve(
         &self,
         listener: TcpListener,
-        handler: impl Fn(&UsersPlatformStandIn, &Request) -> (u16, Value) + Send + Sync + 'static,
+        handler: impl Fn(&UsersPlatformStandIn, &Request) -> Response + Send + Sync + 'static,
     ) {
         let platform = self.clone();
         let handler = Arc::new(handler);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (platform, handler) = (platform.clone(), handler.clone());
-                thread::spawn(move || serve_connection(&stream, |request| Some(handler(&platform, request))));
+                thread::spawn(move || serve_connection(&stream, |request| handler(&platform, request)));
             }
         });
     }
 
-    fn handle_store_request(&self, request: &Request) -> (u16, Value) {
+    /// Handles a request to the row store; `None` if it gets no response.
+    fn handle_store_request(&self, request: &Request) -> Response {
+        let is_write = request.path == "/rows-tx";
+        let fault = self.lock().draw_store_fault(is_write);
+        match fault {
+            None => Some(self.execute_store_request(request)),
+            Some(StoreFault::Throttled) => Some((429, json!({}))),
+            Some(StoreFault::Unanswered { delay_ms: 0 }) => {
+                self.execute_store_request(request);
+                None
+            }
+            Some(StoreFault::Unanswered { delay_ms }) => {
+                let (platform, request) = (self.clone(), request.clone());
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_millis(delay_ms));
+                    platform.execute_store_request(&request);
+                });
+                None
+            }
+        }
+    }
+
+    fn execute_store_request(&self, request: &Request) -> (u16, Value) {
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/rows-tx") => {
                 let response = self.lock().store.commit(request);
@@ -299,6 +367,9 @@
         let deadline = Instant::now() + Duration::from_millis(request.number("waitMs"));
         let mut state = self.lock();
         loop {
+            if !state.store.has_history_since(request.number("after")) {
+                return (410, json!({}));
+            }
             let changes = state.store.changes(&request.query["table"], request.number("after"));
             let remaining = deadline.saturating_duration_since(Instant::now());
             if !changes.is_empty() || remaining.is_zero() {
--- a/src/platform/users_platform_standin/store.rs
+++ b/src/platform/users_platform_standin/store.rs
@@ -41,6 +41,8 @@
     version: u64,
     /// Version and value of each row; the value of a deleted row is `None`.
     rows: BTreeMap<RowId, (u64, Option<Vec<u8>>)>,
+    /// Version since which changes are known.
+    history_since: u64,
     pub(super) limits: Limits,
     /// Number of transactions that were refused because of a limit.
     pub(super) refused_calls: u64,
@@ -51,6 +53,16 @@
         self.version
     }
 
+    /// Forgets all changes so far.
+    pub(super) fn drop_history(&mut self) {
+        self.history_since = self.version;
+    }
+
+    /// Whether all changes after a version are known.
+    pub(super) fn has_history_since(&self, version: u64) -> bool {
+        version >= self.history_since
+    }
+
     /// Value of a row that exists.
     pub(super) fn value(&self, table: &str, partition: &str, key: &str) -> Option<Vec<u8>> {
         let id = (table.to_owned(), partition.to_owned(), key.to_owned());
--- a/tests/soak_tests.rs
+++ b/tests/soak_tests.rs
@@ -1,6 +1,7 @@
 //! Runs jobs on daemon processes while randomized faults are injected, several at the same time: signals kill, pause,
 //! stop and restart daemons, a proxy stalls or closes their connections to the store, and workers restart under their
-//! IDs, are cut off or execute orders late. The workers of the stand-in record violations, such as a task that runs
+//! IDs, are cut off or execute orders late. The store throttles calls, applies writes without an answer, some of them seconds
+//! late, and drops its history. The workers of the stand-in record violations, such as a task that runs
 //! twice at the same time; there must be none, and every accepted job that is not cancelled must complete.
 //!
 //! `SOAK_SEEDS=1..51 cargo test --release --test soak_tests` runs seeds 1 to 50; the default is seeds 1 to 3.
@@ -13,7 +14,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use sardineseam::{StoppingRuns, UsersPlatformStandIn};
+use sardineseam::{StoppingRuns, StoreFaults, UsersPlatformStandIn};
 use support::control_daemon::ControlDaemon;
 use support::control_faults::{inject_into_worker, Faults};
 use support::{eventually, try_http_within, Answer};
@@ -31,6 +32,7 @@
 /// Longest pause after a round.
 const MAX_PAUSE_MS: u64 = 3_000;
 const PAUSE_STEP: Duration = Duration::from_millis(10);
+const STORE_FAULTS: StoreFaults = StoreFaults { throttled: 0.01, unanswered: 0.02 };
 /// Timeout of a caller's request; a paused daemon does not answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -64,6 +66,7 @@
             _ => StoppingRuns::Unlisted,
         };
         let platform = UsersPlatformStandIn::start_seeded(WORKERS, SHORT_RUN_MS, stopping_runs, seed);
+        platform.set_store_faults(STORE_FAULTS);
         let test = format!("soak-{seed}");
         let mut daemons: Vec<ControlDaemon> =
             (0..DAEMONS).map(|number| ControlDaemon::prepare(&test, number, &platform)).collect();
@@ -106,6 +109,9 @@
                 self.faults.inject_into_daemon(&mut self.daemons, &self.platform, &mut self.rng);
             }
         }
+        if self.rng.random_bool(0.3) {
+            self.platform.drop_store_history();
+        }
         for _ in 0..JOBS_PER_ROUND {
             if self.rng.random_bool(0.5) {
                 inject_into_worker(&self.platform, WORKERS, &mut self.rng);
