--- a/src/sched/leader_fixtures.rs
+++ b/src/sched/leader_fixtures.rs
@@ -88,6 +88,15 @@
     pub(super) maintenance_count: usize,
 }
 
+/// One step of a leader whose workers answer and whose batch is committed at once; returns the actions that it requests.
+pub(super) fn step_with_commit(leader: &mut Scheduler, now_us: u64) -> Vec<Action> {
+    answer_holds(leader, now_us);
+    leader.tick(now_us, now_us / 1_000);
+    let batch = leader.take_batch(now_us);
+    leader.batch_committed(now_us, now_us, &batch);
+    leader.take_actions()
+}
+
 /// Runs the leader with its leadership confirmed, all workers answering and stops acknowledged; `each` is called before
 /// each step of 100 ms.
 pub(super) fn run_with(
@@ -100,11 +109,7 @@
     for elapsed_ms in (0..for_ms).step_by(100) {
         let now_us = from_us + elapsed_ms * 1_000;
         each(leader, now_us);
-        answer_holds(leader, now_us);
-        leader.tick(now_us, now_us / 1_000);
-        let batch = leader.take_batch(now_us);
-        leader.batch_committed(now_us, now_us, &batch);
-        for action in leader.take_actions() {
+        for action in step_with_commit(leader, now_us) {
             match action {
                 Action::MoveHost { host, pool } => orders.moves.push((host.to_string(), pool.to_string())),
                 Action::MaintainHost { .. } => orders.maintenance_count += 1,
--- a/src/sched/placement_round_tests.rs
+++ b/src/sched/placement_round_tests.rs
@@ -1,7 +1,7 @@
 //! Tests of jobs that wait behind others which fit on no worker at present.
 
 use super::action::Action;
-use super::leader_fixtures::{answer_holds, leader_with_workers, long_step, SECOND_US};
+use super::leader_fixtures::{leader_with_workers, long_step, step_with_commit, SECOND_US};
 use super::model::{JobId, JobSpec, Queue};
 use super::scheduler::Scheduler;
 use super::sim::{queue, spec, step};
@@ -42,11 +42,7 @@
 fn started(leader: &mut Scheduler, from_us: u64, for_us: u64) -> Vec<JobId> {
     let mut started = Vec::new();
     for now_us in (from_us..from_us + for_us).step_by(50_000) {
-        answer_holds(leader, now_us);
-        leader.tick(now_us, now_us / 1_000);
-        let batch = leader.take_batch(now_us);
-        leader.batch_committed(now_us, now_us, &batch);
-        for action in leader.take_actions() {
+        for action in step_with_commit(leader, now_us) {
             match action {
                 Action::Start(start) if &*start.task.job != LONG_RUNNING => started.push(start.task.job),
                 _ => {}
--- a/src/sched/wave_tests.rs
+++ b/src/sched/wave_tests.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use super::action::Action;
-use super::leader_fixtures::{add_hosts, add_hosts_at, answer_holds, entry_in, host, leader_with_workers, SECOND_US};
+use super::leader_fixtures::{
+    add_hosts, add_hosts_at, entry_in, host, leader_with_workers, step_with_commit, SECOND_US,
+};
 use super::model::{HostList, HostOrderOutcome, HostRecord, WaveOrder};
 use super::scheduler::Scheduler;
 
@@ -26,11 +28,7 @@
     let mut outcome = Outcome::default();
     for step in 0..10 {
         let now_us = from_us + step * SECOND_US / 10;
-        answer_holds(leader, now_us);
-        leader.tick(now_us, now_us / 1_000);
-        let batch = leader.take_batch(now_us);
-        leader.batch_committed(now_us, now_us, &batch);
-        for action in leader.take_actions() {
+        for action in step_with_commit(leader, now_us) {
             match action {
                 Action::MaintainHost { host, wave } => {
                     outcome.maintained.push(host.to_string());
