Review case 8: a work item runs twice beside an entry of another writer

Cause: an entry with missing fields, or with fields of another type, is taken for an executor's. If it names the machine of an executor that does not answer, the leader concludes that this executor has ended, and starts its tasks elsewhere at once.

The case: one of seven executors is cut off for 5.5 s and runs on. 1 s after the cut, another writer writes an entry that names its machine.

--- a/review/second/src/cases/mod.rs
+++ b/review/second/src/cases/mod.rs
@@ -4,6 +4,7 @@
 pub mod cancel;
 pub mod drain;
 pub mod explore;
+pub mod ghost;
 pub mod kind;
 pub mod moves;
 pub mod wave;
--- a/review/second/src/main.rs
+++ b/review/second/src/main.rs
@@ -36,6 +36,7 @@
         "drain" => cases::drain::run(&setting),
         "advice" => cases::advice::run(&setting),
         "moves" => cases::moves::run(&setting),
+        "ghost" => cases::ghost::run(&setting),
         "explore" => cases::explore::run(&setting),
         "cancel" => cases::cancel::run(&setting),
         _ => Err(format!("no case {case}")),
