--- a/review/second/src/cases/mod.rs
+++ b/review/second/src/cases/mod.rs
@@ -6,6 +6,7 @@
 pub mod explore;
 pub mod ghost;
 pub mod kind;
+pub mod late;
 pub mod moves;
 pub mod wave;
 
--- a/review/second/src/main.rs
+++ b/review/second/src/main.rs
@@ -37,6 +37,7 @@
         "advice" => cases::advice::run(&setting),
         "moves" => cases::moves::run(&setting),
         "ghost" => cases::ghost::run(&setting),
+        "late" => cases::late::run(&setting),
         "explore" => cases::explore::run(&setting),
         "cancel" => cases::cancel::run(&setting),
         _ => Err(format!("no case {case}")),
--- a/review/second/src/world.rs
+++ b/review/second/src/world.rs
@@ -471,6 +471,18 @@
         runs.filter(|(task, _)| task.starts_with(job)).count()
     }
 
+    /// A line about each machine.
+    pub fn machines(&self) -> Vec<String> {
+        let state = self.lock();
+        let mut lines = Vec::new();
+        for (name, machine) in &state.machines {
+            let executor = state.executors.iter().find(|executor| executor.machine == *name && executor.is_up);
+            let runs = executor.map_or(0, |executor| executor.runs.len());
+            lines.push(format!("machine {name}: pool {}, cpu {}, {runs} runs", machine.pool, machine.kind.cpu));
+        }
+        lines
+    }
+
     /// Number of machines that have had their upkeep for a wave.
     pub fn upkeeps_of(&self, wave: u64) -> usize {
         self.lock().machines.values().filter(|machine| machine.done_waves.contains(&wave)).count()
