--- a/review/second/src/cases/late.rs
+++ b/review/second/src/cases/late.rs
@@ -1,4 +1,4 @@
-//! A job needs a larger machine than its service has, and the calls about machines are unavailable when it comes.
+//! A job needs a larger machine than its service has, and the leader is killed right after the job was accepted.
 
 use std::thread::sleep;
 use std::time::Duration;
@@ -6,10 +6,10 @@
 use serde_json::json;
 
 use super::Setting;
-use crate::world::{Kind, Provider};
+use crate::world::Kind;
 
-/// The calls about machines are unavailable for this long.
-const OUTAGE: Duration = Duration::from_millis(5_000);
+/// The leader is down for this long.
+const DOWN: Duration = Duration::from_millis(3_000);
 /// `finish_s`, after which nothing may be missing for 3 s.
 const FINISH: Duration = Duration::from_millis(14_000);
 const JOB: &str = "5c0e7a21d94b36f8";
@@ -30,16 +30,18 @@
     }
     deployment.start_daemons(setting, 2)?;
     sleep(Duration::from_millis(3_000));
+    let leader = deployment.store.leader();
+    let leading = deployment.daemons.iter().position(|daemon| Some(&daemon.name) == leader.as_ref()).unwrap_or(0);
+    let steps = json!([{ "count": 2, "cpu": 8_000, "memMb": 256, "estimateMs": 500 }]);
+    deployment.submit(setting, 1 - leading, JOB, "ms=500", steps)?;
     if setting.has_trouble {
-        world.set_provider(Provider::Unavailable);
-        setting.record.line("the calls for machines are unavailable");
+        deployment.daemons[leading].kill();
+        setting.record.line("the leader is killed");
     }
-    let steps = json!([{ "count": 2, "cpu": 8_000, "memMb": 256, "estimateMs": 500 }]);
-    deployment.submit(setting, 0, JOB, "ms=500", steps)?;
-    sleep(OUTAGE);
+    sleep(DOWN);
     if setting.has_trouble {
-        world.set_provider(Provider::Serves);
-        setting.record.line("the calls for machines are served again");
+        deployment.daemons[leading].start();
+        setting.record.line("it starts again");
     }
     for wait in [FINISH, Duration::from_millis(3_000), FINISH] {
         sleep(wait);
