Review case 7: a lasting task does not start beside best-effort tasks

The case: four executors run lasting work that fills, four others lasting work that serves. One of the latter is lost for good.

--- a/review/second/src/cases/mod.rs
+++ b/review/second/src/cases/mod.rs
@@ -1,6 +1,8 @@
 //! The cases, and what they share.
 
 pub mod advice;
+pub mod beside;
+pub mod budget;
 pub mod cancel;
 pub mod drain;
 pub mod explore;
--- a/review/second/src/cases/moves.rs
+++ b/review/second/src/cases/moves.rs
@@ -39,6 +39,7 @@
     let mut jobs: Vec<(String, String)> = Vec::new();
     let mut wave = 0;
     let mut long_count = 0;
+    let mut number = 0;
     let mut down: Vec<(usize, Instant)> = Vec::new();
     let mut stopped: Vec<(usize, Instant)> = Vec::new();
     let mut outage_until: Option<Instant> = None;
@@ -62,8 +63,8 @@
         let turn = (setting.record.seconds() as u64 / 5) % 2;
         let prefix =
             if random.below(8) < 7 { ["jobs", "bound"][turn as usize] } else { ["bound", "jobs"][turn as usize] };
-        if random.below(10) < 6 && jobs.len() < 200 {
-            let id = format!("{:016x}", (random.below(16) << 60) | (seed << 32) | jobs.len() as u64);
+        if random.below(10) < 6 && number < 200 {
+            let id = format!("{:016x}", (random.below(16) << 60) | (seed << 32) | number);
             let is_long = random.below(12) == 0 && long_count < 3;
             long_count += u64::from(is_long);
             let work = if is_long { 100_000 } else { [200, 400, 800, 1_500][random.below(4) as usize] };
@@ -72,6 +73,7 @@
             } else {
                 json!([{ "count": 4, "cpu": 1_000, "memMb": 100, "estimateMs": work }])
             };
+            number += 1;
             world.add_job(&id, &steps);
             world.set_service(&id, if prefix == "jobs" { "press" } else { "bind" });
             let body = json!({ "spec": format!("ms={work}"), "steps": steps }).to_string();
--- a/review/second/src/daemons.rs
+++ b/review/second/src/daemons.rs
@@ -55,7 +55,7 @@
             "contracts": ["base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep", "sharing"],
             "faultTolerance": { "machines": 2, "zones": 1, "regions": 0 },
             "bounds": { "contactMs": 3000, "ackMs": 4000, "drainMs": 2000, "graceS": 6, "configApplyMs": 2000,
-                "holdMaxMs": HOLD_MAX_MS, "stopGraceMs": 200, "gangTimeoutMs": 3000, "cancel_ms": 3000,
+                "holdMaxMs": HOLD_MAX_MS, "stopGraceMs": world.stop_grace_ms(), "gangTimeoutMs": 3000, "cancel_ms": 3000,
                 "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120, "noticeMs": 4500, "moveS": 1.5,
                 "upkeepS": 2, "requireFencing": false, "leaseMs": 3000, "thawMs": 300, "paceMs": 100, "harmMs": 4000 },
             "orders": "call", "advice": world.advice_address.to_string(),
--- a/review/second/src/main.rs
+++ b/review/second/src/main.rs
@@ -38,6 +38,8 @@
         "moves" => cases::moves::run(&setting),
         "ghost" => cases::ghost::run(&setting),
         "late" => cases::late::run(&setting),
+        "beside" => cases::beside::run(&setting),
+        "budget" => cases::budget::run(&setting),
         "explore" => cases::explore::run(&setting),
         "cancel" => cases::cancel::run(&setting),
         _ => Err(format!("no case {case}")),
--- a/review/second/src/world.rs
+++ b/review/second/src/world.rs
@@ -15,8 +15,12 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const MISSED_HEARTBEATS: u32 = 3;
 pub const HOLD_MAX_MS: u64 = 10_000;
-/// A stop takes half of `stopGraceMs`.
-const STOP_TIME: Duration = Duration::from_millis(100);
+/// `stopGraceMs` of most cases.
+const STOP_GRACE_MS: u64 = 200;
+/// Tail of the response times of a work item that serves; below all targets.
+const SERVING_TAIL_MS: u64 = 40;
+/// Time until a work item that lasts is at work.
+const STARTUP: Duration = Duration::from_millis(900);
 const GANG_TIMEOUT: Duration = Duration::from_millis(3_000);
 pub const UPKEEP: Duration = Duration::from_millis(2_000);
 pub const MOVE: Duration = Duration::from_millis(1_500);
@@ -47,6 +51,11 @@
     alone_at: Instant,
     work: Duration,
     cpu: u64,
+    /// When it is at work, if it lasts.
+    at_work_from: Instant,
+    lasts: bool,
+    /// The tail of its response times in milliseconds if it serves, otherwise the CPU in use.
+    load: u64,
 }
 
 struct Executor {
@@ -169,6 +178,8 @@
     handled: u64,
 }
 
+/// How long a stop takes, by the work item, its executor and whether that drains.
+type StopHook = Box<dyn Fn(&str, &str, bool) -> Duration + Send>;
 type UpkeepHook = Box<dyn Fn(&str) -> bool + Send>;
 
 struct State {
@@ -191,6 +202,9 @@
     provider: Provider,
     /// Decides whether an upkeep that begins gets no answer.
     upkeep_hook: Option<UpkeepHook>,
+    stop_hook: Option<StopHook>,
+    stop_grace_ms: u64,
+    checks_budgets: bool,
     starts: Vec<(f64, String)>,
     next_life: u64,
     advice: Option<Advice>,
@@ -231,6 +245,9 @@
             caps: HashMap::new(),
             provider: Provider::Serves,
             upkeep_hook: None,
+            stop_hook: None,
+            stop_grace_ms: STOP_GRACE_MS,
+            checks_budgets: false,
             starts: Vec::new(),
             next_life: 0,
         };
@@ -334,6 +351,18 @@
         });
     }
 
+    /// Loses an executor and its machine for good.
+    pub fn lose(&self, id: &str) {
+        let mut state = self.lock();
+        let Some(executor) = state.executors.iter_mut().find(|executor| executor.id == id) else { return };
+        self.record
+            .line(&format!("executor {id} is lost for good, with runs {:?}", executor.runs.keys().collect::<Vec<_>>()));
+        executor.is_up = false;
+        executor.beat_at = None;
+        executor.runs.clear();
+        close_all(&executor.connections);
+    }
+
     /// Shuts an executor down as planned: it reports that it drains, serves for `drain`, and leaves. It starts again under
     /// its id and address after `down`.
     pub fn restart_as_planned(&self, id: &str, drain: Duration, down: Duration) {
@@ -456,6 +485,34 @@
         self.lock().provider = provider;
     }
 
+    pub fn stop_grace_ms(&self) -> u64 {
+        self.lock().stop_grace_ms
+    }
+
+    /// Sets `stopGraceMs` and how long each stop takes.
+    pub fn set_stops(&self, grace_ms: u64, hook: impl Fn(&str, &str, bool) -> Duration + Send + 'static) {
+        let mut state = self.lock();
+        state.stop_grace_ms = grace_ms;
+        state.stop_hook = Some(Box::new(hook));
+    }
+
+    /// From now on, checks the budgets of steps that last when one of their work items ends by a stop.
+    pub fn check_budgets(&self) {
+        self.lock().checks_budgets = true;
+    }
+
+    /// Executors that run a work item of a step, ID.K.STEP.
+    pub fn executors_of(&self, step: &str) -> Vec<(String, String)> {
+        let state = self.lock();
+        let mut found = Vec::new();
+        for executor in &state.executors {
+            if executor.runs.keys().any(|(task, _)| step_name(task) == step) {
+                found.push((executor.id.clone(), executor.machine.clone()));
+            }
+        }
+        found
+    }
+
     pub fn set_upkeep_hook(&self, hook: impl Fn(&str) -> bool + Send + 'static) {
         self.lock().upkeep_hook = Some(Box::new(hook));
     }
@@ -494,6 +551,7 @@
         let mut has_changed = false;
         let mut rows = Vec::new();
         let mut broken_gangs = Vec::new();
+        let mut stopped = Vec::new();
         let state_ref = &mut *state;
         for executor in &mut state_ref.executors {
             if executor.beat_at.is_some_and(|at| now >= at) {
@@ -531,6 +589,9 @@
                 self.record.line(&format!("run {number} of {task} on {} ends: {how}", executor.id));
                 executor.ended.push((executor.end_count, task.clone(), number, how));
                 has_changed = true;
+                if how == "stopped" && executor.state == "ready" {
+                    stopped.push((task.clone(), executor.id.clone()));
+                }
                 if how == "done" {
                     state_ref.done.insert(task.clone());
                 } else {
@@ -538,6 +599,9 @@
                 }
             }
         }
+        for (task, id) in stopped {
+            self.check_budget(state_ref, &task, &id);
+        }
         for (task, number) in broken_gangs {
             break_gang(state_ref, &task, number, &self.record);
         }
@@ -617,7 +681,12 @@
         }
         match request.path.as_str() {
             "/run-start" => Some(self.start_run(&mut state, index, &request.body)),
-            "/run-stop" => Some(self.stop_run(executor, &request.body)),
+            "/run-stop" => {
+                let mut hook = state.stop_hook.take();
+                let reply = self.stop_run(&mut state.executors[index], &request.body, &mut hook);
+                state.stop_hook = hook;
+                Some(reply)
+            }
             "/hold" => self.hold(state, index, &request.body),
             "/pace" => Some((200, json!({ "clockMs": executor.clock_ms() }))),
             _ => Some((404, json!({}))),
@@ -665,10 +734,23 @@
         let (id, labels) = (executor.id.clone(), executor.kind.labels.clone());
         let is_gang = step.as_ref().is_some_and(|step| step["gang"] == json!(true));
         let work = Duration::from_millis(work_ms);
+        let lasts = step.as_ref().is_some_and(|step| step["longRunning"] == json!(true));
+        let serves = step.as_ref().is_some_and(|step| step["targetMs"].is_u64());
+        let load = if serves { SERVING_TAIL_MS } else { cpu };
         let done_at = (!is_gang).then_some(now + work);
-        executor
-            .runs
-            .insert((task.clone(), number), Run { done_at, stops_at: None, alone_at: now + GANG_TIMEOUT, work, cpu });
+        executor.runs.insert(
+            (task.clone(), number),
+            Run {
+                done_at,
+                stops_at: None,
+                alone_at: now + GANG_TIMEOUT,
+                work,
+                cpu,
+                at_work_from: now + STARTUP,
+                lasts,
+                load,
+            },
+        );
         self.record.line(&format!("run {number} of {task} starts on {id}, labels {}", labels.join(",")));
         state.starts.push((self.record.seconds(), task.clone()));
         let Some(step) = step else {
@@ -716,6 +798,26 @@
         (200, json!({ "clockMs": clock_ms }))
     }
 
+    /// Checks that not too many others of a step were away when a stop has ended one of its work items.
+    fn check_budget(&self, state: &State, task: &str, id: &str) {
+        let Some(step) = step_of(state, task).filter(|_| state.checks_budgets) else { return };
+        let Some(budget) = step["optional"].as_u64().filter(|budget| *budget > 0) else { return };
+        let now = Instant::now();
+        let is_at_work = |index: u64| {
+            let name = format!("{}.{index}", step_name(task));
+            let runs = state.executors.iter().flat_map(|executor| &executor.runs);
+            runs.filter(|((known, _), _)| *known == name).any(|(_, run)| now >= run.at_work_from)
+        };
+        let others =
+            (0..step["count"].as_u64().unwrap_or(0)).filter(|index| format!("{}.{index}", step_name(task)) != task);
+        let away: Vec<u64> = others.filter(|index| !is_at_work(*index)).collect();
+        if away.len() as u64 >= budget {
+            self.record.broken(&format!(
+                "AVAIL: a stop ends {task} on {id}, which does not drain, while {away:?} of its step are away; optional is {budget}"
+            ));
+        }
+    }
+
     fn check_order(&self, state: &State, task: &str, after: u64) {
         let mut parts = task.split('.');
         let (job, occurrence) = (parts.next().unwrap_or(""), parts.next().unwrap_or(""));
@@ -729,12 +831,17 @@
         }
     }
 
-    fn stop_run(&self, executor: &mut Executor, body: &Value) -> (u16, Value) {
+    fn stop_run(&self, executor: &mut Executor, body: &Value, hook: &mut Option<StopHook>) -> (u16, Value) {
         let task = body["task"].as_str().unwrap_or("").to_owned();
         let number = body["run"].as_u64().unwrap_or(0);
+        let is_active = executor.runs.contains_key(&(task.clone(), number));
+        let stop_time = match hook.as_ref().filter(|_| is_active) {
+            Some(hook) => hook(&task, &executor.id, executor.state == "draining"),
+            None => Duration::from_millis(STOP_GRACE_MS / 2),
+        };
         for ((known, run), state) in &mut executor.runs {
             if *known == task && *run <= number {
-                state.stops_at.get_or_insert(Instant::now() + STOP_TIME);
+                state.stops_at.get_or_insert(Instant::now() + stop_time);
             }
         }
         self.record.line(&format!("stop of run {number} of {task} at {}", executor.id));
@@ -765,8 +872,9 @@
             }
             let left = deadline.saturating_duration_since(Instant::now());
             if !executor.ended.is_empty() || left.is_zero() {
+                let rows = executor.runs.iter();
                 let running: Vec<Value> =
-                    executor.runs.iter().map(|((task, run), state)| json!([task, run, "", percent(state)])).collect();
+                    rows.map(|((task, run), state)| json!([task, run, "", percent(state), state.load])).collect();
                 let ended: Vec<Value> =
                     executor.ended.iter().take(500).map(|(n, task, run, how)| json!([n, task, run, how, ""])).collect();
                 let body =
@@ -873,6 +981,9 @@
 }
 
 fn percent(run: &Run) -> u64 {
+    if run.lasts {
+        return if Instant::now() >= run.at_work_from { 100 } else { 10 };
+    }
     let Some(done_at) = run.done_at else { return 0 };
     let left = done_at.saturating_duration_since(Instant::now());
     100 - (left.as_millis() * 100 / run.work.as_millis().max(1)).min(100) as u64
