Review case 10: stops for a wave go beyond a step's disruption budget

Cause: when a worker reports that it drains, all its lasting tasks are stopped at once, also while the wave's stop of another task of the same step is under way, which was ordered within the budget.

The case: waves of upkeep follow each other, and the executors outside them are restarted one after the other, as planned.

The cancelled job is case 9 now.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -16,7 +16,7 @@
 }
 trap end EXIT
 trap 'exit 2' INT TERM
-"$program" late "$repository" "$folder" "$here/record.txt" &
+"$program" cancel "$repository" "$folder" "$here/record.txt" &
 pid=$!
 wait "$pid"
 code=$?
--- a/review/second/src/world.rs
+++ b/review/second/src/world.rs
@@ -501,6 +501,13 @@
         self.lock().checks_budgets = true;
     }
 
+    /// The executor on a machine, if it is up and does not drain.
+    pub fn executor_on(&self, machine: &str) -> Option<String> {
+        let state = self.lock();
+        let mut executors = state.executors.iter().filter(|executor| executor.is_up && executor.state == "ready");
+        executors.find(|executor| executor.machine == machine).map(|executor| executor.id.clone())
+    }
+
     /// Executors that run a work item of a step, ID.K.STEP.
     pub fn executors_of(&self, step: &str) -> Vec<(String, String)> {
         let state = self.lock();
