--- a/review/second/src/cases/budget.rs
+++ b/review/second/src/cases/budget.rs
@@ -14,6 +14,8 @@
 const DUE: usize = 3;
 /// The grace of stol-grid. Stops take any time up to it.
 const STOP_GRACE_MS: u64 = 900;
+/// The lasting `work ms` of stol-grid.
+const STARTUP: Duration = Duration::from_millis(700);
 const JOBS: usize = 3;
 const DRAIN: Duration = Duration::from_millis(2_500);
 const DOWN: Duration = Duration::from_millis(500);
@@ -29,6 +31,7 @@
         let number = count.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
         Duration::from_millis(number * 389 % STOP_GRACE_MS)
     });
+    world.set_startup(STARTUP);
     let names: Vec<String> = (0..EXECUTORS).map(|index| format!("m-{index}")).collect();
     for name in &names {
         world.add_machine(name, &Kind::new("press", "plate", "r1-1", 16_000));
@@ -71,6 +74,6 @@
         }
         sleep(Duration::from_millis(20));
     }
-    setting.record.line(&format!("{wave} waves"));
+    setting.record.line(&format!("{wave} waves, {restarted} restarts"));
     Ok(())
 }
