Keep disruption budgets when workers drain and when runs are not listed

Cause: only stops for a wave asked the budget. When a worker reported that it drains, all its long-running tasks were stopped at once, also while the stop of another task of the step was under way, which then took effect second.

Tasks leave a draining worker one by one while it stays, which its entry tells (remainingMs, now read), and the rest right before it may leave. A task on a draining worker no longer counts as available for other stops. An unlisted run is stopped within the budget, or after 5 s.

--- a/src/lab/player.rs
+++ b/src/lab/player.rs
@@ -387,6 +387,7 @@
             zone: hosts.zones[number % hosts.zones.len()].as_str().into(),
             started_unix_ms: START_UNIX_MS,
             draining: false,
+            remaining_ms: 0,
             capacity: Resources { cpu_milli: hosts.cpu_milli, mem_mb: hosts.mem_mb, gpus: 0 },
             labels: ["a".into(), format!("r{}", number / HOSTS_PER_RACK).into()].into(),
             host: Some(format!("h{number}").into()),
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Deserializer, Serialize};
 
 use super::http_client::{HttpClient, HttpResponse};
-use super::limits::{is_valid_ms, offered_resources};
+use super::limits::{bounded_ms, is_valid_ms, offered_resources};
 use super::task_names::{format_task_name, parse_task_name};
 use crate::endpoint_client::CallOutcome;
 use crate::row_store::StoredRow;
@@ -394,6 +394,7 @@
     addr: SocketAddr,
     zone: Arc<str>,
     state: WorkerState,
+    remaining_ms: Option<f64>,
     // Start of this worker instance, in Unix milliseconds.
     born: Option<u64>,
     capacity: Option<CapacityBody>,
@@ -441,6 +442,7 @@
         zone: body.zone,
         started_unix_ms: body.born.unwrap_or(0),
         draining: body.state == WorkerState::Draining,
+        remaining_ms: bounded_ms(body.remaining_ms.unwrap_or(0.0) as u64),
         capacity,
         labels: body.labels.into(),
         host: body.machine,
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -83,6 +83,8 @@
 #[cfg(test)]
 mod dirty_jobs_tests;
 #[cfg(test)]
+mod disruption_tests;
+#[cfg(test)]
 mod duplicate_run_tests;
 #[cfg(test)]
 mod early_stop_tests;
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -304,6 +304,8 @@
     /// Start time of the worker process; distinguishes incarnations with the same ID.
     pub(crate) started_unix_ms: u64,
     pub(crate) draining: bool,
+    /// Time for which a draining worker stays at least, as of its latest report.
+    pub(crate) remaining_ms: u64,
     pub(crate) capacity: Resources,
     pub(crate) labels: Arc<[Arc<str>]>,
     /// Host on which the worker runs, if it reports one.
--- a/src/sched/planned_work_tests.rs
+++ b/src/sched/planned_work_tests.rs
@@ -10,12 +10,12 @@
 use super::sim::{catalog, settings, spec, step, worker_entry, Faults, Sim};
 use crate::clock::US_PER_MS;
 
-const WORKER_COUNT: usize = 12;
-const WAVE: u64 = 1;
-const MAX_DOWN: u32 = 3;
+pub(super) const WORKER_COUNT: usize = 12;
+pub(super) const WAVE: u64 = 1;
+pub(super) const MAX_DOWN: u32 = 3;
 
 /// A second pool, which gets its hosts from the first one.
-fn catalog_with_second_pool() -> Arc<Catalog> {
+pub(super) fn catalog_with_second_pool() -> Arc<Catalog> {
     let mut config = (*catalog()).clone();
     config.pools.push(PoolConfig { name: "sheets".into(), spare: false });
     let mut sheets: Queue = (*config.queues[0]).clone();
@@ -25,7 +25,7 @@
 }
 
 /// Four long-running tasks, of which one may be unavailable.
-fn budgeted_step(cpu_milli: u64) -> Step {
+pub(super) fn budgeted_step(cpu_milli: u64) -> Step {
     let mut long_step = step(4, &[]);
     long_step.needs.cpu_milli = cpu_milli;
     long_step.long_running = true;
@@ -47,7 +47,7 @@
 }
 
 /// Runs the simulation for `for_ms` and submits jobs all the while.
-fn run_with_small_jobs(sim: &mut Sim, for_ms: u64) {
+pub(super) fn run_with_small_jobs(sim: &mut Sim, for_ms: u64) {
     for _ in 0..for_ms / 250 {
         let id = format!("small-{:04}", sim.specs.len());
         sim.submit(&id, spec(vec![step(3, &[])]));
@@ -64,13 +64,13 @@
     }
 }
 
-fn assert_budgets_kept(sim: &Sim, seed: u64) {
+pub(super) fn assert_budgets_kept(sim: &Sim, seed: u64) {
     assert_eq!(sim.violations, [], "seed {seed}");
     assert!(sim.disruption_count > 0, "seed {seed}: no task had to leave its host");
     assert!(sim.are_budgeted_tasks_at_work(), "seed {seed}: all tasks are at work again");
 }
 
-fn assert_wave_complete(sim: &Sim, seed: u64) {
+pub(super) fn assert_wave_complete(sim: &Sim, seed: u64) {
     assert!(sim.complete_waves.contains(&WAVE), "seed {seed}: the wave has not ended");
 }
 
@@ -250,7 +250,7 @@
 
 /// A leader with four workers on four hosts, and a long-running step with one task at work on each of two workers. One
 /// of the tasks may be unavailable.
-fn leader_with_two_tasks_at_work() -> Scheduler {
+pub(super) fn leader_with_two_tasks_at_work() -> Scheduler {
     let mut scheduler = Scheduler::new(0, settings());
     scheduler.configure(catalog());
     let mut hosts = Vec::new();
@@ -270,13 +270,13 @@
     scheduler
 }
 
-fn commit(scheduler: &mut Scheduler, now_ms: u64) {
+pub(super) fn commit(scheduler: &mut Scheduler, now_ms: u64) {
     let batch = scheduler.take_batch(now_ms * US_PER_MS);
     scheduler.batch_committed(now_ms * US_PER_MS, now_ms * US_PER_MS, &batch);
 }
 
 /// Lets each worker answer a hold request: all runs placed on it are active at this progress.
-fn report_runs(scheduler: &mut Scheduler, now_ms: u64, sent_ms: u64, percent: u32) {
+pub(super) fn report_runs(scheduler: &mut Scheduler, now_ms: u64, sent_ms: u64, percent: u32) {
     let ids: Vec<Arc<str>> = scheduler.workers.keys().cloned().collect();
     for id in ids {
         let tasks = scheduler.workers[&id].tasks.clone();
@@ -297,7 +297,7 @@
     scheduler.add_wave(0, WaveOrder { number: WAVE, hosts, duration_ms: 30_000, max_down: 1 });
 }
 
-fn stop_order_count(scheduler: &mut Scheduler) -> usize {
+pub(super) fn stop_order_count(scheduler: &mut Scheduler) -> usize {
     let actions = scheduler.take_actions().into_iter();
     actions.filter(|action| matches!(action, Action::Stop { .. })).count()
 }
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -22,6 +22,8 @@
 const UNHEALTHY_BLOCK_MS: u64 = 700;
 /// Delay before a task is placed again after its start order was refused as invalid.
 const INVALID_ORDER_DELAY_MS: u64 = 700;
+/// A run that its worker does not list is stopped after this time, whatever the budget of its step.
+const UNLISTED_RUN_WAIT_MS: u64 = 5_000;
 /// A run without progress for this long is stopped and placed again.
 const STALL_TIMEOUT_MS: u64 = 2_500;
 /// Progress from which the run time can be told. Percentages are whole numbers, so smaller ones are inexact.
@@ -132,7 +134,7 @@
     }
 
     /// Places a run that a worker lists unexpectedly on that worker, so that its task does not start before the run is
-    /// over, and orders it to stop unless it is the task's latest one. Returns `false` if the task needs no other run, or
+    /// over, and orders it to stop unless it is the task's latest one or its step's budget forbids that. Returns `false` if the task needs no other run, or
     /// has one that may have started.
     fn track_unexpected_run(&mut self, now_us: u64, worker: &WorkerIncarnation, active_run: &ActiveRun) -> bool {
         let task_ref = &active_run.task;
@@ -152,7 +154,7 @@
             task.is_some_and(|task| task.last_run == active_run.run && task.highest_ended_run < active_run.run);
         let is_gang = self.step_of(task_ref).is_some_and(|step| step.gang);
         self.place_run(now_us, task_ref, worker, active_run.run, RunPhase::Running { since_us: now_us });
-        if !is_latest || is_gang {
+        if is_gang || (!is_latest && self.may_disrupt(now_us, task_ref, StopReason::Unexpected)) {
             self.order_stop(now_us, task_ref, &worker.id, StopReason::Unexpected);
         }
         self.mark_dirty(&task_ref.job);
@@ -236,11 +238,10 @@
         match placed.phase {
             RunPhase::Committing | RunPhase::Ordered => {}
             // Its end may not be listed yet if the former leader has stopped it.
-            RunPhase::Restored => self.order_stop(now_us, task_ref, id, StopReason::NotListed),
+            RunPhase::Restored => self.stop_unlisted_run(now_us, self.leader_since_us, task_ref, id),
             RunPhase::Unanswered { since_us } | RunPhase::Running { since_us } => {
                 if sent_us > since_us {
-                    // The start order may still arrive. Stopping the run first makes sure that it never starts.
-                    self.order_stop(now_us, task_ref, id, StopReason::NotListed);
+                    self.stop_unlisted_run(now_us, since_us, task_ref, id);
                 }
             }
             RunPhase::Stopping { .. } => {
@@ -249,6 +250,18 @@
         }
     }
 
+    /// Stops a run that its worker does not list. Its start order may still arrive, and stopping the run first makes sure
+    /// that it never starts. But it may also have begun by the time when the stop arrives, so the stop has to wait until the
+    /// step's budget allows it, or until the order is unlikely to arrive.
+    fn stop_unlisted_run(&mut self, now_us: u64, since_us: u64, task_ref: &TaskRef, id: &Arc<str>) {
+        let has_waited = now_us >= since_us + UNLISTED_RUN_WAIT_MS * US_PER_MS;
+        let placed = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)).and_then(|task| task.run_on(id));
+        let has_ended = placed.is_some_and(|placed| placed.report.is_listed);
+        if has_ended || has_waited || self.may_disrupt(now_us, task_ref, StopReason::NotListed) {
+            self.order_stop(now_us, task_ref, id, StopReason::NotListed);
+        }
+    }
+
     /// Handles a hold request that failed.
     pub(crate) fn on_hold_failure(&mut self, now_us: u64, id: &Arc<str>, outcome: &OrderOutcome) {
         self.handle_refusal(now_us, id, outcome);
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -69,6 +69,7 @@
                 self.worker_by_host.insert(host.clone(), id.clone());
             }
             let mut worker = Worker::new(now_us, entry);
+            worker.note_departure(now_us);
             worker.is_cordoned = is_cordoned;
             self.worker_on_host_registered(now_us, &worker.entry);
             let started_unix_ms = worker.entry.started_unix_ms;
@@ -97,13 +98,24 @@
             );
         }
         worker.entry = entry;
+        worker.note_departure(now_us);
         self.open_session(&id);
         if starts_draining {
-            log::info!("worker={id} outcome=draining");
-            self.evict_long_running(now_us, &id);
+            self.log_drain(&id);
+            self.evict_long_running(now_us);
         }
     }
 
+    fn log_drain(&self, id: &Arc<str>) {
+        let Some(worker) = self.workers.get(id) else { return };
+        log::info!(
+            "worker={id} remaining_ms={} tasks={} long_running={} outcome=draining",
+            worker.entry.remaining_ms,
+            worker.tasks.len(),
+            worker.long_running_count
+        );
+    }
+
     /// Whether new tasks must be kept off a worker because its host is about to be taken away.
     pub(super) fn is_on_leaving_host(&self, entry: &WorkerEntry) -> bool {
         entry.host.as_ref().is_some_and(|host| self.is_host_leaving(host))
--- a/src/sched/restarts.rs
+++ b/src/sched/restarts.rs
@@ -218,7 +218,8 @@
         }
         self.attach(task_ref, &incarnation);
         self.mark_dirty(&task_ref.job);
-        if effect == RestartEffect::MayArrive {
+        // Otherwise the next list decides.
+        if effect == RestartEffect::MayArrive && self.may_disrupt(now_us, task_ref, StopReason::Restarted) {
             self.order_stop(now_us, task_ref, id, StopReason::Restarted);
         }
     }
--- a/src/sched/run_stops.rs
+++ b/src/sched/run_stops.rs
@@ -148,21 +148,6 @@
         }
     }
 
-    /// Stops the long-running tasks of a worker that is draining, so that they are placed elsewhere.
-    pub(super) fn evict_long_running(&mut self, now_us: u64, worker: &Arc<str>) {
-        let Some(state) = self.workers.get(worker) else { return };
-        let mut evicted = Vec::new();
-        for task_ref in &state.tasks {
-            let Some(step) = self.step_of(task_ref) else { continue };
-            if step.long_running {
-                evicted.push(task_ref.clone());
-            }
-        }
-        for task_ref in evicted {
-            self.order_stop(now_us, &task_ref, worker, StopReason::WorkerDraining);
-        }
-    }
-
     /// Handles the outcome of a stop order.
     pub(crate) fn on_stop_outcome(
         &mut self,
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -373,6 +373,7 @@
             self.expire_leases(now_us);
             self.expire_untracked_usage(now_us);
             self.retry_stops(now_us);
+            self.evict_long_running(now_us);
             self.check_suspects(now_us);
             self.pace_best_effort_tasks(now_us);
             self.advance_waves(now_us);
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -11,6 +11,7 @@
 mod leader;
 mod message;
 mod observation;
+mod planned_restarts;
 mod quotas;
 mod registry;
 mod restarts;
@@ -38,6 +39,8 @@
 pub(super) use fixtures::{organisation, organisations, queue, spec_of, step};
 use hosts::SimHost;
 use message::Message;
+pub(super) use planned_restarts::PlannedRestart;
+use planned_restarts::PlannedRestarts;
 use registry::SimRegistry;
 use restarts::Restarts;
 pub(super) use restarts::{ClockSteps, HoldEnd};
@@ -131,6 +134,7 @@
     pub(super) stop_listing: StopListing,
     pub(super) stop_times: StopTimes,
     crashes: Crashes,
+    planned_restarts: PlannedRestarts,
     /// When the quotas were last changed; 0 if they never were.
     quotas_changed_us: u64,
     /// Run times of tasks that differ from `run_duration_us`.
@@ -205,6 +209,7 @@
             stop_listing: StopListing::default(),
             stop_times: StopTimes::default(),
             crashes: Crashes::default(),
+            planned_restarts: PlannedRestarts::default(),
             quotas_changed_us: 0,
             task_run_us: HashMap::new(),
             admission: None,
@@ -289,6 +294,7 @@
             self.deliver();
             self.run_workers();
             self.advance_crashes();
+            self.advance_planned_restarts();
             self.update_availability();
             self.run_leader();
             self.check_usage();
--- a/src/sched/sim/fixtures.rs
+++ b/src/sched/sim/fixtures.rs
@@ -83,6 +83,7 @@
         zone: "hall-a".into(),
         started_unix_ms,
         draining: false,
+        remaining_ms: 0,
         capacity: Resources { cpu_milli: 16_000, mem_mb: 64_000, gpus: 0 },
         labels: ["a".into(), format!("r{}", number / 4).into()].into(),
         host: Some(format!("h{number}").into()),
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -343,7 +343,7 @@
             }
             let may_stop = match long_running {
                 true => {
-                    self.may_disrupt(now_us, task_ref)
+                    self.may_disrupt(now_us, task_ref, StopReason::HostDrained)
                         && (waited_ms >= REPLACEMENT_WAIT_MS || self.has_replacement_worker(now_us, task_ref, step))
                 }
                 false => waited_ms >= MAINTENANCE_DRAIN_MS || checkpoints,
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -44,6 +44,8 @@
     pub(crate) has_renewed_entry: bool,
     /// When the entry was last removed from the registry.
     pub(crate) unlisted_us: u64,
+    /// Earliest time at which the worker leaves, if it drains.
+    pub(crate) leaves_at_us: u64,
     /// When another worker was found to have registered later on the same host. Unless this one still answers,
     /// it has ended.
     pub(crate) superseded_us: Option<u64>,
@@ -115,6 +117,7 @@
             is_listed: true,
             has_renewed_entry: false,
             unlisted_us: 0,
+            leaves_at_us: 0,
             superseded_us: None,
             unconfirmed_entry: None,
             former_starts_unix_ms: Vec::new(),
@@ -156,6 +159,13 @@
         WorkerIncarnation { id: self.entry.id.clone(), started_unix_ms: self.entry.started_unix_ms }
     }
 
+    /// Notes until when the worker stays, by its entry as read at `now_us`. Later entries only extend that time.
+    pub(crate) fn note_departure(&mut self, now_us: u64) {
+        if self.entry.draining {
+            self.leaves_at_us = self.leaves_at_us.max(now_us + self.entry.remaining_ms * US_PER_MS);
+        }
+    }
+
     /// CPU that long-running tasks hold, in thousandths of a core.
     pub(crate) fn long_running_milli(&self) -> u64 {
         self.long_running_reserved.cpu_milli
