Count every worker that names a host as being there

Cause: the leader took the workers of a host to be the one that the provider names and the one that registered last. With two workers registered for one host, both can be the same, idle one, and the host counted as empty.

Change: the leader keeps the IDs of the workers that name each host. A host is not taken down while one of them has tasks, new tasks are kept off all, and all lose their tasks when it is gone.

--- a/src/sched/disruption_tests.rs
+++ b/src/sched/disruption_tests.rs
@@ -1,7 +1,7 @@
 //! Tests of stop orders within the disruption budget of a step, beside waves and planned restarts of workers.
 
 use super::job::{RunPhase, TaskState};
-use super::model::{ActiveRun, HoldAnswer, WorkerEntry};
+use super::model::{ActiveRun, HoldAnswer, HostRecord, WaveOrder, WorkerEntry};
 use super::planned_work_tests::{
     assert_budgets_kept, assert_wave_complete, budgeted_step, catalog_with_second_pool, commit,
     leader_with_two_tasks_at_work, report_runs, run_with_small_jobs, stop_order_count, MAX_DOWN, WAVE, WORKER_COUNT,
@@ -129,3 +129,23 @@
         assert_eq!(stop_order_count(&mut leader), expected_stops, "{percent} percent at {at_ms} ms");
     }
 }
+
+/// Guards against the maintenance of a host on which a former worker still runs a task beside the latest one.
+#[test]
+fn host_is_not_taken_down_while_a_former_worker_of_it_has_tasks() {
+    let mut leader = leader_with_two_tasks_at_work();
+    let latest = WorkerEntry { id: "w0-latest".into(), started_unix_ms: 2, ..leader.workers["w0"].entry.clone() };
+    leader.worker_listed(11_000 * US_PER_MS, latest.clone());
+    let mut hosts: Vec<HostRecord> = leader.hosts.values().cloned().collect();
+    hosts.iter_mut().filter(|host| &*host.name == "h0").for_each(|host| host.worker = Some(latest.id.clone()));
+    leader.hosts_listed(11_000 * US_PER_MS, 11_000 * US_PER_MS, hosts);
+    commit(&mut leader, 11_000);
+    report_runs(&mut leader, 11_100, 11_050, 40);
+    let order = WaveOrder { number: WAVE, hosts: vec!["h0".into()], duration_ms: 30_000, max_down: 1 };
+    leader.add_wave(0, order);
+
+    leader.tick(11_200 * US_PER_MS, 0);
+
+    let batch = leader.take_batch(11_200 * US_PER_MS);
+    assert!(batch.host_orders.is_empty(), "{:?}", batch.host_orders);
+}
--- a/src/sched/host_workers.rs
+++ b/src/sched/host_workers.rs
@@ -5,6 +5,7 @@
 
 use super::model::TaskRef;
 use super::scheduler::Scheduler;
+use super::worker::Worker;
 
 impl Scheduler {
     /// Number of long-running tasks on a host, and its reserved CPU in thousandths of a core.
@@ -29,10 +30,39 @@
         self.workers.get(id).is_some_and(|worker| worker.is_listed).then(|| id.clone())
     }
 
-    /// Workers that may be on a host, registered or not: the one that the provider names, and the last one known.
+    /// Workers that may be on a host, registered or not: the one that the provider names, the last one known, and all that
+    /// name the host themselves. A former worker of the host may run tasks beside the latest one.
     pub(super) fn possible_workers_on(&self, host: &str) -> BTreeSet<Arc<str>> {
         let listed = self.hosts.get(host).and_then(|record| record.worker.as_ref());
-        listed.into_iter().chain(self.worker_by_host.get(host)).cloned().collect()
+        let named = self.workers_naming_host.get(host).into_iter().flatten();
+        listed.into_iter().chain(self.worker_by_host.get(host)).chain(named).cloned().collect()
+    }
+
+    /// Adds a worker, and notes the host that it names.
+    pub(super) fn insert_worker(&mut self, worker: Worker) {
+        let id = worker.entry.id.clone();
+        self.workers.insert(id.clone(), worker);
+        self.note_host_of(&id, None);
+    }
+
+    pub(super) fn remove_worker(&mut self, id: &Arc<str>) -> Option<Worker> {
+        let worker = self.workers.remove(id)?;
+        self.note_host_of(id, worker.entry.host.as_ref());
+        Some(worker)
+    }
+
+    /// Notes the host that a worker names now, instead of the one that it named before.
+    pub(super) fn note_host_of(&mut self, id: &Arc<str>, former: Option<&Arc<str>>) {
+        let named = self.workers.get(id).and_then(|worker| worker.entry.host.as_ref());
+        if let Some(host) = named {
+            self.workers_naming_host.entry(host.clone()).or_default().insert(id.clone());
+        }
+        let Some(former) = former.filter(|former| Some(*former) != named) else { return };
+        let Some(ids) = self.workers_naming_host.get_mut(former) else { return };
+        ids.remove(id);
+        if ids.is_empty() {
+            self.workers_naming_host.remove(former);
+        }
     }
 
     /// Tasks of which a run may be on a host, with the ID of its worker. A worker without an entry in the registry may
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -73,7 +73,7 @@
             worker.is_cordoned = is_cordoned;
             self.worker_on_host_registered(now_us, &worker.entry);
             let started_unix_ms = worker.entry.started_unix_ms;
-            self.workers.insert(id.clone(), worker);
+            self.insert_worker(worker);
             self.worker_lives(now_us, &id, started_unix_ms, false);
             self.attach_unattached(now_us, &id);
             self.open_session(&id);
@@ -97,8 +97,9 @@
                 worker.reserved
             );
         }
-        worker.entry = entry;
+        let former = std::mem::replace(&mut worker.entry, entry);
         worker.note_departure(now_us);
+        self.note_host_of(&id, former.host.as_ref());
         self.open_session(&id);
         if starts_draining {
             self.log_drain(&id);
@@ -172,7 +173,7 @@
         let is_starting = self.has_starting_budgeted_task(now_us, id);
         let Some(worker) = self.workers.get_mut(id) else { return HoldPlan::Close };
         if !worker.is_listed && worker.tasks.is_empty() && !has_untracked {
-            self.workers.remove(id);
+            self.remove_worker(id);
             return HoldPlan::Close;
         }
         if now_us < worker.next_hold_us {
--- a/src/sched/restarts.rs
+++ b/src/sched/restarts.rs
@@ -190,7 +190,7 @@
     /// Replaces the state of a worker by that of a new incarnation.
     fn replace_incarnation(&mut self, now_us: u64, entry: WorkerEntry) {
         let is_cordoned = self.is_on_leaving_host(&entry);
-        let Some(former) = self.workers.remove(&entry.id) else { return };
+        let Some(former) = self.remove_worker(&entry.id) else { return };
         let mut worker = Worker::new(now_us, entry);
         worker.has_session = former.has_session;
         worker.is_cordoned = is_cordoned;
@@ -200,7 +200,7 @@
         if worker.former_starts_unix_ms.len() > MAX_FORMER_STARTS {
             worker.former_starts_unix_ms.remove(0);
         }
-        self.workers.insert(worker.entry.id.clone(), worker);
+        self.insert_worker(worker);
     }
 
     /// Moves a run to the worker's new incarnation, and stops it there unless it is known to be there.
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -125,6 +125,8 @@
     pub(super) next_orphan_check_us: u64,
     /// Worker on each host, as last listed by the provider or the registry.
     pub(super) worker_by_host: HashMap<Arc<str>, Arc<str>>,
+    /// IDs of the workers in `workers` by the host that they name.
+    pub(super) workers_naming_host: HashMap<Arc<str>, BTreeSet<Arc<str>>>,
     pub(super) next_placement_us: u64,
     /// Pools in which tasks found no worker in the latest placement round.
     pub(super) pools_without_room: BTreeSet<Arc<str>>,
@@ -184,6 +186,7 @@
             least_late_ms: None,
             next_orphan_check_us: 0,
             worker_by_host: HashMap::default(),
+            workers_naming_host: HashMap::default(),
             next_placement_us: 0,
             pools_without_room: BTreeSet::new(),
             wants_placement: true,
