Name the cause of a loss by what the worker had announced

Cause: a worker that is back under its ID counted as crashed whatever it had said before. Only the paths for expired leases and workers that are gone asked whether it had drained.

Change: a restart is planned if the former incarnation drained or its host is taken away. A silent worker that turns out to have drained loses its entry among the losses, instead of counting as crashed once a later incarnation is known. The log line of a restart has the cause.

--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -89,6 +89,7 @@
         }
         worker.is_listed = true;
         let starts_draining = entry.draining && !worker.entry.draining;
+        let started_unix_ms = entry.started_unix_ms;
         if worker.entry.capacity != entry.capacity {
             log::info!(
                 "worker={id} capacity={} former={} reserved={} outcome=capacity_changed",
@@ -103,6 +104,7 @@
         self.open_session(&id);
         if starts_draining {
             self.log_drain(&id);
+            self.worker_drains(now_us, &id, started_unix_ms);
             self.evict_long_running(now_us);
         }
     }
--- a/src/sched/restarts.rs
+++ b/src/sched/restarts.rs
@@ -13,7 +13,6 @@
 use super::scheduler::Scheduler;
 use super::task_runs::RunReport;
 use super::worker::Worker;
-use super::worker_loss::LossCause;
 
 /// Start times of former incarnations that are kept for each worker.
 const MAX_FORMER_STARTS: usize = 8;
@@ -132,7 +131,8 @@
         let lost = effects.iter().filter(|(_, effect)| effect.is_loss());
         let lost: Vec<TaskRef> = lost.map(|(task_ref, _)| task_ref.clone()).collect();
         let observation = Observation::WorkerRestarted { requested_us: list.map(|list| list.requested_us) };
-        self.release_lost(now_us, &id, &lost, LossCause::Crashed, observation);
+        let cause = self.restart_cause(&id);
+        self.release_lost(now_us, &id, &lost, cause, observation);
         self.set_untracked_usage(&id, Vec::new());
         self.replace_incarnation(now_us, entry);
         for (task_ref, effect) in effects {
@@ -174,11 +174,12 @@
         let Some(former) = self.workers.get(&entry.id) else { return };
         let count = |wanted| effects.iter().filter(|(_, effect)| *effect == wanted).count();
         log::warn!(
-            "worker={} started_unix_ms={} former={} lost={} may_arrive={} undecided={} listed={} list_age_ms={} \
+            "worker={} started_unix_ms={} former={} cause={} lost={} may_arrive={} undecided={} listed={} list_age_ms={} \
              outcome=restarted",
             entry.id,
             entry.started_unix_ms,
             former.entry.started_unix_ms,
+            self.restart_cause(&entry.id).label(),
             count(RestartEffect::Lost),
             count(RestartEffect::MayArrive),
             count(RestartEffect::Undecided),
--- a/src/sched/sim/planned_restarts.rs
+++ b/src/sched/sim/planned_restarts.rs
@@ -26,20 +26,19 @@
 }
 
 impl Sim {
-    /// Begins a planned restart of a worker that is up and does not drain. The number selects one of them.
+    /// Begins a planned restart of one of the workers, unless it is down or drains already. The number selects it.
     pub(in crate::sched) fn restart_as_planned(&mut self, number: usize, restart: PlannedRestart) {
-        let is_serving = |id: &&Arc<str>| {
-            let worker = &self.workers[*id];
-            worker.is_up && !worker.entry.draining
-        };
-        let serving: Vec<Arc<str>> = self.workers.keys().filter(is_serving).cloned().collect();
-        let Some(id) = serving.get(number % serving.len().max(1)) else { return };
-        let Some(worker) = self.workers.get_mut(id) else { return };
+        let index = number % self.workers.len().max(1);
+        let Some((id, worker)) = self.workers.iter_mut().nth(index) else { return };
+        if !worker.is_up || worker.entry.draining {
+            return;
+        }
+        let id = id.clone();
         worker.entry.draining = true;
         worker.entry.remaining_ms = restart.remaining_ms;
         let entry = worker.entry.clone();
         self.registry.insert(entry);
-        self.planned_restarts.leaving.push((self.now_us + restart.stays_ms * US_PER_MS, id.clone(), restart));
+        self.planned_restarts.leaving.push((self.now_us + restart.stays_ms * US_PER_MS, id, restart));
     }
 
     pub(super) fn advance_planned_restarts(&mut self) {
--- a/src/sched/worker_loss.rs
+++ b/src/sched/worker_loss.rs
@@ -17,6 +17,7 @@
 use super::model::{TaskRef, WorkerEntry};
 use super::scheduler::Scheduler;
 use super::task_runs::PlacedRun;
+use super::worker::Worker;
 use crate::clock::US_PER_MS;
 
 /// A task is given up once it may be to blame for so many crashes, if it is the only suspect of one of them.
@@ -55,6 +56,27 @@
     }
 }
 
+/// Why a worker was silent, as it turns out later.
+#[derive(Debug, Clone, Copy)]
+enum SilenceCause {
+    Crashed,
+    /// The same incarnation answers again.
+    CutOff,
+    /// It has announced that it leaves.
+    Planned,
+}
+
+impl SilenceCause {
+    /// Outcome in logs.
+    fn outcome(self) -> &'static str {
+        match self {
+            SilenceCause::Crashed => "loss_was_crash",
+            SilenceCause::CutOff => "loss_was_cut",
+            SilenceCause::Planned => "loss_was_planned",
+        }
+    }
+}
+
 /// Whether a run may have crashed the worker with which it was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Blame {
@@ -127,14 +149,26 @@
     /// Why the runs of a worker are released that no longer answers.
     pub(super) fn loss_cause(&self, id: &Arc<str>) -> LossCause {
         let Some(worker) = self.workers.get(id) else { return LossCause::Silent };
-        let is_host_leaving = worker.entry.host.as_ref().is_some_and(|host| self.is_host_leaving(host));
-        if worker.entry.draining || is_host_leaving {
-            return LossCause::Planned;
+        if self.was_to_leave(worker) {
+            LossCause::Planned
+        } else if worker.superseded_us.is_some() {
+            LossCause::Crashed
+        } else {
+            LossCause::Silent
         }
-        if worker.superseded_us.is_some() {
-            return LossCause::Crashed;
+    }
+
+    /// Why the runs of a worker are released of which a later incarnation has started.
+    pub(super) fn restart_cause(&self, id: &Arc<str>) -> LossCause {
+        match self.workers.get(id).is_some_and(|worker| self.was_to_leave(worker)) {
+            true => LossCause::Planned,
+            false => LossCause::Crashed,
         }
-        LossCause::Silent
+    }
+
+    /// Whether the known incarnation of a worker had announced that it would leave, or its host is taken away.
+    fn was_to_leave(&self, worker: &Worker) -> bool {
+        worker.entry.draining || worker.entry.host.as_ref().is_some_and(|host| self.is_host_leaving(host))
     }
 
     /// Tasks that may have crashed a worker: those whose runs it had not listed yet or, if it had listed all, all of them
@@ -263,7 +297,16 @@
         if silent.started_unix_ms > started_unix_ms || (was_cut_off && !has_answered) {
             return;
         }
-        self.resolve_silent(now_us, id, !was_cut_off);
+        let finding = if was_cut_off { SilenceCause::CutOff } else { SilenceCause::Crashed };
+        self.resolve_silent(now_us, id, finding);
+    }
+
+    /// Handles a report that a worker drains: if it was silent before, it has not crashed.
+    pub(super) fn worker_drains(&mut self, now_us: u64, id: &Arc<str>, started_unix_ms: u64) {
+        let silent = self.lost_workers.silent.get(id);
+        if silent.is_some_and(|silent| silent.started_unix_ms == started_unix_ms) {
+            self.resolve_silent(now_us, id, SilenceCause::Planned);
+        }
     }
 
     /// Notes a registered worker on its host. A worker that started and was registered there earlier has ended.
@@ -290,24 +333,24 @@
         }
         let silent = self.lost_workers.silent.get(&former.id);
         if silent.is_some_and(|silent| silent.started_unix_ms == former.started_unix_ms) {
-            self.resolve_silent(now_us, &former.id, true);
+            self.resolve_silent(now_us, &former.id, SilenceCause::Crashed);
         }
     }
 
-    /// Records for all tasks lost with a silent worker whether it has crashed.
-    fn resolve_silent(&mut self, now_us: u64, id: &Arc<str>, has_crashed: bool) {
+    /// Records for all tasks lost with a silent worker why it was silent.
+    fn resolve_silent(&mut self, now_us: u64, id: &Arc<str>, cause: SilenceCause) {
         let Some(SilentWorker { started_unix_ms, tasks }) = self.lost_workers.silent.remove(id) else { return };
         let worker = WorkerIncarnation { id: id.clone(), started_unix_ms };
         for task_ref in tasks {
             let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(&task_ref)) else { continue };
             let Some(index) = task.losses.iter().position(|loss| loss.worker == worker) else { continue };
-            if has_crashed {
-                task.losses[index].is_crash = true;
-            } else {
-                task.losses.remove(index);
+            match cause {
+                SilenceCause::Crashed => task.losses[index].is_crash = true,
+                SilenceCause::CutOff | SilenceCause::Planned => {
+                    task.losses.remove(index);
+                }
             }
-            let outcome = if has_crashed { "loss_was_crash" } else { "loss_was_cut" };
-            self.log_losses(&task_ref, &worker, outcome);
+            self.log_losses(&task_ref, &worker, cause.outcome());
             self.mark_dirty(&task_ref.job);
             self.watch_losses(&task_ref);
             self.give_up_if_exhausted(now_us, &task_ref);
--- a/src/sched/worker_loss_tests.rs
+++ b/src/sched/worker_loss_tests.rs
@@ -9,7 +9,8 @@
 use super::record::{encode_job, restore_job};
 use super::run_end::Observation;
 use super::scheduler::Scheduler;
-use super::sim::{spec, step, Faults, NextWorkerId, Sim, Stragglers};
+use super::sim::{spec, step, Faults, NextWorkerId, PlannedRestart, Sim, Stragglers};
+use super::worker_loss::LossCause;
 
 /// Time until the host of a crashed worker has a new one.
 const DOWN_MS: u64 = 3_200;
@@ -200,6 +201,51 @@
     assert!(task(&leader, JOB).losses.is_empty());
 }
 
+/// A planned restart of a worker, which is back at once.
+const PLANNED_RESTART: PlannedRestart = PlannedRestart { remaining_ms: 2_000, stays_ms: 2_500, down_ms: 100 };
+
+/// Guards against planned restarts that count as crashes, so that jobs fail without a cause (review/6).
+#[test]
+fn jobs_do_not_fail_when_their_workers_restart_as_planned() {
+    const WORKERS: usize = 5;
+    for seed in 0..8 {
+        let mut sim = Sim::new(seed, WORKERS, Faults::default());
+        sim.run_duration_us = 30 * SECOND_US;
+        sim.stragglers.report_progress = true;
+        for number in 0..8 {
+            sim.submit(&format!("job-{number}"), spec(vec![step(1, &[])]));
+        }
+        sim.run_for(1_000);
+
+        for number in 0..6 * WORKERS {
+            sim.restart_as_planned(number, PLANNED_RESTART);
+            sim.run_for(3_600);
+        }
+        sim.run_until_jobs_final(60_000);
+
+        assert_eq!(sim.violations, [], "seed {seed}");
+        for id in sim.specs.keys() {
+            assert_eq!(phase(&sim, id), JobPhase::Completed, "seed {seed}: {id}");
+        }
+    }
+}
+
+/// Guards against a crash that is blamed on tasks whose worker fell silent before its report of the drain was read.
+#[test]
+fn silent_worker_that_turns_out_to_drain_has_not_crashed() {
+    let (mut leader, id) = leader_with_task(step(1, &[]));
+    let entry = leader.workers[&id].entry.clone();
+    let (now_us, restarted) = (11 * SECOND_US, WorkerEntry { started_unix_ms: 2, ..entry.clone() });
+    let observation = Observation::LeasesExpired { now_us: 60 * SECOND_US };
+    leader.release_lost_tasks(now_us, &id, LossCause::Silent, observation);
+    assert_eq!(task(&leader, JOB).losses.len(), 1, "the silent worker counts as lost");
+
+    leader.worker_listed(now_us, WorkerEntry { draining: true, ..entry });
+    leader.worker_listed(now_us, restarted);
+
+    assert!(task(&leader, JOB).losses.is_empty());
+}
+
 #[test]
 fn long_running_task_is_not_given_up_for_crashes_that_others_cause() {
     let mut sim = Sim::new(1, 4, Faults::default());
