Keep a cancelled job from being stored after its cancelling was acknowledged

Cause: a daemon that found no job answered 410 at once. Nothing that it left in the store broke the condition of a submission that was still on its way.

Change: the cancellation writes the row of a finished job, on the condition that neither the job nor its end is stored, which is also that of a submission. So one of the two fails: the submission, now or late, or the cancellation, which then finds the job. Submitting such an ID again is answered with 409 and the reason. The row says that the job was never submitted, so it is not shown; earlier versions read it as that of a cancelled job.

--- a/src/control.rs
+++ b/src/control.rs
@@ -7,7 +7,7 @@
 //! |---|---|---|---|
 //! | `job` | `j0` to `j7`, by job ID | job ID | submission |
 //! | `job` | as above | job ID followed by `/x` | cancellation request |
-//! | `over` | `j0` to `j7`, by job ID | job ID | final phase of a job whose submission was removed, with its origin |
+//! | `over` | `j0` to `j7`, by job ID | job ID | final phase of a job whose submission was removed, or that was cancelled before it was submitted, with its origin |
 //! | `record` | `sched` | job ID | progress of the job's tasks |
 //! | `phase` | `sched` | sequence version before the transaction | jobs whose phase changed in one transaction, with their origins |
 //! | `phase` | `sched` | `/pending` | number of queued jobs of each queue |
--- a/src/control/http_api.rs
+++ b/src/control/http_api.rs
@@ -15,7 +15,7 @@
 
 use super::access::{authorize, AccessError, Caller};
 use super::admission::{admit, AdmissionError};
-use super::ownership::{find_job, read_job, JobLookup};
+use super::ownership::{find_job, read_job, JobLookup, StoredJob};
 use super::submissions::{self, Stored};
 use super::ControlDaemon;
 use crate::buffered_body::{collect_body, BodyError, ByteBudget};
@@ -23,7 +23,7 @@
 use crate::http_server::{Body, Handler};
 use crate::platform::job_api::{decode_job, is_job_id, job_state_body, pending_count_body, DEADLINE_HEADER};
 use crate::row_store::RowStoreError;
-use crate::sched::model::{Catalog, JobId, JobPhase, JobSpec, Queue};
+use crate::sched::model::{Catalog, JobId, JobOrigin, JobSpec, Queue};
 
 const MAX_BODY_BYTES: usize = 262_144;
 /// Limit on all request bodies held in memory at the same time.
@@ -73,6 +73,11 @@
         find_job(daemon, &self.caller, &self.queue.name, &self.id).await
     }
 
+    /// Where the caller submits jobs by this request.
+    fn origin(&self) -> JobOrigin {
+        JobOrigin { queue: self.queue.name.clone(), organisation: self.caller.organisation().cloned() }
+    }
+
     /// Name of the caller's organisation in log lines.
     fn organisation(&self) -> &str {
         self.caller.organisation().map_or("", |name| name)
@@ -176,6 +181,10 @@
             json(StatusCode::OK, "{}".to_owned())
         }
         Stored::Existing => resubmission_response(daemon, request).await,
+        Stored::Cancelled => {
+            daemon.organisation_metrics.borrow().count_refused(caller.organisation());
+            never_submitted_response(request)
+        }
         Stored::No => {
             daemon.organisation_metrics.borrow().count_refused(caller.organisation());
             unavailable("the store does not take the job now")
@@ -202,8 +211,10 @@
     error: &AdmissionError,
 ) -> Option<Response<Body>> {
     match read_job(daemon, &request.id).await {
-        Ok(None) => {}
-        Ok(Some(_)) => return Some(resubmission_response(daemon, request).await),
+        Ok(StoredJob::Absent) => {}
+        Ok(StoredJob::Job(_) | StoredJob::NeverSubmitted) => {
+            return Some(resubmission_response(daemon, request).await);
+        }
         Err(_) if matches!(error, AdmissionError::GangBeyondQuota { .. }) => return Some(may_be_stored_response()),
         Err(_) => return None,
     }
@@ -245,6 +256,7 @@
             count_refusal(JOB_OF_OTHERS);
             status_response(StatusCode::CONFLICT, "another job has this ID")
         }
+        Ok(JobLookup::NeverSubmitted) => never_submitted_response(request),
         // The job may be this caller's, so it must not be told that it never runs.
         Ok(JobLookup::Absent) => may_be_stored_response(),
         Err(error) => {
@@ -254,48 +266,62 @@
     }
 }
 
-/// Looks up the job of a request to show or cancel it. `Err` is the response if there is none that the caller may see, or
-/// if the store cannot be read.
-async fn visible_phase(daemon: &Rc<ControlDaemon>, request: &JobRequest) -> Result<JobPhase, Response<Body>> {
-    match request.find_job(daemon).await {
-        Ok(JobLookup::Visible(phase)) => Ok(phase),
-        Ok(JobLookup::Hidden) => {
-            count_refusal(JOB_OF_OTHERS);
-            Err(status_response(StatusCode::GONE, "no such job"))
-        }
-        Ok(JobLookup::Absent) => Err(status_response(StatusCode::GONE, "no such job")),
-        Err(error) => {
-            log::info!("job={} error={error} outcome=phase_read_failed", request.id);
-            Err(unavailable("the store cannot be read now"))
-        }
+/// Response to a submission of a job that was cancelled before; it never runs.
+fn never_submitted_response(request: &JobRequest) -> Response<Body> {
+    log::info!("job={} queue={} outcome=refused_cancelled_job", request.id, request.queue.name);
+    count_refusal("cancelled_job");
+    status_response(StatusCode::CONFLICT, "a job with this ID was cancelled before it was submitted; use another ID")
+}
+
+/// Response to a request for a job that does not exist, or that the caller may not see.
+fn no_such_job(lookup: JobLookup) -> Response<Body> {
+    if lookup == JobLookup::Hidden {
+        count_refusal(JOB_OF_OTHERS);
     }
+    status_response(StatusCode::GONE, "no such job")
+}
+
+fn lookup_error_response(request: &JobRequest, error: &RowStoreError) -> Response<Body> {
+    log::info!("job={} error={error} outcome=phase_read_failed", request.id);
+    unavailable("the store cannot be read now")
 }
 
 async fn get_job(daemon: &Rc<ControlDaemon>, request: &JobRequest) -> Response<Body> {
-    match visible_phase(daemon, request).await {
-        Ok(phase) => json(StatusCode::OK, job_state_body(phase)),
-        Err(response) => response,
+    match request.find_job(daemon).await {
+        Ok(JobLookup::Visible(phase)) => json(StatusCode::OK, job_state_body(phase)),
+        Ok(lookup) => no_such_job(lookup),
+        Err(error) => lookup_error_response(request, &error),
     }
 }
 
 async fn cancel_job(daemon: &Rc<ControlDaemon>, request: &JobRequest) -> Response<Body> {
     let id = &request.id;
-    match visible_phase(daemon, request).await {
-        Ok(phase) if phase.is_final() => return json(StatusCode::OK, "{}".to_owned()),
-        Ok(_) => {}
-        Err(response) => return response,
-    }
-    let stored = submissions::cancel(daemon, id).await;
-    log::info!("job={id} stored={stored:?} outcome=cancel_requested");
-    match stored {
-        Stored::Yes => json(StatusCode::OK, "{}".to_owned()),
-        Stored::Unknown => {
-            status_response(StatusCode::GATEWAY_TIMEOUT, "the cancellation may have been stored; send it again")
-        }
-        Stored::No | Stored::Existing | Stored::Refused(_) => {
-            unavailable("the store does not take the cancellation now")
+    // A job that is absent may be submitted while its cancellation is stored; the second attempt finds it.
+    for _ in 0..2 {
+        let lookup = match request.find_job(daemon).await {
+            Ok(lookup) => lookup,
+            Err(error) => return lookup_error_response(request, &error),
+        };
+        let stored = match lookup {
+            JobLookup::Visible(phase) if phase.is_final() => return json(StatusCode::OK, "{}".to_owned()),
+            JobLookup::Visible(_) => submissions::cancel(daemon, id).await,
+            JobLookup::Hidden | JobLookup::NeverSubmitted => return no_such_job(lookup),
+            // An earlier call may have sent a submission that the store performs later.
+            JobLookup::Absent => submissions::cancel_before_submission(daemon, id, &request.origin()).await,
+        };
+        log::info!("job={id} lookup={lookup:?} stored={stored:?} outcome=cancel_requested");
+        match stored {
+            Stored::Yes if lookup == JobLookup::Absent => return no_such_job(lookup),
+            Stored::Yes => return json(StatusCode::OK, "{}".to_owned()),
+            Stored::Unknown => {
+                let message = "the cancellation may have been stored; send it again";
+                return status_response(StatusCode::GATEWAY_TIMEOUT, message);
+            }
+            Stored::Existing => {}
+            Stored::No | Stored::Cancelled | Stored::Refused(_) => break,
         }
     }
+    unavailable("the store does not take the cancellation now")
 }
 
 /// Response to a request that is not authorised; it has not run.
--- a/src/control/ownership.rs
+++ b/src/control/ownership.rs
@@ -10,7 +10,7 @@
 use super::{job_partition, ControlDaemon, FINISHED_TABLE, JOB_TABLE};
 use crate::row_store::RowStoreError;
 use crate::sched::model::{JobId, JobOrigin, JobPhase};
-use crate::sched::record::{decode_final_phase, decode_spec};
+use crate::sched::record::{decode_finished_job, decode_spec};
 
 /// Whether a caller may know of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,6 +28,16 @@
     Visible(JobPhase),
     /// The job belongs to others.
     Hidden,
+    /// The job was cancelled before it was submitted, so that it never will be.
+    NeverSubmitted,
+    Absent,
+}
+
+/// What the store holds of a job.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum StoredJob {
+    Job(KnownJob),
+    NeverSubmitted,
     Absent,
 }
 
@@ -63,7 +73,11 @@
             Visibility::Undecided => {}
         }
     }
-    let stored = read_job(daemon, id).await?;
+    let stored = match read_job(daemon, id).await? {
+        StoredJob::Job(stored) => Some(stored),
+        StoredJob::NeverSubmitted => return Ok(JobLookup::NeverSubmitted),
+        StoredJob::Absent => None,
+    };
     // A phase that the leader has published is newer than that of the submission.
     let Some(job) = merge(known, stored) else { return Ok(JobLookup::Absent) };
     match visibility(caller, queue, job.origin.as_deref()) {
@@ -82,7 +96,7 @@
 }
 
 /// Reads a job's phase and origin from the store. A job whose submission is still stored counts as queued.
-pub(super) async fn read_job(daemon: &Rc<ControlDaemon>, id: &JobId) -> Result<Option<KnownJob>, RowStoreError> {
+pub(super) async fn read_job(daemon: &Rc<ControlDaemon>, id: &JobId) -> Result<StoredJob, RowStoreError> {
     let partition = job_partition(id);
     let stored = daemon.store.read_page(JOB_TABLE, &partition, id, 1).await?;
     if let Some(value) = stored.rows.iter().find(|row| row.id.key == *id).and_then(|row| row.value.as_ref()) {
@@ -95,12 +109,15 @@
         };
         let mut status = daemon.status.borrow_mut();
         status.mark_stored(id, origin.clone());
-        return Ok(Some(KnownJob { phase: JobPhase::Queued, origin: origin.map(Into::into) }));
+        return Ok(StoredJob::Job(KnownJob { phase: JobPhase::Queued, origin: origin.map(Into::into) }));
     }
     let finished = daemon.store.read_page(FINISHED_TABLE, &partition, id, 1).await?;
     let Some(value) = finished.rows.iter().find(|row| row.id.key == *id).and_then(|row| row.value.as_ref()) else {
-        return Ok(None);
+        return Ok(StoredJob::Absent);
     };
-    let (phase, origin) = decode_final_phase(value).map_err(|error| RowStoreError::Protocol(error.to_string()))?;
-    Ok(Some(KnownJob { phase, origin: origin.map(Into::into) }))
+    let finished = decode_finished_job(value).map_err(|error| RowStoreError::Protocol(error.to_string()))?;
+    if !finished.was_submitted {
+        return Ok(StoredJob::NeverSubmitted);
+    }
+    Ok(StoredJob::Job(KnownJob { phase: finished.phase, origin: finished.origin.map(Into::into) }))
 }
--- a/src/control/submissions.rs
+++ b/src/control/submissions.rs
@@ -15,10 +15,11 @@
 use crate::endpoint_client::timeout_at;
 use crate::reactor::{spawn, Condvar};
 use crate::row_store::{
-    RowId, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction, ABSENT_ROW_VERSION, MAX_TRANSACTION_BYTES,
+    RowId, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction, StoredRow, ABSENT_ROW_VERSION,
+    MAX_TRANSACTION_BYTES,
 };
 use crate::sched::model::{JobId, JobOrigin, JobPhase, JobSpec, ReportedPhase};
-use crate::sched::record::{encode_final_phase, encode_spec};
+use crate::sched::record::{decode_finished_job, encode_cancelled_before_submission, encode_final_phase, encode_spec};
 
 /// Maximum number of jobs in one transaction. Each takes three of the 100 entries that the store allows.
 const MAX_BATCH_JOBS: usize = 30;
@@ -30,6 +31,8 @@
     Yes,
     /// A submission of the job was stored already: by an earlier attempt, or by another caller.
     Existing,
+    /// Not stored: the job was cancelled before it was submitted.
+    Cancelled,
     /// Not stored, and this attempt will not store it later either.
     No,
     /// The store did not answer in time: it may have been stored.
@@ -44,6 +47,7 @@
         match self {
             Stored::Yes => "yes",
             Stored::Existing => "existing",
+            Stored::Cancelled => "cancelled",
             Stored::No => "no",
             Stored::Unknown => "unknown",
             Stored::Refused(_) => "refused",
@@ -226,10 +230,11 @@
         Ok(RowStoreCommitOutcome::Conflict { current }) => {
             let mut remaining = Vec::new();
             for submission in batch {
-                if current.iter().any(|row| row.id.key == submission.id && row.version != ABSENT_ROW_VERSION) {
-                    complete(daemon, submission, Stored::Existing);
-                } else {
-                    remaining.push(submission);
+                let mut rows = current.iter().filter(|row| row.id.key == submission.id);
+                match rows.find(|row| row.version != ABSENT_ROW_VERSION) {
+                    Some(row) if is_cancelled_before_submission(row) => complete(daemon, submission, Stored::Cancelled),
+                    Some(_) => complete(daemon, submission, Stored::Existing),
+                    None => remaining.push(submission),
                 }
             }
             return remaining;
@@ -271,6 +276,12 @@
     remaining
 }
 
+/// Whether a row that was in the way of a submission keeps the job from being submitted at all.
+fn is_cancelled_before_submission(row: &StoredRow) -> bool {
+    let Some(value) = row.value.as_ref().filter(|_| &*row.id.table == FINISHED_TABLE) else { return false };
+    decode_finished_job(value).is_ok_and(|finished| !finished.was_submitted)
+}
+
 fn complete(daemon: &Rc<ControlDaemon>, submission: Submission, stored: Stored) {
     if stored == Stored::Yes {
         daemon.status.borrow_mut().mark_stored(&submission.id, Some(submission.origin));
@@ -283,9 +294,29 @@
 pub(super) async fn cancel(daemon: &Rc<ControlDaemon>, id: &str) -> Stored {
     let row_id = RowId::new(JOB_TABLE, &job_partition(id), &format!("{id}{CANCEL_SUFFIX}"));
     let transaction = RowStoreTransaction { writes: vec![(row_id, vec![1])], ..RowStoreTransaction::default() };
-    match daemon.store.commit(&transaction).await {
+    cancel_outcome(id, daemon.store.commit(&transaction).await)
+}
+
+/// Cancels a job that is not stored: a submission that an earlier call has sent, and that the store performs late, finds
+/// the row in its way. [`Stored::Existing`] if the job was submitted or cancelled meanwhile.
+pub(super) async fn cancel_before_submission(daemon: &Rc<ControlDaemon>, id: &str, origin: &JobOrigin) -> Stored {
+    let partition = job_partition(id);
+    let finished = RowId::new(FINISHED_TABLE, &partition, id);
+    let transaction = RowStoreTransaction {
+        expected: vec![
+            (RowId::new(JOB_TABLE, &partition, id), ABSENT_ROW_VERSION),
+            (finished.clone(), ABSENT_ROW_VERSION),
+        ],
+        writes: vec![(finished, encode_cancelled_before_submission(origin))],
+        ..RowStoreTransaction::default()
+    };
+    cancel_outcome(id, daemon.store.commit(&transaction).await)
+}
+
+fn cancel_outcome(id: &str, outcome: Result<RowStoreCommitOutcome, RowStoreError>) -> Stored {
+    match outcome {
         Ok(RowStoreCommitOutcome::Applied { .. }) => Stored::Yes,
-        Ok(RowStoreCommitOutcome::Conflict { .. }) => Stored::No,
+        Ok(RowStoreCommitOutcome::Conflict { .. }) => Stored::Existing,
         Err(RowStoreError::ResponseLost(_)) => Stored::Unknown,
         Err(error) => {
             log::debug!("job={id} error={error} outcome=cancel_not_stored");
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -181,6 +181,15 @@
     pub(crate) origin: Option<JobOrigin>,
 }
 
+/// A job whose submission was removed, or that was cancelled before it was submitted.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct FinishedJob {
+    pub(crate) phase: JobPhase,
+    /// `None` if the job belonged to no organisation.
+    pub(crate) origin: Option<JobOrigin>,
+    pub(crate) was_submitted: bool,
+}
+
 /// A job as its caller submitted it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct JobSpec {
--- a/src/sched/record.rs
+++ b/src/sched/record.rs
@@ -6,7 +6,7 @@
 
 use super::admission::AdmissionReport;
 use super::job::{Job, RunPhase, Task, TaskState, WorkerIncarnation};
-use super::model::{JobId, JobOrigin, JobPhase, JobSpec, ReportedPhase, TaskRef};
+use super::model::{FinishedJob, JobId, JobOrigin, JobPhase, JobSpec, ReportedPhase, TaskRef};
 use super::packed_row::{pack, unpack};
 use super::task_runs::PlacedRun;
 use super::worker_loss::{Blame, WorkerLoss};
@@ -135,11 +135,26 @@
     row
 }
 
-/// Decodes the final phase that replaces the submission of a finished job.
-pub(crate) fn decode_final_phase(bytes: &[u8]) -> Result<(JobPhase, Option<JobOrigin>), RecordError> {
+/// Follows the origin in the row of a job that was cancelled before it was submitted. Earlier versions read such a row as
+/// that of a cancelled job.
+const CANCELLED_BEFORE_SUBMISSION: u8 = 1;
+
+/// Encodes the row that keeps a cancelled job from being submitted later.
+pub(crate) fn encode_cancelled_before_submission(origin: &JobOrigin) -> Vec<u8> {
+    let mut row = encode_final_phase(JobPhase::Cancelled, Some(origin));
+    row.push(CANCELLED_BEFORE_SUBMISSION);
+    row
+}
+
+/// Decodes the row that replaces the submission of a finished job.
+pub(crate) fn decode_finished_job(bytes: &[u8]) -> Result<FinishedJob, RecordError> {
     let (phase, read) = decode_prefix(bytes)?;
-    let origin = if read < bytes.len() { Some(decode(&bytes[read..])?) } else { None };
-    Ok((phase, origin))
+    if read == bytes.len() {
+        return Ok(FinishedJob { phase, origin: None, was_submitted: true });
+    }
+    let (origin, origin_bytes) = decode_prefix(&bytes[read..])?;
+    let was_submitted = bytes.get(read + origin_bytes) != Some(&CANCELLED_BEFORE_SUBMISSION);
+    Ok(FinishedJob { phase, origin: Some(origin), was_submitted })
 }
 
 /// Encodes changed phases of jobs, which are reported to callers once they are stored. The origins follow if any of the
--- a/src/sched/record_tests.rs
+++ b/src/sched/record_tests.rs
@@ -8,10 +8,11 @@
 
 use super::admission::{AdmissionReport, QueueWait};
 use super::job::{Job, RunPhase, WorkerIncarnation, MAX_JOB_TASKS};
-use super::model::{JobId, JobOrigin, JobPhase, ReportedPhase, TaskRef};
+use super::model::{FinishedJob, JobId, JobOrigin, JobPhase, ReportedPhase, TaskRef};
 use super::record::{
-    decode_admission, decode_final_phase, decode_published_phases, decode_spec, encode_admission, encode_final_phase,
-    encode_job, encode_published_phases, encode_spec, restore_job,
+    decode_admission, decode_finished_job, decode_published_phases, decode_spec, encode_admission,
+    encode_cancelled_before_submission, encode_final_phase, encode_job, encode_published_phases, encode_spec,
+    restore_job,
 };
 use super::sim::{spec, step};
 use super::worker_loss::{Blame, WorkerLoss};
@@ -50,10 +51,10 @@
     let phases: Vec<(JobId, JobPhase)> = vec![("a".into(), JobPhase::Running)];
 
     let published = decode_published_phases(&encode_as_before(&phases)).expect("the row can be decoded");
-    let finished = decode_final_phase(&encode_as_before(&JobPhase::Failed)).expect("the row can be decoded");
+    let finished = decode_finished_job(&encode_as_before(&JobPhase::Failed)).expect("the row can be decoded");
 
     assert_eq!(published, vec![reported("a", JobPhase::Running, None)]);
-    assert_eq!(finished, (JobPhase::Failed, None));
+    assert_eq!(finished, FinishedJob { phase: JobPhase::Failed, origin: None, was_submitted: true });
 }
 
 #[test]
@@ -69,11 +70,12 @@
     job.organisation = Some("kora".into());
 
     let published = decode_published_phases(&encode_published_phases(&phases)).expect("the row can be decoded");
-    let finished = decode_final_phase(&encode_final_phase(JobPhase::Completed, Some(&kora)));
+    let finished = decode_finished_job(&encode_final_phase(JobPhase::Completed, Some(&kora)));
     let submitted = decode_spec(&encode_spec(&job)).expect("the row can be decoded");
 
     assert_eq!(published, phases);
-    assert_eq!(finished.expect("the row can be decoded"), (JobPhase::Completed, Some(kora)));
+    let expected = FinishedJob { phase: JobPhase::Completed, origin: Some(kora), was_submitted: true };
+    assert_eq!(finished.expect("the row can be decoded"), expected);
     assert_eq!(submitted.organisation.as_deref(), Some("kora"));
 }
 
@@ -88,6 +90,18 @@
     assert_eq!(decode_as_before::<JobPhase>(&final_row), JobPhase::Failed);
 }
 
+/// Guards against a row that earlier versions cannot read, or that is taken for one of a job that was submitted.
+#[test]
+fn job_that_was_cancelled_before_its_submission_is_told_from_one_that_was_submitted() {
+    let kora = origin("q1", "kora");
+
+    let row = encode_cancelled_before_submission(&kora);
+
+    let expected = FinishedJob { phase: JobPhase::Cancelled, origin: Some(kora.clone()), was_submitted: false };
+    assert_eq!(decode_finished_job(&row).expect("the row can be decoded"), expected);
+    assert_eq!(decode_as_before::<(JobPhase, JobOrigin)>(&row), (JobPhase::Cancelled, kora));
+}
+
 #[test]
 fn truncated_origins_are_an_error() {
     let mut row = encode_published_phases(&[reported("a", JobPhase::Running, Some(origin("q1", "kora")))]);
