Bound the leases that calls for a former incarnation of a worker may grant

Cause: a worker that is back under its ID takes calls that were meant for its former life, and their deadlines, on another clock, give all of its runs the longest lease from the moment at which a call is carried out. The leader counted that lease from when it had decided on the run's own start order. Calls may be carried out seconds late, hold requests grant such leases as well, and an answer whose clock showed the new incarnation was logged and had no consequence; worse, any clock that was large enough confirmed a run as one of the known incarnation.

Change: calls to a worker carry a higher fencing token once one has got no answer, or a restart is known: the version of a committed transaction, which is higher than the term's token and lower than that of any later term. A worker that has seen it refuses every earlier call. Until then, runs that are not certainly on the known incarnation wait for the last such call, the time by which it may be late, and the longest lease. An answer with an impossible clock stops starts, lease renewals and acknowledgements for the worker until it has said which incarnation it is. A silent worker gets neither deadlines nor cursors, and none gets a cursor while the answer to a start order is missing: a later incarnation would forget unread ends. A new leader waits for the longest lease, and for late calls of the former one where a worker has restarted since the record.

Tests of restarts now let the worker answer a call with the raised token before it gets new starts; the wait of a new leader in takeover_tests is the longest lease instead of the one that a leader may grant, since a later incarnation's lease is longer.

--- a/src/control.rs
+++ b/src/control.rs
@@ -40,6 +40,7 @@
 mod status;
 mod submissions;
 mod term;
+mod worker_fences;
 mod writer;
 
 use std::cell::{Cell, RefCell};
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -11,6 +11,7 @@
 use super::orders::OrderQueues;
 use super::stage_metrics::StageMetrics;
 use super::term::release_transaction;
+use super::worker_fences::WorkerFences;
 use super::{
     calls, feeds, organisation_metrics, sessions, submissions, writer, ControlDaemon, CANCEL_SUFFIX, HOST_TABLE,
     JOB_TABLE, LEADER_PARTITION, RECORD_TABLE, WAVE_TABLE,
@@ -68,6 +69,7 @@
     pub(super) session_condvars: RefCell<HashMap<Arc<str>, Rc<Condvar>>>,
     pub(super) worker_client: WorkerClient,
     pub(super) orders: OrderQueues,
+    pub(super) worker_fences: WorkerFences,
     pub(super) host_client: Option<HostClient>,
     pub(super) advice_client: Option<AdviceClient>,
     stage_metrics: StageMetrics,
@@ -179,6 +181,7 @@
             session_condvars: RefCell::default(),
             worker_client: WorkerClient::new(daemon.http_client.clone()),
             orders: OrderQueues::default(),
+            worker_fences: WorkerFences::default(),
             host_client: daemon
                 .settings
                 .provider
@@ -302,6 +305,10 @@
                 spawn(sessions::run(self.clone(), worker, condvar));
             }
             Action::WakeSession { worker } => self.wake_session(&worker),
+            Action::RaiseFence { worker } => {
+                self.worker_fences.request(worker);
+                self.raise_fences();
+            }
             Action::Start(_) | Action::Stop { .. } | Action::Pace { .. } => self.orders.push(self, action),
             Action::RequestAdvice { job, occurrence, step, workers } => {
                 spawn(calls::request_advice(self.clone(), job, occurrence, step, workers));
@@ -313,6 +320,21 @@
         }
     }
 
+    /// Fencing token for a call to a worker.
+    pub(super) fn fence_for(&self, worker: &str) -> u64 {
+        self.worker_fences.token_for(worker, self.fencing_token)
+    }
+
+    /// Raises the requested fencing tokens, as far as a transaction has been committed since.
+    pub(super) fn raise_fences(&self) {
+        let version = self.sequence_version.get();
+        for worker in self.worker_fences.raise(self.fencing_token, version) {
+            metrics::counter!("worker_fences_raised_total").increment(1);
+            log::info!("worker={worker} token={version} outcome=fence_raised");
+            self.scheduler.borrow_mut().fence_raised(self.now_us(), &worker);
+        }
+    }
+
     pub(super) fn wake_session(&self, worker: &Arc<str>) {
         if let Some(condvar) = self.session_condvars.borrow().get(worker) {
             condvar.notify();
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -83,17 +83,17 @@
                 run: start.run,
                 spec: start.spec.clone(),
                 lease_end_ms: start.lease_end_ms,
-                fencing_token: leader.fencing_token,
+                fencing_token: leader.fence_for(&address.id),
                 checkpoint: start.checkpoint.clone(),
                 ticket: start.ticket.clone(),
             };
             leader.worker_client.start_run(address, &order).await
         }
         Action::Stop { task, run, .. } => {
-            leader.worker_client.stop_run(address, task, *run, leader.fencing_token).await
+            leader.worker_client.stop_run(address, task, *run, leader.fence_for(&address.id)).await
         }
         Action::Pace { task, run, percent, .. } => {
-            leader.worker_client.set_pace(address, task, *run, *percent, leader.fencing_token).await
+            leader.worker_client.set_pace(address, task, *run, *percent, leader.fence_for(&address.id)).await
         }
         _ => OrderOutcome::NotSent,
     }
--- a/src/control/sessions.rs
+++ b/src/control/sessions.rs
@@ -31,7 +31,8 @@
             }
             HoldPlan::Send { address, lease_end_ms, acknowledged, wait_ms } => {
                 let address = WorkerAddress { id: worker.clone(), address };
-                let renewal = LeaseRenewal { lease_end_ms, fencing_token: leader.fencing_token, acknowledged, wait_ms };
+                let renewal =
+                    LeaseRenewal { lease_end_ms, fencing_token: leader.fence_for(&worker), acknowledged, wait_ms };
                 let answer = leader.worker_client.renew_lease(&address, &renewal).await;
                 if leader.has_ended.get() {
                     break;
--- a/src/control/writer.rs
+++ b/src/control/writer.rs
@@ -81,12 +81,14 @@
                 let elapsed_us = leader.now_us() - sent_us;
                 metrics::histogram!("leader_commit_seconds").record(elapsed_us as f64 / US_PER_S as f64);
                 leader.sequence_version.set(version);
+                leader.raise_fences();
                 leader.scheduler.borrow_mut().batch_committed(leader.now_us(), sent_us, &batch);
                 return true;
             }
             Ok(RowStoreCommitOutcome::Conflict { .. }) => match read_conflict_cause(leader, &id).await {
                 Ok(ConflictCause::AlreadyApplied { sequence_version }) => {
                     leader.sequence_version.set(sequence_version);
+                    leader.raise_fences();
                     leader.scheduler.borrow_mut().batch_committed(leader.now_us(), sent_us, &batch);
                     return true;
                 }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -117,6 +117,8 @@
 #[cfg(test)]
 mod record_tests;
 #[cfg(test)]
+mod recut_tests;
+#[cfg(test)]
 mod refused_batches_tests;
 #[cfg(test)]
 mod run_end_tests;
--- a/src/sched/action.rs
+++ b/src/sched/action.rs
@@ -20,6 +20,11 @@
     WakeSession {
         worker: Arc<str>,
     },
+    /// Send a higher fencing token to the worker from now on, so that it refuses calls that were sent before. Reported by
+    /// [`Scheduler::fence_raised`](super::scheduler::Scheduler::fence_raised).
+    RaiseFence {
+        worker: Arc<str>,
+    },
     Start(StartRun),
     Stop {
         worker: Arc<str>,
--- a/src/sched/incarnation_fixtures.rs
+++ b/src/sched/incarnation_fixtures.rs
@@ -39,6 +39,12 @@
     leader.on_hold_answer(now_us, now_us, &worker(number), &answer_of(FORMER_START_UNIX_MS, now_us, runs));
 }
 
+/// Lets the leader raise its fencing token for a worker, which answers so at `now_us`.
+pub(super) fn answer_raised_fence(leader: &mut Scheduler, now_us: u64, number: usize, answer: &HoldAnswer) {
+    leader.fence_raised(now_us, &worker(number));
+    leader.on_hold_answer(now_us, now_us, &worker(number), answer);
+}
+
 /// A leader with workers that have answered.
 pub(super) fn leader_with_workers(count: usize) -> Scheduler {
     let mut leader = Scheduler::new(0, settings());
--- a/src/sched/incarnation_tests.rs
+++ b/src/sched/incarnation_tests.rs
@@ -2,8 +2,8 @@
 
 use super::action::{HoldPlan, StartRun};
 use super::incarnation_fixtures::{
-    answer, answer_of, decide, leader_with_workers, only_task, start_task, starts_in, worker, FORMER_START_UNIX_MS,
-    JOB, LATER_START_UNIX_MS,
+    answer, answer_of, answer_raised_fence, decide, leader_with_workers, only_task, start_task, starts_in, worker,
+    FORMER_START_UNIX_MS, JOB, LATER_START_UNIX_MS,
 };
 use super::leader_fixtures::{task, SECOND_US};
 use super::model::{EndedRun, HoldAnswer, OrderOutcome, RunOutcome, WorkerEntry};
@@ -68,6 +68,7 @@
     let answered_us = sent_us + 2 * US_PER_MS;
     leader.on_hold_answer(answered_us, sent_us, &worker(0), &answer_at(LATER_START_UNIX_MS, 300, &[]));
     leader.worker_unlisted(answered_us, &worker(1));
+    answer_raised_fence(&mut leader, answered_us + US_PER_MS, 0, &answer_at(LATER_START_UNIX_MS, 301, &[]));
     let again = starts_in(&decide(&mut leader, answered_us + US_PER_MS));
     leader.worker_listed(answered_us + 2 * US_PER_MS, worker_entry(1, FORMER_START_UNIX_MS));
     assert_eq!((again.len(), &*again[0].worker), (1, "w0"));
--- a/src/sched/leader_fixtures.rs
+++ b/src/sched/leader_fixtures.rs
@@ -113,6 +113,7 @@
             match action {
                 Action::MoveHost { host, pool } => orders.moves.push((host.to_string(), pool.to_string())),
                 Action::MaintainHost { .. } => orders.maintenance_count += 1,
+                Action::RaiseFence { worker } => leader.fence_raised(now_us, &worker),
                 Action::Stop { worker, task, run } => {
                     leader.on_stop_outcome(now_us, &worker, &task, run, &OrderOutcome::Accepted { clock_ms: None });
                 }
--- a/src/sched/leases.rs
+++ b/src/sched/leases.rs
@@ -1,6 +1,7 @@
 //! For how long orders may grant leases, when leases have expired, and when leadership allows orders about hosts.
 
 use super::scheduler::Scheduler;
+use super::worker::Worker;
 use crate::clock::US_PER_MS;
 
 /// Duration of the lease that a start order or a hold request grants. A worker that is cut off keeps running its tasks
@@ -15,6 +16,8 @@
 const HOST_ORDERS_AFTER_RENEWAL_MS: u64 = 1_200;
 /// On a worker whose clock runs up to 2% slow, a lease lasts longer by up to this factor.
 const LEASE_EXPIRY_FACTOR: f64 = 1.03;
+/// A call without an answer is carried out no later than this after it was sent.
+const MAX_CALL_DELAY_MS: u64 = 12_000;
 /// Added to the time after which a lease has expired, for errors in reading workers' clocks.
 const LEASE_EXPIRY_MARGIN_MS: u64 = 300;
 
@@ -57,7 +60,7 @@
 
     /// Time at which every lease granted by a former leader has expired.
     pub(super) fn former_leader_leases_end_us(&self) -> u64 {
-        self.leader_since_us + self.lease_expiry_wait_us()
+        self.leader_since_us + self.longest_lease_wait_us()
     }
 
     /// Time after which a lease has expired on any incarnation of a worker, which shortens it to the maximum on its own clock.
@@ -65,6 +68,22 @@
         lease_expiry_wait_us(self.settings.max_lease_ms)
     }
 
+    /// When every lease has ended that calls to the known incarnation of a worker may have granted to a later one, of which
+    /// the leader has not learned.
+    pub(super) fn lease_end_on_later_incarnation_us(&self, worker: &Worker) -> u64 {
+        // Until a worker has seen the token of this leader, calls of a former one may reach it.
+        let former_leader_us = if worker.is_synced { 0 } else { self.leader_since_us };
+        let last_call_us = worker.last_lease_call_us.max(former_leader_us);
+        last_call_us + MAX_CALL_DELAY_MS * US_PER_MS + self.longest_lease_wait_us()
+    }
+
+    /// The same for a later incarnation that has become known at `now_us`: calls that were sent before may reach it until it
+    /// has seen a higher fencing token.
+    pub(super) fn lease_end_after_restart_us(&self, now_us: u64, former: &Worker) -> u64 {
+        let from_now_us = now_us + self.longest_lease_wait_us();
+        from_now_us.max(self.lease_end_on_later_incarnation_us(former)).max(former.unknown_lease_end_us)
+    }
+
     /// Time without an answer after which a worker's lease has expired for certain.
     pub(super) fn lease_expiry_wait_us(&self) -> u64 {
         lease_expiry_wait_us(self.max_granted_lease_ms())
--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -73,8 +73,20 @@
             self.unattached_tasks.entry(id.clone()).or_default().push(task_ref.clone());
             return;
         };
+        let has_restarted = *placed.worker != known;
         *placed.worker = known.clone();
         self.attach(task_ref, &known);
+        if has_restarted {
+            self.expect_late_calls(&known.id);
+        }
+    }
+
+    /// Notes that calls of a former leader may still reach a worker which has restarted since, and has not answered.
+    fn expect_late_calls(&mut self, id: &Arc<str>) {
+        let Some(worker) = self.workers.get(id).filter(|worker| !worker.is_synced) else { return };
+        let lease_end_us = self.lease_end_on_later_incarnation_us(worker);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.unknown_lease_end_us = worker.unknown_lease_end_us.max(lease_end_us);
     }
 
     /// Incarnation of a worker on which a run of a task is placed.
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -37,6 +37,9 @@
             self.schedule_hold(now_us, id, false);
             return;
         }
+        self.confirm_fence(now_us, sent_us, id);
+        let (leader_since_us, longest_lease_wait_us) = (self.leader_since_us, self.longest_lease_wait_us());
+        let (has_former_leader, now_unix_ms) = (self.has_former_leader, self.now_unix_ms);
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_clock(now_us, answer.clock_ms);
         worker.last_answer_us = now_us;
@@ -48,6 +51,10 @@
         }
         if !worker.is_synced {
             worker.is_synced = true;
+            // Until it saw this leader's token, calls of a former leader may have granted leases.
+            if has_former_leader && worker.known_since_us == leader_since_us && worker.is_young(now_unix_ms) {
+                worker.unknown_lease_end_us = now_us + longest_lease_wait_us;
+            }
             self.wants_placement = true;
             self.attach_unattached(now_us, id);
         }
@@ -268,6 +275,9 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.is_silent = true;
         worker.block(now_us, UNREACHABLE_BLOCK_MS);
+        if *outcome == OrderOutcome::Unanswered {
+            self.actions.push(Action::RaiseFence { worker: id.clone() });
+        }
         log::debug!("worker={id} end={outcome:?} outcome=hold_failed");
         self.schedule_hold(now_us, id, true);
     }
@@ -302,7 +312,8 @@
                 return
             }
         }
-        if let Some(worker) = self.workers.get_mut(id) {
+        self.note_clock(now_us, id, outcome);
+        if let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.suspected_restart_us.is_none()) {
             worker.last_answer_us = worker.last_answer_us.max(now_us);
         }
     }
@@ -350,6 +361,7 @@
             }
             (OrderOutcome::Unanswered, RunPhase::Ordered) => {
                 *placed.phase = RunPhase::Unanswered { since_us: now_us };
+                self.actions.push(Action::RaiseFence { worker: start.worker.clone() });
                 // One lost answer says little about a worker that answers other requests.
                 if !self.is_probably_reachable(now_us, &start.worker) {
                     self.block_worker(now_us, &start.worker, UNREACHABLE_BLOCK_MS);
@@ -373,12 +385,13 @@
         }
     }
 
-    /// Whether the incarnation of a worker that has accepted an order is certainly the known one: a later one has started
-    /// after the latest answered hold request was sent, so that its clock cannot be as far yet.
+    /// Whether the incarnation of a worker that has accepted an order is certainly the known one: its clock is, and that of a
+    /// later one, which has started after the latest answered hold request was sent, cannot be as far yet.
     fn is_answer_of_known_incarnation(&self, now_us: u64, id: &Arc<str>, outcome: &OrderOutcome) -> bool {
         let OrderOutcome::Accepted { clock_ms: Some(clock_ms) } = outcome else { return false };
         let Some(worker) = self.workers.get(id).filter(|worker| worker.is_synced) else { return false };
-        *clock_ms > now_us.saturating_sub(worker.report_requested_us) / US_PER_MS
+        let is_too_far = *clock_ms > now_us.saturating_sub(worker.report_requested_us) / US_PER_MS;
+        is_too_far && worker.suspected_restart_us.is_none() && worker.may_be_own_clock(now_us, *clock_ms)
     }
 
     /// Logs a start order that a later incarnation of the worker has accepted than the one that it was meant for.
--- /dev/null
+++ b/src/sched/recut_tests.rs
@@ -0,0 +1,102 @@
+//! Tests that no task runs twice when workers restart under their IDs and are cut off soon after, while calls that were meant
+//! for their former incarnations are carried out by the new ones.
+
+use super::leader_fixtures::SECOND_US;
+use super::model::TaskRef;
+use super::sim::{spec, step, Faults, Sim};
+
+const WORKERS: usize = 6;
+/// Times from the restart of the workers until they are cut off.
+const CUT_AFTER_MS: [u64; 5] = [40, 200, 500, 1_000, 2_000];
+const CUT_MS: u64 = 12_000;
+/// Longer than the longest lease.
+const RUN_US: u64 = 12 * SECOND_US;
+
+/// Whether the leader changes between the restart of workers and the cut.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Takeovers {
+    None,
+    BetweenRestartAndCut,
+}
+
+/// Workers that restart and are cut off soon after, again and again, while long and short tasks run. A share of the orders
+/// and hold requests is carried out late, also by a later incarnation than the one that they were meant for.
+fn sim_of_restarts_and_cuts(seed: u64, faults: Faults, takeovers: Takeovers) -> Sim {
+    let cut_after_ms = CUT_AFTER_MS[seed as usize % CUT_AFTER_MS.len()];
+    let mut sim = Sim::new(seed, WORKERS, Faults::default());
+    sim.restarts.receives_delayed_calls = true;
+    sim.restarts.max_clock_start_ms = if seed % 2 == 0 { 0 } else { 6_000_000 };
+    sim.restarts.heartbeat_ms = 200..=1_500;
+    sim.stragglers.report_progress = true;
+    sim.run_for(6_000);
+    for round in 0..3 {
+        submit_jobs(&mut sim, round, 10);
+        sim.set_faults(faults);
+        for number in 0..WORKERS / 2 {
+            sim.partition(number, 600);
+        }
+        sim.run_for(600);
+        for number in 0..WORKERS / 2 {
+            sim.crash(number);
+        }
+        for part in 0..4 {
+            submit_jobs(&mut sim, round * 10 + part + 1, 4);
+            sim.run_for(cut_after_ms / 4);
+            if part == 1 && takeovers == Takeovers::BetweenRestartAndCut {
+                sim.stop_leader(100 + seed % 3 * 500);
+            }
+        }
+        for number in 0..WORKERS / 2 {
+            sim.partition(number, CUT_MS);
+        }
+        sim.run_for(1_000);
+        sim.set_faults(Faults::default());
+        sim.run_for(CUT_MS);
+    }
+    sim.run_until_jobs_final(120_000);
+    sim
+}
+
+/// Submits long and short jobs, as many of each.
+fn submit_jobs(sim: &mut Sim, batch: usize, count: usize) {
+    for number in 0..count {
+        let id = format!("job-{batch:03}-{number:02}-{}", sim.specs.len());
+        let job = sim.submit(&id, spec(vec![step(2, &[])]));
+        if number % 2 == 0 {
+            for index in 0..2 {
+                let task = TaskRef { job: job.clone(), occurrence: 0, step: 0, index };
+                sim.task_run_us.insert(task, RUN_US);
+            }
+        }
+    }
+}
+
+fn assert_nothing_runs_twice(takeovers: Takeovers) {
+    let faults = Faults { order_delay_rate: 0.3, hold_delay_rate: 0.3, ..Faults::default() };
+    let mut broken = Vec::new();
+    for seed in 0..seed_count() {
+        let sim = sim_of_restarts_and_cuts(seed, faults, takeovers);
+
+        broken.extend(sim.violations.first().map(|violation| (seed, violation.clone())));
+    }
+    assert_eq!(broken, []);
+}
+
+/// Number of seeds of each test, unless the environment variable `RECUT_SEEDS` names one.
+fn seed_count() -> u64 {
+    const SEEDS: u64 = 60;
+    std::env::var("RECUT_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(SEEDS)
+}
+
+/// Guards against tasks that start again while an incarnation runs them that took a call of its former life, and with it a
+/// lease which the leader does not know of.
+#[test]
+fn no_task_runs_twice_when_restarted_workers_are_cut_off() {
+    assert_nothing_runs_twice(Takeovers::None);
+}
+
+/// The same for a leader that takes over when the workers have restarted, and did not know their former incarnations.
+#[test]
+fn no_task_runs_twice_when_a_leader_takes_over_before_restarted_workers_are_cut_off() {
+    assert_nothing_runs_twice(Takeovers::BetweenRestartAndCut);
+}
--- a/src/sched/restarts.rs
+++ b/src/sched/restarts.rs
@@ -6,8 +6,9 @@
 
 use std::sync::Arc;
 
+use super::action::Action;
 use super::job::RunPhase;
-use super::model::{HoldAnswer, TaskRef, WorkerEntry};
+use super::model::{HoldAnswer, OrderOutcome, TaskRef, WorkerEntry};
 use super::run_end::Observation;
 use super::run_stops::StopReason;
 use super::scheduler::Scheduler;
@@ -80,6 +81,7 @@
             return false;
         }
         if worker.entry.started_unix_ms == started_unix_ms {
+            worker.suspected_restart_us.take_if(|suspected_us| *suspected_us < sent_us);
             worker.unconfirmed_entry.take_if(|unconfirmed| unconfirmed.read_us < sent_us);
         } else {
             let listed = worker.unconfirmed_entry.take().map(|unconfirmed| unconfirmed.entry);
@@ -146,6 +148,44 @@
         }
         self.attach_unattached(now_us, &id);
         self.open_session(&id);
+        self.actions.push(Action::RaiseFence { worker: id });
+    }
+
+    /// Notes that calls to a worker carry a higher fencing token from now on.
+    pub(crate) fn fence_raised(&mut self, now_us: u64, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.fence_raised_us = Some(now_us);
+        }
+    }
+
+    /// Notes the answer to a hold request that was sent at `sent_us`. If it carried the raised fencing token, the worker
+    /// refuses all calls that were meant for its former incarnations, so that these grant no more leases.
+    pub(super) fn confirm_fence(&mut self, now_us: u64, sent_us: u64, id: &str) {
+        let lease_end_us = now_us + self.longest_lease_wait_us();
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if worker.fence_raised_us.take_if(|raised_us| *raised_us <= sent_us).is_some() {
+            worker.unknown_lease_end_us = worker.unknown_lease_end_us.min(lease_end_us);
+            worker.needs_fence = false;
+            self.wants_placement = true;
+        }
+    }
+
+    /// Notes the clock that an answer to an order shows. If it cannot be that of the known incarnation, the worker is asked
+    /// at once, and gets nothing meanwhile that is meant for the known one.
+    pub(super) fn note_clock(&mut self, now_us: u64, id: &Arc<str>, outcome: &OrderOutcome) {
+        let OrderOutcome::Accepted { clock_ms: Some(clock_ms) } = outcome else { return };
+        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.is_synced) else { return };
+        if worker.may_be_own_clock(now_us, *clock_ms) || worker.suspected_restart_us.is_some() {
+            return;
+        }
+        log::warn!(
+            "worker={id} clock_ms={clock_ms} known_clock_ms={} started_unix_ms={} outcome=restart_suspected",
+            worker.uptime_ms(),
+            worker.entry.started_unix_ms
+        );
+        worker.suspected_restart_us = Some(now_us);
+        worker.next_hold_us = now_us;
+        self.wake_session(id.clone());
     }
 
     /// What the restart of a worker means for each run placed on it.
@@ -195,7 +235,8 @@
         let mut worker = Worker::new(now_us, entry);
         worker.has_session = former.has_session;
         worker.is_cordoned = is_cordoned;
-        worker.unknown_lease_end_us = now_us + self.longest_lease_wait_us();
+        worker.unknown_lease_end_us = self.lease_end_after_restart_us(now_us, &former);
+        worker.needs_fence = true;
         worker.former_starts_unix_ms = former.former_starts_unix_ms;
         worker.former_starts_unix_ms.push(former.entry.started_unix_ms);
         if worker.former_starts_unix_ms.len() > MAX_FORMER_STARTS {
@@ -210,8 +251,7 @@
         let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
         let Some(placed) = task.run_on_mut(id) else { return };
         *placed.worker = incarnation.clone();
-        let longest_lease_end_us = placed.report.longest_lease_end_us;
-        *placed.report = RunReport { longest_lease_end_us, ..RunReport::new(now_us) };
+        *placed.report = RunReport::new(now_us);
         let run = placed.run;
         if let RunPhase::Stopping { acknowledged_us, .. } = placed.phase {
             *acknowledged_us = None;
--- a/src/sched/run_end.rs
+++ b/src/sched/run_end.rs
@@ -85,11 +85,15 @@
         match (observation, placed.phase) {
             (Observation::EndListed, _) => Some(RunOver::EndListed),
             (Observation::LeasesExpired { now_us }, _) => {
-                // A lease that was meant for the known incarnation may last longer on the clock of a later one.
+                // A lease that was meant for one incarnation may last longer on the clock of a later one.
                 let worker = self.workers.get(&placed.worker.id);
-                let unknown_lease_end_us = worker.map_or(0, |worker| worker.unknown_lease_end_us);
-                let is_confirmed = placed.report.is_confirmed || now_us >= placed.report.longest_lease_end_us;
-                (is_confirmed && now_us >= unknown_lease_end_us).then_some(RunOver::LeaseExpired)
+                // A worker that has restarted since a former leader placed the run would have registered again by now.
+                let is_confirmed = placed.report.is_confirmed || placed.phase == RunPhase::Restored;
+                let lease_end_us = worker.map_or(0, |worker| match is_confirmed {
+                    true => worker.unknown_lease_end_us,
+                    false => worker.unknown_lease_end_us.max(self.lease_end_on_later_incarnation_us(worker)),
+                });
+                (now_us >= lease_end_us).then_some(RunOver::LeaseExpired)
             }
             (Observation::WorkerGone, _) => Some(RunOver::WorkerGone),
             (
--- a/src/sched/run_end_tests.rs
+++ b/src/sched/run_end_tests.rs
@@ -2,8 +2,8 @@
 
 use super::action::{Action, StartRun};
 use super::incarnation_fixtures::{
-    answer, answer_of, decide, leader_with_workers, only_task, start_task, starts_in, worker, FORMER_START_UNIX_MS,
-    JOB, LATER_START_UNIX_MS,
+    answer, answer_of, answer_raised_fence, decide, leader_with_workers, only_task, start_task, starts_in, worker,
+    FORMER_START_UNIX_MS, JOB, LATER_START_UNIX_MS,
 };
 use super::job::RunPhase;
 use super::leader_fixtures::{long_step, task, SECOND_US};
@@ -75,9 +75,15 @@
 
     let restarted = answer_of(LATER_START_UNIX_MS, 2 * SECOND_US, &[]);
     leader.on_hold_answer(2 * SECOND_US, 2 * SECOND_US - US_PER_MS, &worker(0), &restarted);
-    let actions = decide(&mut leader, 2 * SECOND_US);
-
-    assert_eq!(starts_in(&actions).len(), 1);
+    let before = decide(&mut leader, 2 * SECOND_US);
+    answer_raised_fence(&mut leader, 2 * SECOND_US + US_PER_MS, 0, &restarted);
+    let after = decide(&mut leader, 2 * SECOND_US + 100 * US_PER_MS);
+
+    assert_eq!(
+        (starts_in(&before).len(), starts_in(&after).len()),
+        (0, 1),
+        "calls for the former incarnation may come"
+    );
 }
 
 #[test]
@@ -89,9 +95,15 @@
 
     let restarted = answer_of(FORMER_START_UNIX_MS - 3_000, 2 * SECOND_US, &[]);
     leader.on_hold_answer(2 * SECOND_US, 2 * SECOND_US - US_PER_MS, &worker(0), &restarted);
-    let actions = decide(&mut leader, 2 * SECOND_US);
-
-    assert_eq!(starts_in(&actions).len(), 1);
+    let before = decide(&mut leader, 2 * SECOND_US);
+    answer_raised_fence(&mut leader, 2 * SECOND_US + US_PER_MS, 0, &restarted);
+    let after = decide(&mut leader, 2 * SECOND_US + 100 * US_PER_MS);
+
+    assert_eq!(
+        (starts_in(&before).len(), starts_in(&after).len()),
+        (0, 1),
+        "calls for the former incarnation may come"
+    );
 }
 
 #[test]
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -94,6 +94,10 @@
     pub(super) host_moves: HostMoves,
     pub(super) waves: Waves,
     pub(super) host_orders: HostOrders,
+    /// Whether a former leader has placed runs.
+    pub(super) has_former_leader: bool,
+    /// Time of day of the latest tick.
+    pub(super) now_unix_ms: u64,
     /// When this leader took over.
     pub(super) leader_since_us: u64,
     /// When the latest confirmed renewal of leadership was sent.
@@ -169,6 +173,8 @@
             finished_jobs: Vec::new(),
             records_to_remove: Vec::new(),
             forgotten_jobs: HashMap::default(),
+            has_former_leader: false,
+            now_unix_ms: 0,
             leader_since_us: now_us,
             leadership_renewed_us: now_us,
             knowledge_since_us: now_us,
@@ -257,6 +263,8 @@
         };
         let mut job = self.new_job(id.clone(), spec);
         restore_job(&mut job, record)?;
+        self.has_former_leader = true;
+        self.now_unix_ms = now_unix_ms;
         job.set_begun(now_us);
         self.set_deadline(now_us, now_unix_ms, &mut job);
         if job.is_recurring() && !job.phase.is_final() {
@@ -367,6 +375,7 @@
 
     /// Does the periodic work if it is due, then places tasks.
     pub(crate) fn tick(&mut self, now_us: u64, now_unix_ms: u64) {
+        self.now_unix_ms = now_unix_ms;
         let is_sweep_due = now_us >= self.next_sweep_us;
         if is_sweep_due {
             self.next_sweep_us = now_us + SWEEP_INTERVAL_MS * US_PER_MS;
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -55,6 +55,8 @@
 const ORDER_TIMEOUT_US: u64 = 800 * US_PER_MS;
 /// Delay before the answer to a commit that the store did not take.
 const STORE_RETRY_DELAY_US: u64 = 40 * US_PER_MS;
+/// Fencing tokens of calls to workers between those of two terms.
+const FENCES_PER_TERM: u64 = 1_000_000;
 /// Unix time at the start of the simulation, in milliseconds.
 pub(crate) const START_UNIX_MS: u64 = 1_700_000_000_000;
 pub(super) const MAX_ATTEMPTS: u32 = 3;
@@ -82,6 +84,8 @@
     leader: u32,
     /// Fencing token of the current leader.
     token: u64,
+    /// Number of times that the current leader has raised the token of its calls to a worker.
+    raised_fences: HashMap<Arc<str>, u64>,
     leader_down_until_us: Option<u64>,
     /// Until then, the leader's process stands still; what is sent to it arrives afterwards.
     leader_frozen_until_us: u64,
@@ -177,6 +181,7 @@
             settings,
             leader: 1,
             token: 1,
+            raised_fences: HashMap::new(),
             leader_down_until_us: None,
             leader_frozen_until_us: 0,
             store_down_until_us: 0,
@@ -226,6 +231,7 @@
     /// Starts a leader that knows only what the store and the registry contain.
     fn start_leader(&mut self) {
         self.scheduler = Scheduler::new(self.now_us, self.settings.clone());
+        self.raised_fences.clear();
         self.scheduler.configure(self.catalog.clone());
         self.scheduler.replace_registry(self.now_us, self.registry.read_all());
         for (id, spec) in &self.specs {
@@ -346,7 +352,7 @@
             Message::Start { start, token, answered, delayed_for_incarnation } => {
                 let incarnation = self.workers.get(&start.worker).map(|worker| worker.entry.started_unix_ms);
                 let is_for_former = delayed_for_incarnation.is_some() && delayed_for_incarnation != incarnation;
-                if is_for_former && !self.restarts.receives_delayed_starts {
+                if is_for_former && !self.restarts.receives_delayed_calls {
                     return;
                 }
                 let outcome = self.handle_start(&start, token, delayed_for_incarnation.is_some());
--- a/src/sched/sim/faults.rs
+++ b/src/sched/sim/faults.rs
@@ -12,6 +12,8 @@
     pub(in crate::sched) answer_loss_rate: f64,
     /// Share of orders that get no answer and are carried out seconds later.
     pub(in crate::sched) order_delay_rate: f64,
+    /// Share of hold requests that get no answer and are carried out seconds later.
+    pub(in crate::sched) hold_delay_rate: f64,
     /// Share of orders that never arrive.
     pub(in crate::sched) order_loss_rate: f64,
     /// Upper bound of the time for which a start order waits in the leader's queue before it is sent; 0 sends it at once.
@@ -33,6 +35,11 @@
 }
 
 impl Sim {
+    /// Replaces the random faults from now on.
+    pub(in crate::sched) fn set_faults(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
     /// Stops the leader; the next one starts after `pause_ms`.
     pub(crate) fn stop_leader(&mut self, pause_ms: u64) {
         let until_us = self.now_us + pause_ms * US_PER_MS;
--- a/src/sched/sim/leader.rs
+++ b/src/sched/sim/leader.rs
@@ -8,7 +8,7 @@
 use super::super::model::OrderOutcome;
 use super::hosts::HostAction;
 use super::message::{HoldRequest, Message};
-use super::{Sim, Violation, DELAY_US, ORDER_TIMEOUT_US};
+use super::{Sim, Violation, DELAY_US, FENCES_PER_TERM, ORDER_TIMEOUT_US};
 use crate::clock::US_PER_MS;
 
 /// What happens to an order on its way to a worker.
@@ -41,15 +41,17 @@
             let until_us = self.now_us + wait_ms * US_PER_MS;
             let request = HoldRequest {
                 incarnation_started_us: self.workers.get(&id).map_or(0, |worker| worker.started_us),
+                token: self.fence_for(&id),
                 worker: id,
                 lease_end_ms,
                 acknowledged,
                 until_us,
                 sent_us: self.now_us,
                 leader: self.leader,
-                token: self.token,
+                is_accepted: false,
+                is_delayed: false,
             };
-            self.send(DELAY_US, Message::Hold(request));
+            self.send_hold(request);
         }
         self.scheduler.acknowledge_without_commit();
         if !self.commit_in_flight {
@@ -74,7 +76,8 @@
         if arrives {
             let incarnation = self.workers.get(&start.worker).map(|worker| worker.entry.started_unix_ms);
             let delayed_for_incarnation = incarnation.filter(|_| is_delayed);
-            let order = Message::Start { start: start.clone(), token: self.token, answered, delayed_for_incarnation };
+            let token = self.fence_for(&start.worker);
+            let order = Message::Start { start: start.clone(), token, answered, delayed_for_incarnation };
             self.send(after_us, order);
         }
         if !answered {
@@ -83,6 +86,24 @@
         }
     }
 
+    /// Fencing token of the current leader's calls to a worker.
+    fn fence_for(&self, worker: &Arc<str>) -> u64 {
+        self.token * FENCES_PER_TERM + self.raised_fences.get(worker).copied().unwrap_or(0)
+    }
+
+    /// Sends a hold request; a share of them gets no answer, and is carried out late.
+    fn send_hold(&mut self, request: HoldRequest) {
+        if !self.chance(self.faults.hold_delay_rate) {
+            self.send(DELAY_US, Message::Hold(request));
+            return;
+        }
+        let HoldRequest { sent_us, leader, .. } = request;
+        let answer = Message::HoldAnswer { worker: request.worker.clone(), sent_us, leader, answer: None };
+        self.send(ORDER_TIMEOUT_US, answer);
+        let late_us = self.rng.random_range(2_000_000..12_000_000);
+        self.send(late_us, Message::Hold(HoldRequest { is_delayed: true, ..request }));
+    }
+
     fn order_fate(&mut self) -> OrderFate {
         let roll = self.rng.random::<f64>();
         let delayed_below = self.faults.order_delay_rate;
@@ -99,7 +120,7 @@
     }
 
     fn execute(&mut self, action: Action) {
-        let (token, leader) = (self.token, self.leader);
+        let leader = self.leader;
         match action {
             Action::Start(start) if self.faults.order_queue_ms > 0 => {
                 let wait_ms = self.rng.random_range(0..self.faults.order_queue_ms);
@@ -110,6 +131,7 @@
                 let OrderFate { arrives, answered, after_us, .. } = self.order_fate();
                 self.stop_times.stop_sent(self.now_us, &task);
                 if arrives {
+                    let token = self.fence_for(&worker);
                     let stop = Message::Stop { worker: worker.clone(), task: task.clone(), run, token, answered };
                     self.send(after_us, stop);
                 }
@@ -121,6 +143,10 @@
             Action::MoveHost { host, pool } => self.send_host_order(HostAction::Move { host, pool }),
             Action::MaintainHost { host, wave } => self.send_host_order(HostAction::Maintain { host, wave }),
             Action::ReportWave { wave, complete } => self.report_wave(wave, complete),
+            Action::RaiseFence { worker } => {
+                self.scheduler.fence_raised(self.now_us, &worker);
+                *self.raised_fences.entry(worker).or_default() += 1;
+            }
             Action::WakeSession { .. }
             | Action::OpenSession { .. }
             | Action::Pace { .. }
--- a/src/sched/sim/message.rs
+++ b/src/sched/sim/message.rs
@@ -19,6 +19,10 @@
     pub(super) sent_us: u64,
     pub(super) leader: u32,
     pub(super) token: u64,
+    /// Whether the worker has taken the request, and waits for a run to end before it answers.
+    pub(super) is_accepted: bool,
+    /// Whether the request is carried out seconds late, and its answer is lost.
+    pub(super) is_delayed: bool,
 }
 
 /// A message in flight. `leader` is the number of the leader that sent it or that is to receive it, `token` the fencing
--- a/src/sched/sim/restarts.rs
+++ b/src/sched/sim/restarts.rs
@@ -42,8 +42,11 @@
     pub(in crate::sched) hold_end: HoldEnd,
     /// Time until the new incarnation writes its entry to the registry.
     pub(in crate::sched) heartbeat_ms: RangeInclusive<u64>,
-    /// Whether start orders that were delayed for seconds on their way to the former incarnation reach the new one.
-    pub(in crate::sched) receives_delayed_starts: bool,
+    /// Whether orders and hold requests that were delayed for seconds on their way to the former incarnation reach the new
+    /// one.
+    pub(in crate::sched) receives_delayed_calls: bool,
+    /// Upper bound of the reading at which the clock of a new incarnation starts.
+    pub(in crate::sched) max_clock_start_ms: u64,
 }
 
 impl Default for Restarts {
@@ -52,7 +55,8 @@
             clock_steps: ClockSteps::None,
             hold_end: HoldEnd::Mixed,
             heartbeat_ms: 0..=1_500,
-            receives_delayed_starts: false,
+            receives_delayed_calls: false,
+            max_clock_start_ms: 0,
         }
     }
 }
@@ -85,6 +89,7 @@
         let mut worker = sim_worker(self.now_us, entry, rate);
         worker.partitioned_until_us = partitioned_until_us;
         worker.started_us = self.now_us;
+        worker.clock_start_ms = self.rng.random_range(0..=self.restarts.max_clock_start_ms);
         self.workers.insert(id.clone(), worker);
         let heartbeat_us = self.rng.random_range(self.restarts.heartbeat_ms.clone()) * US_PER_MS;
         self.registry.write_later(self.now_us + heartbeat_us, id.clone());
--- a/src/sched/sim/worker.rs
+++ b/src/sched/sim/worker.rs
@@ -10,7 +10,7 @@
 use super::capacity::FormerCapacity;
 use super::message::HoldRequest;
 use super::stops::PendingStop;
-use super::{Message, Sim, Violation, DELAY_US, MAX_ATTEMPTS, ORDER_TIMEOUT_US, TICK_US};
+use super::{Message, Sim, Violation, DELAY_US, FENCES_PER_TERM, MAX_ATTEMPTS, ORDER_TIMEOUT_US, TICK_US};
 use crate::clock::US_PER_MS;
 
 /// Time from the start of a long-running run until it reports 100 percent.
@@ -64,6 +64,8 @@
     pub(super) is_up: bool,
     pub(super) partitioned_until_us: u64,
     pub(super) started_us: u64,
+    /// Reading of the worker's clock when it started.
+    pub(super) clock_start_ms: u64,
     pub(super) clock_rate: f64,
     /// Highest fencing token seen.
     pub(super) token: u64,
@@ -85,7 +87,7 @@
 
 impl SimWorker {
     pub(super) fn clock_ms(&self, now_us: u64) -> u64 {
-        ((now_us - self.started_us) as f64 * self.clock_rate) as u64 / US_PER_MS
+        self.clock_start_ms + ((now_us - self.started_us) as f64 * self.clock_rate) as u64 / US_PER_MS
     }
 
     /// Extends the lease, by at most `max_lease_ms` on the worker's own clock.
@@ -109,9 +111,14 @@
         self.workers.get(id).is_some_and(|worker| worker.is_up && self.now_us >= worker.partitioned_until_us)
     }
 
+    /// Whether a worker carries out a call now. One that was delayed may have reached it before it was cut off.
+    fn takes_call(&self, id: &Arc<str>, is_delayed: bool) -> bool {
+        self.is_reachable(id) || (is_delayed && self.workers.get(id).is_some_and(|worker| worker.is_up))
+    }
+
     pub(super) fn handle_start(&mut self, start: &StartRun, token: u64, is_delayed: bool) -> OrderOutcome {
         let now_us = self.now_us;
-        if !self.is_reachable(&start.worker) {
+        if !self.takes_call(&start.worker, is_delayed) {
             return OrderOutcome::Unanswered;
         }
         let fails = self.chance(self.faults.run_failure_rate);
@@ -195,7 +202,7 @@
             }
         }
         let is_cancelled = self.cancelled.get(&task_ref.job).is_some_and(|at_us| self.now_us > at_us + 3_000_000);
-        if is_cancelled && token == self.token && !is_delayed {
+        if is_cancelled && token / FENCES_PER_TERM == self.token && !is_delayed {
             violations.push(format!("CANCELLED: {task_ref:?} starts after its job was cancelled"));
         }
         self.violations.extend(violations.into_iter().map(Violation));
@@ -204,6 +211,10 @@
     pub(super) fn handle_hold(&mut self, mut request: HoldRequest) {
         let now_us = self.now_us;
         let HoldRequest { worker: ref id, lease_end_ms, acknowledged, sent_us, leader, token, .. } = request;
+        if request.is_delayed {
+            self.handle_delayed_hold(&request);
+            return;
+        }
         if !self.is_reachable(id) {
             let answer = Message::HoldAnswer { worker: id.clone(), sent_us, leader, answer: None };
             self.send(ORDER_TIMEOUT_US, answer);
@@ -215,29 +226,18 @@
             self.fail_hold_of_former_incarnation(request);
             return;
         }
-        if token < worker.token {
+        if !request.is_accepted && token < worker.token {
+            self.send(DELAY_US, Message::HoldAnswer { worker: id.clone(), sent_us, leader, answer: None });
             return;
         }
-        worker.token = token;
+        worker.token = worker.token.max(token);
         worker.extend_lease(now_us, lease_end_ms.unwrap_or(0), max_lease_ms);
-        for ended_run in &worker.ended {
-            if ended_run.number <= acknowledged
-                && ended_run.number > worker.acknowledged_cursor.max(worker.lapsed_lease_cursor)
-            {
-                match ended_run.outcome {
-                    RunOutcome::Done => {
-                        self.acknowledged_done.insert(ended_run.task.clone());
-                    }
-                    RunOutcome::Failed => *self.acknowledged_failures.entry(ended_run.task.clone()).or_default() += 1,
-                    _ => {}
-                }
-            }
-        }
-        worker.acknowledged_cursor = worker.acknowledged_cursor.max(acknowledged.min(worker.last_ended_number));
-        worker.ended.retain(|ended_run| ended_run.number > acknowledged);
+        self.acknowledge_ends(id, acknowledged);
+        let Some(worker) = self.workers.get_mut(id) else { return };
         if worker.ended.is_empty() && now_us < request.until_us {
             // A worker acknowledges on arrival only. The cursor of a former incarnation must not cover later ends.
             request.acknowledged = 0;
+            request.is_accepted = true;
             self.send(TICK_US, Message::Hold(request));
             return;
         }
@@ -260,6 +260,41 @@
         self.send(DELAY_US, Message::HoldAnswer { worker: id.clone(), sent_us, leader, answer: Some(answer) });
     }
 
+    /// Carries out a hold request whose sender no longer waits for the answer.
+    fn handle_delayed_hold(&mut self, request: &HoldRequest) {
+        if !self.takes_call(&request.worker, true) {
+            return;
+        }
+        let (now_us, max_lease_ms) = (self.now_us, self.settings.max_lease_ms);
+        let Some(worker) = self.workers.get_mut(&request.worker) else { return };
+        if request.token < worker.token {
+            return;
+        }
+        worker.token = request.token;
+        worker.extend_lease(now_us, request.lease_end_ms.unwrap_or(0), max_lease_ms);
+        self.acknowledge_ends(&request.worker, request.acknowledged);
+    }
+
+    /// Makes a worker forget its ends up to a number, and notes what the leader has acknowledged with them.
+    fn acknowledge_ends(&mut self, id: &Arc<str>, acknowledged: u64) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        for ended_run in &worker.ended {
+            if ended_run.number <= acknowledged
+                && ended_run.number > worker.acknowledged_cursor.max(worker.lapsed_lease_cursor)
+            {
+                match ended_run.outcome {
+                    RunOutcome::Done => {
+                        self.acknowledged_done.insert(ended_run.task.clone());
+                    }
+                    RunOutcome::Failed => *self.acknowledged_failures.entry(ended_run.task.clone()).or_default() += 1,
+                    _ => {}
+                }
+            }
+        }
+        worker.acknowledged_cursor = worker.acknowledged_cursor.max(acknowledged.min(worker.last_ended_number));
+        worker.ended.retain(|ended_run| ended_run.number > acknowledged);
+    }
+
     pub(super) fn run_workers(&mut self) {
         let now_us = self.now_us;
         let mut ended_by_leader = Vec::new();
@@ -311,6 +346,7 @@
         is_up: true,
         partitioned_until_us: 0,
         started_us: now_us.saturating_sub(1_000_000),
+        clock_start_ms: 0,
         clock_rate,
         token: 0,
         lease_end_ms: 0,
--- a/src/sched/start_orders.rs
+++ b/src/sched/start_orders.rs
@@ -69,7 +69,7 @@
 impl Worker {
     /// Why no start order may be sent to this incarnation of the worker now.
     fn start_obstacle(&self, now_us: u64, incarnation: &WorkerIncarnation) -> Option<StartObstacle> {
-        if self.incarnation() != *incarnation || self.unconfirmed_entry.is_some() {
+        if self.incarnation() != *incarnation || self.may_have_restarted() || self.needs_fence {
             Some(StartObstacle::Restarted)
         } else if !self.is_listed {
             Some(StartObstacle::Unlisted)
@@ -122,7 +122,6 @@
             return;
         }
         let ticket = self.ticket(now_us, task_ref, &incarnation.id);
-        let longest_lease_end_us = now_us + self.longest_lease_wait_us();
         let Some(worker) = self.workers.get_mut(&incarnation.id) else { return };
         let lease_end_ms = worker.lease_end_for(lease_until_us).unwrap_or(0);
         worker.lease_end_ms = worker.lease_end_ms.max(lease_end_ms);
@@ -132,7 +131,6 @@
         let Some(task) = job.task_mut(task_ref) else { return };
         if let Some(placed) = task.run_on_mut(&incarnation.id) {
             *placed.phase = RunPhase::Ordered;
-            placed.report.longest_lease_end_us = longest_lease_end_us;
         }
         if task.run == run {
             task.stages.pass(Stage::Committed, now_us);
@@ -175,6 +173,9 @@
         if task.run == start.run {
             task.stages.pass(Stage::Ordered, now_us);
         }
+        if let Some(worker) = self.workers.get_mut(&start.worker) {
+            worker.last_lease_call_us = now_us;
+        }
         true
     }
 
--- a/src/sched/takeover_tests.rs
+++ b/src/sched/takeover_tests.rs
@@ -162,10 +162,10 @@
     for (case, hosts) in cases {
         let mut leader = new_leader(now_us, vec![worker_entry(1, 1)]);
         leader.hosts_listed(now_us, now_us, hosts);
-        run_for(&mut leader, now_us, 9_000);
+        run_for(&mut leader, now_us, 10_200);
         assert_eq!(placed_on(&leader), Some("w0"), "{case}");
 
-        run_for(&mut leader, now_us + 9 * SECOND_US, 1_000);
+        run_for(&mut leader, now_us + 10_200_000, 1_000);
         assert_eq!(placed_on(&leader), Some("w1"), "{case}: the leases have ended");
     }
 }
--- a/src/sched/task_runs.rs
+++ b/src/sched/task_runs.rs
@@ -14,8 +14,6 @@
     pub(crate) is_listed: bool,
     /// Whether it is certain that no later incarnation of the worker than the known one has the run.
     pub(crate) is_confirmed: bool,
-    /// When the lease of the run has ended on any incarnation; 0 if a former leader has ordered the run.
-    pub(crate) longest_lease_end_us: u64,
     /// Latest reported progress in percent. A long-running task at 100 is fully in service.
     pub(crate) percent: u32,
     /// When `percent` last changed, or the run started.
@@ -31,7 +29,6 @@
         RunReport {
             is_listed: false,
             is_confirmed: false,
-            longest_lease_end_us: 0,
             percent: 0,
             percent_since_us: now_us,
             load: None,
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -20,6 +20,8 @@
 const MAX_REPORT_AGE_MS: u64 = 2_800;
 /// Answers of an incarnation may overtake each other by up to this time.
 pub(super) const MAX_ANSWER_AGE_MS: u64 = 2_000;
+/// Age up to which a worker may hold leases that calls for its former incarnation have granted. Times of day may be stepped.
+const YOUNG_WORKER_MS: u64 = 30_000;
 /// Weight of the latest run in a worker's moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.34;
 /// A worker whose average of failures exceeds this value gets no new tasks for [`QUARANTINE_MS`].
@@ -60,8 +62,17 @@
     clock: Option<ClockReading>,
     /// Latest end of the lease that any order or hold request may have granted, on the worker's clock.
     pub(crate) lease_end_ms: u64,
-    /// When every lease has ended that the worker may have been granted before the leader knew of this incarnation.
+    /// When every lease has ended that the worker may have been granted by calls which were meant for a former incarnation.
     pub(crate) unknown_lease_end_us: u64,
+    /// When the latest call was sent that may have granted a lease.
+    pub(crate) last_lease_call_us: u64,
+    /// When an answer to an order showed a clock that cannot be that of the known incarnation.
+    pub(crate) suspected_restart_us: Option<u64>,
+    /// Since when calls carry a higher fencing token than those that were meant for former incarnations; `None` if none was
+    /// asked for, or once the worker has answered such a call.
+    pub(crate) fence_raised_us: Option<u64>,
+    /// Whether the worker has restarted, and may not have seen a higher token than its former incarnations.
+    pub(crate) needs_fence: bool,
     /// Highest number of an ended run whose report has been processed. A worker numbers its ended runs, and a cursor is
     /// the number up to which they have been handled.
     pub(crate) processed_cursor: u64,
@@ -126,6 +137,10 @@
             clock: None,
             lease_end_ms: 0,
             unknown_lease_end_us: 0,
+            last_lease_call_us: 0,
+            suspected_restart_us: None,
+            fence_raised_us: None,
+            needs_fence: false,
             processed_cursor: 0,
             stored_cursor: 0,
             acknowledged_cursor: 0,
@@ -225,7 +240,8 @@
     pub(crate) fn accepts_new_tasks(&self, now_us: u64) -> bool {
         self.is_listed
             && self.is_synced
-            && self.unconfirmed_entry.is_none()
+            && !self.may_have_restarted()
+            && !self.needs_fence
             && !self.entry.draining
             && !self.is_cordoned
             && !self.is_silent
@@ -297,13 +313,32 @@
     /// Cursor to send with the next hold request; 0 if there is nothing to acknowledge, or if the worker may have restarted:
     /// it would number its ends anew, and forget the first ones unread at a cursor of its former incarnation.
     pub(crate) fn cursor_to_acknowledge(&self) -> u64 {
-        let may_have_restarted = self.is_silent || self.unconfirmed_entry.is_some();
-        match self.stored_cursor > self.acknowledged_cursor && !may_have_restarted {
+        match self.stored_cursor > self.acknowledged_cursor && !self.is_silent && !self.may_have_restarted() {
             true => self.stored_cursor,
             false => 0,
         }
     }
 
+    /// Whether calls that were meant for a former incarnation may have reached this one lately, by its start time.
+    pub(crate) fn is_young(&self, now_unix_ms: u64) -> bool {
+        now_unix_ms < self.entry.started_unix_ms + YOUNG_WORKER_MS
+    }
+
+    /// Whether there is a sign that the known incarnation is not the latest one.
+    pub(crate) fn may_have_restarted(&self) -> bool {
+        self.unconfirmed_entry.is_some() || self.suspected_restart_us.is_some()
+    }
+
+    /// Whether this reading, which arrived at `now_us`, may be one of the known incarnation's clock. Clocks of other
+    /// incarnations may show any time.
+    pub(crate) fn may_be_own_clock(&self, now_us: u64, clock_ms: u64) -> bool {
+        let Some(clock) = self.clock else { return false };
+        let elapsed_ms = now_us.saturating_sub(clock.answered_us) / US_PER_MS;
+        let earliest_ms = clock.clock_ms + (elapsed_ms as f64 * MIN_CLOCK_RATE) as u64;
+        let latest_ms = clock.clock_ms + elapsed_ms + MAX_ANSWER_AGE_MS;
+        (earliest_ms.saturating_sub(MAX_ANSWER_AGE_MS)..=latest_ms).contains(&clock_ms)
+    }
+
     /// Counts a run that completed.
     pub(crate) fn record_success(&mut self) {
         self.failure_average *= 1.0 - FAILURE_WEIGHT;
