Soak: late calls reach later incarnations, which are cut off soon after their restart

What the soak could not show: two runs at once on workers that are back under their IDs and cut off soon after. Its stand-in dropped late orders at a restart, answered hold requests always in time, and started every clock at zero.

Change: late orders and hold requests are executed by whatever incarnation is there, also while it is cut off; clocks of restarted workers start anywhere; a new fault restarts a worker and cuts it off for 12 s; some runs take 11 s, and progress is reported, so that these are not taken for stalled.

--- a/src/platform/users_platform_standin/worker.rs
+++ b/src/platform/users_platform_standin/worker.rs
@@ -28,6 +28,7 @@
     /// Time of day of the start.
     started: String,
     /// Time at which the run succeeds, unless it ends earlier.
+    started_at: Instant,
     succeeds_at: Instant,
     /// Time at which the run ends because of a stop order.
     pub(super) stops_at: Option<Instant>,
@@ -40,6 +41,8 @@
     pub(super) started: Instant,
     /// Start of the process according to the time of day.
     pub(super) started_unix_ms: u64,
+    /// Reading of the worker's clock when it started.
+    pub(super) clock_start_ms: u64,
     /// Whether the worker's registration or a response has told of this incarnation.
     pub(super) is_announced: bool,
     /// End of the lease, in milliseconds on the worker's clock.
@@ -119,9 +122,11 @@
         }
         let is_unannounced = !incarnation.is_announced;
         let others = state.active_runs(&task);
+        let now = Instant::now();
         let run = Run {
             started: time.clone(),
-            succeeds_at: Instant::now() + Duration::from_millis(run_time_ms.unwrap_or(self.run_time_ms)),
+            started_at: now,
+            succeeds_at: now + Duration::from_millis(run_time_ms.unwrap_or(self.run_time_ms)),
             stops_at: None,
         };
         state.workers[index].incarnation.runs.insert((task.clone(), number), run);
@@ -221,10 +226,11 @@
     fn list_runs(&mut self) -> Value {
         let incarnation = &mut self.incarnation;
         incarnation.is_announced = true;
+        let now = Instant::now();
         let mut running = Vec::new();
         for ((task, number), run) in &incarnation.runs {
             if run.stops_at.is_none() || self.lists_stopping_runs {
-                running.push(json!([task, number, "", 50]));
+                running.push(json!([task, number, "", run.percent(now)]));
             }
         }
         json!({ "clockMs": incarnation.clock_ms(), "born": incarnation.started_unix_ms, "running": running,
@@ -232,11 +238,21 @@
     }
 }
 
+impl Run {
+    /// Progress at a time before the run succeeds.
+    fn percent(&self, now: Instant) -> u64 {
+        let total_ms = self.succeeds_at.duration_since(self.started_at).as_millis().max(1);
+        let elapsed_ms = now.saturating_duration_since(self.started_at).as_millis();
+        (elapsed_ms * 100 / total_ms).min(99) as u64
+    }
+}
+
 impl Incarnation {
     pub(super) fn new(started: Instant, started_unix_ms: u64) -> Incarnation {
         Incarnation {
             started,
             started_unix_ms,
+            clock_start_ms: 0,
             is_announced: false,
             lease_end_ms: 0,
             fencing_token: 0,
@@ -248,11 +264,11 @@
     }
 
     pub(super) fn clock_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64 + 1
+        self.clock_start_ms + self.started.elapsed().as_millis() as u64 + 1
     }
 
     fn lease_end_at(&self) -> Instant {
-        self.started + Duration::from_millis(self.lease_end_ms)
+        self.started + Duration::from_millis(self.lease_end_ms.saturating_sub(self.clock_start_ms))
     }
 
     /// Whether the request's fencing token is at least as high as every earlier one; remembers the token if so.
--- a/src/platform/users_platform_standin/worker_faults.rs
+++ b/src/platform/users_platform_standin/worker_faults.rs
@@ -18,10 +18,14 @@
 const MISSED_HEARTBEATS: u32 = 3;
 /// Interval between checks for due heartbeats.
 const HEARTBEAT_CHECK_MS: u64 = 20;
-/// Delay after which an order that got no response is executed.
-const ORDER_DELAY_MS: std::ops::Range<u64> = 500..5_000;
+/// Delay after which a call that got no response is executed.
+const CALL_DELAY_MS: std::ops::Range<u64> = 500..10_000;
 /// Share of the orders that a worker delays while it does so.
 const DELAYED_ORDER_SHARE: f64 = 0.5;
+/// The same for hold requests.
+const DELAYED_HOLD_SHARE: f64 = 0.3;
+/// Upper bound of the reading at which the clock of a restarted worker starts.
+const MAX_CLOCK_START_MS: u64 = 6_000_000;
 
 /// How a worker restarts. By default, it is back at once and its time of day is right.
 #[derive(Debug, Clone, Copy, Default)]
@@ -50,6 +54,7 @@
         }
         state.run_log.lost.extend(lost_tasks);
         let heartbeat_delay_ms = state.rng.random_range(0..=HEARTBEAT_MS);
+        let clock_start_ms = state.rng.random_range(0..=MAX_CLOCK_START_MS);
         let state = &mut *state;
         let worker = &mut state.workers[index];
         for ((task, number), _) in std::mem::take(&mut worker.incarnation.runs) {
@@ -62,6 +67,7 @@
         let started = Instant::now() + Duration::from_millis(restart.down_ms);
         let started_unix_ms = (unix_ms() + restart.down_ms).saturating_add_signed(restart.time_error_ms);
         worker.incarnation = Incarnation::new(started, started_unix_ms);
+        worker.incarnation.clock_start_ms = clock_start_ms;
         worker.restarts += 1;
         worker.next_heartbeat_at = started + Duration::from_millis(heartbeat_delay_ms);
         worker.entry["seq"] = json!(0);
@@ -77,8 +83,8 @@
         self.state.1.notify_all();
     }
 
-    /// Makes a worker delay some of the orders to start or stop a run: they get no response and are executed up to 5 s
-    /// later, unless the worker has restarted by then.
+    /// Makes a worker delay some of the orders to start or stop a run, and some hold requests: they get no response and are
+    /// executed up to 10 s later, also while the worker is cut off, and by a later incarnation if it has restarted by then.
     pub fn delay_orders_of_worker(&self, index: usize, duration_ms: u64) {
         self.lock().workers[index].delays_orders_until = Instant::now() + Duration::from_millis(duration_ms);
     }
@@ -116,13 +122,15 @@
         if request.expected_instance.as_ref().is_some_and(|expected| *expected != worker.id) {
             return Some((421, json!({ "clockMs": worker.incarnation.clock_ms() })));
         }
-        let is_order = request.path == "/run-start" || request.path == "/run-stop";
-        if is_order && worker.delays_orders_until > Instant::now() && state.rng.random_bool(DELAYED_ORDER_SHARE) {
-            let delay_ms = state.rng.random_range(ORDER_DELAY_MS);
-            let (platform, request) = (self.clone(), request.clone());
+        let delayed_share = if request.path == "/hold" { DELAYED_HOLD_SHARE } else { DELAYED_ORDER_SHARE };
+        if worker.delays_orders_until > Instant::now() && state.rng.random_bool(delayed_share) {
+            let delay_ms = state.rng.random_range(CALL_DELAY_MS);
+            let (platform, mut request) = (self.clone(), request.clone());
+            // Nobody waits for the answer.
+            request.body["waitMs"] = json!(0);
             thread::spawn(move || {
                 thread::sleep(Duration::from_millis(delay_ms));
-                platform.execute(index, restarts, &request);
+                platform.execute_late(index, &request);
             });
             return None;
         }
@@ -136,6 +144,18 @@
         response
     }
 
+    /// Executes a call that was delayed, if the worker is up.
+    fn execute_late(&self, index: usize, request: &Request) {
+        let (restarts, is_up) = {
+            let state = self.lock();
+            let worker = &state.workers[index];
+            (worker.restarts, Instant::now() >= worker.incarnation.started)
+        };
+        if is_up {
+            self.execute(index, restarts, request);
+        }
+    }
+
     /// Waits until the worker is no longer cut off.
     fn wait_until_reachable<'a>(&self, index: usize, mut state: MutexGuard<'a, State>) -> MutexGuard<'a, State> {
         loop {
--- a/tests/soak_tests.rs
+++ b/tests/soak_tests.rs
@@ -27,6 +27,8 @@
 const SHORT_RUN_MS: u64 = 300;
 /// Runs of this time are often stopped before they end.
 const LONG_RUN_MS: u64 = 1_500;
+/// Longer than the longest lease.
+const VERY_LONG_RUN_MS: u64 = 11_000;
 /// Tasks of the job that [`submit`] sends.
 const TASKS_PER_JOB: usize = 4;
 /// Longest pause after a round.
@@ -87,7 +89,11 @@
 
     fn submit(&mut self) {
         let id = job_id(self.seed, self.jobs.len());
-        let run_ms = if self.rng.random_bool(0.4) { LONG_RUN_MS } else { SHORT_RUN_MS };
+        let run_ms = match self.rng.random_range(0..20) {
+            0..7 => LONG_RUN_MS,
+            7..9 => VERY_LONG_RUN_MS,
+            _ => SHORT_RUN_MS,
+        };
         let body = format!(
             r#"{{"spec":"run-ms={run_ms}","steps":[{{"count":3,"cpu":1000,"memMb":100,"estimateMs":{run_ms}}},
             {{"count":1,"cpu":1000,"memMb":100,"estimateMs":{run_ms},"after":[0]}}]}}"#
--- a/tests/support/control_faults.rs
+++ b/tests/support/control_faults.rs
@@ -1,5 +1,6 @@
 //! Randomized faults of daemons with the control role and of the workers, several of them at the same time.
 
+use std::thread;
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
@@ -110,10 +111,16 @@
     }
 }
 
+/// Time from a restart until the worker is cut off.
+const CUT_AFTER_RESTART_MS: std::ops::Range<u64> = 40..1_500;
+/// Longer than the longest lease.
+const CUT_AFTER_RESTART_FOR_MS: u64 = 12_000;
+
 /// Injects a random fault into a worker: a restart in three of five cases, otherwise a partition or delayed orders.
 pub fn inject_into_worker(platform: &UsersPlatformStandIn, workers: usize, rng: &mut SmallRng) {
     let target = rng.random_range(0..workers);
-    match rng.random_range(0..10) {
+    match rng.random_range(0..11) {
+        10 => restart_and_cut_off(platform, target, rng),
         0..6 => {
             let down_ms = if rng.random_bool(0.7) { 0 } else { rng.random_range(DURATION_MS) };
             let time_error_ms = if rng.random_bool(0.8) { 0 } else { rng.random_range(TIME_ERROR_MS) };
@@ -123,3 +130,14 @@
         _ => platform.delay_orders_of_worker(target, rng.random_range(DURATION_MS)),
     }
 }
+
+/// Restarts a worker and cuts it off soon after, while calls to it are executed late.
+fn restart_and_cut_off(platform: &UsersPlatformStandIn, target: usize, rng: &mut SmallRng) {
+    platform.delay_orders_of_worker(target, rng.random_range(DURATION_MS));
+    platform.restart_worker(target, WorkerRestart::default());
+    let (platform, cut_after_ms) = (platform.clone(), rng.random_range(CUT_AFTER_RESTART_MS));
+    thread::spawn(move || {
+        thread::sleep(Duration::from_millis(cut_after_ms));
+        platform.cut_off_worker(target, CUT_AFTER_RESTART_FOR_MS);
+    });
+}
