Let a worker with an odd clock get tasks again after any answer of the known incarnation

By reading, not seen by callers: a worker that reports no start time would have got no tasks any more once the clock in an answer looked odd, and a hold request sent in the same microsecond would not have cleared the suspicion.

Also: the clock of a restarted worker of the stand-in starts where the test says, not anywhere. The soak draws the clocks itself now.

--- a/src/platform/users_platform_standin/worker_faults.rs
+++ b/src/platform/users_platform_standin/worker_faults.rs
@@ -24,8 +24,6 @@
 const DELAYED_ORDER_SHARE: f64 = 0.5;
 /// The same for hold requests.
 const DELAYED_HOLD_SHARE: f64 = 0.3;
-/// Upper bound of the reading at which the clock of a restarted worker starts.
-const MAX_CLOCK_START_MS: u64 = 6_000_000;
 
 /// How a worker restarts. By default, it is back at once and its time of day is right.
 #[derive(Debug, Clone, Copy, Default)]
@@ -34,6 +32,8 @@
     pub down_ms: u64,
     /// Error of the time of day at which the worker says that it started.
     pub time_error_ms: i64,
+    /// Reading at which the clock of the new incarnation starts.
+    pub clock_start_ms: u64,
 }
 
 pub(super) fn unix_ms() -> u64 {
@@ -54,7 +54,6 @@
         }
         state.run_log.lost.extend(lost_tasks);
         let heartbeat_delay_ms = state.rng.random_range(0..=HEARTBEAT_MS);
-        let clock_start_ms = state.rng.random_range(0..=MAX_CLOCK_START_MS);
         let state = &mut *state;
         let worker = &mut state.workers[index];
         for ((task, number), _) in std::mem::take(&mut worker.incarnation.runs) {
@@ -67,7 +66,7 @@
         let started = Instant::now() + Duration::from_millis(restart.down_ms);
         let started_unix_ms = (unix_ms() + restart.down_ms).saturating_add_signed(restart.time_error_ms);
         worker.incarnation = Incarnation::new(started, started_unix_ms);
-        worker.incarnation.clock_start_ms = clock_start_ms;
+        worker.incarnation.clock_start_ms = restart.clock_start_ms;
         worker.restarts += 1;
         worker.next_heartbeat_at = started + Duration::from_millis(heartbeat_delay_ms);
         worker.entry["seq"] = json!(0);
--- a/src/platform/users_platform_standin/worker_tests.rs
+++ b/src/platform/users_platform_standin/worker_tests.rs
@@ -123,7 +123,7 @@
     assert_eq!(status(platform.execute(0, 0, &start_order(2, 5))), 200);
     let born = registered(&platform)["born"].as_u64().expect("a number");
 
-    let restarted = platform.restart_worker(0, WorkerRestart { down_ms: 0, time_error_ms: 60_000 });
+    let restarted = platform.restart_worker(0, WorkerRestart { time_error_ms: 60_000, ..WorkerRestart::default() });
     let registered_at_once = registered(&platform)["born"].as_u64();
     let (_, listed) = platform.execute(0, 1, &hold(0)).expect("a response");
     let started = status(platform.execute(0, 1, &start_order(1, 1)));
--- a/src/sched/incarnation_tests.rs
+++ b/src/sched/incarnation_tests.rs
@@ -204,3 +204,18 @@
 
     assert!(matches!(plan, HoldPlan::Send { acknowledged: 1, .. }), "{plan:?}");
 }
+
+/// Guards against a worker that gets no tasks any more after an answer with an odd clock, and against one that gets tasks
+/// before it has said which incarnation it is.
+#[test]
+fn worker_whose_clock_is_odd_gets_tasks_again_once_it_has_answered_as_the_known_incarnation() {
+    let mut leader = leader_with_workers(1);
+    let start = start_only_task(&mut leader);
+    let accepted_us = SECOND_US + 2 * US_PER_MS;
+    leader.on_start_outcome(accepted_us, &start, &OrderOutcome::Accepted { clock_ms: Some(6_000_000) });
+    assert!(!leader.workers[&worker(0)].accepts_new_tasks(accepted_us), "it may have restarted");
+
+    answer(&mut leader, accepted_us, 0, &[1]);
+
+    assert!(leader.workers[&worker(0)].accepts_new_tasks(accepted_us));
+}
--- a/src/sched/restarts.rs
+++ b/src/sched/restarts.rs
@@ -75,13 +75,16 @@
         id: &Arc<str>,
         answer: &HoldAnswer,
     ) -> bool {
-        let Some(started_unix_ms) = answer.started_unix_ms else { return true };
         let Some(worker) = self.workers.get_mut(id) else { return false };
+        let Some(started_unix_ms) = answer.started_unix_ms else {
+            worker.suspected_restart_us = None;
+            return true;
+        };
         if worker.former_starts_unix_ms.contains(&started_unix_ms) && sent_us < worker.known_since_us {
             return false;
         }
         if worker.entry.started_unix_ms == started_unix_ms {
-            worker.suspected_restart_us.take_if(|suspected_us| *suspected_us < sent_us);
+            worker.suspected_restart_us.take_if(|suspected_us| *suspected_us <= sent_us);
             worker.unconfirmed_entry.take_if(|unconfirmed| unconfirmed.read_us < sent_us);
         } else {
             let listed = worker.unconfirmed_entry.take().map(|unconfirmed| unconfirmed.entry);
--- a/tests/support/control_faults.rs
+++ b/tests/support/control_faults.rs
@@ -111,6 +111,8 @@
     }
 }
 
+/// Reading at which the clock of a restarted worker starts.
+const CLOCK_START_MS: std::ops::Range<u64> = 0..6_000_000;
 /// Time from a restart until the worker is cut off.
 const CUT_AFTER_RESTART_MS: std::ops::Range<u64> = 40..1_500;
 /// Longer than the longest lease.
@@ -124,7 +126,8 @@
         0..6 => {
             let down_ms = if rng.random_bool(0.7) { 0 } else { rng.random_range(DURATION_MS) };
             let time_error_ms = if rng.random_bool(0.8) { 0 } else { rng.random_range(TIME_ERROR_MS) };
-            platform.restart_worker(target, WorkerRestart { down_ms, time_error_ms });
+            let clock_start_ms = rng.random_range(CLOCK_START_MS);
+            platform.restart_worker(target, WorkerRestart { down_ms, time_error_ms, clock_start_ms });
         }
         6..8 => platform.cut_off_worker(target, rng.random_range(DURATION_MS)),
         _ => platform.delay_orders_of_worker(target, rng.random_range(DURATION_MS)),
@@ -134,7 +137,8 @@
 /// Restarts a worker and cuts it off soon after, while calls to it are executed late.
 fn restart_and_cut_off(platform: &UsersPlatformStandIn, target: usize, rng: &mut SmallRng) {
     platform.delay_orders_of_worker(target, rng.random_range(DURATION_MS));
-    platform.restart_worker(target, WorkerRestart::default());
+    let clock_start_ms = rng.random_range(CLOCK_START_MS);
+    platform.restart_worker(target, WorkerRestart { clock_start_ms, ..WorkerRestart::default() });
     let (platform, cut_after_ms) = (platform.clone(), rng.random_range(CUT_AFTER_RESTART_MS));
     thread::spawn(move || {
         thread::sleep(Duration::from_millis(cut_after_ms));
