--- a/src/sched/disruption_tests.rs
+++ b/src/sched/disruption_tests.rs
@@ -3,11 +3,11 @@
 use super::job::{RunPhase, TaskState};
 use super::model::{ActiveRun, HoldAnswer, HostRecord, WaveOrder, WorkerEntry};
 use super::planned_work_tests::{
-    assert_budgets_kept, assert_wave_complete, budgeted_step, catalog_with_second_pool, commit,
-    leader_with_two_tasks_at_work, report_runs, run_with_small_jobs, stop_order_count, MAX_DOWN, WAVE, WORKER_COUNT,
+    assert_budgets_kept, assert_wave_complete, commit, leader_with_two_tasks_at_work, report_runs, run_with_small_jobs,
+    stop_order_count, with_budgeted_tasks, MAX_DOWN, WAVE, WORKER_COUNT,
 };
 use super::scheduler::{SchedSettings, Scheduler};
-use super::sim::{settings, spec, Faults, PlannedRestart, Sim};
+use super::sim::{settings, Faults, PlannedRestart, Sim};
 use crate::clock::US_PER_MS;
 
 /// A worker that drains stays a little longer than it has reported.
@@ -16,14 +16,7 @@
 /// Hosts with long-running tasks that have a disruption budget, all of them at work. Stops take up to 900 ms.
 fn sim_with_slow_stops(seed: u64) -> Sim {
     let slow_stops = SchedSettings { stop_grace_ms: 900, ..settings() };
-    let mut sim = Sim::with_settings(seed, WORKER_COUNT, Faults::default(), slow_stops);
-    sim.add_hosts(catalog_with_second_pool());
-    for cpu_milli in [7_000, 5_000, 3_000, 2_000] {
-        sim.submit(&format!("long-running-{cpu_milli}"), spec(vec![budgeted_step(cpu_milli)]));
-    }
-    run_with_small_jobs(&mut sim, 4_000);
-    assert!(sim.are_budgeted_tasks_at_work(), "seed {seed}: the tasks have started");
-    sim
+    with_budgeted_tasks(seed, Sim::with_settings(seed, WORKER_COUNT, Faults::default(), slow_stops))
 }
 
 /// Guards against stops on draining workers that break the budget of a stop for a wave which is under way (review/10).
--- a/src/sched/planned_work_tests.rs
+++ b/src/sched/planned_work_tests.rs
@@ -15,7 +15,7 @@
 pub(super) const MAX_DOWN: u32 = 3;
 
 /// A second pool, which gets its hosts from the first one.
-pub(super) fn catalog_with_second_pool() -> Arc<Catalog> {
+fn catalog_with_second_pool() -> Arc<Catalog> {
     let mut config = (*catalog()).clone();
     config.pools.push(PoolConfig { name: "sheets".into(), spare: false });
     let mut sheets: Queue = (*config.queues[0]).clone();
@@ -25,7 +25,7 @@
 }
 
 /// Four long-running tasks, of which one may be unavailable.
-pub(super) fn budgeted_step(cpu_milli: u64) -> Step {
+fn budgeted_step(cpu_milli: u64) -> Step {
     let mut long_step = step(4, &[]);
     long_step.needs.cpu_milli = cpu_milli;
     long_step.long_running = true;
@@ -36,7 +36,11 @@
 
 /// Hosts with long-running tasks that have a disruption budget, all of them at work.
 fn sim_with_budgeted_tasks(seed: u64, faults: Faults) -> Sim {
-    let mut sim = Sim::new(seed, WORKER_COUNT, faults);
+    with_budgeted_tasks(seed, Sim::new(seed, WORKER_COUNT, faults))
+}
+
+/// Adds hosts and the tasks to a simulation, and lets it run until they are at work.
+pub(super) fn with_budgeted_tasks(seed: u64, mut sim: Sim) -> Sim {
     sim.add_hosts(catalog_with_second_pool());
     for cpu_milli in [7_000, 5_000, 3_000, 2_000] {
         sim.submit(&format!("long-running-{cpu_milli}"), spec(vec![budgeted_step(cpu_milli)]));
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -141,8 +141,8 @@
     }
 
     /// Places a run that a worker lists unexpectedly on that worker, so that its task does not start before the run is
-    /// over, and orders it to stop unless it is the task's latest one or its step's budget forbids that. Returns `false` if the task needs no other run, or
-    /// has one that may have started.
+    /// over, and orders it to stop unless it is the task's latest one or its step's budget forbids that. Returns `false` if
+    /// the task needs no other run, or has one that may have started.
     fn track_unexpected_run(&mut self, now_us: u64, worker: &WorkerIncarnation, active_run: &ActiveRun) -> bool {
         let task_ref = &active_run.task;
         let Some(job) = self.jobs.get(&task_ref.job).filter(|job| !job.phase.is_final()) else { return false };
@@ -385,13 +385,15 @@
         }
     }
 
-    /// Whether the incarnation of a worker that has accepted an order is certainly the known one: its clock is, and that of a
-    /// later one, which has started after the latest answered hold request was sent, cannot be as far yet.
+    /// Whether the incarnation of a worker that has accepted an order is the known one: its clock may be, and that of a later
+    /// one, which has started after the latest answered hold request was sent, cannot be as far yet if it started at zero.
     fn is_answer_of_known_incarnation(&self, now_us: u64, id: &Arc<str>, outcome: &OrderOutcome) -> bool {
         let OrderOutcome::Accepted { clock_ms: Some(clock_ms) } = outcome else { return false };
         let Some(worker) = self.workers.get(id).filter(|worker| worker.is_synced) else { return false };
-        let is_too_far = *clock_ms > now_us.saturating_sub(worker.report_requested_us) / US_PER_MS;
-        is_too_far && worker.suspected_restart_us.is_none() && worker.may_be_own_clock(now_us, *clock_ms)
+        let max_later_clock_ms = now_us.saturating_sub(worker.report_requested_us) / US_PER_MS;
+        *clock_ms > max_later_clock_ms
+            && worker.suspected_restart_us.is_none()
+            && worker.may_be_own_clock(now_us, *clock_ms)
     }
 
     /// Logs a start order that a later incarnation of the worker has accepted than the one that it was meant for.
--- a/src/sched/run_end_tests.rs
+++ b/src/sched/run_end_tests.rs
@@ -66,6 +66,16 @@
     assert_eq!(starts_in(&actions), []);
 }
 
+/// Numbers of starts after the worker's first answer as another incarnation, and after its answer to a call with the raised
+/// fencing token.
+fn starts_around_raised_fence(leader: &mut Scheduler, restarted: &HoldAnswer) -> (usize, usize) {
+    leader.on_hold_answer(2 * SECOND_US, 2 * SECOND_US - US_PER_MS, &worker(0), restarted);
+    let before = decide(leader, 2 * SECOND_US);
+    answer_raised_fence(leader, 2 * SECOND_US + US_PER_MS, 0, restarted);
+    let after = decide(leader, 2 * SECOND_US + 100 * US_PER_MS);
+    (starts_in(&before).len(), starts_in(&after).len())
+}
+
 #[test]
 fn run_lost_with_the_former_incarnation_is_started_again() {
     let mut leader = leader_with_workers(1);
@@ -74,13 +84,9 @@
     answer(&mut leader, SECOND_US + 500 * US_PER_MS, 0, &[1]);
 
     let restarted = answer_of(LATER_START_UNIX_MS, 2 * SECOND_US, &[]);
-    leader.on_hold_answer(2 * SECOND_US, 2 * SECOND_US - US_PER_MS, &worker(0), &restarted);
-    let before = decide(&mut leader, 2 * SECOND_US);
-    answer_raised_fence(&mut leader, 2 * SECOND_US + US_PER_MS, 0, &restarted);
-    let after = decide(&mut leader, 2 * SECOND_US + 100 * US_PER_MS);
 
     assert_eq!(
-        (starts_in(&before).len(), starts_in(&after).len()),
+        starts_around_raised_fence(&mut leader, &restarted),
         (0, 1),
         "calls for the former incarnation may come"
     );
@@ -94,13 +100,9 @@
     answer(&mut leader, SECOND_US + 500 * US_PER_MS, 0, &[1]);
 
     let restarted = answer_of(FORMER_START_UNIX_MS - 3_000, 2 * SECOND_US, &[]);
-    leader.on_hold_answer(2 * SECOND_US, 2 * SECOND_US - US_PER_MS, &worker(0), &restarted);
-    let before = decide(&mut leader, 2 * SECOND_US);
-    answer_raised_fence(&mut leader, 2 * SECOND_US + US_PER_MS, 0, &restarted);
-    let after = decide(&mut leader, 2 * SECOND_US + 100 * US_PER_MS);
 
     assert_eq!(
-        (starts_in(&before).len(), starts_in(&after).len()),
+        starts_around_raised_fence(&mut leader, &restarted),
         (0, 1),
         "calls for the former incarnation may come"
     );
