--- a/tests/cancel_tests.rs
+++ b/tests/cancel_tests.rs
@@ -34,6 +34,9 @@
     let mut daemons: Vec<ControlDaemon> =
         (1..=2).map(|number| ControlDaemon::prepare("cancel-first", number, &platform)).collect();
     daemons.iter_mut().for_each(ControlDaemon::start);
+    for daemon in &daemons {
+        call_until(daemon, ("GET", OTHER_ID, ""), 410);
+    }
     call_until(&daemons[0], ("DELETE", CANCELLED_ID, ""), 410);
 
     let submitted = call(&daemons[1], "POST", CANCELLED_ID, JOB);
