--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -73,7 +73,7 @@
     /// First entry of each worker, by number.
     entries: Vec<WorkerEntry>,
     workers: BTreeMap<Arc<str>, SimWorker>,
-    registry: SimRegistry,
+    pub(in crate::sched) registry: SimRegistry,
     /// Hosts in the provider's list, by name. Empty unless [`Sim::add_hosts`] has been called.
     hosts: BTreeMap<Arc<str>, SimHost>,
     next_host_list_us: u64,
@@ -296,6 +296,7 @@
             self.now_us += TICK_US;
             self.inject_faults();
             self.return_entries();
+            self.expire_partitioned_entries();
             self.return_hosts();
             self.deliver();
             self.run_workers();
--- a/src/sched/sim/faults.rs
+++ b/src/sched/sim/faults.rs
@@ -34,6 +34,23 @@
     pub(in crate::sched) host_answer_loss_rate: f64,
 }
 
+impl Faults {
+    pub(in crate::sched) const NONE: Faults = Faults {
+        answer_loss_rate: 0.0,
+        order_delay_rate: 0.0,
+        hold_delay_rate: 0.0,
+        order_loss_rate: 0.0,
+        order_queue_ms: 0,
+        run_failure_rate: 0.0,
+        crashes_per_s: 0.0,
+        partitions_per_s: 0.0,
+        failovers_per_s: 0.0,
+        commit_answer_loss_rate: 0.0,
+        commit_delay_ms: 0,
+        host_answer_loss_rate: 0.0,
+    };
+}
+
 impl Sim {
     /// Replaces the random faults from now on.
     pub(in crate::sched) fn set_faults(&mut self, faults: Faults) {
@@ -55,6 +72,7 @@
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.partitioned_until_us = until_us;
         }
+        self.registry.expire_later(self.now_us, id);
         self.last_disturbance_us = self.last_disturbance_us.max(until_us);
     }
 
