Keep runs of a former leader until no later incarnation can hold a lease for them

Cause: a new leader took each run of the record for one of the registered incarnation (RunPhase::Restored counted as confirmed), since a worker that had restarted would have registered again. A worker that is cut off before it registers cannot. Calls of the former leader may reach its later incarnation for 12 s more, and grant the longest lease on its clock, but the new leader released the run 10.6 s after its takeover. A paused former leader may also send calls after the takeover.

Change: a run counts as confirmed only by an answer to this leader. All others wait for the former leader's last call (its leadership allows leases for 8.5 s), the 12 s by which it may be late, and the longest lease; so do runs on workers that are known only from the record. Workers that answer, or have gone for good, are not affected.

The bound of the wait in takeover_tests follows from the sum above; the test waits for it and checks, as before, that the task does not start elsewhere earlier.

--- a/src/sched/leases.rs
+++ b/src/sched/leases.rs
@@ -71,12 +71,29 @@
     /// When every lease has ended that calls to the known incarnation of a worker may have granted to a later one, of which
     /// the leader has not learned.
     pub(super) fn lease_end_on_later_incarnation_us(&self, worker: &Worker) -> u64 {
-        // Until a worker has seen the token of this leader, calls of a former one may reach it.
-        let former_leader_us = if worker.is_synced { 0 } else { self.leader_since_us };
-        let last_call_us = worker.last_lease_call_us.max(former_leader_us);
+        let last_call_us = worker.last_lease_call_us.max(self.last_former_leader_call_us());
         last_call_us + MAX_CALL_DELAY_MS * US_PER_MS + self.longest_lease_wait_us()
     }
 
+    /// The same for a worker that is only known from the record.
+    pub(super) fn lease_end_on_unknown_worker_us(&self) -> u64 {
+        self.former_leader_calls_end_us() + self.longest_lease_wait_us()
+    }
+
+    /// Until when a call of a former leader may be carried out.
+    fn former_leader_calls_end_us(&self) -> u64 {
+        self.last_former_leader_call_us() + MAX_CALL_DELAY_MS * US_PER_MS
+    }
+
+    /// Time after which no former leader sends a call that may grant a lease. One that is paused may send calls until its
+    /// leadership would have allowed no lease any more.
+    fn last_former_leader_call_us(&self) -> u64 {
+        if !self.has_former_leader {
+            return 0;
+        }
+        self.leader_since_us + self.max_granted_lease_ms() * US_PER_MS
+    }
+
     /// The same for a later incarnation that has become known at `now_us`: calls that were sent before may reach it until it
     /// has seen a higher fencing token.
     pub(super) fn lease_end_after_restart_us(&self, now_us: u64, former: &Worker) -> u64 {
--- a/src/sched/run_end.rs
+++ b/src/sched/run_end.rs
@@ -85,14 +85,13 @@
         match (observation, placed.phase) {
             (Observation::EndListed, _) => Some(RunOver::EndListed),
             (Observation::LeasesExpired { now_us }, _) => {
-                // A lease that was meant for one incarnation may last longer on the clock of a later one.
-                let worker = self.workers.get(&placed.worker.id);
-                // A worker that has restarted since a former leader placed the run would have registered again by now.
-                let is_confirmed = placed.report.is_confirmed || placed.phase == RunPhase::Restored;
-                let lease_end_us = worker.map_or(0, |worker| match is_confirmed {
-                    true => worker.unknown_lease_end_us,
-                    false => worker.unknown_lease_end_us.max(self.lease_end_on_later_incarnation_us(worker)),
-                });
+                // A lease that was meant for one incarnation may last longer on the clock of a later one. The registry does
+                // not tell of a later one that was cut off before it could register.
+                let lease_end_us = match self.workers.get(&placed.worker.id) {
+                    Some(worker) if placed.report.is_confirmed => worker.unknown_lease_end_us,
+                    Some(worker) => worker.unknown_lease_end_us.max(self.lease_end_on_later_incarnation_us(worker)),
+                    None => self.lease_end_on_unknown_worker_us(),
+                };
                 (now_us >= lease_end_us).then_some(RunOver::LeaseExpired)
             }
             (Observation::WorkerGone, _) => Some(RunOver::WorkerGone),
--- a/src/sched/takeover_tests.rs
+++ b/src/sched/takeover_tests.rs
@@ -6,6 +6,9 @@
 use super::scheduler::Scheduler;
 use super::sim::{catalog, settings, spec, step, worker_entry};
 
+/// Time from a takeover to the end of all leases that a former leader may have granted, also on a later incarnation: its calls
+/// end after 8.5 s, may be carried out 12 s late, and grant 10 s on a clock that may be slow.
+const LEASES_END_MS: u64 = 8_500 + 12_000 + 10_600;
 /// Time after the takeover within which tasks of a worker that is gone run elsewhere.
 const REPLACED_WITHIN_MS: u64 = 1_000;
 
@@ -162,10 +165,10 @@
     for (case, hosts) in cases {
         let mut leader = new_leader(now_us, vec![worker_entry(1, 1)]);
         leader.hosts_listed(now_us, now_us, hosts);
-        run_for(&mut leader, now_us, 10_200);
+        run_for(&mut leader, now_us, LEASES_END_MS - 500);
         assert_eq!(placed_on(&leader), Some("w0"), "{case}");
 
-        run_for(&mut leader, now_us + 10_200_000, 1_000);
+        run_for(&mut leader, now_us + (LEASES_END_MS - 500) * 1_000, 1_500);
         assert_eq!(placed_on(&leader), Some("w1"), "{case}: the leases have ended");
     }
 }
