Start a task on no other worker while an unanswered order may still start it

The worker then restarted under its ID within the 12 s for which the order may be late. The new incarnation knew neither the stop nor a token, and carried the order out.

Change: the scheduler keeps such orders (sched/late_starts.rs) until the worker lists the run or its end, lists neither to a request after the 12 s, has gone for good, or no lease can be left. Until then, the task starts only on the same worker: a restart ends the later run before the order can start the earlier one. A later run that may be replaced in this way keeps its worker until the order is settled and its longest lease is over, should the worker fall silent. The record keeps late orders for the next leader, to which all runs of the record that a worker does not list count as such. Steps that allow copies are exempt. A first list of a new incarnation that is not complete no longer shows that it lacks a run.

The fixture of takeover_tests now answers requests for a raised token.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -26,6 +26,7 @@
 mod isolation;
 pub(crate) mod job;
 mod labels;
+mod late_starts;
 mod leases;
 mod lost_workers;
 pub(crate) mod model;
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::critical_path::{critical_paths_ms, MeasuredRunTimes};
+use super::late_starts::LateStart;
 use super::model::{JobId, JobPhase, JobSpec, Queue, TaskRef};
 use super::stages::TaskStages;
 use super::task_runs::{RunReport, TaskCopy};
@@ -77,6 +78,8 @@
     pub(crate) avoided_workers: Vec<Arc<str>>,
     /// Workers that were lost while they had a run of the task.
     pub(crate) losses: Vec<WorkerLoss>,
+    /// Start orders without an answer that may still be carried out.
+    pub(crate) late_starts: Vec<LateStart>,
     /// Until this time, a suspect starts only on a worker without other tasks.
     pub(crate) isolated_until_us: u64,
     /// Earliest time of the next start.
@@ -99,6 +102,7 @@
             checkpoint: Arc::from(""),
             avoided_workers: Vec::new(),
             losses: Vec::new(),
+            late_starts: Vec::new(),
             isolated_until_us: 0,
             not_before_us: 0,
             report: RunReport::new(0),
--- /dev/null
+++ b/src/sched/late_starts.rs
@@ -0,0 +1,109 @@
+//! Start orders without an answer, which a later incarnation of their worker may still carry out.
+//!
+//! A worker that has acknowledged a stop of the run refuses its start, but that ends with the incarnation. As long as the
+//! order may arrive, the task therefore starts on no other worker: a restart of this one ends the later run before the order
+//! can start the earlier one.
+
+use std::sync::Arc;
+
+use foldhash::HashMap;
+
+use super::job::Task;
+use super::model::{HoldAnswer, TaskRef};
+use super::scheduler::Scheduler;
+
+/// A start order without an answer.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct LateStart {
+    pub(crate) worker: Arc<str>,
+    pub(crate) run: u32,
+    /// The order is carried out before this time, if ever.
+    pub(crate) until_us: u64,
+}
+
+/// The same in the list of its worker.
+#[derive(Debug, Clone, PartialEq)]
+struct LateStartOfTask {
+    task: TaskRef,
+    run: u32,
+    until_us: u64,
+}
+
+impl LateStartOfTask {
+    /// Whether a worker's answer shows that the order has been carried out.
+    fn is_listed(&self, answer: &HoldAnswer) -> bool {
+        let HoldAnswer { running, ended, .. } = answer;
+        running.iter().any(|active_run| active_run.run == self.run && active_run.task == self.task)
+            || ended.iter().any(|ended_run| ended_run.run == self.run && ended_run.task == self.task)
+    }
+}
+
+/// The late start orders of all tasks, by the ID of their worker. [`Task::late_starts`] has them by task.
+#[derive(Debug, Default)]
+pub(super) struct LateStarts(HashMap<Arc<str>, Vec<LateStartOfTask>>);
+
+impl Task {
+    /// Whether no start order may still be carried out by another worker than this one.
+    pub(super) fn may_start_on(&self, worker: &str) -> bool {
+        self.late_starts.iter().all(|late_start| &*late_start.worker == worker)
+    }
+
+    /// Until when an order for an earlier run may start it; 0 if none may.
+    pub(super) fn late_starts_until_us(&self) -> u64 {
+        self.late_starts.iter().map(|late_start| late_start.until_us).max().unwrap_or(0)
+    }
+}
+
+impl Scheduler {
+    /// Notes a start order that has got no answer. Steps that allow copies may run twice.
+    pub(super) fn note_late_start(&mut self, task_ref: &TaskRef, late_start: LateStart) {
+        if self.step_of(task_ref).is_none_or(|step| step.allows_copies()) {
+            return;
+        }
+        let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
+        let LateStart { worker, run, until_us } = late_start.clone();
+        task.late_starts.push(late_start);
+        let of_worker = self.late_starts.0.entry(worker).or_default();
+        of_worker.push(LateStartOfTask { task: task_ref.clone(), run, until_us });
+    }
+
+    /// Settles the late start orders of which a worker's answer, to a request of `sent_us`, tells that they have been carried
+    /// out, or will not be any more.
+    pub(super) fn settle_late_starts(&mut self, sent_us: u64, id: &Arc<str>, answer: &HoldAnswer) {
+        self.settle_late_starts_if(id, |late_start| {
+            late_start.is_listed(answer) || (answer.is_complete && sent_us > late_start.until_us)
+        });
+    }
+
+    /// Settles late start orders of workers that have not answered since, once no run that they have started can have a lease.
+    pub(super) fn expire_late_starts(&mut self, now_us: u64) {
+        let longest_lease_wait_us = self.longest_lease_wait_us();
+        let workers: Vec<Arc<str>> = self.late_starts.0.keys().cloned().collect();
+        for id in workers {
+            self.settle_late_starts_if(&id, |late_start| now_us > late_start.until_us + longest_lease_wait_us);
+        }
+    }
+
+    /// Settles the late start orders of workers that have gone for good.
+    pub(super) fn settle_late_starts_of_gone_workers(&mut self, is_gone: impl Fn(&Arc<str>) -> bool) {
+        let gone: Vec<Arc<str>> = self.late_starts.0.keys().filter(|id| is_gone(id)).cloned().collect();
+        for id in gone {
+            self.settle_late_starts_if(&id, |_| true);
+        }
+    }
+
+    fn settle_late_starts_if(&mut self, id: &Arc<str>, is_settled: impl Fn(&LateStartOfTask) -> bool) {
+        let Some(of_worker) = self.late_starts.0.get_mut(id) else { return };
+        let (settled, open) = std::mem::take(of_worker).into_iter().partition(is_settled);
+        *of_worker = open;
+        if of_worker.is_empty() {
+            self.late_starts.0.remove(id);
+        }
+        let settled: Vec<LateStartOfTask> = settled;
+        for LateStartOfTask { task: task_ref, run, .. } in settled {
+            let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(&task_ref)) else { continue };
+            task.late_starts.retain(|late_start| late_start.run != run || late_start.worker != *id);
+            self.wants_placement = true;
+        }
+    }
+}
--- a/src/sched/leases.rs
+++ b/src/sched/leases.rs
@@ -17,7 +17,7 @@
 /// On a worker whose clock runs up to 2% slow, a lease lasts longer by up to this factor.
 const LEASE_EXPIRY_FACTOR: f64 = 1.03;
 /// A call without an answer is carried out no later than this after it was sent.
-const MAX_CALL_DELAY_MS: u64 = 12_000;
+pub(super) const MAX_CALL_DELAY_MS: u64 = 12_000;
 /// Added to the time after which a lease has expired, for errors in reading workers' clocks.
 const LEASE_EXPIRY_MARGIN_MS: u64 = 300;
 
@@ -81,7 +81,7 @@
     }
 
     /// Until when a call of a former leader may be carried out.
-    fn former_leader_calls_end_us(&self) -> u64 {
+    pub(super) fn former_leader_calls_end_us(&self) -> u64 {
         self.last_former_leader_call_us() + MAX_CALL_DELAY_MS * US_PER_MS
     }
 
--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -9,6 +9,7 @@
 use foldhash::HashSet;
 
 use super::job::{Task, WorkerIncarnation};
+use super::late_starts::LateStart;
 use super::model::{JobId, TaskRef};
 use super::run_end::Observation;
 use super::run_stops::StopReason;
@@ -35,11 +36,13 @@
         let with_losses = job.tasks().filter(|(_, task)| !task.losses.is_empty());
         let with_losses: Vec<TaskRef> = with_losses.map(|(task_ref, _)| task_ref).collect();
         let is_final = job.phase.is_final();
+        self.restore_late_starts(id);
         for task_ref in with_losses {
             self.watch_losses(&task_ref);
         }
         for (task_ref, worker, is_done) in placed {
             self.count_placed(&task_ref);
+            self.note_former_leaders_start(&task_ref, &worker);
             self.attach_restored_task(now_us, &task_ref, &worker);
             if is_done {
                 self.order_stop(now_us, &task_ref, &worker, StopReason::TaskDone);
@@ -81,6 +84,32 @@
         }
     }
 
+    /// Notes the start orders of former leaders that had no answer, as the record has them.
+    fn restore_late_starts(&mut self, id: &JobId) {
+        let until_us = self.former_leader_calls_end_us();
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let mut recorded = Vec::new();
+        let with_late_starts = job.tasks().filter(|(_, task)| !task.late_starts.is_empty());
+        let with_late_starts: Vec<TaskRef> = with_late_starts.map(|(task_ref, _)| task_ref).collect();
+        for task_ref in with_late_starts {
+            let Some(task) = job.task_mut(&task_ref) else { continue };
+            for late_start in std::mem::take(&mut task.late_starts) {
+                recorded.push((task_ref.clone(), LateStart { until_us, ..late_start }));
+            }
+        }
+        for (task_ref, late_start) in recorded {
+            self.note_late_start(&task_ref, late_start);
+        }
+    }
+
+    /// Notes that the former leader's order for a restored run may not have been carried out yet.
+    fn note_former_leaders_start(&mut self, task_ref: &TaskRef, id: &Arc<str>) {
+        let until_us = self.former_leader_calls_end_us();
+        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+        let Some(run) = task.and_then(|task| task.run_on(id)).map(|placed| placed.run) else { return };
+        self.note_late_start(task_ref, LateStart { worker: id.clone(), run, until_us });
+    }
+
     /// Notes that calls of a former leader may still reach a worker which has restarted since, and has not answered.
     fn expect_late_calls(&mut self, id: &Arc<str>) {
         let Some(worker) = self.workers.get(id).filter(|worker| !worker.is_synced) else { return };
@@ -142,6 +171,7 @@
             let orphans = self.orphans();
             self.release_orphans(now_us, &orphans, Observation::LeasesExpired { now_us });
             self.prune_silent_workers();
+            self.expire_late_starts(now_us);
         }
     }
 
@@ -208,15 +238,20 @@
         }
         let on_hosts: HashSet<Arc<str>> = self.hosts.values().filter_map(|host| host.worker.clone()).collect();
         let mut gone = Vec::new();
+        let mut present = on_hosts.clone();
         for (id, worker) in &self.workers {
             let has_left = !worker.is_listed && worker.unlisted_us < requested_us;
             if has_left && !worker.tasks.is_empty() && !on_hosts.contains(id) {
                 gone.push(id.clone());
             }
+            if !has_left {
+                present.insert(id.clone());
+            }
         }
-        for id in gone {
-            let cause = self.loss_cause(&id);
-            self.release_lost_tasks(now_us, &id, cause, Observation::WorkerGone);
+        self.settle_late_starts_of_gone_workers(|id| !present.contains(id));
+        for id in &gone {
+            let cause = self.loss_cause(id);
+            self.release_lost_tasks(now_us, id, cause, Observation::WorkerGone);
         }
         let unattached: Vec<Arc<str>> = self.unattached_tasks.keys().cloned().collect();
         for id in unattached {
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -291,7 +291,7 @@
                 false => self.choose(now_us, task_ref, step, workers),
             };
             let Some(index) = best else {
-                if self.waits_to_be_alone(now_us, task_ref) {
+                if self.waits_to_be_alone(now_us, task_ref) || self.waits_for_late_start(task_ref) {
                     continue;
                 }
                 if step.long_running {
@@ -361,7 +361,7 @@
         self.work_counts.add(Work::WorkersCompared, workers.len());
         let mut best: Option<(Score, usize)> = None;
         for (index, worker) in workers.iter().enumerate() {
-            if !worker.can_take(step) || (must_be_alone && worker.task_count > 0) {
+            if !worker.can_take(step) || (must_be_alone && worker.task_count > 0) || !task.may_start_on(&worker.id) {
                 continue;
             }
             let score = score(worker, step, task.avoided_workers.contains(&worker.id), is_suspect);
@@ -372,11 +372,18 @@
         best.map(|(_, index)| index)
     }
 
+    /// Whether a task has to start on the worker that a late start order for it may still reach.
+    fn waits_for_late_start(&self, task_ref: &TaskRef) -> bool {
+        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+        task.is_some_and(|task| !task.late_starts.is_empty())
+    }
+
     /// Whether the tasks of a step that this one belongs to may all be placed by one comparison of the workers: nothing but
     /// the step tells which worker is the best.
     fn is_choice_shared(&self, task_ref: &TaskRef, step: &Step) -> bool {
         let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
-        let has_own_choice = task.is_none_or(|task| !task.avoided_workers.is_empty()) || self.is_suspect(task_ref);
+        let has_own_choice = task.is_none_or(|task| !task.avoided_workers.is_empty() || !task.late_starts.is_empty())
+            || self.is_suspect(task_ref);
         !step.long_running && !has_own_choice
     }
 
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -38,6 +38,7 @@
             return;
         }
         self.confirm_fence(now_us, sent_us, id);
+        self.settle_late_starts(sent_us, id, answer);
         let (leader_since_us, longest_lease_wait_us) = (self.leader_since_us, self.longest_lease_wait_us());
         let (has_former_leader, now_unix_ms) = (self.has_former_leader, self.now_unix_ms);
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -361,6 +362,7 @@
             }
             (OrderOutcome::Unanswered, RunPhase::Ordered) => {
                 *placed.phase = RunPhase::Unanswered { since_us: now_us };
+                self.note_unanswered_start(now_us, start);
                 self.actions.push(Action::RaiseFence { worker: start.worker.clone() });
                 // One lost answer says little about a worker that answers other requests.
                 if !self.is_probably_reachable(now_us, &start.worker) {
--- a/src/sched/record.rs
+++ b/src/sched/record.rs
@@ -6,6 +6,7 @@
 
 use super::admission::AdmissionReport;
 use super::job::{Job, RunPhase, Task, TaskState, WorkerIncarnation};
+use super::late_starts::LateStart;
 use super::model::{FinishedJob, JobId, JobOrigin, JobPhase, JobSpec, ReportedPhase, TaskRef};
 use super::packed_row::{pack, unpack};
 use super::task_runs::PlacedRun;
@@ -70,6 +71,16 @@
     Done,
 }
 
+/// A start order that may still be carried out by a later incarnation of its worker.
+#[derive(Debug, Serialize, Deserialize)]
+struct LateStartRecord {
+    /// Position of the task in [`JobRecord::tasks`].
+    task: u32,
+    /// Index into [`JobRecord::workers`].
+    worker: u16,
+    run: u32,
+}
+
 /// Origins of the jobs of a row of phases.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct OriginsRecord {
@@ -226,14 +237,15 @@
     decode(bytes)
 }
 
-/// Encodes the state of a job and its tasks. Copies and then losses follow the other fields, and only if there are any,
-/// so that rows without them are the same as those of earlier versions. Those versions ignore what they do not know, but
+/// Encodes the state of a job and its tasks. Copies, losses and late start orders follow the other fields, and only if there
+/// are any, so that rows without them are the same as those of earlier versions. Those versions ignore what they do not know, but
 /// cannot read the record of a job that is so large that it is compressed, see [`pack`].
 pub(crate) fn encode_job(job: &Job) -> Vec<u8> {
     let mut record =
         JobRecord { phase: job.phase, next_occurrence: job.next_occurrence, workers: Vec::new(), tasks: Vec::new() };
     let mut copies: Vec<CopyRecord> = Vec::new();
     let mut losses: Vec<LossRecord> = Vec::new();
+    let mut late_starts: Vec<LateStartRecord> = Vec::new();
     // The runs that are left are found in the lists of their workers.
     let recorded_tasks = (!job.is_record_refused).then(|| job.tasks()).into_iter().flatten();
     for (task_ref, task) in recorded_tasks {
@@ -255,6 +267,11 @@
             let WorkerLoss { is_crash, has_begun, blame, .. } = *loss;
             losses.push(LossRecord { task: position, worker, is_crash, has_begun, blame });
         }
+        for late_start in &task.late_starts {
+            let worker = WorkerIncarnation { id: late_start.worker.clone(), started_unix_ms: 0 };
+            let (position, worker) = (record.tasks.len() as u32, index_of(&mut record.workers, &worker));
+            late_starts.push(LateStartRecord { task: position, worker, run: late_start.run });
+        }
         record.tasks.push(TaskRecord {
             occurrence: task_ref.occurrence,
             step: task_ref.step,
@@ -267,12 +284,15 @@
         });
     }
     let mut row = encode(&record);
-    if !copies.is_empty() || !losses.is_empty() {
+    if !copies.is_empty() || !losses.is_empty() || !late_starts.is_empty() {
         row.extend(encode(&copies));
     }
-    if !losses.is_empty() {
+    if !losses.is_empty() || !late_starts.is_empty() {
         row.extend(encode(&losses));
     }
+    if !late_starts.is_empty() {
+        row.extend(encode(&late_starts));
+    }
     pack(row)
 }
 
@@ -300,7 +320,8 @@
     let row = unpack(bytes).map_err(|error| RecordError(error.to_string()))?;
     let (record, rest): (JobRecord, &[u8]) = split_prefix(&row)?;
     let (copies, rest): (Vec<CopyRecord>, &[u8]) = split_optional(rest)?;
-    let (losses, _): (Vec<LossRecord>, &[u8]) = split_optional(rest)?;
+    let (losses, rest): (Vec<LossRecord>, &[u8]) = split_optional(rest)?;
+    let (late_starts, _): (Vec<LateStartRecord>, &[u8]) = split_optional(rest)?;
     job.phase = record.phase;
     job.published_phase = record.phase;
     for number in 0..record.next_occurrence.min(job.occurrence_count()) {
@@ -349,6 +370,13 @@
         let LossRecord { is_crash, has_begun, blame, .. } = loss;
         task.losses.push(WorkerLoss { worker: worker_at(&record.workers, loss.worker)?, is_crash, has_begun, blame });
     }
+    for late_start in late_starts {
+        let task_ref = task_refs.get(late_start.task as usize);
+        let Some(task) = task_ref.and_then(|task_ref| job.task_mut(task_ref)) else { continue };
+        let worker = worker_at(&record.workers, late_start.worker)?.id;
+        // The leader that restores the record knows when the orders of former leaders end.
+        task.late_starts.push(LateStart { worker, run: late_start.run, until_us: 0 });
+    }
     Ok(())
 }
 
--- a/src/sched/restarts.rs
+++ b/src/sched/restarts.rs
@@ -135,7 +135,8 @@
         }
         let lost = effects.iter().filter(|(_, effect)| effect.is_loss());
         let lost: Vec<TaskRef> = lost.map(|(task_ref, _)| task_ref.clone()).collect();
-        let observation = Observation::WorkerRestarted { requested_us: list.map(|list| list.requested_us) };
+        let requested_us = list.filter(|list| list.answer.is_complete).map(|list| list.requested_us);
+        let observation = Observation::WorkerRestarted { requested_us };
         let cause = self.restart_cause(&id);
         self.release_lost(now_us, &id, &lost, cause, observation);
         self.set_untracked_usage(&id, Vec::new());
@@ -193,7 +194,8 @@
 
     /// What the restart of a worker means for each run placed on it.
     fn restart_effects(&self, id: &Arc<str>, list: Option<FirstList<'_>>) -> Vec<(TaskRef, RestartEffect)> {
-        let requested_us = list.map(|list| list.requested_us);
+        // A list that is not complete may lack a run of the new incarnation.
+        let requested_us = list.filter(|list| list.answer.is_complete).map(|list| list.requested_us);
         let observation = Observation::WorkerRestarted { requested_us };
         let mut effects = Vec::new();
         for task_ref in self.workers.get(id).into_iter().flat_map(|worker| &worker.tasks) {
@@ -252,9 +254,10 @@
     fn carry_over(&mut self, now_us: u64, task_ref: &TaskRef, id: &Arc<str>, effect: RestartEffect) {
         let Some(incarnation) = self.workers.get(id).map(Worker::incarnation) else { return };
         let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
+        let late_starts_until_us = task.late_starts_until_us();
         let Some(placed) = task.run_on_mut(id) else { return };
         *placed.worker = incarnation.clone();
-        *placed.report = RunReport::new(now_us);
+        *placed.report = RunReport { late_starts_until_us, ..RunReport::new(now_us) };
         let run = placed.run;
         if let RunPhase::Stopping { acknowledged_us, .. } = placed.phase {
             *acknowledged_us = None;
--- a/src/sched/run_end.rs
+++ b/src/sched/run_end.rs
@@ -92,6 +92,10 @@
                     Some(worker) => worker.unknown_lease_end_us.max(self.lease_end_on_later_incarnation_us(worker)),
                     None => self.lease_end_on_unknown_worker_us(),
                 };
+                let lease_end_us = lease_end_us.max(match placed.report.late_starts_until_us {
+                    0 => 0,
+                    until_us => until_us + self.longest_lease_wait_us(),
+                });
                 (now_us >= lease_end_us).then_some(RunOver::LeaseExpired)
             }
             (Observation::WorkerGone, _) => Some(RunOver::WorkerGone),
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -14,6 +14,7 @@
 use super::host_moves::HostMoves;
 use super::host_orders::HostOrders;
 use super::job::{Job, ShareClass};
+use super::late_starts::LateStarts;
 use super::model::{Catalog, HostRecord, JobId, JobPhase, JobSpec, Queue, ReportedPhase, Resources, Step, TaskRef};
 use super::organisation_counts::OrganisationCounts;
 use super::placement_round::CompleteRounds;
@@ -141,6 +142,7 @@
     pub(super) work_counts: WorkCounts,
     pub(super) stop_counts: StopCounts,
     pub(super) withdrawn_counts: WithdrawnCounts,
+    pub(super) late_starts: LateStarts,
     pub(super) release_counts: ReleaseCounts,
     pub(super) organisation_counts: HashMap<Arc<str>, OrganisationCounts>,
 }
@@ -201,6 +203,7 @@
             work_counts: WorkCounts::default(),
             stop_counts: StopCounts::default(),
             withdrawn_counts: WithdrawnCounts::default(),
+            late_starts: LateStarts::default(),
             release_counts: ReleaseCounts::default(),
             organisation_counts: HashMap::default(),
         }
--- a/src/sched/start_orders.rs
+++ b/src/sched/start_orders.rs
@@ -8,11 +8,14 @@
 
 use super::action::{Action, StartRun};
 use super::job::{RunPhase, WorkerIncarnation};
+use super::late_starts::LateStart;
+use super::leases::MAX_CALL_DELAY_MS;
 use super::model::TaskRef;
 use super::run_end::Observation;
 use super::scheduler::Scheduler;
 use super::stages::Stage;
 use super::worker::Worker;
+use crate::clock::US_PER_MS;
 
 /// Why a start order must not be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -179,6 +182,12 @@
         true
     }
 
+    /// Notes that a start order has got no answer, and may be carried out later.
+    pub(super) fn note_unanswered_start(&mut self, now_us: u64, start: &StartRun) {
+        let until_us = now_us + MAX_CALL_DELAY_MS * US_PER_MS;
+        self.note_late_start(&start.task, LateStart { worker: start.worker.clone(), run: start.run, until_us });
+    }
+
     /// Whether the lease that a start order grants has ended on the worker's clock.
     fn has_lease_ended(&self, now_us: u64, start: &StartRun) -> bool {
         let worker = self.workers.get(&start.worker);
--- a/src/sched/takeover_tests.rs
+++ b/src/sched/takeover_tests.rs
@@ -82,6 +82,9 @@
         leader.tick(tick_us, 0);
         commit(leader, tick_us);
         for action in leader.take_actions() {
+            if let Action::RaiseFence { worker } = &action {
+                leader.fence_raised(tick_us, worker);
+            }
             let Action::Stop { worker, task, run } = action else { continue };
             if workers.contains(&&*worker) {
                 let outcome = OrderOutcome::Accepted { clock_ms: None };
--- a/src/sched/task_runs.rs
+++ b/src/sched/task_runs.rs
@@ -14,6 +14,8 @@
     pub(crate) is_listed: bool,
     /// Whether it is certain that no later incarnation of the worker than the known one has the run.
     pub(crate) is_confirmed: bool,
+    /// Until when an order for an earlier run may start it on a later incarnation of the worker; 0 if none may.
+    pub(crate) late_starts_until_us: u64,
     /// Latest reported progress in percent. A long-running task at 100 is fully in service.
     pub(crate) percent: u32,
     /// When `percent` last changed, or the run started.
@@ -29,6 +31,7 @@
         RunReport {
             is_listed: false,
             is_confirmed: false,
+            late_starts_until_us: 0,
             percent: 0,
             percent_since_us: now_us,
             load: None,
@@ -112,7 +115,7 @@
     /// Adds a run: the only one of the task, or a copy of the one that it has.
     pub(crate) fn add_run(&mut self, now_us: u64, worker: WorkerIncarnation, run: u32, phase: RunPhase) {
         self.last_run = self.last_run.max(run);
-        let report = RunReport::new(now_us);
+        let report = RunReport { late_starts_until_us: self.late_starts_until_us(), ..RunReport::new(now_us) };
         if self.placed_on().is_some() {
             self.copy = Some(Box::new(TaskCopy { worker, phase, run, report }));
             return;
