--- a/src/platform/platform_tests.rs
+++ b/src/platform/platform_tests.rs
@@ -164,10 +164,39 @@
     assert!(is_job_id("5c0e7a21d94b36f8") && !is_job_id("5c0e7a21d94b36f") && !is_job_id("5c0e7a21d94b36fx"));
 }
 
+/// Entry of a worker with all fields.
+const ENTRY: &str = r#"{"service":"huvo11a","addr":"10.128.0.9:8080","zone":"hall-a","version":"v1","slots":8,
+    "state":"ready","coldRemainingMs":0,"born":7,"capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],
+    "machine":"m-1","seq":4}"#;
+
+#[test]
+fn entries_of_other_writers_name_no_worker() {
+    // Guards against fields that are missing or of another type, also where the scheduler does not need them.
+    const FIELDS: [&str; 10] =
+        ["service", "addr", "zone", "version", "slots", "state", "coldRemainingMs", "seq", "capacity", "labels"];
+    let valid: serde_json::Value = serde_json::from_str(ENTRY).expect("valid JSON");
+    let is_worker = |entry: &serde_json::Value| decode_worker_entry(&row("i-1", &entry.to_string())).is_some();
+    assert!(is_worker(&valid));
+
+    for field in FIELDS {
+        let mut entry = valid.clone();
+        entry.as_object_mut().expect("an object").remove(field);
+        assert!(!is_worker(&entry), "without {field}");
+        for odd in [serde_json::json!(true), serde_json::json!(null), serde_json::json!({ "a": "b" })] {
+            entry[field] = odd;
+            assert!(!is_worker(&entry), "{field}: {}", entry[field]);
+        }
+    }
+    for (field, odd) in [("version", serde_json::json!(7)), ("slots", serde_json::json!("many"))] {
+        let mut entry = valid.clone();
+        entry[field] = odd;
+        assert!(!is_worker(&entry), "{field}: {}", entry[field]);
+    }
+}
+
 #[test]
 fn malformed_worker_rows_are_skipped() {
-    let valid = r#"{"service":"huvo11a","addr":"10.128.0.9:8080","zone":"hall-a","state":"ready","born":7,
-        "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],"machine":"m-1","seq":4}"#;
+    let valid = ENTRY;
     assert_eq!(decode_worker_entry(&row("i-1", valid)).map(|entry| entry.started_unix_ms), Some(7));
 
     let cases = [
@@ -314,15 +343,19 @@
 fn capacities_that_no_worker_has_name_no_worker() {
     // Guards against sums over a pool that overflow.
     let entry = |capacity: &str| {
-        let value =
-            format!(r#"{{"service":"press","addr":"10.0.0.1:80","zone":"a","state":"ready","capacity":{capacity}}}"#);
+        let value = ENTRY.replace(r#"{"cpu":16000,"memMb":32768,"gpu":0}"#, capacity);
         decode_worker_entry(&row("w", &value))
     };
 
-    for capacity in [r#"{"cpu":1e308}"#, r#"{"cpu":-1}"#, r#"{"memMb":18446744073709551615}"#, r#"{"gpu":5e9}"#] {
+    for capacity in [
+        r#"{"cpu":1e308,"memMb":1,"gpu":0}"#,
+        r#"{"cpu":-1,"memMb":1,"gpu":0}"#,
+        r#"{"cpu":1,"memMb":18446744073709551615,"gpu":0}"#,
+        r#"{"cpu":1,"memMb":1,"gpu":5e9}"#,
+    ] {
         assert!(entry(capacity).is_none(), "{capacity}");
     }
-    assert!(entry(r#"{"cpu":16000,"memMb":65536}"#).is_some());
+    assert!(entry(r#"{"cpu":16000,"memMb":65536,"gpu":0}"#).is_some());
 }
 
 #[test]
--- a/src/platform/users_platform_standin.rs
+++ b/src/platform/users_platform_standin.rs
@@ -266,7 +266,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let entry = json!({
             "service": "press", "addr": listener.local_addr().expect("an address").to_string(), "zone": "a",
-            "state": "ready", "capacity": { "cpu": 8_000, "memMb": 32_000, "gpu": 0 },
+            "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "seq": 0, "capacity": { "cpu": 8_000, "memMb": 32_000, "gpu": 0 },
             "labels": ["a", "r1"], "machine": format!("m{index}"),
         });
         let mut state = self.lock();
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -387,22 +387,39 @@
     serde_json::to_vec(body).unwrap_or_default().into()
 }
 
+/// What a worker writes of itself. An entry in which a field is missing or has another type comes from another writer, so
+/// the fields that the scheduler does not need are read as well.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WorkerEntryBody {
     service: Arc<str>,
     addr: SocketAddr,
     zone: Arc<str>,
+    #[serde(rename = "version")]
+    _version: String,
+    #[serde(rename = "slots")]
+    _slots: f64,
     state: WorkerState,
+    #[serde(rename = "coldRemainingMs")]
+    _cold_remaining_ms: f64,
+    #[serde(rename = "seq")]
+    _seq: f64,
     remaining_ms: Option<f64>,
     // Start of this worker instance, in Unix milliseconds.
     born: Option<u64>,
-    capacity: Option<CapacityBody>,
-    #[serde(default)]
+    capacity: WorkerCapacityBody,
     labels: Vec<Arc<str>>,
     machine: Option<Arc<str>>,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WorkerCapacityBody {
+    cpu: f64,
+    mem_mb: f64,
+    gpu: f64,
+}
+
 #[derive(Deserialize, PartialEq)]
 #[serde(rename_all = "lowercase")]
 enum WorkerState {
@@ -428,13 +445,10 @@
     }
 }
 
-/// Decodes a worker's registration; `None` if the row was deleted or is malformed.
+/// Decodes a worker's registration; `None` if the row was deleted or is not one that a worker writes.
 pub(crate) fn decode_worker_entry(row: &StoredRow) -> Option<WorkerEntry> {
     let body: WorkerEntryBody = serde_json::from_slice(row.value.as_deref()?).ok()?;
-    let capacity = match body.capacity {
-        Some(capacity) => capacity.resources()?,
-        None => Resources::default(),
-    };
+    let capacity = offered_resources(body.capacity.cpu, body.capacity.mem_mb, body.capacity.gpu)?;
     Some(WorkerEntry {
         id: row.id.key.clone(),
         address: body.addr,
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -385,6 +385,7 @@
             let has_standing_queue = self.take_standing_queue();
             self.start_rate.adjust(now_us, has_standing_queue);
             self.begin_all_due_occurrences(now_us, now_unix_ms);
+            self.confirm_replacements(now_us);
             self.expire_leases(now_us);
             self.expire_untracked_usage(now_us);
             self.retry_stops(now_us);
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -48,8 +48,8 @@
     pub(crate) unlisted_us: u64,
     /// Earliest time at which the worker leaves, if it drains.
     pub(crate) leaves_at_us: u64,
-    /// When another worker was found to have registered later on the same host. Unless this one still answers,
-    /// it has ended.
+    /// When another worker that lives has registered later on the same host. Unless this one still answers, it has
+    /// ended.
     pub(crate) superseded_us: Option<u64>,
     /// Entry of another incarnation that the registry has, until the worker has answered.
     pub(crate) unconfirmed_entry: Option<Box<UnconfirmedEntry>>,
--- a/src/sched/worker_loss.rs
+++ b/src/sched/worker_loss.rs
@@ -1,7 +1,9 @@
 //! Workers that were lost with runs of a task.
 //!
-//! A worker that crashes reports no ends of its runs. That it has crashed shows when a later incarnation of it, or
-//! another worker on its host, registers. Until then, a silent worker may as well be cut off and come back.
+//! A worker that crashes reports no ends of its runs. That it has crashed shows when a later incarnation of it registers,
+//! or when another worker that has registered on its host answers, unless the provider's list names someone else there: an
+//! entry in the registry alone may come from another writer. Until then, a silent worker may as well be cut off and come
+//! back.
 //!
 //! A crash is blamed on the runs that the worker had not listed yet, since the others have begun without a crash; if it
 //! had listed all of them, on all. Tasks that may be at fault are [isolated](super::isolation). A task that is to blame too
@@ -126,6 +128,14 @@
     registered_us: u64,
 }
 
+/// A worker on whose host another one has registered later, which may have taken its place.
+#[derive(Debug)]
+struct Replacement {
+    host: Arc<str>,
+    former: WorkerIncarnation,
+    latest: RegisteredWorker,
+}
+
 /// Workers that were lost, as far as it may still turn out why, and who is on their hosts.
 #[derive(Debug, Default)]
 pub(super) struct LostWorkers {
@@ -133,6 +143,8 @@
     silent: HashMap<Arc<str>, SilentWorker>,
     /// Worker on each host that was registered last, and started after the one before it.
     latest_on_host: HashMap<Arc<str>, RegisteredWorker>,
+    /// Replacements for which only an entry in the registry speaks.
+    unconfirmed_replacements: Vec<Replacement>,
     /// Tasks that may have crashed a worker, see [`Task::is_suspect`].
     pub(super) suspects: HashSet<TaskRef>,
     counts: LossCounts,
@@ -309,7 +321,7 @@
         }
     }
 
-    /// Notes a registered worker on its host. A worker that started and was registered there earlier has ended.
+    /// Notes a registered worker on its host. A worker that started and was registered there earlier may have ended.
     pub(super) fn worker_on_host_registered(&mut self, now_us: u64, entry: &WorkerEntry) {
         let Some(host) = &entry.host else { return };
         let incarnation = WorkerIncarnation { id: entry.id.clone(), started_unix_ms: entry.started_unix_ms };
@@ -324,19 +336,62 @@
         if known.incarnation.id == entry.id || known.registered_us == now_us {
             return;
         }
-        let (former, latest) = (known.incarnation, latest.incarnation);
+        let replacements = &mut self.lost_workers.unconfirmed_replacements;
+        for replacement in replacements.iter_mut().filter(|replacement| replacement.host == *host) {
+            replacement.latest = latest.clone();
+        }
+        replacements.push(Replacement { host: host.clone(), former: known.incarnation, latest });
+    }
+
+    /// Takes workers to have ended whose successors on their hosts have answered this leader.
+    pub(super) fn confirm_replacements(&mut self, now_us: u64) {
+        let replacements = std::mem::take(&mut self.lost_workers.unconfirmed_replacements);
+        for replacement in replacements {
+            if self.is_moot(&replacement) {
+                continue;
+            }
+            if !self.has_taken_over_host(&replacement) {
+                self.lost_workers.unconfirmed_replacements.push(replacement);
+                continue;
+            }
+            self.worker_replaced(now_us, &replacement);
+        }
+    }
+
+    /// Whether the former worker of a replacement has answered since, or is of no interest any more.
+    fn is_moot(&self, Replacement { former, latest, .. }: &Replacement) -> bool {
+        let worker = self.workers.get(&former.id);
+        let has_answered = worker.is_some_and(|worker| worker.report_requested_us > latest.registered_us);
+        has_answered || former.id == latest.incarnation.id || (worker.is_none() && !self.is_silent_loss(former))
+    }
+
+    /// Whether the latest worker of a replacement lives, and the provider names nobody else on its host.
+    fn has_taken_over_host(&self, Replacement { host, latest, .. }: &Replacement) -> bool {
+        let id = &latest.incarnation.id;
+        let has_answered = self.workers.get(id).is_some_and(|worker| worker.is_synced);
+        let named = self.hosts.get(host).and_then(|record| record.worker.as_ref());
+        has_answered && self.has_incarnation(&latest.incarnation) && named.is_none_or(|named| named == id)
+    }
+
+    fn worker_replaced(&mut self, now_us: u64, Replacement { host, former, latest }: &Replacement) {
         if let Some(worker) = self.workers.get_mut(&former.id) {
-            worker.superseded_us.get_or_insert(now_us);
+            worker.superseded_us.get_or_insert(latest.registered_us);
             // Each host that changes its pool has a new worker, but its former one has no tasks.
             let level = if worker.tasks.is_empty() { log::Level::Debug } else { log::Level::Info };
-            log::log!(level, "worker={} host={host} successor={} outcome=superseded", former.id, latest.id);
+            let successor = &latest.incarnation.id;
+            log::log!(level, "worker={} host={host} successor={successor} outcome=superseded", former.id);
         }
-        let silent = self.lost_workers.silent.get(&former.id);
-        if silent.is_some_and(|silent| silent.started_unix_ms == former.started_unix_ms) {
+        if self.is_silent_loss(former) {
             self.resolve_silent(now_us, &former.id, SilenceCause::Crashed);
         }
     }
 
+    /// Whether tasks were lost with this incarnation of a worker, and it is not known why.
+    fn is_silent_loss(&self, worker: &WorkerIncarnation) -> bool {
+        let silent = self.lost_workers.silent.get(&worker.id);
+        silent.is_some_and(|silent| silent.started_unix_ms == worker.started_unix_ms)
+    }
+
     /// Records for all tasks lost with a silent worker why it was silent.
     fn resolve_silent(&mut self, now_us: u64, id: &Arc<str>, cause: SilenceCause) {
         let Some(SilentWorker { started_unix_ms, tasks }) = self.lost_workers.silent.remove(id) else { return };
--- a/src/sched/worker_loss_tests.rs
+++ b/src/sched/worker_loss_tests.rs
@@ -5,7 +5,7 @@
 use super::action::Action;
 use super::job::Job;
 use super::leader_fixtures::{answer_holds, leader_with_workers, long_step, run, task, JOB, SECOND_US};
-use super::model::{JobPhase, JobSpec, OrderOutcome, OrderRefusal, Step, TaskRef, WorkerEntry};
+use super::model::{HoldAnswer, HostRecord, JobPhase, JobSpec, OrderOutcome, OrderRefusal, Step, TaskRef, WorkerEntry};
 use super::record::{encode_job, restore_job};
 use super::run_end::Observation;
 use super::scheduler::Scheduler;
@@ -138,6 +138,25 @@
     WorkerEntry { id: format!("{id}-next").into(), started_unix_ms: entry.started_unix_ms + 1, ..entry }
 }
 
+/// Lets a worker without runs answer a hold request.
+fn answer_without_runs(leader: &mut Scheduler, now_us: u64, id: &Arc<str>) {
+    let answer =
+        HoldAnswer { clock_ms: 1, started_unix_ms: None, is_complete: true, running: Vec::new(), ended: Vec::new() };
+    leader.on_hold_answer(now_us, now_us, id, &answer);
+}
+
+/// Lets a worker register and answer, and the provider name it on its host.
+fn take_over_host(leader: &mut Scheduler, now_us: u64, entry: WorkerEntry) {
+    let id = entry.id.clone();
+    let mut hosts: Vec<HostRecord> = leader.hosts.values().cloned().collect();
+    for host in hosts.iter_mut().filter(|host| Some(&host.name) == entry.host.as_ref()) {
+        host.worker = Some(id.clone());
+    }
+    leader.worker_listed(now_us, entry);
+    leader.hosts_listed(now_us, now_us, hosts);
+    answer_without_runs(leader, now_us, &id);
+}
+
 fn fail_hold(leader: &mut Scheduler, now_us: u64, id: &Arc<str>) {
     leader.on_hold_failure(now_us, id, &OrderOutcome::Unanswered);
 }
@@ -148,7 +167,50 @@
     let entry = successor(&leader, &id);
 
     fail_hold(&mut leader, 11 * SECOND_US, &id);
-    leader.worker_listed(11 * SECOND_US, entry);
+    take_over_host(&mut leader, 11 * SECOND_US, entry);
+    leader.tick(11 * SECOND_US + 150_000, 11_150);
+
+    assert!(leader.workers[&id].tasks.is_empty());
+    assert_eq!(task(&leader, JOB).crash_count(), 1);
+}
+
+#[test]
+fn entry_that_no_worker_stands_behind_does_not_end_the_wait_for_a_lease() {
+    let (mut leader, id) = leader_with_task(step(1, &[]));
+    let entry = successor(&leader, &id);
+
+    fail_hold(&mut leader, 11 * SECOND_US, &id);
+    leader.worker_listed(11 * SECOND_US, entry.clone());
+    fail_hold(&mut leader, 11 * SECOND_US + 50_000, &entry.id);
+    leader.tick(11 * SECOND_US + 150_000, 11_150);
+
+    assert_eq!(leader.workers[&id].tasks.len(), 1);
+    assert!(task(&leader, JOB).losses.is_empty());
+}
+
+#[test]
+fn worker_that_the_provider_names_on_its_host_keeps_its_lease_although_another_one_answers() {
+    let (mut leader, id) = leader_with_task(step(1, &[]));
+    let entry = successor(&leader, &id);
+
+    fail_hold(&mut leader, 11 * SECOND_US, &id);
+    leader.worker_listed(11 * SECOND_US, entry.clone());
+    answer_without_runs(&mut leader, 11 * SECOND_US + 50_000, &entry.id);
+    leader.tick(11 * SECOND_US + 150_000, 11_150);
+
+    assert_eq!(leader.workers[&id].tasks.len(), 1);
+    assert!(task(&leader, JOB).losses.is_empty());
+}
+
+#[test]
+fn entry_that_no_worker_stands_behind_does_not_hide_the_successor_that_takes_over_the_host() {
+    let (mut leader, id) = leader_with_task(step(1, &[]));
+    let odd = successor(&leader, &id);
+    let entry = WorkerEntry { id: "successor".into(), started_unix_ms: odd.started_unix_ms + 1, ..odd.clone() };
+
+    fail_hold(&mut leader, 11 * SECOND_US, &id);
+    leader.worker_listed(11 * SECOND_US, odd);
+    take_over_host(&mut leader, 11 * SECOND_US + 50_000, entry);
     leader.tick(11 * SECOND_US + 150_000, 11_150);
 
     assert!(leader.workers[&id].tasks.is_empty());
@@ -194,7 +256,7 @@
 
     leader.worker_listed(11 * SECOND_US, draining);
     fail_hold(&mut leader, 11 * SECOND_US, &id);
-    leader.worker_listed(11 * SECOND_US, entry);
+    take_over_host(&mut leader, 11 * SECOND_US, entry);
     leader.tick(11 * SECOND_US + 150_000, 11_150);
 
     assert!(leader.workers[&id].tasks.is_empty());
@@ -304,7 +366,7 @@
     let (mut leader, id) = leader_with_task(step(1, &[]));
     let entry = successor(&leader, &id);
     fail_hold(&mut leader, 11 * SECOND_US, &id);
-    leader.worker_listed(11 * SECOND_US, entry);
+    take_over_host(&mut leader, 11 * SECOND_US, entry);
     leader.tick(11 * SECOND_US + 150_000, 11_150);
     let losses = task(&leader, JOB).losses.clone();
 
@@ -363,7 +425,7 @@
     let next = WorkerEntry { draining: true, ..successor(&leader, &id) };
 
     fail_hold(&mut leader, 12 * SECOND_US, &id);
-    leader.worker_listed(12 * SECOND_US, next);
+    take_over_host(&mut leader, 12 * SECOND_US, next);
     leader.tick(12 * SECOND_US + 150_000, 12_150);
     leader.worker_unlisted(12 * SECOND_US + 150_000, &id);
     run(&mut leader, 12 * SECOND_US + 200_000, 700);
