--- a/src/sched/candidate.rs
+++ b/src/sched/candidate.rs
@@ -6,10 +6,15 @@
 use foldhash::HashMap;
 
 use super::model::{HostRecord, Resources, Step};
+use super::scheduler::Scheduler;
+use super::work_counts::Work;
 use super::worker::Worker;
 
 /// A worker that started less than this long ago is not the first choice for a task that may crash its worker.
 const NEW_WORKER_MS: u64 = 10_000;
+/// Share of a pool's workers that may get work last because they are slow. If more of them look slow, the comparison is
+/// at fault rather than the workers.
+const MAX_SLOW_SHARE: f64 = 0.2;
 
 /// A worker considered in a placement round.
 #[derive(Debug, Clone)]
@@ -193,3 +198,37 @@
     racks.push(None);
     racks
 }
+
+impl Scheduler {
+    /// Workers of a pool that may get new tasks.
+    pub(super) fn candidates(&self, now_us: u64, pool: &str) -> Vec<Candidate> {
+        let mut candidates = Vec::new();
+        let mut slow: Vec<(f64, usize)> = Vec::new();
+        let isolated = self.isolated_workers(now_us);
+        for worker in self.workers.values() {
+            if &*worker.entry.pool != pool || !worker.accepts_new_tasks(now_us) {
+                continue;
+            }
+            let is_isolated = isolated.contains(&worker.entry.id);
+            let host = worker.entry.host.as_ref();
+            let awaits_maintenance = host.is_some_and(|host| self.waves.awaits_maintenance(host));
+            if worker.speed.is_slow(now_us) {
+                slow.push((worker.speed.ratio(), candidates.len()));
+            }
+            candidates.push(Candidate { is_isolated, awaits_maintenance, ..Candidate::of_worker(worker) });
+        }
+        self.work_counts.add(Work::WorkersListed, self.workers.len());
+        mark_slow(slow, &mut candidates);
+        candidates
+    }
+}
+
+/// Marks the slowest of the workers that are clearly slower than others, up to a share of them all. `slow` holds how their
+/// run times compare, and their indices.
+fn mark_slow(mut slow: Vec<(f64, usize)>, candidates: &mut [Candidate]) {
+    slow.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+    let max_slow = (candidates.len() as f64 * MAX_SLOW_SHARE) as usize;
+    for (_, index) in slow.into_iter().take(max_slow) {
+        candidates[index].is_slow = true;
+    }
+}
--- a/src/sched/model.rs
+++ b/src/sched/model.rs
@@ -1,6 +1,8 @@
 //! Data types of the scheduler: queues, jobs, tasks, workers and hosts.
 
-use std::fmt;
+mod hosts;
+mod resources;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -8,6 +10,9 @@
 
 use super::organisation::Organisations;
 
+pub(crate) use hosts::{HostList, HostOrderOutcome, HostPhase, HostRecord, WaveOrder};
+pub(crate) use resources::Resources;
+
 /// The queues, pools and organisations of the current configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(crate) struct Catalog {
@@ -81,70 +86,6 @@
 /// ID of a job, chosen by its caller.
 pub(crate) type JobId = Arc<str>;
 
-/// CPU, memory and GPUs.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Resources {
-    /// Thousandths of a core.
-    pub(crate) cpu_milli: u64,
-    pub(crate) mem_mb: u64,
-    pub(crate) gpus: u64,
-}
-
-impl Resources {
-    /// More than any worker can offer.
-    pub(crate) const MAX: Resources = Resources { cpu_milli: u64::MAX, mem_mb: u64::MAX, gpus: u64::MAX };
-
-    pub(crate) fn fits_in(&self, available: &Resources) -> bool {
-        self.cpu_milli <= available.cpu_milli && self.mem_mb <= available.mem_mb && self.gpus <= available.gpus
-    }
-
-    pub(crate) fn add(&mut self, other: &Resources) {
-        self.cpu_milli = self.cpu_milli.saturating_add(other.cpu_milli);
-        self.mem_mb = self.mem_mb.saturating_add(other.mem_mb);
-        self.gpus = self.gpus.saturating_add(other.gpus);
-    }
-
-    /// The resources of `count` tasks that need these resources each.
-    pub(crate) fn times(&self, count: u32) -> Resources {
-        let count = u64::from(count);
-        Resources {
-            cpu_milli: self.cpu_milli.saturating_mul(count),
-            mem_mb: self.mem_mb.saturating_mul(count),
-            gpus: self.gpus.saturating_mul(count),
-        }
-    }
-
-    /// How many times `part` fits in these resources; [`u32::MAX`] if it is nothing.
-    pub(crate) fn count_of(&self, part: &Resources) -> u32 {
-        let pairs = [(self.cpu_milli, part.cpu_milli), (self.mem_mb, part.mem_mb), (self.gpus, part.gpus)];
-        let counts = pairs.into_iter().filter_map(|(all, part)| all.checked_div(part));
-        counts.min().map_or(u32::MAX, |count| u32::try_from(count).unwrap_or(u32::MAX))
-    }
-
-    /// Subtracts each component, stopping at zero.
-    pub(crate) fn minus(&self, other: &Resources) -> Resources {
-        Resources {
-            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
-            mem_mb: self.mem_mb.saturating_sub(other.mem_mb),
-            gpus: self.gpus.saturating_sub(other.gpus),
-        }
-    }
-}
-
-/// Written as `CPU/memory/GPUs` in the units of the fields; a quantity without a limit is written as `-`.
-impl fmt::Display for Resources {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, value) in [self.cpu_milli, self.mem_mb, self.gpus].into_iter().enumerate() {
-            let separator = if index == 0 { "" } else { "/" };
-            match value {
-                u64::MAX => write!(f, "{separator}-")?,
-                _ => write!(f, "{separator}{value}")?,
-            }
-        }
-        Ok(())
-    }
-}
-
 /// State of a job as reported to its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum JobPhase {
@@ -400,76 +341,6 @@
     Unanswered,
 }
 
-/// State of a host as reported by the provider.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum HostPhase {
-    Up,
-    /// Moving between pools.
-    Moving,
-    /// Down for maintenance.
-    Maintenance,
-    Down,
-}
-
-/// A host in the provider's list.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) struct HostRecord {
-    pub(crate) name: Arc<str>,
-    pub(crate) pool: Arc<str>,
-    pub(crate) phase: HostPhase,
-    pub(crate) worker: Option<Arc<str>>,
-    pub(crate) capacity: Resources,
-    pub(crate) zone: Arc<str>,
-    /// The first label is the kind of host, the last one its rack.
-    pub(crate) labels: Arc<[Arc<str>]>,
-}
-
-/// The provider's list of hosts.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) struct HostList {
-    pub(crate) hosts: Vec<HostRecord>,
-    /// Whether every entry could be read; otherwise a host that is missing may still exist.
-    pub(crate) is_complete: bool,
-}
-
-impl HostRecord {
-    /// Whether the host has a label, if one is required, and these resources.
-    pub(crate) fn offers(&self, label: Option<&Arc<str>>, needs: &Resources) -> bool {
-        label.is_none_or(|label| self.labels.contains(label)) && needs.fits_in(&self.capacity)
-    }
-}
-
-/// A maintenance wave: an operator's order to take a group of hosts down for maintenance.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) struct WaveOrder {
-    pub(crate) number: u64,
-    pub(crate) hosts: Vec<Arc<str>>,
-    /// Logged, but not used by the scheduler.
-    pub(crate) duration_ms: u64,
-    /// Maximum number of hosts of the wave that may be down at the same time.
-    pub(crate) max_down: u32,
-}
-
-/// Outcome of an order to the provider to move or maintain a host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum HostOrderOutcome {
-    Done,
-    /// The host cannot take the order at present.
-    Busy,
-    /// The wave does not include the host.
-    NotInWave,
-    /// The provider has seen a higher fencing token.
-    Fenced,
-    /// The order itself is wrong, so that repeating it is useless.
-    Invalid,
-    /// The provider's limit on the rate of orders is exceeded.
-    Throttled,
-    /// The provider has certainly not carried out the order.
-    NotDone,
-    /// No usable answer arrived; the provider may have carried out the order.
-    Unanswered,
-}
-
 /// The advice service's answer: tickets for the workers that may run a step.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Advice {
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -29,9 +29,6 @@
 const MAX_ROUND_BACKOFF_MS: u64 = 40;
 /// A job that its quota blocks is only looked up, which costs a small part of considering it.
 const BLOCKED_JOBS_PER_READY_JOB: usize = 16;
-/// Share of a pool's workers that may get work last because they are slow. If more of them look slow, the comparison is
-/// at fault rather than the workers.
-const MAX_SLOW_SHARE: f64 = 0.2;
 
 /// Jobs to place in a round, by pool.
 #[derive(Debug, Default)]
@@ -180,28 +177,6 @@
         round.workers = workers;
     }
 
-    /// Workers of a pool that may get new tasks.
-    pub(super) fn candidates(&self, now_us: u64, pool: &str) -> Vec<Candidate> {
-        let mut candidates = Vec::new();
-        let mut slow: Vec<(f64, usize)> = Vec::new();
-        let isolated = self.isolated_workers(now_us);
-        for worker in self.workers.values() {
-            if &*worker.entry.pool != pool || !worker.accepts_new_tasks(now_us) {
-                continue;
-            }
-            let is_isolated = isolated.contains(&worker.entry.id);
-            let host = worker.entry.host.as_ref();
-            let awaits_maintenance = host.is_some_and(|host| self.waves.awaits_maintenance(host));
-            if worker.speed.is_slow(now_us) {
-                slow.push((worker.speed.ratio(), candidates.len()));
-            }
-            candidates.push(Candidate { is_isolated, awaits_maintenance, ..Candidate::of_worker(worker) });
-        }
-        self.work_counts.add(Work::WorkersListed, self.workers.len());
-        mark_slow(slow, &mut candidates);
-        candidates
-    }
-
     /// Places the waiting tasks of a job's steps whose dependencies have completed.
     fn place_job(&mut self, now_us: u64, id: &JobId, workers: &mut [Candidate], round: &mut PlacementRound) {
         let Some(job) = self.jobs.get(id) else { return };
@@ -416,16 +391,6 @@
     }
 }
 
-/// Marks the slowest of the workers that are clearly slower than others, up to a share of them all. `slow` holds how their
-/// run times compare, and their indices.
-fn mark_slow(mut slow: Vec<(f64, usize)>, candidates: &mut [Candidate]) {
-    slow.sort_by(|(a, _), (b, _)| b.total_cmp(a));
-    let max_slow = (candidates.len() as f64 * MAX_SLOW_SHARE) as usize;
-    for (_, index) in slow.into_iter().take(max_slow) {
-        candidates[index].is_slow = true;
-    }
-}
-
 /// Keeps all other tasks off the worker that is likely to be the first with enough capacity for a long-running task:
 /// the one with the most free CPU. Otherwise small tasks would take the capacity as it becomes free, and the
 /// long-running task would wait for as long as there are small tasks.
