Split the unit tests of copies and of planned work by topic

- copies_tests keeps when a copy starts and where; copy_end_tests has what follows when a run ends or is stopped, a worker is lost or the leader changes.
The fixtures of both are in copies_fixtures.
- planned_work_tests keeps the scenarios in the simulation; host_drain_tests has the single decisions of a leader that is driven without it.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -78,8 +78,12 @@
 #[cfg(test)]
 mod copies_fault_tests;
 #[cfg(test)]
+mod copies_fixtures;
+#[cfg(test)]
 mod copies_tests;
 #[cfg(test)]
+mod copy_end_tests;
+#[cfg(test)]
 mod critical_path_tests;
 #[cfg(test)]
 mod dirty_jobs_tests;
@@ -96,6 +100,8 @@
 #[cfg(test)]
 mod host_demand_tests;
 #[cfg(test)]
+mod host_drain_tests;
+#[cfg(test)]
 mod host_tests;
 #[cfg(test)]
 mod incarnation_fixtures;
--- a/src/sched/disruption_tests.rs
+++ b/src/sched/disruption_tests.rs
@@ -1,10 +1,10 @@
 //! Tests of stop orders within the disruption budget of a step, beside waves and planned restarts of workers.
 
+use super::host_drain_tests::{commit, leader_with_two_tasks_at_work, report_runs, stop_order_count};
 use super::job::{RunPhase, TaskState};
 use super::model::{ActiveRun, HoldAnswer, HostRecord, WaveOrder, WorkerEntry};
 use super::planned_work_tests::{
-    assert_budgets_kept, assert_wave_complete, commit, leader_with_two_tasks_at_work, report_runs, run_with_small_jobs,
-    stop_order_count, with_budgeted_tasks, MAX_DOWN, WAVE, WORKER_COUNT,
+    assert_budgets_kept, assert_wave_complete, run_with_small_jobs, with_budgeted_tasks, MAX_DOWN, WAVE, WORKER_COUNT,
 };
 use super::scheduler::{SchedSettings, Scheduler};
 use super::sim::{settings, Faults, PlannedRestart, Sim};
