--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod endpoint;
 pub mod proxy;
 pub mod recut_faults;
+pub mod scripted_setup;
 
 use std::io::{BufRead, BufReader, Read};
 use std::process::{Child, Command, ExitStatus, Stdio};
