Tests of the answers to operators use the scheduler's test settings

The same seven values stood twice, here and in sched/sim/fixtures.rs, so that a new setting had to be added to both.

--- a/src/control/operator_api/operator_api_tests.rs
+++ b/src/control/operator_api/operator_api_tests.rs
@@ -10,24 +10,15 @@
 use super::{answer, not_leading, Resource};
 use crate::http_server::Body;
 use crate::platform::operator::decode_catalog;
-use crate::sched::policies::Policies;
-use crate::sched::scheduler::{SchedSettings, Scheduler};
+use crate::sched::scheduler::Scheduler;
+use crate::sched::sim::settings;
 
 const NOW_US: u64 = 5_000_000;
 
 fn scheduler() -> Scheduler {
-    let settings = SchedSettings {
-        max_lease_ms: 10_000,
-        stop_grace_ms: 200,
-        leader_change_wait_ms: 3_000,
-        host_move_ms: 1_500,
-        host_maintenance_ms: 2_000,
-        host_orders_per_s: 64,
-        policies: Policies::default(),
-    };
     let config = br#"{"version":1,"routes":[],"services":[{"name":"press"}],
         "tenants":[{"name":"kora","apiKeys":["secret-key"],"weight":4,"cap":{"cpu":3000}}]}"#;
-    let mut scheduler = Scheduler::new(NOW_US, settings);
+    let mut scheduler = Scheduler::new(NOW_US, settings());
     scheduler.configure(Arc::new(decode_catalog(config).expect("a valid configuration")));
     scheduler
 }
