Log list_age_ms=none for a worker that has sent no list of runs

The lines `stop_ordered`, `released` and those about restarts said list_age_ms=, which a reader takes for an age or an overflow.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -130,6 +130,8 @@
 #[cfg(test)]
 mod run_end_tests;
 #[cfg(test)]
+mod run_stops_tests;
+#[cfg(test)]
 mod run_times_tests;
 #[cfg(test)]
 mod scheduler_tests;
--- a/src/sched/run_stops.rs
+++ b/src/sched/run_stops.rs
@@ -1,5 +1,6 @@
 //! Stop orders for runs, and why they are given.
 
+use std::fmt;
 use std::sync::Arc;
 
 use super::action::Action;
@@ -68,6 +69,33 @@
 /// Number of stop orders for each reason since they were last taken, in the order of [`StopReason::ALL`].
 pub(crate) type StopCounts = [u64; StopReason::ALL.len()];
 
+/// Time since a worker's latest list of runs was requested. Written in log lines as milliseconds, or as `none`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ListAge {
+    /// The worker has sent no list.
+    NoList,
+    Ms(u64),
+}
+
+impl ListAge {
+    /// The age of a list that was requested at `requested_us`; 0 stands for no list.
+    pub(super) fn at(now_us: u64, requested_us: u64) -> ListAge {
+        match requested_us {
+            0 => ListAge::NoList,
+            _ => ListAge::Ms(now_us.saturating_sub(requested_us) / US_PER_MS),
+        }
+    }
+}
+
+impl fmt::Display for ListAge {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ListAge::NoList => f.write_str("none"),
+            ListAge::Ms(age_ms) => write!(f, "{age_ms}"),
+        }
+    }
+}
+
 impl Scheduler {
     /// Orders all runs of a job to stop.
     pub(super) fn stop_job_runs(&mut self, now_us: u64, id: &JobId) {
@@ -184,12 +212,9 @@
         self.workers.get(id).is_some_and(|worker| worker.is_clock_of_former_incarnation(now_us, *clock_ms))
     }
 
-    /// Age of the latest list of runs from a worker; `u64::MAX` milliseconds if it has sent none.
-    pub(super) fn list_age_ms(&self, now_us: u64, worker: &str) -> u64 {
-        match self.workers.get(worker).map_or(0, |worker| worker.report_requested_us) {
-            0 => u64::MAX,
-            requested_us => now_us.saturating_sub(requested_us) / US_PER_MS,
-        }
+    /// Age of the latest list of runs from a worker, for log lines.
+    pub(super) fn list_age_ms(&self, now_us: u64, worker: &str) -> ListAge {
+        ListAge::at(now_us, self.workers.get(worker).map_or(0, |worker| worker.report_requested_us))
     }
 
     /// Takes the numbers of stop orders since the last call.
