One lookup of a task in the scheduler

`self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref))` stood in many places of sched/ and hid what the lines around it do. Scheduler::task does it once, beside step_of; placement, isolation, run_stops, pace, copies and host_workers use it.

--- a/src/sched/copies.rs
+++ b/src/sched/copies.rs
@@ -117,7 +117,7 @@
             self.work_counts.add(Work::CopiesChecked, worker.tasks.len());
             for task_ref in &worker.tasks {
                 let Some(step) = self.step_of(task_ref).filter(|step| step.allows_copies()) else { continue };
-                let Some(task) = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)) else { continue };
+                let Some(task) = self.task(task_ref) else { continue };
                 let Some(placed) = task.run_on(&worker.entry.id) else { continue };
                 if placed.is_copy || task.is_done {
                     let copies = pools.entry(worker.entry.pool.clone()).or_default();
@@ -240,7 +240,7 @@
     }
 
     fn start_copy(&mut self, now_us: u64, task_ref: &TaskRef, worker: &Arc<str>, forecast: CopyForecast) {
-        let Some(task) = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)) else { return };
+        let Some(task) = self.task(task_ref) else { return };
         let Some(original) = task.placed_on() else { return };
         let run = task.last_run + 1;
         log::info!(
@@ -303,7 +303,7 @@
     /// Whether a task is done but has a run that is not known to have ended. Only tasks that may have copies count.
     fn has_run_besides_end(&self, task_ref: &TaskRef) -> bool {
         let Some(step) = self.step_of(task_ref) else { return false };
-        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+        let task = self.task(task_ref);
         step.allows_copies() && task.is_some_and(|task| task.is_done && task.placed_on().is_some())
     }
 
@@ -336,7 +336,7 @@
 
     /// Whether a task's run on a worker is a copy.
     pub(super) fn is_copy_on(&self, task_ref: &TaskRef, worker: &Worker) -> bool {
-        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+        let task = self.task(task_ref);
         task.and_then(|task| task.run_on(&worker.entry.id)).is_some_and(|placed| placed.is_copy)
     }
 
--- a/src/sched/host_workers.rs
+++ b/src/sched/host_workers.rs
@@ -75,7 +75,7 @@
                 continue;
             }
             for task_ref in self.unattached_tasks.get(&id).into_iter().flatten() {
-                let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+                let task = self.task(task_ref);
                 if task.is_some_and(|task| task.run_on(&id).is_some()) {
                     tasks.push((task_ref.clone(), id.clone()));
                 }
--- a/src/sched/isolation.rs
+++ b/src/sched/isolation.rs
@@ -35,7 +35,7 @@
     pub(super) fn isolated_workers(&self, now_us: u64) -> HashSet<Arc<str>> {
         let mut isolated = HashSet::default();
         for task_ref in &self.lost_workers.suspects {
-            let Some(task) = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)) else { continue };
+            let Some(task) = self.task(task_ref) else { continue };
             for placed in task.placed_runs() {
                 let id = &placed.worker.id;
                 let is_only = self.workers.get(id).is_some_and(|worker| worker.tasks.len() == 1);
@@ -71,7 +71,7 @@
             if !self.step_of(task_ref).is_some_and(|step| step.long_running) {
                 continue;
             }
-            let Some(task) = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)) else { continue };
+            let Some(task) = self.task(task_ref) else { continue };
             if task.placed_runs().any(|placed| ran_for_ms(now_us, placed.phase) >= STABLE_RUN_MS) {
                 stable.push(task_ref.clone());
             }
@@ -87,7 +87,7 @@
 
     /// Whether a task waits for a worker without other tasks.
     pub(super) fn waits_to_be_alone(&self, now_us: u64, task_ref: &TaskRef) -> bool {
-        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+        let task = self.task(task_ref);
         task.is_some_and(|task| self.must_be_alone(now_us, task_ref, task))
     }
 }
--- a/src/sched/pace.rs
+++ b/src/sched/pace.rs
@@ -18,7 +18,7 @@
 
 impl Scheduler {
     /// Adjusts the pace of best-effort tasks on workers that also run tasks with a latency target.
-    pub(super) fn pace_best_effort_tasks(&mut self, _now_us: u64) {
+    pub(super) fn pace_best_effort_tasks(&mut self) {
         let mut orders: Vec<(Arc<str>, TaskRef, u32)> = Vec::new();
         for worker in self.workers.values() {
             if worker.latency_target_count == 0 || worker.best_effort_count == 0 {
@@ -27,7 +27,7 @@
             let mut worst_ratio: f64 = 0.0;
             for task_ref in &worker.tasks {
                 let Some(target_ms) = self.step_of(task_ref).and_then(|step| step.target_ms) else { continue };
-                let load = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+                let load = self.task(task_ref);
                 let load = load.and_then(|task| task.run_on(&worker.entry.id)).and_then(|placed| placed.report.load);
                 worst_ratio = worst_ratio.max(load.unwrap_or(0) as f64 / target_ms as f64);
             }
@@ -35,7 +35,7 @@
                 if !self.step_of(task_ref).is_some_and(|step| step.best_effort) {
                     continue;
                 }
-                let Some(task) = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)) else { continue };
+                let Some(task) = self.task(task_ref) else { continue };
                 let Some(placed) = task.run_on(&worker.entry.id) else { continue };
                 if !matches!(placed.phase, RunPhase::Running { .. }) {
                     continue;
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -286,8 +286,7 @@
                 _ => ranked = None,
             }
             let worker = workers[index].id.clone();
-            let run =
-                self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)).map_or(1, |task| task.last_run + 1);
+            let run = self.task(task_ref).map_or(1, |task| task.last_run + 1);
             self.assign(now_us, task_ref, &worker, run);
             self.start_rate.record_start();
             round.record_placed();
@@ -327,7 +326,7 @@
 
     /// Index of the best worker that has capacity for a task.
     pub(super) fn choose(&self, now_us: u64, task_ref: &TaskRef, step: &Step, workers: &[Candidate]) -> Option<usize> {
-        let task = self.jobs.get(&task_ref.job)?.task(task_ref)?;
+        let task = self.task(task_ref)?;
         let is_suspect = self.is_suspect(task_ref);
         let must_be_alone = self.must_be_alone(now_us, task_ref, task);
         if must_be_alone && !may_isolate_another(workers) {
@@ -349,14 +348,13 @@
 
     /// Whether a task has to start on the worker that a late start order for it may still reach.
     fn waits_for_late_start(&self, task_ref: &TaskRef) -> bool {
-        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
-        task.is_some_and(|task| !task.late_starts.is_empty())
+        self.task(task_ref).is_some_and(|task| !task.late_starts.is_empty())
     }
 
     /// Whether the tasks of a step that this one belongs to may all be placed by one comparison of the workers: nothing but
     /// the step tells which worker is the best.
     fn is_choice_shared(&self, task_ref: &TaskRef, step: &Step) -> bool {
-        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+        let task = self.task(task_ref);
         let has_own_choice = task.is_none_or(|task| !task.avoided_workers.is_empty() || !task.late_starts.is_empty())
             || self.is_suspect(task_ref);
         !step.long_running && !has_own_choice
--- a/src/sched/run_stops.rs
+++ b/src/sched/run_stops.rs
@@ -109,7 +109,7 @@
 
     /// Orders all runs of a task to stop.
     pub(super) fn stop_task_runs(&mut self, now_us: u64, task_ref: &TaskRef, reason: StopReason) {
-        let task = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref));
+        let task = self.task(task_ref);
         for worker in task.map(Task::worker_ids).unwrap_or_default() {
             self.order_stop(now_us, task_ref, &worker, reason);
         }
@@ -158,7 +158,7 @@
         let mut due = Vec::new();
         for worker in self.workers.values() {
             for task_ref in &worker.tasks {
-                let Some(task) = self.jobs.get(&task_ref.job).and_then(|job| job.task(task_ref)) else { continue };
+                let Some(task) = self.task(task_ref) else { continue };
                 let Some(placed) = task.run_on(&worker.entry.id) else { continue };
                 let RunPhase::Stopping { next_retry_us, acknowledged_us: None } = placed.phase else { continue };
                 if now_us >= next_retry_us {
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -13,7 +13,7 @@
 use super::forecast::DemandForecast;
 use super::host_moves::HostMoves;
 use super::host_orders::HostOrders;
-use super::job::{Job, ShareClass};
+use super::job::{Job, ShareClass, Task};
 use super::late_starts::LateStarts;
 use super::model::{Catalog, HostRecord, JobId, JobPhase, JobSpec, Queue, ReportedPhase, Resources, Step, TaskRef};
 use super::organisation_counts::OrganisationCounts;
@@ -236,6 +236,11 @@
         job
     }
 
+    /// The task, if its job is known and the occurrence has begun.
+    pub(super) fn task(&self, task_ref: &TaskRef) -> Option<&Task> {
+        self.jobs.get(&task_ref.job)?.task(task_ref)
+    }
+
     pub(super) fn step_of(&self, task_ref: &TaskRef) -> Option<&Step> {
         self.jobs.get(&task_ref.job)?.spec.steps.get(task_ref.step as usize)
     }
@@ -391,7 +396,7 @@
             self.retry_stops(now_us);
             self.evict_long_running(now_us);
             self.check_suspects(now_us);
-            self.pace_best_effort_tasks(now_us);
+            self.pace_best_effort_tasks();
             self.advance_waves(now_us);
             self.update_fleet_capacity();
             self.move_hosts(now_us);
