Close gaps of late start orders that the review of the fix found

Read in the code by a reviewer who had not seen the work, each a sequence in which a task could start beside a run of a former order:

- an order that was stopped while its answer was missing was not kept as late, and the run was released as stopped before its order had timed out (gangs, drains, evictions);
- leases prolonged by later calls ended after the time for which a tied task waited;
- a late run that its worker listed, but that was not placed, settled its order;
- a worker that registered only after a takeover could hold a lease from a former call;
- an acknowledgement without an answer could pass for refused by a token raised before it.

Besides: a worker with 300 ends that are not acknowledged gets no new tasks, since it lists at most 500; an acknowledgement waits for start orders in flight for 100 ms at most, and the hold request is then sent without; steps that allow copies withhold acknowledgements as before; quotas count runs on unknown workers for as long as they may have a lease.

slow_worker_gets_work_last now slows down three workers, one after the other, that have much work otherwise, as the busiest one alone was easier to pass than a given one.

--- a/src/sched/late_starts.rs
+++ b/src/sched/late_starts.rs
@@ -1,12 +1,13 @@
-//! Start orders without an answer, which a later incarnation of their worker may still carry out.
+//! Start orders that a later incarnation of their worker may still carry out: those without an answer, and those of former
+//! leaders, whose answers are not known.
 //!
 //! A worker that has acknowledged a stop of the run refuses its start, but that ends with the incarnation. As long as the
 //! order may arrive, the task therefore starts on no other worker: a restart of this one ends the later run before the order
-//! can start the earlier one.
+//! can start the earlier one, unless the order for the later run is late as well.
 
 use std::sync::Arc;
 
-use foldhash::HashMap;
+use foldhash::{HashMap, HashSet};
 
 use super::job::Task;
 use super::model::{HoldAnswer, TaskRef};
@@ -30,11 +31,14 @@
 }
 
 impl LateStartOfTask {
-    /// Whether a worker's answer shows that the order has been carried out.
-    fn is_listed(&self, answer: &HoldAnswer) -> bool {
-        let HoldAnswer { running, ended, .. } = answer;
-        running.iter().any(|active_run| active_run.run == self.run && active_run.task == self.task)
-            || ended.iter().any(|ended_run| ended_run.run == self.run && ended_run.task == self.task)
+    /// Whether a worker lists the run as active.
+    fn is_active(&self, answer: &HoldAnswer) -> bool {
+        answer.running.iter().any(|active_run| active_run.run == self.run && active_run.task == self.task)
+    }
+
+    /// Whether a worker lists the end of the run.
+    fn has_ended(&self, answer: &HoldAnswer) -> bool {
+        answer.ended.iter().any(|ended_run| ended_run.run == self.run && ended_run.task == self.task)
     }
 }
 
@@ -55,14 +59,14 @@
 }
 
 impl Scheduler {
-    /// Notes a start order that has got no answer. Steps that allow copies may run twice.
+    /// Notes a start order that has got no answer. Tasks of steps that allow copies may start elsewhere all the same.
     pub(super) fn note_late_start(&mut self, task_ref: &TaskRef, late_start: LateStart) {
-        if self.step_of(task_ref).is_none_or(|step| step.allows_copies()) {
-            return;
-        }
+        let allows_copies = self.step_of(task_ref).is_none_or(|step| step.allows_copies());
         let Some(task) = self.jobs.get_mut(&task_ref.job).and_then(|job| job.task_mut(task_ref)) else { return };
         let LateStart { worker, run, until_us } = late_start.clone();
-        task.late_starts.push(late_start);
+        if !allows_copies {
+            task.late_starts.push(late_start);
+        }
         let of_worker = self.late_starts.0.entry(worker).or_default();
         of_worker.push(LateStartOfTask { task: task_ref.clone(), run, until_us });
     }
@@ -70,17 +74,33 @@
     /// Settles the late start orders of which a worker's answer, to a request of `sent_us`, tells that they have been carried
     /// out, or will not be any more.
     pub(super) fn settle_late_starts(&mut self, sent_us: u64, id: &Arc<str>, answer: &HoldAnswer) {
+        let Some(of_worker) = self.late_starts.0.get(id) else { return };
+        // An active run that is being stopped, and is not placed, may still be active when the task starts again.
+        let is_placed = |late_start: &&LateStartOfTask| {
+            let placed = self.task(&late_start.task).and_then(|task| task.run_on(id));
+            placed.is_some_and(|placed| placed.run == late_start.run)
+        };
+        let placed: HashSet<(TaskRef, u32)> =
+            of_worker.iter().filter(is_placed).map(|late_start| (late_start.task.clone(), late_start.run)).collect();
         self.settle_late_starts_if(id, |late_start| {
-            late_start.is_listed(answer) || (answer.is_complete && sent_us > late_start.until_us)
+            let is_placed = placed.contains(&(late_start.task.clone(), late_start.run));
+            late_start.has_ended(answer)
+                || (is_placed && late_start.is_active(answer))
+                || (answer.is_complete && sent_us > late_start.until_us && !late_start.is_active(answer))
         });
     }
 
-    /// Settles late start orders of workers that have not answered since, once no run that they have started can have a lease.
+    /// Settles late start orders once no run that they have started can have a lease.
     pub(super) fn expire_late_starts(&mut self, now_us: u64) {
         let longest_lease_wait_us = self.longest_lease_wait_us();
         let workers: Vec<Arc<str>> = self.late_starts.0.keys().cloned().collect();
         for id in workers {
-            self.settle_late_starts_if(&id, |late_start| now_us > late_start.until_us + longest_lease_wait_us);
+            // Later calls may have prolonged the lease of a run that was started late.
+            let later_calls_us =
+                self.workers.get(&id).map_or(0, |worker| self.lease_end_on_later_incarnation_us(worker));
+            self.settle_late_starts_if(&id, |late_start| {
+                now_us > later_calls_us.max(late_start.until_us + longest_lease_wait_us)
+            });
         }
     }
 
--- a/src/sched/leases.rs
+++ b/src/sched/leases.rs
@@ -75,7 +75,7 @@
         last_call_us + MAX_CALL_DELAY_MS * US_PER_MS + self.longest_lease_wait_us()
     }
 
-    /// The same for a worker that is only known from the record.
+    /// When every lease has ended that former leaders may have granted on a worker that is only known from the record.
     pub(super) fn lease_end_on_unknown_worker_us(&self) -> u64 {
         self.former_leader_calls_end_us() + self.longest_lease_wait_us()
     }
@@ -94,8 +94,8 @@
         self.leader_since_us + self.max_granted_lease_ms() * US_PER_MS
     }
 
-    /// The same for a later incarnation that has become known at `now_us`: calls that were sent before may reach it until it
-    /// has seen a higher fencing token.
+    /// When every lease has ended that earlier calls may have granted to a later incarnation which has become known at
+    /// `now_us`: they may reach it until it has seen a higher fencing token.
     pub(super) fn lease_end_after_restart_us(&self, now_us: u64, former: &Worker) -> u64 {
         let from_now_us = now_us + self.longest_lease_wait_us();
         from_now_us.max(self.lease_end_on_later_incarnation_us(former)).max(former.unknown_lease_end_us)
--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -177,7 +177,7 @@
 
     /// Whether a worker is not known, or all leases that it may have been granted have certainly ended.
     pub(super) fn has_no_lease(&self, now_us: u64, id: &Arc<str>) -> bool {
-        let Some(worker) = self.workers.get(id) else { return now_us >= self.former_leader_leases_end_us() };
+        let Some(worker) = self.workers.get(id) else { return now_us >= self.lease_end_on_unknown_worker_us() };
         if worker.lease_end_ms > 0 {
             return worker.lease_certainly_expired(now_us);
         }
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -38,8 +38,7 @@
             return;
         }
         self.confirm_fence(now_us, sent_us, id);
-        self.settle_late_starts(sent_us, id, answer);
-        let (leader_since_us, longest_lease_wait_us) = (self.leader_since_us, self.longest_lease_wait_us());
+        let longest_lease_wait_us = self.longest_lease_wait_us();
         let (has_former_leader, now_unix_ms) = (self.has_former_leader, self.now_unix_ms);
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.record_clock(now_us, answer.clock_ms);
@@ -54,7 +53,7 @@
         if !worker.is_synced {
             worker.is_synced = true;
             // Until it saw this leader's token, calls of a former leader may have granted leases.
-            if has_former_leader && worker.known_since_us == leader_since_us && worker.is_young(now_unix_ms) {
+            if has_former_leader && worker.is_young(now_unix_ms) {
                 worker.unknown_lease_end_us = now_us + longest_lease_wait_us;
             }
             self.wants_placement = true;
@@ -75,6 +74,7 @@
         }
         self.discard_withheld_ends(id);
         self.reconcile_runs(now_us, sent_us, id, answer);
+        self.settle_late_starts(sent_us, id, answer);
         self.schedule_hold(now_us, id, false);
         if has_acknowledged && answer.ended.is_empty() {
             // The worker did not wait for an end, so that the next request does.
@@ -284,7 +284,10 @@
         let has_acknowledged = std::mem::take(&mut worker.is_acknowledging);
         if *outcome == OrderOutcome::Unanswered {
             // A later incarnation must not carry out a start order before this request, and forget the end of its run.
-            worker.needs_fence |= has_acknowledged;
+            if has_acknowledged {
+                worker.needs_fence = true;
+                worker.fence_raised_us = None;
+            }
             self.actions.push(Action::RaiseFence { worker: id.clone() });
         }
         log::debug!("worker={id} end={outcome:?} outcome=hold_failed");
@@ -352,12 +355,16 @@
         self.record_answer(now_us, &start.worker, outcome);
         self.handle_refusal(now_us, &start.worker, outcome);
         self.log_other_incarnation(start, outcome);
+        if *outcome == OrderOutcome::Unanswered {
+            self.note_unanswered_start(now_us, start);
+        }
         let is_confirmed = self.is_answer_of_known_incarnation(now_us, &start.worker, outcome);
         let Some(job) = self.jobs.get_mut(&task_ref.job) else { return };
         let was_queued = job.phase == JobPhase::Queued;
         let Some(task) = job.task_mut(task_ref) else { return };
         let Some(placed) = task.run_on_mut(&start.worker).filter(|placed| placed.run == start.run) else { return };
         placed.report.is_confirmed |= is_confirmed;
+        placed.report.is_start_in_flight = false;
         match (outcome, *placed.phase) {
             (OrderOutcome::Accepted { .. }, RunPhase::Ordered) => {
                 *placed.phase = RunPhase::Running { since_us: now_us };
@@ -373,7 +380,6 @@
             }
             (OrderOutcome::Unanswered, RunPhase::Ordered) => {
                 *placed.phase = RunPhase::Unanswered { since_us: now_us };
-                self.note_unanswered_start(now_us, start);
                 self.actions.push(Action::RaiseFence { worker: start.worker.clone() });
                 // One lost answer says little about a worker that answers other requests.
                 if !self.is_probably_reachable(now_us, &start.worker) {
--- a/src/sched/registry.rs
+++ b/src/sched/registry.rs
@@ -31,6 +31,8 @@
 /// [`MAX_HOLD_BACKOFF_MS`]: fewer answers, each with more ended runs, leave it time for starts.
 const HOLD_BACKOFF_PER_LAG: u64 = 2;
 const MAX_HOLD_BACKOFF_MS: u64 = 340;
+/// How long an acknowledgement of ends waits for the answers to start orders in flight. Then the hold request is sent without.
+const MAX_START_WAIT_MS: u64 = 100;
 /// Interval at which a hold request that acknowledges ends checks whether start orders are still in flight.
 const START_CHECK_INTERVAL_MS: u64 = 5;
 /// Delay between hold requests to a worker without tasks, which only keep the estimate of its clock current.
@@ -184,11 +186,18 @@
         if now_us < worker.next_hold_us {
             return HoldPlan::WaitUntil { at_us: worker.next_hold_us };
         }
-        let acknowledged = if has_late_start { 0 } else { worker.cursor_to_acknowledge() };
-        worker.is_acknowledging = acknowledged > 0;
-        if worker.is_acknowledging && worker.starts_in_flight > 0 {
-            return HoldPlan::WaitUntil { at_us: now_us + START_CHECK_INTERVAL_MS * US_PER_MS };
+        let mut acknowledged = if has_late_start { 0 } else { worker.cursor_to_acknowledge() };
+        if acknowledged > 0 && worker.starts_in_flight > 0 {
+            let latest_us = *worker.acknowledge_by_us.get_or_insert(now_us + MAX_START_WAIT_MS * US_PER_MS);
+            worker.is_acknowledging = now_us < latest_us;
+            if worker.is_acknowledging {
+                return HoldPlan::WaitUntil { at_us: now_us + START_CHECK_INTERVAL_MS * US_PER_MS };
+            }
+            acknowledged = 0;
+        } else {
+            worker.acknowledge_by_us = None;
         }
+        worker.is_acknowledging = acknowledged > 0;
         let mut lease_end_ms = None;
         // The lease of a worker that does not answer is not extended, so that its tasks can be placed elsewhere soon.
         // Neither is that of a worker which may have restarted: on another clock, the lease would be longer than known.
--- a/src/sched/run_end.rs
+++ b/src/sched/run_end.rs
@@ -87,8 +87,9 @@
             (Observation::LeasesExpired { now_us }, _) => {
                 // A lease that was meant for one incarnation may last longer on the clock of a later one. The registry does
                 // not tell of a later one that was cut off before it could register.
+                let is_alone = placed.report.is_confirmed && placed.report.late_starts_until_us == 0;
                 let lease_end_us = match self.workers.get(&placed.worker.id) {
-                    Some(worker) if placed.report.is_confirmed => worker.unknown_lease_end_us,
+                    Some(worker) if is_alone => worker.unknown_lease_end_us,
                     Some(worker) => worker.unknown_lease_end_us.max(self.lease_end_on_later_incarnation_us(worker)),
                     None => self.lease_end_on_unknown_worker_us(),
                 };
@@ -109,7 +110,8 @@
             }
             // A worker may leave a run out of its list while a stop takes effect.
             (Observation::NotListed { requested_us }, RunPhase::Stopping { acknowledged_us: Some(at_us), .. }) => {
-                (requested_us > at_us + self.stop_grace_us()).then_some(RunOver::Stopped)
+                let has_ended = requested_us > at_us + self.stop_grace_us() && !placed.report.is_start_in_flight;
+                has_ended.then_some(RunOver::Stopped)
             }
             // The order may have been accepted by either incarnation, unless the former one has listed the run.
             (Observation::WorkerRestarted { .. }, _) if placed.report.is_listed => Some(RunOver::WorkerGone),
--- a/src/sched/start_orders.rs
+++ b/src/sched/start_orders.rs
@@ -180,6 +180,10 @@
             worker.last_lease_call_us = now_us;
             worker.starts_in_flight += 1;
         }
+        let task = self.jobs.get_mut(&start.task.job).and_then(|job| job.task_mut(&start.task));
+        if let Some(placed) = task.and_then(|task| task.run_on_mut(&start.worker)) {
+            placed.report.is_start_in_flight = true;
+        }
         true
     }
 
@@ -191,6 +195,12 @@
 
     /// Notes that a start order has got no answer, and may be carried out later.
     pub(super) fn note_unanswered_start(&mut self, now_us: u64, start: &StartRun) {
+        let task = self.task(&start.task);
+        let placed = task.and_then(|task| task.run_on(&start.worker)).filter(|placed| placed.run == start.run);
+        let is_known = placed.is_some_and(|placed| placed.report.is_listed);
+        if is_known || task.is_none_or(|task| task.highest_ended_run >= start.run) {
+            return;
+        }
         let until_us = now_us + MAX_CALL_DELAY_MS * US_PER_MS;
         self.note_late_start(&start.task, LateStart { worker: start.worker.clone(), run: start.run, until_us });
     }
--- a/src/sched/task_runs.rs
+++ b/src/sched/task_runs.rs
@@ -14,6 +14,8 @@
     pub(crate) is_listed: bool,
     /// Whether it is certain that no later incarnation of the worker than the known one has the run.
     pub(crate) is_confirmed: bool,
+    /// Whether the start order has been sent, and neither an answer nor its absence is known.
+    pub(crate) is_start_in_flight: bool,
     /// Until when an order for an earlier run may start it on a later incarnation of the worker; 0 if none may.
     pub(crate) late_starts_until_us: u64,
     /// Latest reported progress in percent. A long-running task at 100 is fully in service.
@@ -31,6 +33,7 @@
         RunReport {
             is_listed: false,
             is_confirmed: false,
+            is_start_in_flight: false,
             late_starts_until_us: 0,
             percent: 0,
             percent_since_us: now_us,
--- a/src/sched/worker.rs
+++ b/src/sched/worker.rs
@@ -22,6 +22,8 @@
 pub(super) const MAX_ANSWER_AGE_MS: u64 = 2_000;
 /// Age up to which a worker may hold leases that calls for its former incarnation have granted. Times of day may be stepped.
 const YOUNG_WORKER_MS: u64 = 30_000;
+/// A worker with more ends that are not acknowledged gets no new tasks: it lists at most 500.
+const MAX_UNACKNOWLEDGED_ENDS: u64 = 300;
 /// Weight of the latest run in a worker's moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.34;
 /// A worker whose average of failures exceeds this value gets no new tasks for [`QUARANTINE_MS`].
@@ -68,6 +70,8 @@
     pub(crate) last_lease_call_us: u64,
     /// Number of start orders that have been sent and are not answered.
     pub(crate) starts_in_flight: u32,
+    /// Until when an acknowledgement of ends waits for start orders in flight; `None` if none waits.
+    pub(crate) acknowledge_by_us: Option<u64>,
     /// Whether a hold request that acknowledges ends is under way, or waits for the start orders in flight.
     pub(crate) is_acknowledging: bool,
     /// When an answer to an order showed a clock that cannot be that of the known incarnation.
@@ -75,7 +79,8 @@
     /// Since when calls carry a higher fencing token than those that were meant for former incarnations; `None` if none was
     /// asked for, or once the worker has answered such a call.
     pub(crate) fence_raised_us: Option<u64>,
-    /// Whether the worker has restarted, and may not have seen a higher token than its former incarnations.
+    /// Whether the worker gets no start orders before it has seen a higher token: it has restarted, or an acknowledgement of
+    /// ends got no answer.
     pub(crate) needs_fence: bool,
     /// Highest number of an ended run whose report has been processed. A worker numbers its ended runs, and a cursor is
     /// the number up to which they have been handled.
@@ -143,6 +148,7 @@
             unknown_lease_end_us: 0,
             last_lease_call_us: 0,
             starts_in_flight: 0,
+            acknowledge_by_us: None,
             is_acknowledging: false,
             suspected_restart_us: None,
             fence_raised_us: None,
@@ -252,6 +258,7 @@
             && !self.is_cordoned
             && !self.is_silent
             && self.clock.is_some()
+            && self.processed_cursor - self.acknowledged_cursor.min(self.processed_cursor) < MAX_UNACKNOWLEDGED_ENDS
             && now_us >= self.blocked_until_us
     }
 
--- a/src/sched/worker_speed_tests.rs
+++ b/src/sched/worker_speed_tests.rs
@@ -116,11 +116,14 @@
 #[test]
 fn slow_worker_gets_work_last() {
     let alike = play(5, &[]);
-    let (busiest, work) = alike.seen.iter().max_by_key(|(_, work)| **work).expect("tasks were placed");
-    let with_slow = play(5, &[busiest]);
+    let busy: Vec<&Arc<str>> = alike.seen.keys().filter(|worker| alike.seen_on(worker) >= 200).take(3).collect();
+    assert_eq!(busy.len(), 3, "workers that have much work otherwise: {alike:?}");
 
-    assert!(*work >= 200, "it has much work otherwise: {alike:?}");
-    assert!(with_slow.seen_on(busiest) * 3 <= *work, "{with_slow:?} and {alike:?}");
+    for worker in busy {
+        let with_slow = play(5, &[worker]);
+
+        assert!(with_slow.seen_on(worker) * 3 <= alike.seen_on(worker), "{worker}: {with_slow:?} and {alike:?}");
+    }
 }
 
 #[test]
