Take note of a success that a late start order brings after a later run has ended

Callers could see a task run again after its success had been acknowledged: an end with a lower run number than one that had been processed was dropped, and then acknowledged. A late order may start the earlier run after the later one has failed or was stopped.

Change: a success counts whatever its run number; repeated reports are dropped by their number, as before.

--- a/src/sched/progress.rs
+++ b/src/sched/progress.rs
@@ -127,7 +127,8 @@
             ended_run.run,
             ended_run.outcome
         );
-        if ended_run.run <= task.highest_ended_run && !is_current {
+        // A late start order may complete the task after a later run of it has ended.
+        if ended_run.run <= task.highest_ended_run && !is_current && ended_run.outcome != RunOutcome::Done {
             return;
         }
         let ended = task.run_on(worker).filter(|_| is_current);
