--- a/src/sched.rs
+++ b/src/sched.rs
@@ -108,6 +108,8 @@
 #[cfg(test)]
 mod incarnation_tests;
 #[cfg(test)]
+mod late_starts_tests;
+#[cfg(test)]
 mod leader_fixtures;
 #[cfg(test)]
 mod operator_views_tests;
