--- a/src/sched/lost_workers.rs
+++ b/src/sched/lost_workers.rs
@@ -295,6 +295,27 @@
         }
     }
 
+    /// Logs from what it follows that a run is lost: whether this leader knows its incarnation, and of late start orders.
+    fn log_lost_run(&self, now_us: u64, task_ref: &TaskRef, id: &Arc<str>, cause: LossCause) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let Some(placed) = self.task(task_ref).and_then(|task| task.run_on(id)) else { return };
+        log::info!(
+            "job={} task={}.{}.{} run={} worker={id} silent_ms={} phase={:?} confirmed={} answered={} late_starts={} \
+             cause={} outcome=lease_over",
+            task_ref.job,
+            task_ref.occurrence,
+            task_ref.step,
+            task_ref.index,
+            placed.run,
+            now_us.saturating_sub(worker.last_answer_us) / US_PER_MS,
+            placed.phase,
+            placed.report.is_confirmed,
+            worker.is_synced,
+            placed.report.late_starts_until_us > 0,
+            cause.label()
+        );
+    }
+
     /// Records the loss of these tasks' runs with their worker, and releases those that are over.
     pub(super) fn release_lost(
         &mut self,
@@ -306,7 +327,6 @@
     ) {
         let Some(worker) = self.workers.get(id) else { return };
         let incarnation = worker.incarnation();
-        let silent_ms = now_us.saturating_sub(worker.last_answer_us) / US_PER_MS;
         if !lost.is_empty() {
             log::warn!(
                 "worker={id} tasks={} cause={} evidence={observation:?} outcome=leases_over",
@@ -316,14 +336,7 @@
         }
         let suspects = self.crash_suspects(now_us, id);
         for task_ref in lost {
-            log::info!(
-                "job={} task={}.{}.{} worker={id} silent_ms={silent_ms} cause={} outcome=lease_over",
-                task_ref.job,
-                task_ref.occurrence,
-                task_ref.step,
-                task_ref.index,
-                cause.label()
-            );
+            self.log_lost_run(now_us, task_ref, id, cause);
             let blame = suspects.blame_of(task_ref);
             self.record_loss(now_us, task_ref, &incarnation, (cause, blame));
             self.release_if_over(now_us, task_ref, id, observation);
