--- a/src/sched.rs
+++ b/src/sched.rs
@@ -22,6 +22,7 @@
 mod gangs;
 mod host_moves;
 pub(crate) mod host_orders;
+mod host_successors;
 mod host_workers;
 mod isolation;
 pub(crate) mod job;
--- a/src/sched/recut_tests.rs
+++ b/src/sched/recut_tests.rs
@@ -148,7 +148,7 @@
     assert_nothing_runs_twice(|seed| sim_of_restarts_and_cuts(seed, takeovers, CutOff::Leader));
 }
 
-/// Guards against restarts that the registry does not show, since the worker was cut off before it registered again.
+/// Guards against trust in a registry that cannot show restarts: the workers are cut off before they register again.
 #[test]
 fn no_task_runs_twice_when_cut_off_workers_cannot_register_again() {
     assert_nothing_runs_twice(|seed| sim_of_restarts_and_cuts(seed, Takeovers::None, CutOff::LeaderAndStore));
--- a/src/sched/run_end.rs
+++ b/src/sched/run_end.rs
@@ -85,19 +85,7 @@
         match (observation, placed.phase) {
             (Observation::EndListed, _) => Some(RunOver::EndListed),
             (Observation::LeasesExpired { now_us }, _) => {
-                // A lease that was meant for one incarnation may last longer on the clock of a later one. The registry does
-                // not tell of a later one that was cut off before it could register.
-                let is_alone = placed.report.is_confirmed && placed.report.late_starts_until_us == 0;
-                let lease_end_us = match self.workers.get(&placed.worker.id) {
-                    Some(worker) if is_alone => worker.unknown_lease_end_us,
-                    Some(worker) => worker.unknown_lease_end_us.max(self.lease_end_on_later_incarnation_us(worker)),
-                    None => self.lease_end_on_unknown_worker_us(),
-                };
-                let lease_end_us = lease_end_us.max(match placed.report.late_starts_until_us {
-                    0 => 0,
-                    until_us => until_us + self.longest_lease_wait_us(),
-                });
-                (now_us >= lease_end_us).then_some(RunOver::LeaseExpired)
+                (now_us >= self.lease_end_of_run_us(placed)).then_some(RunOver::LeaseExpired)
             }
             (Observation::WorkerGone, _) => Some(RunOver::WorkerGone),
             (
@@ -133,6 +121,23 @@
         }
     }
 
+    /// When every lease has ended under which a run may be active on the incarnation that is known or on a later one, once
+    /// the lease of the known one has expired. The registry does not tell of a later one that was cut off before it could
+    /// register.
+    fn lease_end_of_run_us(&self, placed: &PlacedRun<'_>) -> u64 {
+        let Some(worker) = self.workers.get(&placed.worker.id) else { return self.lease_end_on_unknown_worker_us() };
+        let late_starts_until_us = placed.report.late_starts_until_us;
+        if placed.report.is_confirmed && late_starts_until_us == 0 {
+            return worker.unknown_lease_end_us;
+        }
+        let late_start_lease_end_us = match late_starts_until_us {
+            0 => 0,
+            until_us => until_us + self.longest_lease_wait_us(),
+        };
+        let later_incarnation_us = self.lease_end_on_later_incarnation_us(worker);
+        worker.unknown_lease_end_us.max(later_incarnation_us).max(late_start_lease_end_us)
+    }
+
     /// Upper bound for the time from the acknowledgement of a stop order to the end of the run.
     pub(super) fn stop_grace_us(&self) -> u64 {
         (self.settings.stop_grace_ms as f64 * STOP_GRACE_FACTOR * US_PER_MS as f64) as u64
--- a/src/sched/worker_loss.rs
+++ b/src/sched/worker_loss.rs
@@ -14,9 +14,10 @@
 use foldhash::{HashMap, HashSet};
 use serde::{Deserialize, Serialize};
 
+use super::host_successors::{RegisteredWorker, Replacement};
 use super::isolation::ISOLATION_WAIT_MS;
 use super::job::{RunPhase, Task, WorkerIncarnation};
-use super::model::{TaskRef, WorkerEntry};
+use super::model::TaskRef;
 use super::scheduler::Scheduler;
 use super::task_runs::PlacedRun;
 use super::worker::Worker;
@@ -60,7 +61,7 @@
 
 /// Why a worker was silent, as it turns out later.
 #[derive(Debug, Clone, Copy)]
-enum SilenceCause {
+pub(super) enum SilenceCause {
     Crashed,
     /// The same incarnation answers again.
     CutOff,
@@ -121,30 +122,15 @@
 /// Number of runs lost for each cause since they were last taken, in the order of [`LossCause::ALL`].
 pub(crate) type LossCounts = [u64; LossCause::ALL.len()];
 
-/// A worker, and when it was first found in the registry.
-#[derive(Debug, Clone)]
-struct RegisteredWorker {
-    incarnation: WorkerIncarnation,
-    registered_us: u64,
-}
-
-/// A worker on whose host another one has registered later, which may have taken its place.
-#[derive(Debug)]
-struct Replacement {
-    host: Arc<str>,
-    former: WorkerIncarnation,
-    latest: RegisteredWorker,
-}
-
 /// Workers that were lost, as far as it may still turn out why, and who is on their hosts.
 #[derive(Debug, Default)]
 pub(super) struct LostWorkers {
     /// Tasks that lost a run with a silent worker, by worker ID.
     silent: HashMap<Arc<str>, SilentWorker>,
     /// Worker on each host that was registered last, and started after the one before it.
-    latest_on_host: HashMap<Arc<str>, RegisteredWorker>,
+    pub(super) latest_on_host: HashMap<Arc<str>, RegisteredWorker>,
     /// Replacements for which only an entry in the registry speaks.
-    unconfirmed_replacements: Vec<Replacement>,
+    pub(super) unconfirmed_replacements: Vec<Replacement>,
     /// Tasks that may have crashed a worker, see [`Task::is_suspect`].
     pub(super) suspects: HashSet<TaskRef>,
     counts: LossCounts,
@@ -321,79 +307,14 @@
         }
     }
 
-    /// Notes a registered worker on its host. A worker that started and was registered there earlier may have ended.
-    pub(super) fn worker_on_host_registered(&mut self, now_us: u64, entry: &WorkerEntry) {
-        let Some(host) = &entry.host else { return };
-        let incarnation = WorkerIncarnation { id: entry.id.clone(), started_unix_ms: entry.started_unix_ms };
-        let latest = RegisteredWorker { incarnation, registered_us: now_us };
-        let known = self.lost_workers.latest_on_host.get(host);
-        // A copy of the registry may be old, and bring back the entry of a worker that has ended.
-        if known.is_some_and(|known| known.incarnation.started_unix_ms >= entry.started_unix_ms) {
-            return;
-        }
-        let Some(known) = self.lost_workers.latest_on_host.insert(host.clone(), latest.clone()) else { return };
-        // Times of day may be stepped, so of two workers in one copy of the registry it is not known which one is later.
-        if known.incarnation.id == entry.id || known.registered_us == now_us {
-            return;
-        }
-        let replacements = &mut self.lost_workers.unconfirmed_replacements;
-        for replacement in replacements.iter_mut().filter(|replacement| replacement.host == *host) {
-            replacement.latest = latest.clone();
-        }
-        replacements.push(Replacement { host: host.clone(), former: known.incarnation, latest });
-    }
-
-    /// Takes workers to have ended whose successors on their hosts have answered this leader.
-    pub(super) fn confirm_replacements(&mut self, now_us: u64) {
-        let replacements = std::mem::take(&mut self.lost_workers.unconfirmed_replacements);
-        for replacement in replacements {
-            if self.is_moot(&replacement) {
-                continue;
-            }
-            if !self.has_taken_over_host(&replacement) {
-                self.lost_workers.unconfirmed_replacements.push(replacement);
-                continue;
-            }
-            self.worker_replaced(now_us, &replacement);
-        }
-    }
-
-    /// Whether the former worker of a replacement has answered since, or is of no interest any more.
-    fn is_moot(&self, Replacement { former, latest, .. }: &Replacement) -> bool {
-        let worker = self.workers.get(&former.id);
-        let has_answered = worker.is_some_and(|worker| worker.report_requested_us > latest.registered_us);
-        has_answered || former.id == latest.incarnation.id || (worker.is_none() && !self.is_silent_loss(former))
-    }
-
-    /// Whether the latest worker of a replacement lives, and the provider names nobody else on its host.
-    fn has_taken_over_host(&self, Replacement { host, latest, .. }: &Replacement) -> bool {
-        let id = &latest.incarnation.id;
-        let has_answered = self.workers.get(id).is_some_and(|worker| worker.is_synced);
-        let named = self.hosts.get(host).and_then(|record| record.worker.as_ref());
-        has_answered && self.has_incarnation(&latest.incarnation) && named.is_none_or(|named| named == id)
-    }
-
-    fn worker_replaced(&mut self, now_us: u64, Replacement { host, former, latest }: &Replacement) {
-        if let Some(worker) = self.workers.get_mut(&former.id) {
-            worker.superseded_us.get_or_insert(latest.registered_us);
-            // Each host that changes its pool has a new worker, but its former one has no tasks.
-            let level = if worker.tasks.is_empty() { log::Level::Debug } else { log::Level::Info };
-            let successor = &latest.incarnation.id;
-            log::log!(level, "worker={} host={host} successor={successor} outcome=superseded", former.id);
-        }
-        if self.is_silent_loss(former) {
-            self.resolve_silent(now_us, &former.id, SilenceCause::Crashed);
-        }
-    }
-
     /// Whether tasks were lost with this incarnation of a worker, and it is not known why.
-    fn is_silent_loss(&self, worker: &WorkerIncarnation) -> bool {
+    pub(super) fn is_silent_loss(&self, worker: &WorkerIncarnation) -> bool {
         let silent = self.lost_workers.silent.get(&worker.id);
         silent.is_some_and(|silent| silent.started_unix_ms == worker.started_unix_ms)
     }
 
     /// Records for all tasks lost with a silent worker why it was silent.
-    fn resolve_silent(&mut self, now_us: u64, id: &Arc<str>, cause: SilenceCause) {
+    pub(super) fn resolve_silent(&mut self, now_us: u64, id: &Arc<str>, cause: SilenceCause) {
         let Some(SilentWorker { started_unix_ms, tasks }) = self.lost_workers.silent.remove(id) else { return };
         let worker = WorkerIncarnation { id: id.clone(), started_unix_ms };
         for task_ref in tasks {
