Give no two daemons of a test program the same port

Trace: the settings of two daemons, one of each of the two soak tests that now run side by side in one process, named port 43087. The second one did not start ("Address already in use"), its callers reached the other one's readiness address, whose answer 200 they took for an accepted job. Ports that are free when they are drawn may be drawn again before the daemon listens.

Change: a test process hands out each port once.

--- a/tests/support/control_daemon.rs
+++ b/tests/support/control_daemon.rs
@@ -1,9 +1,11 @@
 //! A daemon process with the control role, whose connections to the row store pass through a proxy.
 
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 
 use sardineseam::UsersPlatformStandIn;
 
@@ -25,8 +27,17 @@
     Ipv4Addr::new(127, 64 + (second & 63), third, fourth)
 }
 
+/// An address at which nothing listens, and that no other test of this process has been given: its daemon may not have started
+/// yet.
 fn free_address() -> SocketAddr {
-    TcpListener::bind((loopback_ip(), 0)).expect("a free port").local_addr().expect("an address")
+    static GIVEN_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    loop {
+        let listener = TcpListener::bind((loopback_ip(), 0)).expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        if GIVEN_PORTS.lock().expect("lock").insert(address.port()) {
+            return address;
+        }
+    }
 }
 
 impl ControlDaemon {
