Tests of the two rules for late orders that no test held

Both pass with the guards, and both failed with the guards taken out together; the guards are back. No change of the product.

--- a/src/sched/late_starts_tests.rs
+++ b/src/sched/late_starts_tests.rs
@@ -66,6 +66,27 @@
     assert_eq!(starts.iter().map(|start| &*start.worker).collect::<Vec<_>>(), ["w1"]);
 }
 
+/// Guards against a silent worker whose next incarnation may carry the late order out: the lease of the later run, which has
+/// ended with the known one, says nothing of it.
+#[test]
+fn later_run_keeps_its_silent_worker_until_no_run_of_the_late_order_can_have_a_lease() {
+    let (mut leader, start) = leader_with_unanswered_start();
+    answer(&mut leader, 2 * SECOND_US, 0, &[]);
+    let accepted = OrderOutcome::Accepted { clock_ms: None };
+    leader.on_stop_outcome(2 * SECOND_US, &worker(0), &only_task(), start.run, &accepted);
+    let starts = starts_after(&mut leader, 3 * SECOND_US, &answer_of(FORMER_START_UNIX_MS, 3 * SECOND_US, &[]));
+    assert!(leader.on_start_sent(3 * SECOND_US, &starts[0]));
+    leader.on_start_outcome(3 * SECOND_US, &starts[0], &accepted);
+    answer(&mut leader, 4 * SECOND_US, 0, &[starts[0].run]);
+
+    leader.on_hold_failure(5 * SECOND_US, &worker(0), &OrderOutcome::Unanswered);
+    for now_us in (6 * SECOND_US..CALLS_END_US + 10 * SECOND_US).step_by(SECOND_US as usize) {
+        answer(&mut leader, now_us, 1, &[]);
+        decide(&mut leader, now_us);
+        assert_eq!(only_task_of(&leader).placed_on().map(|placed| &*placed.id), Some("w0"), "at {now_us} us");
+    }
+}
+
 /// Guards against a list that leaves out the run because it is cut.
 #[test]
 fn incomplete_list_does_not_settle_a_late_start_order() {
--- a/src/sched/takeover_tests.rs
+++ b/src/sched/takeover_tests.rs
@@ -138,6 +138,21 @@
     assert_eq!(task(&leader, JOB).run, 2, "a new run has been placed: {:?}", task(&leader, JOB).state);
 }
 
+/// Guards against an order of the former leader that starts the run on a later incarnation of a worker which has stopped it.
+#[test]
+fn restored_task_starts_on_no_other_worker_while_the_former_leaders_order_may_be_late() {
+    let now_us = 20 * SECOND_US;
+    let mut leader = new_leader(now_us, vec![worker_entry(0, 1), worker_entry(1, 1)]);
+    answer(&mut leader, now_us, "w0");
+    leader.worker_listed(now_us, WorkerEntry { draining: true, ..worker_entry(0, 1) });
+
+    run_with(&mut leader, now_us, 20_000, &["w0", "w1"]);
+    assert_ne!(placed_on(&leader), Some("w1"));
+    run_with(&mut leader, now_us + 20_000_000, 2_000, &["w0", "w1"]);
+
+    assert_eq!(placed_on(&leader), Some("w1"), "the former leader's calls have ended");
+}
+
 #[test]
 fn restored_task_goes_on_when_the_entry_of_its_worker_returns_after_the_takeover() {
     let now_us = 20 * SECOND_US;
