--- /dev/null
+++ b/review/third/src/cases.rs
@@ -0,0 +1,263 @@
+//! The cases.
+
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+use crate::daemons::{job_state, request, Daemon};
+use crate::world::{Record, World};
+use crate::Verdict;
+
+pub fn play(case: &str, record: &Path, folder: &Path, has_trouble: bool) -> Verdict {
+    let setup = |services: Value, routes: Value| {
+        let record = Record::create(record);
+        record.line(&format!("case={case} trouble={has_trouble}"));
+        World::start(record, &json!({ "version": 7, "routes": routes, "services": services, "limits": {} }))
+    };
+    match case {
+        "lost-answers" => lost_answers_of_provider(&setup(services(&["press"]), routes(&[("jobs", "press")])), folder, has_trouble),
+        "forgotten-history" => {
+            forgotten_history(&setup(services(&["press"]), routes(&[("jobs", "press")])), folder, has_trouble)
+        }
+        "fills" => fills(&setup(services(&["press"]), routes(&[("jobs", "press")])), folder, has_trouble),
+        _ => Verdict::CouldNotRun(format!("no case {case}")),
+    }
+}
+
+fn services(names: &[&str]) -> Value {
+    let service = |name: &&str| json!({ "name": name, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false,
+        "enforcesCapacity": true, "spare": false });
+    names.iter().map(service).collect()
+}
+
+/// Routes by the name of their path and their service.
+fn routes(routes: &[(&str, &str)]) -> Value {
+    let route = |(name, service): &(&str, &str)| json!({ "name": name, "host": "print.example",
+        "pathPrefix": format!("/{name}/"), "kind": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 600, "priority": 0,
+        "service": service, "attempts": 3, "stretch": 1.6 });
+    routes.iter().map(route).collect()
+}
+
+fn start_daemons(world: &World, folder: &Path, count: usize) -> Result<Vec<Daemon>, Verdict> {
+    let mut daemons: Vec<Daemon> = (0..count).map(|number| Daemon::prepare(world, folder, number)).collect();
+    for daemon in &mut daemons {
+        daemon.start();
+    }
+    for daemon in &daemons {
+        if !daemon.wait_ready(Duration::from_secs(10)) {
+            return Err(Verdict::CouldNotRun(format!("{} is not ready", daemon.name)));
+        }
+    }
+    Ok(daemons)
+}
+
+fn sleep_ms(ms: u64) {
+    thread::sleep(Duration::from_millis(ms));
+}
+
+fn wait_for(within: Duration, mut is_so: impl FnMut() -> bool) -> bool {
+    let until = Instant::now() + within;
+    while Instant::now() < until {
+        if is_so() {
+            return true;
+        }
+        sleep_ms(50);
+    }
+    false
+}
+
+/// A job of one step.
+fn job(spec: &str, step: Value) -> Value {
+    json!({ "spec": spec, "steps": [step] })
+}
+
+fn submit(world: &World, daemon: &Daemon, path: &str, job: &Value) -> bool {
+    (0..5).any(|_| {
+        let answer = request(world, daemon, "POST", path, Some(job));
+        let is_accepted = answer.is_some_and(|(status, _)| status == 200);
+        if !is_accepted {
+            sleep_ms(300);
+        }
+        is_accepted
+    })
+}
+
+/// LOST: for five seconds, the provider carries out orders without answering them, during a wave of upkeep.
+fn lost_answers_of_provider(world: &World, folder: &Path, has_trouble: bool) -> Verdict {
+    const SILENT_FOR: Duration = Duration::from_secs(5);
+    const ITEMS: usize = 3;
+    for machine in ["m-1", "m-2", "m-3"] {
+        world.add_machine(machine, "press", &["a", "r1-1"], 16_000);
+    }
+    let daemons = match start_daemons(world, folder, 2) {
+        Ok(daemons) => daemons,
+        Err(verdict) => return verdict,
+    };
+    let lasting = json!({ "count": ITEMS, "cpu": 1000, "memMb": 512, "longRunning": true, "antiAffinity": 1 });
+    let lasting = job("cpu=1000 mem=512", lasting);
+    // Shows that all three executors can be used.
+    let (first, second) = ("/jobs/00000000000000a1", "/jobs/00000000000000b2");
+    if !submit(world, &daemons[0], first, &lasting)
+        || !wait_for(Duration::from_secs(10), || world.lock().active_runs("00000000000000a1") == ITEMS)
+    {
+        return Verdict::CouldNotRun("the first job does not run".to_owned());
+    }
+    request(world, &daemons[0], "DELETE", first, None);
+    if !wait_for(Duration::from_secs(10), || world.lock().all_active_runs() == 0) {
+        return Verdict::CouldNotRun("the first job is not stopped".to_owned());
+    }
+    sleep_ms(2_000);
+    world.silence_provider(has_trouble);
+    world.operator_writes("wave/1", &json!({ "wave": 1, "machines": ["m-1", "m-2"], "durationS": 30, "cap": 2 }));
+    thread::sleep(SILENT_FOR);
+    world.silence_provider(false);
+    let is_wave_complete = wait_for(Duration::from_secs(30), || {
+        let status = world.lock().store.get("status", "", "wave/1");
+        status.is_some_and(|row| String::from_utf8_lossy(&row).contains("completed"))
+    });
+    world.record.line(&format!("wave completed={is_wave_complete}"));
+    // All is calm from here on: three executors are up, registered and idle.
+    sleep_ms(7_000);
+    let up = world.lock().up_count();
+    world.record.line(&format!("executors up={up}"));
+    if !submit(world, &daemons[1], second, &lasting) {
+        return Verdict::CouldNotRun("the second job is not accepted".to_owned());
+    }
+    sleep_ms(15_000);
+    judge_items(world, "00000000000000b2", ITEMS, Duration::from_secs(5))
+}
+
+/// LOST: all work items of a lasting job must be at work at some moment of the time that follows.
+fn judge_items(world: &World, job: &str, count: usize, within: Duration) -> Verdict {
+    let all_run = wait_for(within, || world.lock().active_runs(job) == count);
+    let active = world.lock().active_runs(job);
+    let up = world.lock().up_count();
+    world.record.line(&format!("job={job} work_items={count} running={active} executors_up={up} lost={}", !all_run));
+    if all_run {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
+}
+
+/// LOST: after `within`, each job must be completed, or have had something running within the last 3 s.
+fn judge_jobs(world: &World, daemons: &[Daemon], paths: &[String], within: Duration) -> Verdict {
+    let until = Instant::now() + within;
+    let mut last_active: Vec<Instant> = vec![Instant::now(); paths.len()];
+    while Instant::now() < until {
+        for (path, at) in paths.iter().zip(&mut last_active) {
+            let id = path.rsplit('/').next().unwrap_or("");
+            if world.lock().active_runs(id) > 0 {
+                *at = Instant::now();
+            }
+        }
+        sleep_ms(50);
+    }
+    let mut broken = false;
+    for (path, at) in paths.iter().zip(last_active) {
+        let state = job_state(world, &daemons[0], path);
+        let idle = at.elapsed();
+        let active = world.lock().all_active_runs();
+        let is_lost = !matches!(state.as_deref(), Some("completed")) && idle > Duration::from_secs(3);
+        world.record.line(&format!(
+            "job={path} state={state:?} nothing_running_for_ms={} runs_on_all_executors={active} lost={is_lost}",
+            idle.as_millis()
+        ));
+        broken |= is_lost;
+    }
+    if broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
+/// LOST: the only executor without a work item that fills is lost for good.
+fn fills(world: &World, folder: &Path, has_trouble: bool) -> Verdict {
+    for number in 1..=8 {
+        world.add_machine(&format!("m-{number}"), "press", &["a", "r1-1"], 16_000);
+    }
+    let daemons = match start_daemons(world, folder, 2) {
+        Ok(daemons) => daemons,
+        Err(verdict) => return verdict,
+    };
+    let filling = json!({ "count": 7, "cpu": 2000, "memMb": 512, "longRunning": true, "fills": true, "antiAffinity": 1 });
+    let serving = json!({ "count": 1, "cpu": 2000, "memMb": 512, "longRunning": true, "targetMs": 100, "image": "shop" });
+    if !submit(world, &daemons[0], "/jobs/00000000000000f1", &job("mem=512", filling)) {
+        return Verdict::CouldNotRun("the first job is not accepted".to_owned());
+    }
+    if !wait_for(Duration::from_secs(10), || world.lock().active_runs("00000000000000f1") == 7) {
+        return Verdict::CouldNotRun("the filling job does not run".to_owned());
+    }
+    if !submit(world, &daemons[1], "/jobs/00000000000000e1", &job("cpu=2000 mem=512", serving)) {
+        return Verdict::CouldNotRun("the serving job is not accepted".to_owned());
+    }
+    if !wait_for(Duration::from_secs(10), || world.lock().active_runs("00000000000000e1") == 1) {
+        return Verdict::CouldNotRun("the serving job does not run".to_owned());
+    }
+    sleep_ms(8_000);
+    let machine = {
+        let state = world.lock();
+        let serves = state.executors.iter().find(|executor| {
+            executor.is_up() && executor.runs.keys().any(|(task, _)| task.starts_with("00000000000000e1"))
+        });
+        serves.map(|executor| executor.machine.clone())
+    };
+    let Some(machine) = machine else { return Verdict::CouldNotRun("the serving work item has ended".to_owned()) };
+    if has_trouble {
+        world.lose_machine(&machine);
+    }
+    // The work item may be found again, and placed elsewhere, in this time.
+    sleep_ms(20_000);
+    judge_jobs(world, &daemons, &["/jobs/00000000000000e1".to_owned()], Duration::from_secs(10))
+}
+
+/// LOST: the store is slow and forgets its history while the first jobs of a rush arrive.
+fn forgotten_history(world: &World, folder: &Path, has_trouble: bool) -> Verdict {
+    const SLOW_ANSWER_MS: u64 = 240;
+    const SLOW_FOR: Duration = Duration::from_millis(4_500);
+    for machine in ["m-1", "m-2", "m-3"] {
+        world.add_machine(machine, "press", &["a", "r1-1"], 16_000);
+    }
+    let daemons = match start_daemons(world, folder, 2) {
+        Ok(daemons) => daemons,
+        Err(verdict) => return verdict,
+    };
+    let lasting = json!({ "count": 1, "cpu": 1000, "memMb": 512, "longRunning": true });
+    if !submit(world, &daemons[0], "/jobs/0000000000000a10", &job("cpu=1000 mem=512", lasting))
+        || !wait_for(Duration::from_secs(10), || world.lock().active_runs("0000000000000a10") == 1)
+    {
+        return Verdict::CouldNotRun("the first job does not run".to_owned());
+    }
+    sleep_ms(3_000);
+    let slow_until = Instant::now() + SLOW_FOR;
+    if has_trouble {
+        world.slow_store(Some(SLOW_ANSWER_MS));
+    }
+    sleep_ms(1_500);
+    if has_trouble {
+        world.drop_history();
+    }
+    let small = job("run-ms=500 cpu=1000 mem=512", json!({ "count": 2, "cpu": 1000, "memMb": 512, "estimateMs": 500 }));
+    let paths: Vec<String> = (1..8).map(|digit| format!("/jobs/{digit}000000000000b0{digit}")).collect();
+    // Each client sends its job, and sends it again until it is accepted.
+    let accepted = thread::scope(|scope| {
+        let mut clients = Vec::new();
+        for (number, path) in paths.iter().enumerate() {
+            let (daemon, small) = (&daemons[number % 2], &small);
+            clients.push(scope.spawn(move || submit(world, daemon, path, small)));
+            sleep_ms(75);
+        }
+        clients.into_iter().all(|client| client.join().unwrap_or(false))
+    });
+    if !accepted {
+        return Verdict::CouldNotRun("a job is not accepted".to_owned());
+    }
+    thread::sleep(slow_until.saturating_duration_since(Instant::now()));
+    world.slow_store(None);
+    // All is calm from here on.
+    sleep_ms(5_000);
+    judge_jobs(world, &daemons, &paths, Duration::from_secs(14))
+}
