--- a/review/third/src/cases.rs
+++ b/review/third/src/cases.rs
@@ -33,7 +33,6 @@
             advice(&world, folder, has_trouble)
         }
         "cut-off" => cut_off(&setup(services(&["press"]), routes(&[("jobs", "press")])), folder, has_trouble),
-        "fills" => fills(&setup(services(&["press"]), routes(&[("jobs", "press")])), folder, has_trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     }
 }
@@ -190,48 +189,6 @@
     }
 }
 
-/// LOST: the only executor without a work item that fills is lost for good.
-fn fills(world: &World, folder: &Path, has_trouble: bool) -> Verdict {
-    for number in 1..=8 {
-        world.add_machine(&format!("m-{number}"), "press", &["a", "r1-1"], 16_000);
-    }
-    let daemons = match start_daemons(world, folder, 2) {
-        Ok(daemons) => daemons,
-        Err(verdict) => return verdict,
-    };
-    let filling =
-        json!({ "count": 7, "cpu": 2000, "memMb": 512, "longRunning": true, "fills": true, "antiAffinity": 1 });
-    let serving =
-        json!({ "count": 1, "cpu": 2000, "memMb": 512, "longRunning": true, "targetMs": 100, "image": "shop" });
-    if !submit(world, &daemons[0], "/jobs/00000000000000f1", &job("mem=512", filling)) {
-        return Verdict::CouldNotRun("the first job is not accepted".to_owned());
-    }
-    if !wait_for(Duration::from_secs(10), || world.lock().active_runs("00000000000000f1") == 7) {
-        return Verdict::CouldNotRun("the filling job does not run".to_owned());
-    }
-    if !submit(world, &daemons[1], "/jobs/00000000000000e1", &job("cpu=2000 mem=512", serving)) {
-        return Verdict::CouldNotRun("the serving job is not accepted".to_owned());
-    }
-    if !wait_for(Duration::from_secs(10), || world.lock().active_runs("00000000000000e1") == 1) {
-        return Verdict::CouldNotRun("the serving job does not run".to_owned());
-    }
-    sleep_ms(8_000);
-    let machine = {
-        let state = world.lock();
-        let serves = state.executors.iter().find(|executor| {
-            executor.is_up() && executor.runs.keys().any(|(task, _)| task.starts_with("00000000000000e1"))
-        });
-        serves.map(|executor| executor.machine.clone())
-    };
-    let Some(machine) = machine else { return Verdict::CouldNotRun("the serving work item has ended".to_owned()) };
-    if has_trouble {
-        world.lose_machine(&machine);
-    }
-    // The work item may be found again, and placed elsewhere, in this time.
-    sleep_ms(20_000);
-    judge_jobs(world, &daemons, &["/jobs/00000000000000e1".to_owned()], Duration::from_secs(10))
-}
-
 /// LOST: the store is slow and forgets its history while the first jobs of a rush arrive.
 fn forgotten_history(world: &World, folder: &Path, has_trouble: bool) -> Verdict {
     const SLOW_ANSWER_MS: u64 = 240;
