Review case 11: two runs of a work item at once on an executor that was reborn behind a cut

Cause: a task whose start order got no answer starts again on the same worker while that order may arrive. If the second order gets no answer either, a later life of the worker carries out both.

Shown: start orders to one of eight executors get no answer for 4.5 s and are carried out 5.5 s later; the executor is cut off for 5.5 s, crashes as the cut begins and is back under its id.

--- a/review/third/src/cases.rs
+++ b/review/third/src/cases.rs
@@ -17,9 +17,6 @@
         World::start(record, &json!({ "version": 7, "routes": routes, "services": services, "limits": {} }))
     };
     match case {
-        "lost-answers" => {
-            lost_answers_of_provider(&setup(services(&["press"]), routes(&[("jobs", "press")])), folder, has_trouble)
-        }
         "forgotten-history" => {
             forgotten_history(&setup(services(&["press"]), routes(&[("jobs", "press")])), folder, has_trouble)
         }
@@ -32,7 +29,9 @@
             world.lock().advice = settings;
             advice(&world, folder, has_trouble)
         }
-        "cut-off" => cut_off(&setup(services(&["press"]), routes(&[("jobs", "press")])), folder, has_trouble),
+        "two-late-orders" => {
+            two_late_orders(&setup(services(&["press"]), routes(&[("jobs", "press")])), folder, has_trouble)
+        }
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     }
 }
@@ -99,64 +98,6 @@
     })
 }
 
-/// LOST: for five seconds, the provider carries out orders without answering them, during a wave of upkeep.
-fn lost_answers_of_provider(world: &World, folder: &Path, has_trouble: bool) -> Verdict {
-    const SILENT_FOR: Duration = Duration::from_secs(5);
-    const ITEMS: usize = 3;
-    for machine in ["m-1", "m-2", "m-3"] {
-        world.add_machine(machine, "press", &["a", "r1-1"], 16_000);
-    }
-    let daemons = match start_daemons(world, folder, 2) {
-        Ok(daemons) => daemons,
-        Err(verdict) => return verdict,
-    };
-    let lasting = json!({ "count": ITEMS, "cpu": 1000, "memMb": 512, "longRunning": true, "antiAffinity": 1 });
-    let lasting = job("cpu=1000 mem=512", lasting);
-    // Shows that all three executors can be used.
-    let (first, second) = ("/jobs/00000000000000a1", "/jobs/00000000000000b2");
-    if !submit(world, &daemons[0], first, &lasting)
-        || !wait_for(Duration::from_secs(10), || world.lock().active_runs("00000000000000a1") == ITEMS)
-    {
-        return Verdict::CouldNotRun("the first job does not run".to_owned());
-    }
-    request(world, &daemons[0], "DELETE", first, None);
-    if !wait_for(Duration::from_secs(10), || world.lock().all_active_runs() == 0) {
-        return Verdict::CouldNotRun("the first job is not stopped".to_owned());
-    }
-    sleep_ms(2_000);
-    world.silence_provider(has_trouble);
-    world.operator_writes("wave/1", &json!({ "wave": 1, "machines": ["m-1", "m-2"], "durationS": 30, "cap": 2 }));
-    thread::sleep(SILENT_FOR);
-    world.silence_provider(false);
-    let is_wave_complete = wait_for(Duration::from_secs(30), || {
-        let status = world.lock().store.get("status", "", "wave/1");
-        status.is_some_and(|row| String::from_utf8_lossy(&row).contains("completed"))
-    });
-    world.record.line(&format!("wave completed={is_wave_complete}"));
-    // All is calm from here on: three executors are up, registered and idle.
-    sleep_ms(7_000);
-    let up = world.lock().up_count();
-    world.record.line(&format!("executors up={up}"));
-    if !submit(world, &daemons[1], second, &lasting) {
-        return Verdict::CouldNotRun("the second job is not accepted".to_owned());
-    }
-    sleep_ms(15_000);
-    judge_items(world, "00000000000000b2", ITEMS, Duration::from_secs(5))
-}
-
-/// LOST: all work items of a lasting job must be at work at some moment of the time that follows.
-fn judge_items(world: &World, job: &str, count: usize, within: Duration) -> Verdict {
-    let all_run = wait_for(within, || world.lock().active_runs(job) == count);
-    let active = world.lock().active_runs(job);
-    let up = world.lock().up_count();
-    world.record.line(&format!("job={job} work_items={count} running={active} executors_up={up} lost={}", !all_run));
-    if all_run {
-        Verdict::Held
-    } else {
-        Verdict::Broken
-    }
-}
-
 /// LOST: after `within`, each job must be completed, or have had something running within the last 3 s.
 fn judge_jobs(world: &World, daemons: &[Daemon], paths: &[String], within: Duration) -> Verdict {
     let until = Instant::now() + within;
@@ -285,9 +226,12 @@
     judge_jobs(world, &daemons, &[second.to_owned()], Duration::from_secs(14))
 }
 
-/// LOST: the executor that a job needs is cut off for a moment while the job arrives.
-fn cut_off(world: &World, folder: &Path, has_trouble: bool) -> Verdict {
-    const CUT_MS: u64 = 3_500;
+/// TWICE: orders for two runs of a work item, both unanswered, are carried out late by an executor that was reborn behind a cut.
+fn two_late_orders(world: &World, folder: &Path, has_trouble: bool) -> Verdict {
+    const LATE_MS: u64 = 5_500;
+    const LATE_FOR_MS: u64 = 4_500;
+    const CUT_AFTER_MS: u64 = 4_600;
+    const CUT_MS: u64 = 5_500;
     world.add_machine("m-1", "press", &["a", "r1-1"], 16_000);
     for number in 2..=8 {
         world.add_machine(&format!("m-{number}"), "press", &["b", "r1-1"], 16_000);
@@ -296,25 +240,31 @@
         Ok(daemons) => daemons,
         Err(verdict) => return verdict,
     };
-    let lasting = json!({ "count": 1, "cpu": 1000, "memMb": 512, "longRunning": true, "requiredLabel": "a" });
-    if !submit(world, &daemons[0], "/jobs/00000000000000a1", &job("cpu=1000 mem=512", lasting))
-        || !wait_for(Duration::from_secs(10), || world.lock().active_runs("00000000000000a1") == 1)
-    {
-        return Verdict::CouldNotRun("the first job does not run".to_owned());
-    }
     sleep_ms(5_000);
+    if has_trouble {
+        world.set_late_orders("m-1", Some(LATE_MS));
+    }
+    let step = json!({ "count": 2, "cpu": 1000, "memMb": 512, "estimateMs": 12000, "requiredLabel": "a" });
+    let path = "/jobs/00000000000000a1";
+    if !submit(world, &daemons[0], path, &job("run-ms=12000 cpu=1000 mem=512", step)) {
+        return Verdict::CouldNotRun("the job is not accepted".to_owned());
+    }
+    sleep_ms(LATE_FOR_MS);
+    if has_trouble {
+        world.set_late_orders("m-1", None);
+    }
+    sleep_ms(CUT_AFTER_MS - LATE_FOR_MS);
     if has_trouble {
         world.cut_machine("m-1", CUT_MS);
+        world.restart_under_id("m-1");
     }
-    sleep_ms(2_500);
-    let small = json!({ "count": 2, "cpu": 1000, "memMb": 512, "estimateMs": 500, "requiredLabel": "a" });
-    let paths: Vec<String> = (0..3).map(|number| format!("/jobs/00000000000000b{number}")).collect();
-    for path in &paths {
-        if !submit(world, &daemons[1], path, &job("run-ms=500 cpu=1000 mem=512", small.clone())) {
-            return Verdict::CouldNotRun("a job is not accepted".to_owned());
-        }
+    sleep_ms(CUT_MS + 20_000);
+    job_state(world, &daemons[1], path);
+    let count = world.lock().double_runs;
+    world.record.line(&format!("starts_beside_another_run={count}"));
+    if count > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
     }
-    // All is calm from the end of the cut on.
-    sleep_ms(CUT_MS - 2_500 + 7_000);
-    judge_jobs(world, &daemons, &paths, Duration::from_secs(14))
 }
--- a/review/third/src/world.rs
+++ b/review/third/src/world.rs
@@ -82,6 +82,8 @@
     ended_at: Option<Instant>,
     seq: u64,
     next_heartbeat: Instant,
+    /// Start orders get no answer, and are carried out after this time.
+    late_ms: Option<u64>,
     /// Until then, no call reaches it and no answer leaves it.
     cut_until: Option<Instant>,
     connections: Vec<TcpStream>,
@@ -114,6 +116,7 @@
             ended_at: None,
             seq: 1,
             next_heartbeat: Instant::now() + Duration::from_millis(HEARTBEAT_MS),
+            late_ms: None,
             cut_until: None,
             connections: Vec::new(),
             lease_end_ms: 0,
@@ -221,10 +224,8 @@
     tickets: HashMap<String, (String, String, Instant)>,
     /// How long the store takes to answer.
     store_answer_ms: u64,
-    /// Whether the provider leaves orders unanswered that it has carried out.
-    is_provider_silent: bool,
-    /// Highest number of machines in upkeep at the same time.
-    pub most_in_upkeep: usize,
+    /// Starts of a work item on an executor that had another run of it at work.
+    pub double_runs: u32,
 }
 
 impl State {
@@ -277,8 +278,7 @@
             advice: Advice::default(),
             tickets: HashMap::new(),
             store_answer_ms: ANSWER_MS,
-            is_provider_silent: false,
-            most_in_upkeep: 0,
+            double_runs: 0,
         };
         let world = World {
             state: Arc::new((Mutex::new(state), Condvar::new())),
@@ -340,12 +340,6 @@
         self.notify();
     }
 
-    /// While it is silent, the provider carries out orders and does not answer them.
-    pub fn silence_provider(&self, is_silent: bool) {
-        self.lock().is_provider_silent = is_silent;
-        self.record.line(&format!("provider answers orders={}", !is_silent));
-    }
-
     /// Adds a machine with an executor.
     pub fn add_machine(&self, name: &str, pool: &str, labels: &[&str], cpu: u64) {
         let machine = Machine {
@@ -513,16 +507,10 @@
         };
         let header = |name: &str| request.headers.get(name).cloned().unwrap_or_default();
         let (holder, fence) = (header("x-holder"), header("x-fencing-token"));
-        let is_silent = self.lock().is_provider_silent;
         self.record.line(&format!(
-            "provider {} {} holder={holder} fence={fence} -> {} {} answered={}",
-            request.path, request.body, answer.0, answer.1, !is_silent
+            "provider {} {} holder={holder} fence={fence} -> {} {}",
+            request.path, request.body, answer.0, answer.1
         ));
-        if is_silent {
-            // The connection stays open for longer than any caller waits.
-            thread::sleep(Duration::from_secs(20));
-            return None;
-        }
         thread::sleep(Duration::from_millis(ANSWER_MS));
         Some(answer)
     }
@@ -601,8 +589,6 @@
         machine.state = "upkeep";
         machine.returns = Some(Instant::now() + Duration::from_millis(UPKEEP_MS));
         self.take_down(&mut state, name, "upkeep");
-        let in_upkeep = state.machines.values().filter(|machine| machine.state == "upkeep").count();
-        state.most_in_upkeep = state.most_in_upkeep.max(in_upkeep);
         (200, json!({}))
     }
 
@@ -628,6 +614,38 @@
         }
     }
 
+    /// The executor of a machine leaves start orders unanswered, and carries each of them out after `late_ms`; with `None`, it
+    /// answers again.
+    pub fn set_late_orders(&self, machine: &str, late_ms: Option<u64>) {
+        let mut state = self.lock();
+        for executor in state.executors.iter_mut().filter(|known| known.is_up() && known.machine == machine) {
+            executor.late_ms = late_ms;
+            self.record.line(&format!("executor={} carries out start orders late={late_ms:?}", executor.id));
+        }
+    }
+
+    /// The executor of a machine crashes and is back at once under its id and address. It holds and knows nothing of before.
+    pub fn restart_under_id(&self, machine: &str) {
+        let mut state = self.lock();
+        let Some(former) = state.executors.iter_mut().find(|known| known.is_up() && known.machine == machine) else {
+            return;
+        };
+        for connection in former.connections.drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        let runs: Vec<String> = former.runs.keys().map(|(task, run)| format!("{task}/{run}")).collect();
+        let (late_ms, cut_until) = (former.late_ms, former.cut_until);
+        *former = Executor::new(&former.id.clone(), machine, former.address, former.up.clone());
+        former.late_ms = late_ms;
+        former.cut_until = cut_until;
+        self.record.line(&format!(
+            "executor={} crashes with runs={}, and starts again born={}",
+            former.id,
+            runs.join(","),
+            former.born
+        ));
+    }
+
     /// Waits while an executor is cut off; whether it was.
     fn wait_while_cut(&self, id: &str) -> bool {
         let cut_until = self.lock().executors.iter().find(|known| known.id == id).and_then(|known| known.cut_until);
@@ -654,7 +672,19 @@
             return Some((421, json!({})));
         }
         match request.path.as_str() {
-            "/run-start" => self.start_run(id, &request.body),
+            "/run-start" => {
+                let late_ms = self.lock().executors.iter().find(|known| known.id == id)?.late_ms;
+                let Some(late_ms) = late_ms else { return self.start_run(id, &request.body) };
+                self.record.line(&format!("executor={id} leaves an order unanswered: {}", request.body));
+                let (world, id, body) = (self.clone(), id.to_owned(), request.body.clone());
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_millis(late_ms));
+                    world.start_run(&id, &body);
+                });
+                // The connection stays open for longer than any caller waits.
+                thread::sleep(Duration::from_secs(20));
+                None
+            }
             "/run-stop" => self.stop_run(id, &request.body),
             "/hold" => self.hold(id, &request.body),
             "/pace" => {
@@ -709,6 +739,13 @@
         if used + needs > cpu || used_mem + needs_mem > mem {
             return refuse("room");
         }
+        let others: Vec<u64> =
+            executor.runs.keys().filter(|(known, _)| *known == task).map(|(_, number)| *number).collect();
+        if !others.is_empty() {
+            state.double_runs += 1;
+            self.record.line(&format!("TWICE executor={id} task={task} run={run} beside runs {others:?}"));
+        }
+        let executor = state.executors.iter_mut().find(|known| known.id == id && known.is_up())?;
         let now = Instant::now();
         let ends = spec_number(spec, &task, "run-ms").map(|ms| now + Duration::from_millis(ms));
         let state_of_run = Run { started: now, ends, stops: None, cpu: needs, mem_mb: needs_mem };
