Read all jobs from a version that is older than the list of partitions

Cause: after a 410 the leader listed the partitions of the job table, read them one after the other, and followed the changes from the lowest version of these reads. A job stored in a partition that had no row when the list was read, before the first partition was read, was in neither. Without any partition the version was 0, whose history was gone as well: the leader read the empty table again without a pause.

Change: read_jobs is the one read of the table, for a new leader and for a reload. It reads the store's version first, and the feed continues from there.

--- a/src/control.rs
+++ b/src/control.rs
@@ -28,6 +28,7 @@
 mod election;
 mod feeds;
 mod http_api;
+mod job_reads;
 mod leader;
 mod leader_load;
 mod operator_api;
--- a/src/control/feeds.rs
+++ b/src/control/feeds.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 
 use super::leader::Leader;
-use super::{CANCEL_SUFFIX, JOB_TABLE};
+use super::{job_reads, CANCEL_SUFFIX, JOB_TABLE};
+use crate::clock::US_PER_MS;
 use crate::platform::workers::decode_worker_entry;
 use crate::row_store::{RowPage, RowStoreError, StoredRow};
 use crate::sched::model::JobId;
@@ -28,10 +29,11 @@
                 add_jobs(&leader, &page);
                 leader.daemon.sleep_ms(JOB_BATCH_DELAY_MS).await;
             }
-            Err(RowStoreError::HistoryGone) => match reload_jobs(&leader).await {
-                Ok(reloaded) => version = reloaded,
-                Err(error) => log::warn!("error={error} outcome=job_reload_failed"),
-            },
+            Err(RowStoreError::HistoryGone) => {
+                version = reload_jobs(&leader).await.unwrap_or(version);
+                // The history may be gone again.
+                leader.daemon.sleep_ms(RETRY_DELAY_MS).await;
+            }
             Err(error) => {
                 log::debug!("error={error} outcome=job_feed_failed");
                 leader.daemon.sleep_ms(RETRY_DELAY_MS).await;
@@ -40,15 +42,29 @@
     }
 }
 
-/// Reads all jobs again after the store has dropped the history of their changes; returns the version to continue from.
-pub(super) async fn reload_jobs(leader: &Rc<Leader>) -> Result<u64, RowStoreError> {
-    let mut version = u64::MAX;
-    for partition in leader.daemon.store.list_partitions(JOB_TABLE).await? {
-        let page = leader.daemon.store.read_partition(JOB_TABLE, &partition).await?;
-        version = version.min(page.version);
+/// Reads all jobs again after the store has dropped the history of their changes; returns the version to continue from,
+/// or `None` if the read has failed.
+async fn reload_jobs(leader: &Rc<Leader>) -> Option<u64> {
+    let started_us = leader.now_us();
+    let mut rows = 0;
+    let read = job_reads::read_jobs(&leader.daemon, |page| {
+        rows += page.rows.len();
         add_jobs(leader, &page);
+    });
+    let version = read.await;
+    let outcome = if version.is_ok() { "read" } else { "failed" };
+    metrics::counter!("job_reloads_total", "outcome" => outcome).increment(1);
+    match version {
+        Ok(version) => {
+            let elapsed_ms = (leader.now_us() - started_us) / US_PER_MS;
+            log::info!("rows={rows} version={version} elapsed_ms={elapsed_ms} outcome=jobs_reloaded");
+            Some(version)
+        }
+        Err(error) => {
+            log::warn!("rows={rows} error={error} outcome=job_reload_failed");
+            None
+        }
     }
-    Ok(if version == u64::MAX { 0 } else { version })
 }
 
 /// Submits the page's jobs that the scheduler does not know yet, and applies its cancellations.
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -13,8 +13,8 @@
 use super::term::release_transaction;
 use super::worker_fences::WorkerFences;
 use super::{
-    calls, feeds, organisation_metrics, sessions, submissions, writer, ControlDaemon, CANCEL_SUFFIX, HOST_TABLE,
-    JOB_TABLE, LEADER_PARTITION, RECORD_TABLE, WAVE_TABLE,
+    calls, feeds, job_reads, organisation_metrics, sessions, submissions, writer, ControlDaemon, CANCEL_SUFFIX,
+    HOST_TABLE, LEADER_PARTITION, RECORD_TABLE, WAVE_TABLE,
 };
 use crate::clock::{US_PER_MS, US_PER_S};
 use crate::platform::advice::AdviceClient;
@@ -215,12 +215,7 @@
         let waves = store.read_partition(WAVE_TABLE, LEADER_PARTITION).await?;
         let ordered_hosts = store.read_partition(HOST_TABLE, LEADER_PARTITION).await?;
         let mut jobs: Vec<StoredRow> = Vec::new();
-        let mut jobs_version = u64::MAX;
-        for partition in store.list_partitions(JOB_TABLE).await? {
-            let page = store.read_partition(JOB_TABLE, &partition).await?;
-            jobs_version = jobs_version.min(page.version);
-            jobs.extend(page.rows);
-        }
+        let jobs_version = job_reads::read_jobs(&self.daemon, |page| jobs.extend(page.rows)).await?;
         let now_us = self.now_us();
         let unix_ms = self.daemon.clock.unix_ms();
         let mut scheduler = self.scheduler.borrow_mut();
@@ -272,9 +267,7 @@
             workers.rows.len(),
             scheduler.orphans().len()
         );
-        // `u64::MAX` if no job has been stored yet.
-        let jobs_version = if jobs_version == u64::MAX { workers.version } else { jobs_version };
-        Ok(FeedVersions { jobs: jobs_version.min(workers.version), workers: workers.version })
+        Ok(FeedVersions { jobs: jobs_version, workers: workers.version })
     }
 
     /// Lets the scheduler place tasks, executes its actions and wakes the writer if there is something to commit.
--- a/src/platform/row_store.rs
+++ b/src/platform/row_store.rs
@@ -151,6 +151,12 @@
         decode_page(&response)
     }
 
+    /// Reads the store's newest version.
+    pub(crate) async fn newest_version(&self) -> Result<u64, RowStoreError> {
+        // Every read of rows tells it. The rows of this table are small.
+        Ok(self.read_page(STATUS_TABLE, SHARED_PARTITION, "", 1).await?.version)
+    }
+
     /// Reads all rows of a partition.
     pub(crate) async fn read_partition(&self, table: &str, partition: &str) -> Result<RowPage, RowStoreError> {
         const PAGE_ROWS: u32 = 500;
--- a/src/platform/users_platform_standin.rs
+++ b/src/platform/users_platform_standin.rs
@@ -86,11 +86,15 @@
     /// Transactions that get no answer. Half of them are applied at once, the others seconds later, if their condition
     /// still holds.
     pub unanswered: f64,
+    /// Time that each answer takes. A call takes effect when it arrives.
+    pub answer_ms: u64,
 }
 
 struct State {
     store: RowStore,
     store_faults: StoreFaults,
+    /// Number of calls to the row store by path.
+    store_calls: HashMap<String, u64>,
     workers: Vec<Worker>,
     run_log: RunLog,
     rng: SmallRng,
@@ -104,6 +108,12 @@
 }
 
 impl State {
+    /// Counts a call to the row store, and returns the fault that it meets and the time that its answer takes.
+    fn admit_store_call(&mut self, path: &str) -> (Option<StoreFault>, u64) {
+        *self.store_calls.entry(path.to_owned()).or_default() += 1;
+        (self.draw_store_fault(path == "/rows-tx"), self.store_faults.answer_ms)
+    }
+
     fn draw_store_fault(&mut self, is_write: bool) -> Option<StoreFault> {
         if self.rng.random_bool(self.store_faults.throttled) {
             return Some(StoreFault::Throttled);
@@ -191,6 +201,7 @@
         let state = State {
             store: RowStore::default(),
             store_faults: StoreFaults::default(),
+            store_calls: HashMap::new(),
             workers: Vec::new(),
             run_log: RunLog::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -250,6 +261,11 @@
         self.state.1.notify_all();
     }
 
+    /// Number of calls to the row store so far with this path.
+    pub fn store_call_count(&self, path: &str) -> u64 {
+        self.lock().store_calls.get(path).copied().unwrap_or(0)
+    }
+
     /// Refuses calls with more than `call_bytes`, and calls that write a row of more than `row_bytes`.
     pub fn limit_writes(&self, call_bytes: usize, row_bytes: usize) {
         let mut state = self.lock();
@@ -329,8 +345,13 @@
 
     /// Handles a request to the row store; `None` if it gets no response.
     fn handle_store_request(&self, request: &Request) -> Response {
-        let is_write = request.path == "/rows-tx";
-        let fault = self.lock().draw_store_fault(is_write);
+        let (fault, answer_ms) = self.lock().admit_store_call(&request.path);
+        let response = self.answer_store_request(request, fault);
+        thread::sleep(Duration::from_millis(answer_ms));
+        response
+    }
+
+    fn answer_store_request(&self, request: &Request, fault: Option<StoreFault>) -> Response {
         match fault {
             None => Some(self.execute_store_request(request)),
             Some(StoreFault::Throttled) => Some((429, json!({}))),
--- a/tests/soak_tests.rs
+++ b/tests/soak_tests.rs
@@ -38,7 +38,7 @@
 /// Longest pause after a round.
 const MAX_PAUSE_MS: u64 = 3_000;
 const PAUSE_STEP: Duration = Duration::from_millis(10);
-const STORE_FAULTS: StoreFaults = StoreFaults { throttled: 0.01, unanswered: 0.02 };
+const STORE_FAULTS: StoreFaults = StoreFaults { throttled: 0.01, unanswered: 0.02, answer_ms: 0 };
 /// Timeout of a caller's request; a paused daemon does not answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
