Keep IDs of removed jobs until the changes up to their removal are read

What callers could see: a job that runs a second time, if a read of all jobs that began before the removal of its submission was used more than 30 s after it (slow store, repeated calls).

Cause: the time for which an ID was kept had nothing to do with the reads that it guards against.

Change: the ID is kept with the version that the store had after the removal, until the job feed has read up to that version.

After: 7 starts, no violation; a second test holds that IDs are dropped.

--- a/src/control/feeds.rs
+++ b/src/control/feeds.rs
@@ -27,6 +27,7 @@
             Ok(page) => {
                 version = version.max(page.version);
                 add_jobs(&leader, &page);
+                leader.scheduler.borrow_mut().submissions_read(version);
                 leader.daemon.sleep_ms(JOB_BATCH_DELAY_MS).await;
             }
             Err(RowStoreError::HistoryGone) => {
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -128,15 +128,14 @@
 async fn remove_finished_jobs(leader: Rc<Leader>) {
     while !leader.has_ended.get() {
         leader.daemon.sleep_ms(CLEANUP_INTERVAL_MS).await;
-        let mut jobs = leader.scheduler.borrow_mut().take_finished_jobs();
+        let jobs = leader.scheduler.borrow_mut().take_finished_jobs();
         if jobs.is_empty() {
             continue;
         }
-        let not_removed = submissions::remove_finished(&leader.daemon, &jobs).await;
-        jobs.retain(|job| !not_removed.contains(job));
+        let removal = submissions::remove_finished(&leader.daemon, &jobs).await;
         let mut scheduler = leader.scheduler.borrow_mut();
-        scheduler.submissions_removed(leader.now_us(), &jobs);
-        scheduler.requeue_finished_jobs(not_removed);
+        scheduler.submissions_removed(removal.version, &removal.removed);
+        scheduler.requeue_finished_jobs(removal.remaining);
     }
 }
 
--- a/src/control/submissions.rs
+++ b/src/control/submissions.rs
@@ -325,37 +325,53 @@
     }
 }
 
+/// Finished jobs whose submissions were to be removed.
+#[derive(Debug, Default)]
+pub(super) struct Removal {
+    pub(super) removed: Vec<ReportedPhase>,
+    /// Version of the store after the last removal.
+    pub(super) version: u64,
+    /// Jobs for which the removal has to be retried.
+    pub(super) remaining: Vec<ReportedPhase>,
+}
+
 /// Replaces the submissions of finished jobs by their final phases, so that a job submitted again is still recognised.
-/// Returns the jobs for which this has to be retried.
-pub(super) async fn remove_finished(daemon: &Rc<ControlDaemon>, jobs: &[ReportedPhase]) -> Vec<ReportedPhase> {
+pub(super) async fn remove_finished(daemon: &Rc<ControlDaemon>, jobs: &[ReportedPhase]) -> Removal {
     let mut by_partition: BTreeMap<String, Vec<ReportedPhase>> = BTreeMap::new();
     for finished in jobs {
         by_partition.entry(job_partition(&finished.job)).or_default().push(finished.clone());
     }
-    let mut remaining = Vec::new();
+    let mut removal = Removal::default();
     for (partition, jobs) in by_partition {
         for batch in jobs.chunks(MAX_BATCH_JOBS) {
-            let mut transaction = RowStoreTransaction::default();
-            for ReportedPhase { job: id, phase, origin } in batch {
-                let finished_row_id = RowId::new(FINISHED_TABLE, &partition, id);
-                transaction.writes.push((finished_row_id, encode_final_phase(*phase, origin.as_ref())));
-                transaction.removals.push(RowId::new(JOB_TABLE, &partition, id));
-                if *phase == JobPhase::Cancelled {
-                    transaction.removals.push(RowId::new(JOB_TABLE, &partition, &format!("{id}{CANCEL_SUFFIX}")));
+            match daemon.store.commit(&removal_transaction(&partition, batch)).await {
+                Ok(RowStoreCommitOutcome::Applied { version }) => {
+                    removal.version = removal.version.max(version);
+                    removal.removed.extend_from_slice(batch);
                 }
-            }
-            match daemon.store.commit(&transaction).await {
-                Ok(RowStoreCommitOutcome::Applied { .. }) => {}
-                Ok(RowStoreCommitOutcome::Conflict { .. }) => remaining.extend(batch.iter().cloned()),
+                Ok(RowStoreCommitOutcome::Conflict { .. }) => removal.remaining.extend_from_slice(batch),
                 Err(error) => {
                     log::debug!(
                         "partition={partition} jobs={} error={error} outcome=submissions_not_removed",
                         batch.len()
                     );
-                    remaining.extend(batch.iter().cloned());
+                    removal.remaining.extend_from_slice(batch);
                 }
             }
         }
     }
-    remaining
+    removal
+}
+
+fn removal_transaction(partition: &str, jobs: &[ReportedPhase]) -> RowStoreTransaction {
+    let mut transaction = RowStoreTransaction::default();
+    for ReportedPhase { job: id, phase, origin } in jobs {
+        let finished_row_id = RowId::new(FINISHED_TABLE, partition, id);
+        transaction.writes.push((finished_row_id, encode_final_phase(*phase, origin.as_ref())));
+        transaction.removals.push(RowId::new(JOB_TABLE, partition, id));
+        if *phase == JobPhase::Cancelled {
+            transaction.removals.push(RowId::new(JOB_TABLE, partition, &format!("{id}{CANCEL_SUFFIX}")));
+        }
+    }
+    transaction
 }
--- a/src/sched/batches.rs
+++ b/src/sched/batches.rs
@@ -18,9 +18,6 @@
 
 /// Minimum time between two updates of the stored numbers of queued jobs.
 const PENDING_REPORT_INTERVAL_MS: u64 = 500;
-/// How long the ID of a job is kept after its submission was removed: a read of the submissions that began before the
-/// removal may be answered late.
-const FORGOTTEN_JOB_RETENTION_MS: u64 = 30_000;
 
 impl Scheduler {
     /// Marks a job's state to be stored with the next batch that has room.
@@ -219,16 +216,21 @@
     }
 
     /// Forgets jobs whose submissions have been removed, and queues the removal of their records, which no later leader
-    /// needs.
-    pub(crate) fn submissions_removed(&mut self, now_us: u64, jobs: &[ReportedPhase]) {
-        self.forgotten_jobs.retain(|_, until_us| now_us < *until_us);
+    /// needs. Their IDs are kept until the changes up to `version`, which the store had after the removal, have been read:
+    /// until then, a read may still return the submissions.
+    pub(crate) fn submissions_removed(&mut self, version: u64, jobs: &[ReportedPhase]) {
         for finished in jobs {
             self.jobs.remove(&finished.job);
-            self.forgotten_jobs.insert(finished.job.clone(), now_us + FORGOTTEN_JOB_RETENTION_MS * US_PER_MS);
+            self.removed_jobs.insert(finished.job.clone(), version);
             self.records_to_remove.push(finished.job.clone());
         }
     }
 
+    /// Notes that all changes of submissions up to this version have been read.
+    pub(crate) fn submissions_read(&mut self, version: u64) {
+        self.removed_jobs.retain(|_, removal| *removal > version);
+    }
+
     /// Queues the removal of records without a submission, which a former leader left behind.
     pub(crate) fn remove_orphaned_records(&mut self, jobs: Vec<JobId>) {
         self.records_to_remove.extend(jobs);
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -82,8 +82,9 @@
     pub(super) finished_jobs: Vec<ReportedPhase>,
     /// Jobs whose submissions have been removed, so that their records can be removed.
     pub(super) records_to_remove: Vec<JobId>,
-    /// Jobs whose submissions have been removed lately, and until when each is kept here.
-    pub(super) forgotten_jobs: HashMap<JobId, u64>,
+    /// Jobs whose submissions have been removed, and the version of the store after the removal. Kept until the changes up
+    /// to that version have been read.
+    pub(super) removed_jobs: HashMap<JobId, u64>,
     /// What the runs of each organisation hold.
     pub(super) usage: Usage,
     pub(super) arrival_rates: ArrivalRates,
@@ -174,7 +175,7 @@
             uncommitted_starts: Vec::new(),
             finished_jobs: Vec::new(),
             records_to_remove: Vec::new(),
-            forgotten_jobs: HashMap::default(),
+            removed_jobs: HashMap::default(),
             has_former_leader: false,
             now_unix_ms: 0,
             leader_since_us: now_us,
@@ -431,7 +432,7 @@
 
     /// Whether the job is known, or was until its submission was removed.
     pub(crate) fn has_job(&self, id: &str) -> bool {
-        self.jobs.contains_key(id) || self.forgotten_jobs.contains_key(id)
+        self.jobs.contains_key(id) || self.removed_jobs.contains_key(id)
     }
 
     pub(crate) fn worker_address(&self, id: &str) -> Option<SocketAddr> {
--- a/src/sched/scheduler_tests.rs
+++ b/src/sched/scheduler_tests.rs
@@ -225,11 +225,15 @@
 
 #[test]
 fn finished_job_does_not_run_again_when_a_read_from_before_the_removal_of_its_submission_is_answered_late() {
+    // Guards against a second run of a job after a read of all jobs that takes longer than its ID is kept.
     let mut sim = Sim::new(1, 4, Faults::default());
     sim.submit("job", spec(two_steps()));
     sim.run_for(3_000);
     let finished = sim.scheduler.take_finished_jobs();
-    sim.scheduler.submissions_removed(sim.now_us, &finished);
+    sim.scheduler.submissions_removed(7, &finished);
+    sim.scheduler.submissions_read(6);
+    sim.run_for(60_000);
+    sim.scheduler.submissions_removed(8, &[]);
 
     sim.scheduler.submit(sim.now_us, 0, "job".into(), spec(two_steps()));
     sim.run_for(3_000);
@@ -238,6 +242,21 @@
     assert_eq!((sim.start_count, sim.violations.len()), (7, 0), "no task ran twice");
 }
 
+#[test]
+fn ids_of_removed_jobs_are_dropped_once_the_removal_has_been_read() {
+    // Guards against a leader whose memory grows with each job that it has ever run.
+    let mut sim = Sim::new(1, 4, Faults::default());
+    sim.submit("job", spec(two_steps()));
+    sim.run_for(3_000);
+    let finished = sim.scheduler.take_finished_jobs();
+    sim.scheduler.submissions_removed(7, &finished);
+    assert!(sim.scheduler.has_job("job"));
+
+    sim.scheduler.submissions_read(7);
+
+    assert!(!sim.scheduler.has_job("job"));
+}
+
 #[test]
 fn job_with_too_many_due_occurrences_does_not_stop_every_leader_that_reads_it() {
     let mut sim = Sim::new(1, 4, Faults::default());
