Ask the advice service about the workers that a step would be placed on

Cause: the service was asked about the first thirty workers with free capacity, and about none as long as one with a ticket had free capacity. Whether a worker can take the step depends on more: its label, the limit of tasks of the step, isolation, reservation, the other tasks there.

Change: after the placement on workers with tickets, the remaining tasks are placed on trial on all workers that were not refused; the service is asked about those chosen, up to 100 in a request. A gang is asked for as a whole. Requests are counted and logged with what they asked and got.

--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -13,8 +13,21 @@
         Some(client) => client.request_advice(&job, occurrence, step, &workers).await,
         None => Err("no advice service in the settings".to_owned()),
     };
-    if let Err(reason) = &answer {
-        log::info!("job={job} step={step} error={reason} outcome=advice_failed");
+    let outcome = if answer.is_ok() { "answered" } else { "failed" };
+    metrics::counter!("advice_requests_total", "outcome" => outcome).increment(1);
+    metrics::counter!("advice_workers_asked_total").increment(workers.len() as u64);
+    match &answer {
+        Ok(advice) => log::info!(
+            "job={job} step={occurrence}.{step} asked={} allowed={} outcome=advice_received",
+            workers.len(),
+            advice.tickets.len()
+        ),
+        Err(reason) => {
+            log::info!(
+                "job={job} step={occurrence}.{step} asked={} error={reason} outcome=advice_failed",
+                workers.len()
+            );
+        }
     }
     let answer = answer.ok();
     let now_us = leader.now_us();
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -157,6 +157,8 @@
 #[cfg(test)]
 mod takeover_tests;
 #[cfg(test)]
+mod tickets_tests;
+#[cfg(test)]
 mod urgency_tests;
 #[cfg(test)]
 mod usage_tests;
--- a/src/sched/copies.rs
+++ b/src/sched/copies.rs
@@ -226,16 +226,18 @@
             return None;
         }
         set_siblings(&mut trial, &self.siblings_per_worker(task_ref, step));
-        if job.queue.advice.is_some() {
-            let index = task_ref.step as usize;
-            let allowed = self.workers_with_ticket(now_us, &task_ref.job, task_ref.occurrence, index, &trial);
-            trial.iter_mut().for_each(|worker| worker.is_allowed = allowed.contains(&worker.id));
+        let needs_advice = job.queue.advice.is_some();
+        if needs_advice {
+            self.allow_workers_with_ticket(now_us, task_ref, &mut trial);
         }
         let mut in_other_racks = trial.clone();
         in_other_racks.iter_mut().for_each(|worker| worker.is_allowed &= worker.labels.last() != rack.as_ref());
         let chosen = self
             .choose(now_us, task_ref, step, &in_other_racks)
             .or_else(|| self.choose(now_us, task_ref, step, &trial));
+        if chosen.is_none() && needs_advice {
+            self.request_tickets(now_us, std::slice::from_ref(task_ref), step, &trial);
+        }
         chosen.map(|index| indexes[index])
     }
 
--- a/src/sched/gangs.rs
+++ b/src/sched/gangs.rs
@@ -12,6 +12,21 @@
         if waiting.len() < step.count as usize {
             return;
         }
+        let Some((chosen, trial)) = self.find_gang(now_us, waiting, step, workers) else { return };
+        self.assign_gang(now_us, waiting, &chosen);
+        for (worker, tried) in workers.iter_mut().zip(trial) {
+            *worker = Candidate { is_allowed: worker.is_allowed, siblings: 0, ..tried };
+        }
+    }
+
+    /// Workers for all tasks of a gang, and the candidates with the capacity for it reserved.
+    pub(super) fn find_gang(
+        &self,
+        now_us: u64,
+        waiting: &[TaskRef],
+        step: &Step,
+        workers: &[Candidate],
+    ) -> Option<(Vec<Arc<str>>, Vec<Candidate>)> {
         let needed_milli = step.reserved().cpu_milli * u64::from(step.count);
         for rack in racks(step, workers) {
             let mut trial = workers.to_vec();
@@ -22,13 +37,11 @@
             if allowed.map(|worker| worker.free_capacity.cpu_milli).sum::<u64>() < needed_milli {
                 continue;
             }
-            let Some(chosen) = self.choose_gang(now_us, waiting, step, &mut trial) else { continue };
-            self.assign_gang(now_us, waiting, &chosen);
-            for (worker, tried) in workers.iter_mut().zip(trial) {
-                *worker = Candidate { is_allowed: worker.is_allowed, siblings: 0, ..tried };
+            if let Some(chosen) = self.choose_gang(now_us, waiting, step, &mut trial) {
+                return Some((chosen, trial));
             }
-            return;
         }
+        None
     }
 
     fn choose_gang(
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -5,6 +5,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use foldhash::{HashMap, HashSet};
+
 use super::critical_path::{critical_paths_ms, MeasuredRunTimes};
 use super::model::{JobId, JobPhase, JobSpec, Queue, TaskRef};
 use crate::clock::US_PER_MS;
@@ -36,15 +38,23 @@
 /// Answers of the advice service about the workers that may run a step.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(crate) struct StepAdvice {
-    /// Worker ID, ticket, and the time at which the ticket expires.
-    pub(crate) tickets: Vec<(Arc<str>, Arc<str>, u64)>,
+    /// Tickets by worker ID.
+    pub(crate) tickets: HashMap<Arc<str>, Ticket>,
     /// Workers for which the service issued no ticket.
-    pub(crate) refused: Vec<Arc<str>>,
+    pub(crate) refused: HashSet<Arc<str>>,
     /// Whether a request to the service is in flight.
     pub(crate) is_requested: bool,
     pub(crate) next_request_us: u64,
 }
 
+/// Permission of the advice service to run the tasks of a step on a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Ticket {
+    pub(crate) text: Arc<str>,
+    /// When the ticket expires.
+    pub(crate) until_us: u64,
+}
+
 /// Whether a job can still meet its deadline. Sorts by urgency: by variant first, then by the time in the variant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum DeadlineForecast {
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -208,20 +208,21 @@
                     continue;
                 }
                 if needs_advice {
-                    let allowed = self.workers_with_ticket(now_us, id, number, index, workers);
-                    for worker in workers.iter_mut() {
-                        worker.is_allowed = allowed.contains(&worker.id);
-                    }
+                    self.allow_workers_with_ticket(now_us, &waiting[0], workers);
                 }
                 if step.gang {
                     self.place_gang(now_us, &waiting, step, workers);
                 } else {
                     self.place_tasks(now_us, &waiting, (step, organisation.as_ref()), workers, round);
                 }
+                let is_round_over = round.placements_left == 0 && !step.long_running;
                 if needs_advice {
+                    if !is_round_over {
+                        self.request_missing_tickets(now_us, &waiting, (step, organisation.as_ref()), workers);
+                    }
                     workers.iter_mut().for_each(|worker| worker.is_allowed = true);
                 }
-                if round.placements_left == 0 && !step.long_running {
+                if is_round_over {
                     return;
                 }
             }
@@ -266,7 +267,7 @@
                 false => self.choose(now_us, task_ref, step, workers),
             };
             let Some(index) = best else {
-                if self.waits_to_be_alone(now_us, task_ref) || self.waits_for_late_start(task_ref) {
+                if self.has_own_choice(now_us, task_ref) {
                     continue;
                 }
                 if step.long_running {
@@ -346,9 +347,11 @@
         best.map(|(_, index)| index)
     }
 
-    /// Whether a task has to start on the worker that a late start order for it may still reach.
-    fn waits_for_late_start(&self, task_ref: &TaskRef) -> bool {
-        self.task(task_ref).is_some_and(|task| !task.late_starts.is_empty())
+    /// Whether a task that finds no worker may leave one to others of its step: it has to start on a worker without other
+    /// tasks, or on the worker that a late start order for it may still reach.
+    pub(super) fn has_own_choice(&self, now_us: u64, task_ref: &TaskRef) -> bool {
+        let has_late_start = self.task(task_ref).is_some_and(|task| !task.late_starts.is_empty());
+        has_late_start || self.waits_to_be_alone(now_us, task_ref)
     }
 
     /// Whether the tasks of a step that this one belongs to may all be placed by one comparison of the workers: nothing but
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -1,5 +1,6 @@
 //! Simulation of a leader, workers and a store in virtual time, which injects faults and checks invariants.
 
+mod advice;
 mod availability;
 mod capacity;
 mod crashes;
@@ -31,6 +32,7 @@
 use super::scheduler::{SchedSettings, Scheduler};
 use crate::clock::US_PER_MS;
 
+pub(super) use advice::AdviceService;
 use availability::TaskAvailability;
 use crashes::Crashes;
 pub(super) use crashes::NextWorkerId;
@@ -146,6 +148,8 @@
     /// The latest admission report that the leader has stored.
     pub(crate) admission: Option<AdmissionReport>,
     pub(crate) admission_stored_us: u64,
+    /// The advice service, if the queue requires its tickets.
+    pub(super) advice: Option<AdviceService>,
 }
 
 impl Sim {
@@ -219,6 +223,7 @@
             task_run_us: HashMap::new(),
             admission: None,
             admission_stored_us: 0,
+            advice: None,
         };
         sim.start_leader();
         sim
@@ -398,6 +403,12 @@
                     None => self.scheduler.on_hold_failure(self.now_us, &worker, &OrderOutcome::Unanswered),
                 }
             }
+            Message::AdviceAnswer { step: (job, occurrence, step), workers, leader, advice } => {
+                if self.is_current_leader(leader) {
+                    let step = (&job, occurrence, step);
+                    self.scheduler.on_advice_answer(self.now_us, step, &workers, advice.as_ref());
+                }
+            }
             Message::CommitAnswer { leader, batch, sent_us, is_confirmed } => {
                 if !self.is_current_leader(leader) {
                     return;
--- a/src/sched/sim/message.rs
+++ b/src/sched/sim/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::super::action::{Batch, StartRun};
-use super::super::model::{HoldAnswer, HostOrderOutcome, OrderOutcome, TaskRef};
+use super::super::model::{Advice, HoldAnswer, HostOrderOutcome, JobId, OrderOutcome, TaskRef};
 use super::hosts::HostAction;
 
 /// A hold request, as the current leader or a former one has sent it.
@@ -70,6 +70,15 @@
         /// `None` if the request timed out.
         answer: Option<HoldAnswer>,
     },
+    AdviceAnswer {
+        /// Job, occurrence and step that the request was about.
+        step: (JobId, u32, u32),
+        /// Workers that the request named.
+        workers: Vec<Arc<str>>,
+        leader: u32,
+        /// `None` if the request failed.
+        advice: Option<Advice>,
+    },
     Commit {
         leader: u32,
         token: u64,
@@ -102,6 +111,7 @@
             | Message::StartAnswer { .. }
             | Message::StopAnswer { .. }
             | Message::HoldAnswer { .. }
+            | Message::AdviceAnswer { .. }
             | Message::CommitAnswer { .. }
             | Message::HostOrderAnswer { .. } => true,
             Message::Start { .. }
--- a/src/sched/sim/worker.rs
+++ b/src/sched/sim/worker.rs
@@ -127,6 +127,7 @@
         let run_duration_us = if is_long_running { u64::MAX / 2 } else { self.draw_run_duration_us(start) };
         let reports_progress = is_long_running || self.stragglers.report_progress;
         let max_lease_ms = self.settings.max_lease_ms;
+        let ticket_refusal = self.ticket_refusal(start);
         let Some(worker) = self.workers.get_mut(&start.worker) else { return OrderOutcome::Unanswered };
         let clock_ms = worker.clock_ms(now_us);
         if token < worker.token {
@@ -144,6 +145,9 @@
         if start.lease_end_ms <= clock_ms {
             return OrderOutcome::Refused(OrderRefusal::LeaseExpired);
         }
+        if let Some(refusal) = ticket_refusal {
+            return OrderOutcome::Refused(refusal);
+        }
         let ends_us = now_us + run_duration_us;
         let run = Run { started_us: now_us, ends_us, fails, is_long_running, reports_progress, stop: None };
         worker.runs.insert((start.task.clone(), start.run), run);
--- a/src/sched/tickets.rs
+++ b/src/sched/tickets.rs
@@ -2,57 +2,145 @@
 
 use std::sync::Arc;
 
+use foldhash::HashSet;
+
 use super::action::Action;
-use super::candidate::Candidate;
-use super::model::{Advice, JobId, TaskRef};
+use super::candidate::{set_siblings, Candidate};
+use super::job::{StepAdvice, TaskState, Ticket};
+use super::model::{Advice, JobId, Step, TaskRef};
+use super::organisation::Organisation;
 use super::scheduler::Scheduler;
 use crate::clock::US_PER_MS;
 
 /// Maximum number of workers named in one request to the advice service.
-const MAX_WORKERS_PER_ADVICE_REQUEST: usize = 30;
-/// Delay before the advice service is asked about a step again.
-const ADVICE_RETRY_DELAY_MS: u64 = 300;
+const MAX_WORKERS_PER_REQUEST: usize = 100;
+/// A request names at least this many workers, if there are as many that can take a task: some may be refused.
+const MIN_WORKERS_PER_REQUEST: usize = 30;
+/// Delay before the advice service is asked about a step again after a request that has brought no usable answer.
+const REQUEST_RETRY_DELAY_MS: u64 = 300;
 /// A ticket is used only if it remains valid for longer than this.
 const TICKET_MARGIN_MS: u64 = 150;
 
+impl StepAdvice {
+    fn has_usable_ticket(&self, now_us: u64, worker: &str) -> bool {
+        self.tickets.get(worker).is_some_and(|ticket| ticket.until_us > now_us + TICKET_MARGIN_MS * US_PER_MS)
+    }
+}
+
 impl Scheduler {
-    /// Workers with a valid ticket for a step. If none of them has capacity, asks the advice service about workers that
-    /// do.
-    pub(super) fn workers_with_ticket(
+    fn advice_of(&self, task_ref: &TaskRef) -> Option<&StepAdvice> {
+        let occurrence = self.jobs.get(&task_ref.job)?.occurrences.get(&task_ref.occurrence)?;
+        Some(&occurrence.steps[task_ref.step as usize].advice)
+    }
+
+    fn advice_of_mut(&mut self, task_ref: &TaskRef) -> Option<&mut StepAdvice> {
+        let occurrence = self.jobs.get_mut(&task_ref.job)?.occurrences.get_mut(&task_ref.occurrence)?;
+        Some(&mut occurrence.steps[task_ref.step as usize].advice)
+    }
+
+    /// Allows only the workers that have a ticket for the task's step.
+    pub(super) fn allow_workers_with_ticket(&self, now_us: u64, task_ref: &TaskRef, workers: &mut [Candidate]) {
+        let advice = self.advice_of(task_ref);
+        for worker in workers {
+            worker.is_allowed = advice.is_some_and(|advice| advice.has_usable_ticket(now_us, &worker.id));
+        }
+    }
+
+    /// Asks the advice service about workers for the tasks of a step that have found none among the workers with a ticket.
+    /// `workers` are as the placement of the step has left them; those with a ticket are allowed.
+    pub(super) fn request_missing_tickets(
         &mut self,
         now_us: u64,
-        id: &JobId,
-        number: u32,
-        step: usize,
+        tasks: &[TaskRef],
+        (step, organisation): (&Step, Option<&Arc<Organisation>>),
         workers: &[Candidate],
-    ) -> Vec<Arc<str>> {
-        let mut to_ask = Vec::new();
-        let Some(job) = self.jobs.get_mut(id) else { return Vec::new() };
-        let Some(occurrence) = job.occurrences.get_mut(&number) else { return Vec::new() };
-        let needs = job.spec.steps[step].reserved();
-        let advice = &mut occurrence.steps[step].advice;
-        advice.tickets.retain(|(_, _, until_us)| *until_us > now_us + TICKET_MARGIN_MS * US_PER_MS);
-        let allowed: Vec<Arc<str>> = advice.tickets.iter().map(|(worker, _, _)| worker.clone()).collect();
-        let with_capacity =
-            workers.iter().filter(|worker| needs.fits_in(&worker.free_capacity)).map(|worker| &worker.id);
-        let has_allowed = with_capacity.clone().any(|id| allowed.contains(id));
-        if !has_allowed && !advice.is_requested && now_us >= advice.next_request_us {
-            for id in with_capacity {
-                if !advice.refused.contains(id) && to_ask.len() < MAX_WORKERS_PER_ADVICE_REQUEST {
-                    to_ask.push(id.clone());
+    ) {
+        let is_waiting = |task_ref: &&TaskRef| self.task(task_ref).is_some_and(|task| task.state == TaskState::Waiting);
+        let waiting: Vec<TaskRef> = tasks.iter().filter(is_waiting).cloned().collect();
+        let Some(first) = waiting.first() else { return };
+        if !self.may_start_within_quota(now_us, organisation, first, step) {
+            return;
+        }
+        self.request_tickets(now_us, &waiting, step, workers);
+    }
+
+    /// Asks the advice service about workers that could take the waiting tasks of a step if they had a ticket.
+    pub(super) fn request_tickets(&mut self, now_us: u64, waiting: &[TaskRef], step: &Step, workers: &[Candidate]) {
+        let Some(advice) = self.advice_of(&waiting[0]) else { return };
+        if advice.is_requested {
+            return;
+        }
+        if now_us < advice.next_request_us {
+            return;
+        }
+        let asked = match step.gang {
+            true => self.workers_to_ask_for_gang(now_us, waiting, step, workers),
+            false => self.workers_to_ask(now_us, waiting, step, workers),
+        };
+        if asked.is_empty() {
+            return;
+        }
+        let Some(advice) = self.advice_of_mut(&waiting[0]) else { return };
+        advice.is_requested = true;
+        let TaskRef { job, occurrence, step, .. } = waiting[0].clone();
+        self.actions.push(Action::RequestAdvice { job, occurrence, step, workers: asked });
+    }
+
+    /// Workers without a ticket that the waiting tasks would be placed on, and others that could take one of them.
+    fn workers_to_ask(&self, now_us: u64, waiting: &[TaskRef], step: &Step, workers: &[Candidate]) -> Vec<Arc<str>> {
+        let Some(advice) = self.advice_of(&waiting[0]) else { return Vec::new() };
+        let is_unknown = |worker: &&Candidate| !worker.is_allowed && !advice.refused.contains(&worker.id);
+        let mut trial: Vec<Candidate> = workers.iter().filter(is_unknown).cloned().collect();
+        trial.iter_mut().for_each(|worker| worker.is_allowed = true);
+        set_siblings(&mut trial, &self.siblings_per_worker(&waiting[0], step));
+        let has_free_capacity: Vec<bool> = trial.iter().map(|worker| worker.can_take(step)).collect();
+        let mut asked = Asked::default();
+        // Each of these tasks takes one worker at the most.
+        for task_ref in waiting.iter().take(MAX_WORKERS_PER_REQUEST) {
+            let Some(index) = self.choose(now_us, task_ref, step, &trial) else {
+                if self.has_own_choice(now_us, task_ref) {
+                    continue;
                 }
-            }
+                break;
+            };
+            self.reserve(task_ref, step, &mut trial[index]);
+            trial[index].siblings += u32::from(step.has_placement_by_siblings());
+            asked.add(&trial[index].id);
         }
-        if !to_ask.is_empty() {
-            advice.is_requested = true;
-            self.actions.push(Action::RequestAdvice {
-                job: id.clone(),
-                occurrence: number,
-                step: step as u32,
-                workers: to_ask,
-            });
+        if asked.is_empty() && step.long_running && !has_reservable_worker(step, workers) {
+            // One of these is kept free for the task once it has a ticket.
+            let reservable = trial.iter().filter(|worker| worker.can_ever_run(step, worker.siblings));
+            asked.fill_up(reservable.map(|worker| &worker.id));
+        } else if !asked.is_empty() {
+            let others = trial.iter().zip(&has_free_capacity).filter(|(_, has_free_capacity)| **has_free_capacity);
+            asked.fill_up(others.map(|(worker, _)| &worker.id));
         }
-        allowed
+        asked.workers
+    }
+
+    /// Workers that a gang would be placed on, and others that could take one of its tasks. Those that have a ticket are
+    /// asked about again, so that the tickets of the gang do not run out one after the other.
+    fn workers_to_ask_for_gang(
+        &self,
+        now_us: u64,
+        waiting: &[TaskRef],
+        step: &Step,
+        workers: &[Candidate],
+    ) -> Vec<Arc<str>> {
+        let Some(advice) = self.advice_of(&waiting[0]) else { return Vec::new() };
+        let mut trial = workers.to_vec();
+        trial.iter_mut().for_each(|worker| worker.is_allowed = !advice.refused.contains(&worker.id));
+        let Some(mut gang) = self.find_gang(now_us, waiting, step, &trial).map(|(chosen, _)| chosen) else {
+            return Vec::new();
+        };
+        // If the gang needs more workers than a request may name, those whose tickets last longest come last.
+        gang.sort_by_key(|id| advice.tickets.get(id).map_or(0, |ticket| ticket.until_us));
+        let mut asked = Asked::default();
+        gang.iter().for_each(|id| asked.add(id));
+        let others =
+            trial.iter().filter(|worker| worker.can_take(step) && !advice.has_usable_ticket(now_us, &worker.id));
+        asked.fill_up(others.map(|worker| &worker.id));
+        asked.workers
     }
 
     /// Handles the advice service's answer about a step, given as job ID, occurrence and step index. The answer is
@@ -60,39 +148,83 @@
     pub(crate) fn on_advice_answer(
         &mut self,
         now_us: u64,
-        step: (&JobId, u32, u32),
+        (job, occurrence, step): (&JobId, u32, u32),
         asked: &[Arc<str>],
         answer: Option<&Advice>,
     ) {
-        let (id, number, step) = step;
-        let valid_ms = self.jobs.get(id).and_then(|job| job.queue.advice).map_or(0, |advice| advice.valid_ms);
-        let Some(occurrence) = self.jobs.get_mut(id).and_then(|job| job.occurrences.get_mut(&number)) else { return };
-        let advice = &mut occurrence.steps[step as usize].advice;
+        let policy = self.jobs.get(job).and_then(|job| job.queue.advice);
+        let task_ref = TaskRef { job: job.clone(), occurrence, step, index: 0 };
+        let Some(advice) = self.advice_of_mut(&task_ref) else { return };
         advice.is_requested = false;
-        advice.next_request_us = now_us + ADVICE_RETRY_DELAY_MS * US_PER_MS;
-        let Some(answer) = answer else { return };
-        let until_us = now_us + answer.valid_ms.unwrap_or(valid_ms) * US_PER_MS;
+        let retry_us = now_us + REQUEST_RETRY_DELAY_MS * US_PER_MS;
+        let Some(answer) = answer else {
+            advice.next_request_us = retry_us;
+            return;
+        };
+        let valid_ms = answer.valid_ms.or(policy.map(|policy| policy.valid_ms)).unwrap_or(0);
+        let until_us = now_us + valid_ms * US_PER_MS;
+        // Tickets that are too short-lived to be used would be asked for again at once.
+        advice.next_request_us = if valid_ms > TICKET_MARGIN_MS { now_us } else { retry_us };
+        advice.tickets.retain(|_, ticket| ticket.until_us > now_us);
         for worker in asked {
             match answer.tickets.iter().find(|(id, _)| id == worker) {
-                Some((_, ticket)) => advice.tickets.push((worker.clone(), ticket.clone(), until_us)),
-                None => advice.refused.push(worker.clone()),
+                Some((_, text)) => {
+                    advice.tickets.insert(worker.clone(), Ticket { text: text.clone(), until_us });
+                }
+                // The answer about a worker does not change.
+                None => {
+                    advice.refused.insert(worker.clone());
+                }
             }
         }
         self.wants_placement = true;
     }
 
     /// A valid ticket for starting a task on a worker.
-    pub(super) fn ticket(&self, now_us: u64, task_ref: &TaskRef, worker: &Arc<str>) -> Option<Arc<str>> {
-        let occurrence = self.jobs.get(&task_ref.job)?.occurrences.get(&task_ref.occurrence)?;
-        let tickets = &occurrence.steps[task_ref.step as usize].advice.tickets;
-        let held = tickets.iter().rev().find(|(id, _, until_us)| id == worker && *until_us > now_us);
-        held.map(|(_, ticket, _)| ticket.clone())
+    pub(super) fn ticket(&self, now_us: u64, task_ref: &TaskRef, worker: &str) -> Option<Arc<str>> {
+        let ticket = self.advice_of(task_ref)?.tickets.get(worker)?;
+        (ticket.until_us > now_us).then(|| ticket.text.clone())
+    }
+
+    /// Discards a worker's ticket for a step after the worker rejected it.
+    pub(super) fn drop_ticket(&mut self, task_ref: &TaskRef, worker: &str) {
+        if let Some(advice) = self.advice_of_mut(task_ref) {
+            advice.tickets.remove(worker);
+        }
     }
+}
 
-    /// Discards a worker's tickets for a step after the worker rejected one.
-    pub(super) fn drop_ticket(&mut self, task_ref: &TaskRef, worker: &Arc<str>) {
-        let Some(job) = self.jobs.get_mut(&task_ref.job) else { return };
-        let Some(occurrence) = job.occurrences.get_mut(&task_ref.occurrence) else { return };
-        occurrence.steps[task_ref.step as usize].advice.tickets.retain(|(id, _, _)| id != worker);
+/// Whether a worker with a ticket can be kept free for a task of a step.
+fn has_reservable_worker(step: &Step, workers: &[Candidate]) -> bool {
+    workers.iter().any(|worker| worker.can_ever_run(step, worker.siblings))
+}
+
+/// Workers that a request names, each once.
+#[derive(Debug, Default)]
+struct Asked {
+    workers: Vec<Arc<str>>,
+    known: HashSet<Arc<str>>,
+}
+
+impl Asked {
+    fn is_empty(&self) -> bool {
+        self.workers.is_empty()
+    }
+
+    /// Adds a worker, unless the request is full.
+    fn add(&mut self, id: &Arc<str>) {
+        if self.workers.len() < MAX_WORKERS_PER_REQUEST && self.known.insert(id.clone()) {
+            self.workers.push(id.clone());
+        }
+    }
+
+    /// Adds workers until the request names [`MIN_WORKERS_PER_REQUEST`].
+    fn fill_up<'a>(&mut self, ids: impl Iterator<Item = &'a Arc<str>>) {
+        for id in ids {
+            if self.workers.len() >= MIN_WORKERS_PER_REQUEST {
+                return;
+            }
+            self.add(id);
+        }
     }
 }
