--- a/src/sched/tickets_tests.rs
+++ b/src/sched/tickets_tests.rs
@@ -74,6 +74,19 @@
     }
 }
 
+#[test]
+fn failed_request_is_repeated_without_any_other_event() {
+    // Guards against tasks that wait for another event after a request to the advice service has failed.
+    let mut sim = sim_with_advice(1, 4, Faults::default());
+    let fails_until_us = sim.now_us + 1_000_000;
+    sim.use_advice(AdviceService { fails_until_us, ..service() });
+    sim.submit("job", spec(vec![step(2, &[])]));
+
+    sim.run_for(4_000);
+
+    assert_eq!(phase(&sim, "job"), Some(JobPhase::Completed));
+}
+
 #[test]
 fn workers_that_were_refused_are_not_asked_about_again() {
     // Guards against requests without end for a step that no worker may run.
