Let tasks share workers with the other kind where none is left for them alone

Cause: a task with a latency target was never placed on a worker with a best-effort task, nor the reverse, whatever else there was to choose from.

Four of the six tests of sharing_tests failed on the code before: 3 of 4 serving tasks after the loss, 0 of 2 best-effort tasks beside serving ones. Without its guard, the test of standing runs sees 24 stops.

Change: a worker without the other kind is a preference. A task that finds none for 1.5 s shares one. The best-effort tasks there stand still until the latency is known, and are then paced by it; they run at full pace again once they are alone, also after a change of the leader, and do not count as stalled. These faults of the pace could not show before, since no worker was shared.

--- a/src/sched.rs
+++ b/src/sched.rs
@@ -54,6 +54,7 @@
 mod run_times;
 pub(crate) mod scheduler;
 mod share;
+mod sharing;
 pub(crate) mod stages;
 pub(crate) mod start_orders;
 mod start_rate;
@@ -141,6 +142,8 @@
 #[cfg(test)]
 mod share_tests;
 #[cfg(test)]
+mod sharing_tests;
+#[cfg(test)]
 mod silent_workers_tests;
 #[cfg(any(test, feature = "lab"))]
 #[cfg_attr(
--- a/src/sched/candidate.rs
+++ b/src/sched/candidate.rs
@@ -44,6 +44,8 @@
     pub(super) is_slow: bool,
     /// Whether the advice service, where the queue requires it, allows the worker for the present step.
     pub(super) is_allowed: bool,
+    /// Whether tasks of the present step may share the worker with tasks that they disturb, or that disturb them.
+    pub(super) may_share: bool,
     /// Whether a wave has yet to take its host down.
     pub(super) awaits_maintenance: bool,
     /// Whether the worker is kept free for a long-running task that waits for capacity there.
@@ -67,6 +69,7 @@
             failure_tenths: (worker.failure_average() * 10.0) as u32,
             is_slow: false,
             is_allowed: true,
+            may_share: false,
             awaits_maintenance: false,
             is_reserved: false,
         }
@@ -89,15 +92,19 @@
             failure_tenths: 0,
             is_slow: false,
             is_allowed: true,
+            may_share: false,
             awaits_maintenance: false,
             is_reserved: false,
         }
     }
 
-    /// Whether a task could run on the worker, at the latest once all tasks there have ended that are not long-running.
+    /// Whether a task could run on the worker without sharing it, at the latest once all tasks there have ended that are
+    /// not long-running.
     /// `siblings` is the number of tasks of the same step that stay there.
     pub(super) fn can_ever_run(&self, step: &Step, siblings: u32) -> bool {
-        self.admits(step, siblings) && step.reserved().fits_in(&self.capacity_excluding_long_running)
+        self.admits(step, siblings)
+            && !self.would_share(step)
+            && step.reserved().fits_in(&self.capacity_excluding_long_running)
     }
 
     /// Number of tasks of a step that could run on the worker at the same time, apart from `siblings`, once all tasks
@@ -113,22 +120,19 @@
     /// Whether a task of a step can start on the worker now.
     pub(super) fn can_take(&self, step: &Step) -> bool {
         let is_free = !self.is_isolated && (!self.is_reserved || step.long_running);
-        is_free && step.reserved().fits_in(&self.free_capacity) && self.admits(step, self.siblings)
+        is_free
+            && step.reserved().fits_in(&self.free_capacity)
+            && self.admits(step, self.siblings)
+            && (self.may_share || !self.would_share(step))
     }
 
-    /// Whether a task may run on the worker, its capacity left aside. `siblings` is the number of tasks of the same
+    /// Whether a task may run on the worker, its capacity and the other tasks there left aside. `siblings` is the number of tasks of the same
     /// step that run there already.
-    pub(super) fn admits(&self, step: &Step, siblings: u32) -> bool {
+    fn admits(&self, step: &Step, siblings: u32) -> bool {
         if !self.is_allowed || step.max_per_worker.is_some_and(|limit| siblings >= limit) {
             return false;
         }
-        if step.required_label.as_ref().is_some_and(|label| !self.labels.contains(label)) {
-            return false;
-        }
-        // Best-effort tasks disturb tasks with a latency target, so neither is placed on a worker that runs the other.
-        let is_disturbed = (step.best_effort && self.latency_target_count > 0)
-            || (step.target_ms.is_some() && self.best_effort_count > 0);
-        !is_disturbed
+        step.required_label.as_ref().is_none_or(|label| self.labels.contains(label))
     }
 
     /// Reserves capacity for one task.
@@ -151,6 +155,8 @@
     at_risk: (usize, bool),
     /// The task failed on this worker before.
     is_avoided: bool,
+    /// The task would disturb others on the worker, or be disturbed.
+    would_share: bool,
     is_slow: bool,
     is_far_from_data: bool,
     /// Tasks of the same step on the worker. Long-running tasks are spread, so that losing a worker stops few of them.
@@ -169,6 +175,7 @@
     Score {
         at_risk: if is_suspect { (worker.task_count, worker.is_new) } else { (0, false) },
         is_avoided,
+        would_share: worker.would_share(step),
         is_slow: worker.is_slow,
         is_far_from_data: step.data_rack.as_ref().is_some_and(|rack| worker.labels.last() != Some(rack)),
         siblings: if step.long_running { worker.siblings } else { 0 },
--- a/src/sched/job.rs
+++ b/src/sched/job.rs
@@ -32,6 +32,8 @@
     /// When the last task completed; 0 if this leader has not seen it.
     pub(crate) completed_us: u64,
     pub(crate) advice: StepAdvice,
+    /// Since when waiting tasks have found no worker that they would not share, see [`sharing`](super::sharing).
+    pub(crate) lacks_unshared_since_us: Option<u64>,
     pub(crate) measured: Option<MeasuredRunTimes>,
 }
 
@@ -202,6 +204,7 @@
             done_count: 0,
             completed_us: 0,
             advice: StepAdvice::default(),
+            lacks_unshared_since_us: None,
             measured: None,
         });
         self.occurrences.insert(number, Occurrence { begun_us: 0, steps: steps.collect() });
--- a/src/sched/placement.rs
+++ b/src/sched/placement.rs
@@ -42,12 +42,12 @@
 impl Scheduler {
     /// Runs a placement round if one is wanted and due.
     pub(super) fn place(&mut self, now_us: u64) {
-        let is_wanted = self.wants_placement || self.complete_rounds.are_due(now_us) || now_us >= self.advice_due_us;
+        let is_wanted = self.wants_placement || self.complete_rounds.are_due(now_us) || now_us >= self.placement_due_us;
         if !is_wanted || now_us < self.next_placement_us || self.lease_until_us(now_us) <= now_us {
             return;
         }
         self.wants_placement = false;
-        self.advice_due_us = u64::MAX;
+        self.placement_due_us = u64::MAX;
         self.work_counts.add(Work::Rounds, 1);
         let Ranking { by_pool, blocked, mut ranked_count } = self.rank_jobs(now_us);
         self.log_blocked(now_us, &blocked);
@@ -211,6 +211,9 @@
                 if needs_advice {
                     self.allow_workers_with_ticket(now_us, &waiting[0], workers);
                 }
+                if step.avoids_sharing() {
+                    self.allow_sharing(now_us, &waiting[0], workers);
+                }
                 if step.gang {
                     self.place_gang(now_us, &waiting, step, workers);
                 } else {
@@ -223,6 +226,9 @@
                     }
                     workers.iter_mut().for_each(|worker| worker.is_allowed = true);
                 }
+                if step.avoids_sharing() {
+                    self.note_sharing(now_us, &waiting[0], step, workers);
+                }
                 if is_round_over {
                     return;
                 }
--- a/src/sched/reconcile.rs
+++ b/src/sched/reconcile.rs
@@ -5,6 +5,7 @@
 use super::action::{Action, StartRun};
 use super::job::{RunPhase, TaskState, WorkerIncarnation};
 use super::model::{ActiveRun, EndedRun, HoldAnswer, JobPhase, OrderOutcome, OrderRefusal, Resources, Step, TaskRef};
+use super::pace::FULL_PACE_PERCENT;
 use super::run_end::Observation;
 use super::run_stops::StopReason;
 use super::scheduler::Scheduler;
@@ -205,6 +206,10 @@
                 has_begun = !placed.is_copy;
             }
             RunPhase::Running { .. } if long_running || is_final => {}
+            RunPhase::Running { .. } if report.pace_percent.is_some_and(|percent| percent < FULL_PACE_PERCENT) => {
+                // The run is slow because it was told to be.
+                report.percent_since_us = now_us;
+            }
             RunPhase::Running { since_us } => {
                 run_ms = projected_run_ms(now_us.saturating_sub(*since_us), active_run);
                 if now_us > report.percent_since_us + STALL_TIMEOUT_MS * US_PER_MS {
--- a/src/sched/record.rs
+++ b/src/sched/record.rs
@@ -349,6 +349,7 @@
                 TaskState::Placed { worker: worker_at(&record.workers, worker)?, phase: RunPhase::Restored }
             }
         };
+        task.report.pace_percent = None;
         if matches!(task.state, TaskState::Done) {
             task.is_done = true;
             if let Some(occurrence) = job.occurrences.get_mut(&task_ref.occurrence) {
@@ -362,6 +363,9 @@
         task.last_run = task.last_run.max(copy.last_run);
         if let Some((worker, run)) = copy.run {
             task.add_run(0, worker_at(&record.workers, worker)?, run, RunPhase::Restored);
+            if let Some(copy) = &mut task.copy {
+                copy.report.pace_percent = None;
+            }
         }
     }
     for loss in losses {
--- a/src/sched/scheduler.rs
+++ b/src/sched/scheduler.rs
@@ -85,8 +85,8 @@
     /// Jobs whose submissions have been removed, and the version of the store after the removal. Kept until the changes up
     /// to that version have been read.
     pub(super) removed_jobs: HashMap<JobId, u64>,
-    /// When tasks for which the advice service could not be asked are considered again; `u64::MAX` if there are none.
-    pub(super) advice_due_us: u64,
+    /// When a placement round is due without any other event, for tasks that wait for a time; `u64::MAX` if there are none.
+    pub(super) placement_due_us: u64,
     /// What the runs of each organisation hold.
     pub(super) usage: Usage,
     pub(super) arrival_rates: ArrivalRates,
@@ -178,7 +178,7 @@
             finished_jobs: Vec::new(),
             records_to_remove: Vec::new(),
             removed_jobs: HashMap::default(),
-            advice_due_us: u64::MAX,
+            placement_due_us: u64::MAX,
             has_former_leader: false,
             now_unix_ms: 0,
             leader_since_us: now_us,
@@ -400,7 +400,7 @@
             self.retry_stops(now_us);
             self.evict_long_running(now_us);
             self.check_suspects(now_us);
-            self.pace_best_effort_tasks();
+            self.pace_best_effort_tasks(now_us);
             self.advance_waves(now_us);
             self.update_fleet_capacity();
             self.move_hosts(now_us);
--- a/src/sched/sim.rs
+++ b/src/sched/sim.rs
@@ -17,6 +17,7 @@
 mod registry;
 mod restarts;
 mod run_durations;
+mod sharing;
 mod stops;
 mod worker;
 
@@ -47,6 +48,7 @@
 use restarts::Restarts;
 pub(super) use restarts::{ClockSteps, HoldEnd};
 pub(crate) use run_durations::Stragglers;
+pub(super) use sharing::Latencies;
 pub(super) use stops::{StopListing, StopTimes};
 use worker::{sim_worker, SimWorker};
 
@@ -150,6 +152,8 @@
     pub(crate) admission_stored_us: u64,
     /// The advice service, if the queue requires its tickets.
     pub(super) advice: Option<AdviceService>,
+    /// Tail latencies that workers report, if any.
+    pub(super) latencies: Option<Latencies>,
 }
 
 impl Sim {
@@ -224,6 +228,7 @@
             admission: None,
             admission_stored_us: 0,
             advice: None,
+            latencies: None,
         };
         sim.start_leader();
         sim
@@ -308,6 +313,7 @@
             self.advance_crashes();
             self.advance_planned_restarts();
             self.update_availability();
+            self.check_harm();
             self.run_leader();
             self.check_usage();
         }
@@ -393,6 +399,15 @@
                     self.scheduler.on_stop_outcome(self.now_us, &worker, &task, run, &outcome);
                 }
             }
+            Message::Pace { worker, task, run, percent, leader, token, is_lost } => {
+                let outcome = match is_lost {
+                    true => OrderOutcome::Unanswered,
+                    false => self.handle_pace((&worker, &task, run), percent, token),
+                };
+                if self.is_current_leader(leader) {
+                    self.scheduler.on_pace_outcome(&worker, &task, run, percent, &outcome);
+                }
+            }
             Message::HoldAnswer { worker, sent_us, leader, answer } => {
                 if !self.is_current_leader(leader) {
                     return;
--- a/src/sched/sim/leader.rs
+++ b/src/sched/sim/leader.rs
@@ -151,11 +151,11 @@
                 self.scheduler.fence_raised(self.now_us, &worker);
                 *self.raised_fences.entry(worker).or_default() += 1;
             }
+            Action::Pace { worker, task, run, percent } => self.send_pace(worker, task, run, percent),
             Action::RequestAdvice { job, occurrence, step, workers } => {
                 self.request_advice(job, occurrence, step, workers);
             }
-            Action::WakeSession { .. } | Action::OpenSession { .. } | Action::Pace { .. } | Action::CheckLeadership => {
-            }
+            Action::WakeSession { .. } | Action::OpenSession { .. } | Action::CheckLeadership => {}
         }
     }
 }
--- a/src/sched/sim/message.rs
+++ b/src/sched/sim/message.rs
@@ -61,6 +61,16 @@
         leader: u32,
         outcome: OrderOutcome,
     },
+    Pace {
+        worker: Arc<str>,
+        task: TaskRef,
+        run: u32,
+        percent: u32,
+        leader: u32,
+        token: u64,
+        /// Whether the order does not arrive.
+        is_lost: bool,
+    },
     Hold(HoldRequest),
     HoldAnswer {
         worker: Arc<str>,
@@ -116,6 +126,7 @@
             | Message::HostOrderAnswer { .. } => true,
             Message::Start { .. }
             | Message::Stop { .. }
+            | Message::Pace { .. }
             | Message::Hold(_)
             | Message::Commit { .. }
             | Message::HostOrder { .. } => false,
--- a/src/sched/sim/worker.rs
+++ b/src/sched/sim/worker.rs
@@ -9,6 +9,7 @@
 };
 use super::capacity::FormerCapacity;
 use super::message::HoldRequest;
+use super::sharing::Pace;
 use super::stops::PendingStop;
 use super::{Message, Sim, Violation, DELAY_US, FENCES_PER_TERM, MAX_ATTEMPTS, ORDER_TIMEOUT_US, TICK_US};
 use crate::clock::US_PER_MS;
@@ -26,6 +27,7 @@
     pub(super) fails: bool,
     pub(super) is_long_running: bool,
     pub(super) reports_progress: bool,
+    pub(super) pace: Pace,
     /// A stop order that has arrived. The run goes on until it takes effect.
     pub(super) stop: Option<PendingStop>,
 }
@@ -149,7 +151,8 @@
             return OrderOutcome::Refused(refusal);
         }
         let ends_us = now_us + run_duration_us;
-        let run = Run { started_us: now_us, ends_us, fails, is_long_running, reports_progress, stop: None };
+        let run =
+            Run { started_us: now_us, ends_us, fails, is_long_running, reports_progress, pace: Pace::FULL, stop: None };
         worker.runs.insert((start.task.clone(), start.run), run);
         self.start_count += 1;
         self.stop_times.run_started(now_us, &start.task);
@@ -246,13 +249,14 @@
             return;
         }
         let lists_stopping_runs = listing.lists_stopping_runs(id);
+        let Some(worker) = self.workers.get(id) else { return };
         let listed = worker.runs.iter().filter(|(_, run)| run.stop.is_none() || lists_stopping_runs);
         let running = listed.map(|((task, number), run)| ActiveRun {
             task: task.clone(),
             run: *number,
             checkpoint: Arc::from(""),
             percent: run.percent(now_us),
-            load: None,
+            load: self.load_of(worker, task, run),
         });
         let answer = HoldAnswer {
             clock_ms: worker.clock_ms(now_us),
--- a/src/sched/task_runs.rs
+++ b/src/sched/task_runs.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use super::job::{RunPhase, Task, TaskState, WorkerIncarnation};
+use super::pace::FULL_PACE_PERCENT;
 
 /// What a worker has reported about a run, and the pace that it was ordered to keep.
 #[derive(Debug, Clone, PartialEq)]
@@ -24,8 +25,11 @@
     pub(crate) percent_since_us: u64,
     /// Latest reported load, see [`ActiveRun::load`](super::model::ActiveRun::load).
     pub(crate) load: Option<u64>,
-    /// Percentage of its CPU time that the run may use.
-    pub(crate) pace_percent: u32,
+    /// Percentage of its CPU time that the run may use; `None` if it is not known, after a former leader or an order
+    /// without an answer.
+    pub(crate) pace_percent: Option<u32>,
+    /// When the pace was last ordered; 0 if it never was.
+    pub(crate) pace_ordered_us: u64,
 }
 
 impl RunReport {
@@ -38,7 +42,8 @@
             percent: 0,
             percent_since_us: now_us,
             load: None,
-            pace_percent: 100,
+            pace_percent: Some(FULL_PACE_PERCENT),
+            pace_ordered_us: 0,
         }
     }
 }
--- a/src/sched/tickets.rs
+++ b/src/sched/tickets.rs
@@ -71,7 +71,7 @@
             return;
         }
         if now_us < advice.next_request_us {
-            self.advice_due_us = self.advice_due_us.min(advice.next_request_us);
+            self.placement_due_us = self.placement_due_us.min(advice.next_request_us);
             return;
         }
         let asked = match step.gang {
@@ -160,7 +160,7 @@
         let retry_us = now_us + REQUEST_RETRY_DELAY_MS * US_PER_MS;
         let Some(answer) = answer else {
             advice.next_request_us = retry_us;
-            self.advice_due_us = self.advice_due_us.min(retry_us);
+            self.placement_due_us = self.placement_due_us.min(retry_us);
             return;
         };
         let valid_ms = answer.valid_ms.or(policy.map(|policy| policy.valid_ms)).unwrap_or(0);
