Soak: jobs reach new partitions while the store is slow and has no history

Each seed now ends with the first jobs of four partitions, submitted while the store takes 120 ms an answer and has dropped its history.

--- a/tests/soak_tests.rs
+++ b/tests/soak_tests.rs
@@ -1,7 +1,7 @@
 //! Runs jobs on daemon processes while randomized faults are injected, several at the same time: signals kill, pause,
 //! stop and restart daemons, a proxy stalls or closes their connections to the store, and workers restart under their
 //! IDs, are cut off or execute orders late. The store throttles calls, applies writes without an answer, some of them seconds
-//! late, and drops its history. The workers of the stand-in record violations, such as a task that runs
+//! late, and drops its history, at last while it is slow. The workers of the stand-in record violations, such as a task that runs
 //! twice at the same time; there must be none, and every accepted job that is not cancelled must complete.
 //! In a second test, workers restart and are cut off soon after, while long tasks run and leaders are killed.
 //!
@@ -28,6 +28,9 @@
 /// Jobs are submitted in rounds, so that faults also meet workers without runs.
 const ROUNDS: usize = 8;
 const JOBS_PER_ROUND: usize = 5;
+/// Partitions over which jobs are spread by their highest digit, and the number of those that all rounds use.
+const PARTITIONS: usize = 8;
+const COMMON_PARTITIONS: usize = 4;
 const SHORT_RUN_MS: u64 = 300;
 /// Runs of this time are often stopped before they end.
 const LONG_RUN_MS: u64 = 1_500;
@@ -38,6 +41,10 @@
 /// Longest pause after a round.
 const MAX_PAUSE_MS: u64 = 3_000;
 const PAUSE_STEP: Duration = Duration::from_millis(10);
+/// Time that each answer of the store takes while it is slow.
+const SLOW_ANSWER_MS: u64 = 120;
+/// Pause between the jobs of a burst.
+const BURST_INTERVAL: Duration = Duration::from_millis(50);
 const STORE_FAULTS: StoreFaults = StoreFaults { throttled: 0.01, unanswered: 0.02, answer_ms: 0 };
 /// Timeout of a caller's request; a paused daemon does not answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -71,9 +78,9 @@
     jobs: Vec<(String, bool)>,
 }
 
-/// A job id that no other seed or number has. Its highest digit varies, so that jobs spread over the partitions.
-fn job_id(seed: u64, number: usize) -> String {
-    format!("{:016x}", (seed << 32) | (number as u64) << 8 | (number as u64 % 8) << 60)
+/// A job id that no other seed or number has. Its highest digit tells the partition.
+fn job_id(seed: u64, number: usize, partition: usize) -> String {
+    format!("{:016x}", (seed << 32) | (number as u64) << 8 | (partition as u64) << 60)
 }
 
 fn call(daemon_address: &str, method: &str, id: &str, body: &str) -> Option<Answer> {
@@ -109,21 +116,53 @@
         });
     }
 
-    fn submit(&mut self) {
-        let id = job_id(self.seed, self.jobs.len());
+    fn draw_job_body(&mut self) -> String {
         let run_ms = match self.rng.random_range(0..20) {
             0..7 => LONG_RUN_MS,
             7..9 => VERY_LONG_RUN_MS,
             _ => SHORT_RUN_MS,
         };
-        let body = format!(
+        format!(
             r#"{{"spec":"run-ms={run_ms}","steps":[{{"count":3,"cpu":1000,"memMb":100,"estimateMs":{run_ms}}},
             {{"count":1,"cpu":1000,"memMb":100,"estimateMs":{run_ms},"after":[0]}}]}}"#
-        );
+        )
+    }
+
+    fn submit(&mut self) {
+        let id = job_id(self.seed, self.jobs.len(), self.jobs.len() % COMMON_PARTITIONS);
+        let body = self.draw_job_body();
         self.call_until_answered("a daemon accepts", ("POST", &id, &body), &[200]);
         self.jobs.push((id, false));
     }
 
+    /// Submits the first jobs of some partitions, soon after each other, while the store is slow and has dropped its history,
+    /// so that the leader reads all jobs again. No fault of a daemon follows, after which another leader would read them.
+    fn submit_to_slow_store_without_history(&mut self) {
+        let seed = self.seed;
+        self.faults.clear_all(&mut self.daemons);
+        let addresses: Vec<String> = self.daemons.iter().map(|daemon| daemon.front_address.clone()).collect();
+        let burst: Vec<(String, String)> = (COMMON_PARTITIONS..PARTITIONS)
+            .map(|partition| (job_id(seed, self.jobs.len() + partition, partition), self.draw_job_body()))
+            .collect();
+        self.platform.set_store_faults(StoreFaults { answer_ms: SLOW_ANSWER_MS, ..StoreFaults::default() });
+        self.platform.drop_store_history();
+        thread::sleep(Duration::from_millis(self.rng.random_range(0..2 * SLOW_ANSWER_MS)));
+        thread::scope(|scope| {
+            for (id, body) in &burst {
+                let addresses = &addresses;
+                scope.spawn(move || {
+                    let mut daemons = addresses.iter().cycle();
+                    eventually(&format!("seed {seed}: a daemon accepts job {id}"), || {
+                        let answer = daemons.next().and_then(|address| call(address, "POST", id, body));
+                        answer.is_some_and(|answer| answer.status == 200)
+                    });
+                });
+                thread::sleep(BURST_INTERVAL);
+            }
+        });
+        self.jobs.extend(burst.into_iter().map(|(id, _)| (id, false)));
+    }
+
     fn cancel_random_job(&mut self) {
         let number = self.rng.random_range(0..self.jobs.len());
         let id = self.jobs[number].0.clone();
@@ -175,6 +214,7 @@
     /// Waits until all jobs are final, and checks what the workers have executed.
     fn finish(&mut self) {
         self.faults.clear_all(&mut self.daemons);
+        self.platform.set_store_faults(STORE_FAULTS);
         for (id, is_cancelled) in &self.jobs {
             eventually(&format!("seed {}: job {id} is final", self.seed), || {
                 self.check_violations();
@@ -196,6 +236,7 @@
         soak.run_round();
         soak.check_violations();
     }
+    soak.submit_to_slow_store_without_history();
     soak.finish();
     soak.platform.with_run_log(|log| {
         println!(
@@ -214,7 +255,8 @@
     let mut rng = SmallRng::seed_from_u64(seed << 8 | submitter);
     let mut jobs = Vec::new();
     while !phase.is_over.load(Ordering::Relaxed) {
-        let id = job_id(seed, jobs.len() * RECUT_SUBMITTERS as usize + submitter as usize);
+        let number = jobs.len() * RECUT_SUBMITTERS as usize + submitter as usize;
+        let id = job_id(seed, number, number % PARTITIONS);
         let run_ms = if rng.random_bool(0.35) { rng.random_range(RECUT_RUN_MS) } else { SHORT_RUN_MS };
         let step =
             format!(r#"{{"count":{RECUT_TASKS_PER_JOB},"cpu":{RECUT_TASK_CPU},"memMb":100,"estimateMs":{run_ms}}}"#);
