--- a/tests/row_tests.rs
+++ b/tests/row_tests.rs
@@ -2,40 +2,21 @@
 
 mod support;
 
-use std::time::Duration;
-
 use sardineseam::UsersPlatformStandIn;
 use support::control_daemon::ControlDaemon;
-use support::{eventually, try_http_within};
+use support::eventually;
 
 const RUN_MS: u64 = 50;
 const DAEMONS: usize = 3;
 const WORKERS: usize = 4;
 const JOB: &str = r#"{"spec":"print","steps":[{"count":4,"cpu":1000,"memMb":100,"estimateMs":50}]}"#;
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Characters that a URL reserves, or that stand for something else there.
 const RESERVED: &str = "!#$%&'()*+,/:;=?@[]\" <>\\^`{|}~";
 
-fn status_of(daemon: &ControlDaemon, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
-    let headers = [("host", "print.example"), ("x-deadline-ms", "2000")];
-    let url = format!("http://{}/jobs/{id}", daemon.front_address);
-    let answer = try_http_within(CALL_TIMEOUT, method, &url, &headers, body.as_bytes())?;
-    Some((answer.status, answer.body))
-}
-
 fn complete_job(daemon: &ControlDaemon, id: &str) {
-    eventually("the job is accepted", || status_of(daemon, "POST", id, JOB).is_some_and(|(status, _)| status == 200));
-    eventually("the job completes", || {
-        status_of(daemon, "GET", id, "").is_some_and(|(_, body)| body.contains("completed"))
-    });
-}
-
-fn start_daemons(test: &str, platform: &UsersPlatformStandIn) -> Vec<ControlDaemon> {
-    let mut daemons: Vec<ControlDaemon> =
-        (1..=DAEMONS).map(|number| ControlDaemon::prepare(test, number, platform)).collect();
-    daemons.iter_mut().for_each(ControlDaemon::start);
-    daemons
+    daemon.submit(id, JOB);
+    daemon.wait_for_state(id, "completed");
 }
 
 /// Kills all daemons at the same time and starts them again, so that each reads all rows and one takes over.
@@ -64,7 +45,7 @@
         platform.put_row("op", &key, b"null");
     }
 
-    let mut daemons = start_daemons("odd-keys", &platform);
+    let mut daemons = ControlDaemon::start_all("odd-keys", DAEMONS, &platform);
     complete_job(&daemons[0], "00000000000000a1");
     restart(&mut daemons);
     complete_job(&daemons[1], "10000000000000a2");
@@ -120,11 +101,11 @@
     }
 
     // Demand that no worker can satisfy waits behind the odd capacities.
-    let mut daemons = start_daemons("odd-values", &platform);
+    let mut daemons = ControlDaemon::start_all("odd-values", DAEMONS, &platform);
     let huge = r#"{"spec":"print","steps":[{"count":2500,"cpu":1e300,"memMb":1e300,"gpu":1e300,"estimateMs":1e300}]}"#;
     for id in ["20000000000000a3", "30000000000000a4"] {
         eventually("the huge job is accepted", || {
-            status_of(&daemons[0], "POST", id, huge).is_some_and(|(status, _)| status == 200)
+            daemons[0].call("POST", id, huge).is_some_and(|(status, _)| status == 200)
         });
     }
     complete_job(&daemons[0], "00000000000000a1");
--- a/tests/store_history_tests.rs
+++ b/tests/store_history_tests.rs
@@ -7,50 +7,23 @@
 
 use sardineseam::{StoreFaults, UsersPlatformStandIn};
 use support::control_daemon::ControlDaemon;
-use support::{eventually, try_http_within};
+use support::eventually;
 
 const RUN_MS: u64 = 50;
 const DAEMONS: usize = 2;
 const WORKERS: usize = 8;
-const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time that an answer of a slow store takes; each submission and each read of a partition takes as long.
 const SLOW_ANSWER_MS: u64 = 200;
 const JOB: &str = r#"{"spec":"print","steps":[{"count":1,"cpu":1000,"memMb":100,"estimateMs":50}]}"#;
 
-fn call(daemon: &ControlDaemon, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
-    let headers = [("host", "print.example"), ("x-deadline-ms", "4000")];
-    let url = format!("http://{}/jobs/{id}", daemon.front_address);
-    let answer = try_http_within(CALL_TIMEOUT, method, &url, &headers, body.as_bytes())?;
-    Some((answer.status, answer.body))
-}
-
-fn submit(daemon: &ControlDaemon, id: &str) {
-    eventually(&format!("job {id} is accepted"), || {
-        call(daemon, "POST", id, JOB).is_some_and(|(status, _)| status == 200)
-    });
-}
-
-fn wait_until_completed(daemon: &ControlDaemon, id: &str) {
-    eventually(&format!("job {id} is completed"), || {
-        call(daemon, "GET", id, "").is_some_and(|(_, body)| body.contains("completed"))
-    });
-}
-
-fn start_daemons(test: &str, platform: &UsersPlatformStandIn) -> Vec<ControlDaemon> {
-    let mut daemons: Vec<ControlDaemon> =
-        (1..=DAEMONS).map(|number| ControlDaemon::prepare(test, number, platform)).collect();
-    daemons.iter_mut().for_each(ControlDaemon::start);
-    daemons
-}
-
 #[test]
 fn jobs_stored_in_new_partitions_while_the_leader_reads_all_jobs_again_are_run() {
     // Guards against accepted jobs that the leader never reads: their partition got its first row after the leader had
     // listed the partitions, and their version is lower than the one from which it follows the changes.
     let platform = UsersPlatformStandIn::start(WORKERS, RUN_MS);
-    let daemons = start_daemons("new-partitions", &platform);
-    submit(&daemons[0], "00000000000000a0");
-    wait_until_completed(&daemons[0], "00000000000000a0");
+    let daemons = ControlDaemon::start_all("new-partitions", DAEMONS, &platform);
+    daemons[0].submit("00000000000000a0", JOB);
+    daemons[0].wait_for_state("00000000000000a0", "completed");
     let ids: Vec<String> = (1..8).map(|digit| format!("{digit}0000000000000a0")).collect();
     platform.set_store_faults(StoreFaults { answer_ms: SLOW_ANSWER_MS, ..StoreFaults::default() });
 
@@ -58,13 +31,13 @@
     thread::scope(|scope| {
         for id in &ids {
             let daemons = &daemons;
-            scope.spawn(move || submit(&daemons[1], id));
+            scope.spawn(move || daemons[1].submit(id, JOB));
             thread::sleep(Duration::from_millis(SLOW_ANSWER_MS / 3));
         }
     });
     platform.set_store_faults(StoreFaults::default());
 
-    ids.iter().for_each(|id| wait_until_completed(&daemons[0], id));
+    ids.iter().for_each(|id| daemons[0].wait_for_state(id, "completed"));
 }
 
 #[test]
@@ -72,7 +45,7 @@
     // Guards against a leader that uses up the store's limit on reads: after it had read an empty table, it followed the
     // changes from a version that is gone as well, and read the table again without a pause.
     let platform = UsersPlatformStandIn::start(WORKERS, RUN_MS);
-    let _daemons = start_daemons("no-jobs", &platform);
+    let _daemons = ControlDaemon::start_all("no-jobs", DAEMONS, &platform);
     eventually("a daemon leads", || platform.leader().is_some());
     eventually("the leader follows the changes", || platform.store_call_count("/rows-feed") > 10);
     let lists_before = platform.store_call_count("/rows-parts");
--- a/tests/support/control_daemon.rs
+++ b/tests/support/control_daemon.rs
@@ -6,10 +6,15 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::time::Duration;
 
 use sardineseam::UsersPlatformStandIn;
 
 use super::proxy::Proxy;
+use super::{eventually, try_http_within};
+
+/// Timeout of a caller's request.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 pub struct ControlDaemon {
     pub name: String,
@@ -66,6 +71,36 @@
         self.child = Some(child.expect("the daemon starts"));
     }
 
+    /// Starts this many daemons.
+    pub fn start_all(test: &str, count: usize, platform: &UsersPlatformStandIn) -> Vec<ControlDaemon> {
+        let mut daemons: Vec<ControlDaemon> =
+            (1..=count).map(|number| ControlDaemon::prepare(test, number, platform)).collect();
+        daemons.iter_mut().for_each(ControlDaemon::start);
+        daemons
+    }
+
+    /// Sends a caller's request about a job; returns the status and the body of the answer, if any.
+    pub fn call(&self, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
+        let deadline_ms = CALL_TIMEOUT.as_millis().to_string();
+        let headers = [("host", "print.example"), ("x-deadline-ms", deadline_ms.as_str())];
+        let url = format!("http://{}/jobs/{id}", self.front_address);
+        let answer = try_http_within(CALL_TIMEOUT, method, &url, &headers, body.as_bytes())?;
+        Some((answer.status, answer.body))
+    }
+
+    /// Submits a job until it is accepted.
+    pub fn submit(&self, id: &str, body: &str) {
+        eventually(&format!("job {id} is accepted"), || {
+            self.call("POST", id, body).is_some_and(|(status, _)| status == 200)
+        });
+    }
+
+    pub fn wait_for_state(&self, id: &str, state: &str) {
+        eventually(&format!("job {id} is {state}"), || {
+            self.call("GET", id, "").is_some_and(|(_, body)| body.contains(state))
+        });
+    }
+
     pub fn signal(&self, name: &str) {
         let Some(child) = &self.child else { return };
         let sent = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
