Count the tasks of a step on a worker before it counts as kept free for one

Found by reading the change of: a worker with a ticket that already runs as many tasks of a lasting step as it may counted as one that can be kept free for another, so that no others were asked about until its ticket expired. A test with two such tasks on busy workers is added; it passes before as well, since the delay is at most the validity of a ticket.

--- a/src/sched/tickets.rs
+++ b/src/sched/tickets.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use foldhash::HashSet;
+use foldhash::{HashMap, HashSet};
 
 use super::action::Action;
 use super::candidate::{set_siblings, Candidate};
@@ -93,7 +93,8 @@
         let is_unknown = |worker: &&Candidate| !worker.is_allowed && !advice.refused.contains(&worker.id);
         let mut trial: Vec<Candidate> = workers.iter().filter(is_unknown).cloned().collect();
         trial.iter_mut().for_each(|worker| worker.is_allowed = true);
-        set_siblings(&mut trial, &self.siblings_per_worker(&waiting[0], step));
+        let siblings = self.siblings_per_worker(&waiting[0], step);
+        set_siblings(&mut trial, &siblings);
         let has_free_capacity: Vec<bool> = trial.iter().map(|worker| worker.can_take(step)).collect();
         let mut asked = Asked::default();
         // Each of these tasks takes one worker at the most.
@@ -108,7 +109,7 @@
             trial[index].siblings += u32::from(step.has_placement_by_siblings());
             asked.add(&trial[index].id);
         }
-        if asked.is_empty() && step.long_running && !has_reservable_worker(step, workers) {
+        if asked.is_empty() && step.long_running && !has_reservable_worker(step, workers, &siblings) {
             // One of these is kept free for the task once it has a ticket.
             let reservable = trial.iter().filter(|worker| worker.can_ever_run(step, worker.siblings));
             asked.fill_up(reservable.map(|worker| &worker.id));
@@ -196,9 +197,10 @@
     }
 }
 
-/// Whether a worker with a ticket can be kept free for a task of a step.
-fn has_reservable_worker(step: &Step, workers: &[Candidate]) -> bool {
-    workers.iter().any(|worker| worker.can_ever_run(step, worker.siblings))
+/// Whether a worker with a ticket can be kept free for a task of a step. `siblings` holds the tasks of the step on each
+/// worker.
+fn has_reservable_worker(step: &Step, workers: &[Candidate], siblings: &HashMap<Arc<str>, u32>) -> bool {
+    workers.iter().any(|worker| worker.can_ever_run(step, siblings.get(&worker.id).copied().unwrap_or(0)))
 }
 
 /// Workers that a request names, each once.
--- a/src/sched/tickets_tests.rs
+++ b/src/sched/tickets_tests.rs
@@ -101,17 +101,19 @@
     assert_eq!((placed(&sim, "job"), requests), (0, Some(3)), "62 workers, 30 in a request");
 }
 
+/// Submits small jobs so often that no worker is ever without tasks.
+fn keep_busy(sim: &mut Sim, rounds: u32) {
+    for _ in 0..rounds {
+        let id = format!("small-{:04}", sim.specs.len());
+        sim.submit(&id, spec(vec![step(3, &[])]));
+        sim.run_for(25);
+    }
+}
+
 #[test]
 fn lasting_task_that_needs_a_ticket_gets_capacity_on_busy_workers() {
     // Guards against lasting tasks for which no worker is kept free, since tickets were only asked for with free capacity.
     let mut sim = sim_with_advice(1, 2, Faults::default());
-    let keep_busy = |sim: &mut Sim, rounds: u32| {
-        for _ in 0..rounds {
-            let id = format!("small-{:04}", sim.specs.len());
-            sim.submit(&id, spec(vec![step(3, &[])]));
-            sim.run_for(25);
-        }
-    };
     sim.use_advice(service());
     keep_busy(&mut sim, 80);
     let mut lasting = Step { long_running: true, ..step(1, &[]) };
@@ -124,6 +126,23 @@
     assert_eq!(sim.violations, []);
 }
 
+#[test]
+fn each_lasting_task_of_a_step_gets_capacity_on_a_busy_worker_of_its_own() {
+    // Guards against a worker that has a ticket, and as many tasks of the step as it may, which keeps others from being asked
+    // about.
+    let mut sim = sim_with_advice(1, 2, Faults::default());
+    sim.use_advice(service());
+    keep_busy(&mut sim, 80);
+    let mut lasting = Step { long_running: true, ..spread_step(2) };
+    lasting.needs.cpu_milli = 13_000;
+    sim.submit("lasting", spec(vec![lasting]));
+
+    keep_busy(&mut sim, 240);
+
+    assert_eq!(placed(&sim, "lasting"), 2);
+    assert_eq!(sim.violations, []);
+}
+
 /// Steps with all that restricts where a task may run.
 fn mixed_job(number: usize) -> JobSpec {
     let label = |rack: usize| -> Option<Arc<str>> { Some(format!("r{rack}").into()) };
