Read jobs again at once after the first 410

What callers saw with: jobs that arrive while the store drops its history again and again were read up to 100 ms later.

Cause: each reload was followed by a pause, in which no new job is read.

Change: only a reload that follows another one, without changes read between the two, waits. That is the case that the pause is for: the test without jobs still passes.

--- a/src/control/feeds.rs
+++ b/src/control/feeds.rs
@@ -22,18 +22,23 @@
 
 /// Passes new jobs and cancellations to the scheduler. `version` is the store version that was read last.
 pub(super) async fn follow_jobs(leader: Rc<Leader>, mut version: u64) {
+    let mut has_read_changes = true;
     while !leader.has_ended.get() {
         match leader.daemon.store.wait_for_changes(JOB_TABLE, version, LONG_POLL_MS).await {
             Ok(page) => {
+                has_read_changes = true;
                 version = version.max(page.version);
                 add_jobs(&leader, &page);
                 leader.scheduler.borrow_mut().submissions_read(version);
                 leader.daemon.sleep_ms(JOB_BATCH_DELAY_MS).await;
             }
             Err(RowStoreError::HistoryGone) => {
+                // New jobs wait for a reload, but a store that drops its history again and again must not be read without end.
+                if !has_read_changes {
+                    leader.daemon.sleep_ms(RETRY_DELAY_MS).await;
+                }
+                has_read_changes = false;
                 version = reload_jobs(&leader).await.unwrap_or(version);
-                // The history may be gone again.
-                leader.daemon.sleep_ms(RETRY_DELAY_MS).await;
             }
             Err(error) => {
                 log::debug!("error={error} outcome=job_feed_failed");
