Show in logs and metrics how old the configuration is, and why a feed fails

- feed_failing and feed_recovered: the first failure in a row, with the bytes of the call that were sent and received, and the end of the row with how far behind the daemon came.
- feed_reads_failed_total, store_calls_repeated_total, store_call_seconds.
- configuration_version, configuration_queues, configuration_age_seconds.
- failing_ms on a refused submission.

--- a/src/control.rs
+++ b/src/control.rs
@@ -26,6 +26,7 @@
 mod candidacy;
 mod configuration;
 mod election;
+mod feed_health;
 mod feeds;
 mod http_api;
 mod job_reads;
--- a/src/control/configuration.rs
+++ b/src/control/configuration.rs
@@ -63,6 +63,11 @@
         self.confirmed_us = self.confirmed_us.max(requested_us);
     }
 
+    /// Time since the store has confirmed the configuration.
+    pub(super) fn age_us(&self, now_us: u64) -> u64 {
+        now_us.saturating_sub(self.confirmed_us)
+    }
+
     /// Whether the store has confirmed the configuration within the last `max_age_ms`.
     pub(super) fn is_confirmed(&self, now_us: u64, max_age_ms: u64) -> bool {
         now_us < self.confirmed_us.saturating_add(max_age_ms.saturating_mul(US_PER_MS))
--- a/src/control/feeds.rs
+++ b/src/control/feeds.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use super::feed_health::FeedHealth;
 use super::leader::Leader;
 use super::{job_reads, CANCEL_SUFFIX, JOB_TABLE};
 use crate::clock::US_PER_MS;
@@ -23,10 +24,13 @@
 /// Passes new jobs and cancellations to the scheduler. `version` is the store version that was read last.
 pub(super) async fn follow_jobs(leader: Rc<Leader>, mut version: u64) {
     let mut has_read_changes = true;
+    let mut health = FeedHealth::new("jobs");
     while !leader.has_ended.get() {
+        let requested_us = leader.now_us();
         match leader.daemon.store.wait_for_changes(JOB_TABLE, version, LONG_POLL_MS).await {
             Ok(page) => {
                 has_read_changes = true;
+                health.record_success(leader.now_us());
                 version = version.max(page.version);
                 add_jobs(&leader, &page);
                 leader.scheduler.borrow_mut().submissions_read(version);
@@ -41,7 +45,7 @@
                 version = reload_jobs(&leader).await.unwrap_or(version);
             }
             Err(error) => {
-                log::debug!("error={error} outcome=job_feed_failed");
+                health.record_failure(requested_us, &error);
                 leader.daemon.sleep_ms(RETRY_DELAY_MS).await;
             }
         }
@@ -104,7 +108,9 @@
 pub(super) async fn follow_workers(leader: Rc<Leader>, version: u64) {
     // `None` after the store has dropped the history: all rows are read again.
     let mut version = Some(version);
+    let mut health = FeedHealth::new("workers");
     while !leader.has_ended.get() {
+        let requested_us = leader.now_us();
         let store = &leader.daemon.store;
         let read = match version {
             Some(after) => store.worker_changes(after, LONG_POLL_MS).await,
@@ -112,6 +118,7 @@
         };
         match read {
             Ok(page) => {
+                health.record_success(leader.now_us());
                 update_workers(&leader, &page, version.is_none());
                 version = Some(page.version.max(version.unwrap_or(0)));
                 leader.run_scheduler();
@@ -119,7 +126,7 @@
             }
             Err(RowStoreError::HistoryGone) => version = None,
             Err(error) => {
-                log::debug!("error={error} outcome=worker_feed_failed");
+                health.record_failure(requested_us, &error);
                 leader.daemon.sleep_ms(RETRY_DELAY_MS).await;
             }
         }
--- a/src/control/http_api.rs
+++ b/src/control/http_api.rs
@@ -156,7 +156,8 @@
         return resubmission_response(daemon, request).await;
     }
     if !daemon.store.is_reachable() {
-        log::info!("job={id} queue={} outcome=refused_while_store_unreachable", queue.name);
+        let failing_ms = daemon.store.failing_ms();
+        log::info!("job={id} queue={} failing_ms={failing_ms} outcome=refused_while_store_unreachable", queue.name);
         daemon.organisation_metrics.borrow().count_refused(caller.organisation());
         return unavailable("the store does not answer now");
     }
--- a/src/control/operator_api.rs
+++ b/src/control/operator_api.rs
@@ -14,6 +14,7 @@
 
 use super::http_api::{json, status_response};
 use super::ControlDaemon;
+use crate::clock::US_PER_S;
 use crate::http_server::{Body, Handler};
 use crate::sched::scheduler::Scheduler;
 
@@ -55,7 +56,10 @@
     let daemon = daemon.clone();
     Rc::new(move |request| {
         let response = match Resource::at(request.uri().path(), request.uri().query()) {
-            None => Response::new(Full::new(metrics.render().into())),
+            None => {
+                record_configuration_gauges(&daemon);
+                Response::new(Full::new(metrics.render().into()))
+            }
             Some(_) if request.method() != Method::GET => status_response(StatusCode::METHOD_NOT_ALLOWED, "GET"),
             Some(resource) => answer_as(&daemon, resource),
         };
@@ -63,6 +67,16 @@
     })
 }
 
+/// Shows the version in force, and how long ago the store has confirmed that it is the newest one.
+fn record_configuration_gauges(daemon: &ControlDaemon) {
+    let configuration = daemon.configuration.borrow();
+    let Some(catalog) = configuration.catalog() else { return };
+    metrics::gauge!("configuration_version").set(catalog.version as f64);
+    metrics::gauge!("configuration_queues").set(catalog.queues.len() as f64);
+    let age_us = configuration.age_us(daemon.now_us());
+    metrics::gauge!("configuration_age_seconds").set(age_us as f64 / US_PER_S as f64);
+}
+
 fn answer_as(daemon: &Rc<ControlDaemon>, resource: Resource<'_>) -> Response<Body> {
     let leader = daemon.leader.borrow().clone().filter(|leader| !leader.has_ended.get());
     match leader {
--- a/src/control/operator_feed.rs
+++ b/src/control/operator_feed.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use super::configuration::ReadConfiguration;
+use super::feed_health::FeedHealth;
 use super::{ControlDaemon, ControlSettings};
 use crate::platform::operator;
 use crate::platform::row_store::{operator_row_kind, OperatorRowKind};
@@ -18,6 +19,7 @@
 /// Applies the operators' changes for as long as the daemon runs.
 pub(super) async fn follow(daemon: Rc<ControlDaemon>) {
     let mut version = None;
+    let mut health = FeedHealth::new("operator");
     let wait_ms = long_poll_ms(&daemon.settings);
     loop {
         let requested_us = daemon.now_us();
@@ -30,6 +32,7 @@
         match read {
             Ok(page) => {
                 daemon.record_store_answer();
+                health.record_success(daemon.now_us());
                 for row in &page.rows {
                     apply_row(&daemon, row);
                 }
@@ -38,7 +41,7 @@
             }
             Err(RowStoreError::HistoryGone) => version = None,
             Err(error) => {
-                log::debug!("error={error} outcome=operator_feed_failed");
+                health.record_failure(requested_us, &error);
                 daemon.sleep_ms(RETRY_DELAY_MS).await;
             }
         }
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -9,6 +9,7 @@
 use foldhash::{HashMap, HashSet};
 
 use super::admission::ReceivedReport;
+use super::feed_health::FeedHealth;
 use super::{ControlDaemon, ADMISSION_KEY, LEADER_PARTITION, PENDING_COUNTS_KEY, PHASE_TABLE};
 use crate::row_store::{RowStoreError, StoredRow};
 use crate::sched::model::{JobId, JobOrigin, JobPhase, ReportedPhase};
@@ -118,6 +119,7 @@
 /// Keeps the view up to date.
 pub(super) async fn follow(daemon: Rc<ControlDaemon>) {
     let mut version = None;
+    let mut health = FeedHealth::new("phases");
     // When the request was sent whose answer was the latest.
     let mut answered_request_us = 0;
     loop {
@@ -131,6 +133,7 @@
         match read {
             Ok(page) => {
                 daemon.record_store_answer();
+                health.record_success(daemon.now_us());
                 daemon.status.borrow_mut().apply_rows(&page.rows, written_after_us);
                 answered_request_us = requested_us;
                 version = Some(page.version.max(version.unwrap_or(0)));
@@ -138,7 +141,7 @@
             }
             Err(RowStoreError::HistoryGone) => version = None,
             Err(error) => {
-                log::debug!("error={error} outcome=phase_feed_failed");
+                health.record_failure(requested_us, &error);
                 daemon.sleep_ms(RETRY_DELAY_MS).await;
             }
         }
--- a/src/endpoint_client.rs
+++ b/src/endpoint_client.rs
@@ -17,7 +17,7 @@
 use hyper::{Request, Response};
 
 use crate::buffered_body::{collect_body, BodyError, BufferedBody, ByteBudget};
-use crate::reactor::{connect, sleep_until, spawn_with, Priority};
+use crate::reactor::{connect, sleep_until, spawn_with, Priority, Traffic};
 use crate::wire;
 
 const CONNECT_TIMEOUT_MS: u64 = 300;
@@ -59,8 +59,7 @@
 
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    /// Number of bytes written to the connection so far.
-    sent_bytes: Rc<Cell<u64>>,
+    traffic: Rc<Traffic>,
     /// Whether the connection has already carried a request.
     used_before: bool,
     /// Dropping it closes the connection.
@@ -103,23 +102,30 @@
                 Ok(connection) => connection,
                 Err(reason) => return CallOutcome::NotSent(reason),
             };
-            let sent_bytes_before = connection.sent_bytes.get();
+            let traffic = &connection.traffic;
+            let (sent_before, received_before) = (traffic.sent_bytes(), traffic.received_bytes());
             let response = send_request(&mut connection.sender, request, request_id);
             let exchange = async {
                 let (head, body) = response.await?.into_parts();
                 let body = collect_body(body, max_response_bytes, body_budget).await?;
                 Ok(Response::from_parts(head, body))
             };
-            match timeout_at(deadline, exchange).await {
+            let reason = match timeout_at(deadline, exchange).await {
                 Some(Ok(response)) => {
                     self.put_idle(address, connection);
                     return CallOutcome::Answered(response);
                 }
                 // The endpoint has closed the idle connection, so the request goes to another one.
-                Some(Err(ExchangeError::NotSent(unsent))) if connection.used_before => request = *unsent,
-                Some(Err(error)) => return self.fail_call(address, connection, sent_bytes_before, error.to_string()),
-                None => return self.fail_call(address, connection, sent_bytes_before, "no answer in time".to_owned()),
-            }
+                Some(Err(ExchangeError::NotSent(unsent))) if connection.used_before => {
+                    request = *unsent;
+                    continue;
+                }
+                Some(Err(error)) => error.to_string(),
+                None => "no complete answer in time".to_owned(),
+            };
+            let traffic = &connection.traffic;
+            let (sent, received) = (traffic.sent_bytes() - sent_before, traffic.received_bytes() - received_before);
+            return self.fail_call(address, connection, sent, received, &reason);
         }
     }
 
@@ -140,17 +146,19 @@
     }
 
     /// Ends a call that has no complete response. Drops the connection, which closes it, so that a late response is
-    /// discarded. `sent_bytes_before` is the number of bytes that had been written to the connection before the call.
+    /// discarded. `sent_bytes` and `received_bytes` are those of the call.
     fn fail_call(
         &self,
         address: SocketAddr,
         connection: Connection,
-        sent_bytes_before: u64,
-        reason: String,
+        sent_bytes: u64,
+        received_bytes: u64,
+        reason: &str,
     ) -> CallOutcome {
-        if connection.sent_bytes.get() == sent_bytes_before {
-            return CallOutcome::NotSent(reason);
+        if sent_bytes == 0 {
+            return CallOutcome::NotSent(reason.to_owned());
         }
+        let reason = format!("{reason}, {sent_bytes} bytes sent and {received_bytes} received");
         if connection.used_before {
             // Whatever broke this connection may also have broken the other idle ones, which are older.
             self.idle.borrow_mut().remove(&address);
@@ -215,14 +223,14 @@
     if reset_on_close {
         io.reset_on_close().map_err(|error| error.to_string())?;
     }
-    let sent_bytes = io.sent_bytes();
+    let traffic = io.traffic();
     let (sender, driver) = http1::handshake(io).await.map_err(|error| error.to_string())?;
     let (close, closed) = oneshot::channel();
     spawn_with(priority, async move {
         // The request in flight, if there is one, gets the error as well.
         let _ = select(pin!(driver), pin!(closed)).await;
     });
-    Ok(Connection { sender, sent_bytes, used_before: false, _close: close })
+    Ok(Connection { sender, traffic, used_before: false, _close: close })
 }
 
 /// Why there is no complete response.
--- a/src/platform/row_store.rs
+++ b/src/platform/row_store.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::http_client::{path_with_query, HttpClient, HttpResponse};
-use crate::clock::{Clock, US_PER_MS};
+use crate::clock::{Clock, US_PER_MS, US_PER_S};
 use crate::endpoint_client::{timeout_at, CallOutcome};
 use crate::row_store::repeated_call::{RepeatedCall, StoreHealth};
 use crate::row_store::{
@@ -244,6 +244,11 @@
         self.health.borrow().is_reachable(self.clock.now_us())
     }
 
+    /// For how long calls have been failing without any answer.
+    pub(crate) fn failing_ms(&self) -> u64 {
+        self.health.borrow().failing_ms(self.clock.now_us())
+    }
+
     /// Sends a call, and sends it again while no answer arrives; the first answer counts.
     async fn send(&self, method: &str, path: &str, body: Bytes, wait_ms: u64) -> Result<HttpResponse, RowStoreError> {
         let now_us = self.clock.now_us();
@@ -267,6 +272,7 @@
                     let now_us = self.clock.now_us();
                     self.health.borrow_mut().record_failure(now_us);
                     let Some(left_us) = call.start_attempt(now_us) else { continue };
+                    metrics::counter!("store_calls_repeated_total", "call" => call_name(path)).increment(1);
                     self.http_client.close_idle_to(self.address);
                     attempts.push(self.attempt(method, path, body.clone(), 0, left_us));
                 }
@@ -287,6 +293,9 @@
         let sent_us = self.clock.now_us();
         let result = self.send_once(method, path, body, timeout_us.div_ceil(US_PER_MS)).await;
         let now_us = self.clock.now_us();
+        let outcome = if result.is_ok() { "answered" } else { "failed" };
+        let seconds = (now_us - sent_us) as f64 / US_PER_S as f64;
+        metrics::histogram!("store_call_seconds", "call" => call_name(path), "outcome" => outcome).record(seconds);
         let mut health = self.health.borrow_mut();
         match &result {
             Ok(_) | Err(RowStoreError::HistoryGone | RowStoreError::Refused(_) | RowStoreError::Protocol(_)) => {
@@ -329,6 +338,16 @@
     }
 }
 
+/// Name of a call in metrics.
+fn call_name(path: &str) -> &'static str {
+    match path.split('?').next() {
+        Some("/rows-tx") => "commit",
+        Some("/rows-get") => "read",
+        Some("/rows-feed") => "wait_for_changes",
+        _ => "list_partitions",
+    }
+}
+
 fn wave_status_key(number: u64) -> String {
     format!("{WAVE_PREFIX}{number}")
 }
--- a/src/reactor.rs
+++ b/src/reactor.rs
@@ -27,7 +27,7 @@
 
 pub(crate) use condvar::Condvar;
 pub(crate) use executor::Priority;
-pub(crate) use net::{connect, Listener, TcpIo};
+pub(crate) use net::{connect, Listener, TcpIo, Traffic};
 pub(crate) use timer::{sleep_until, ReactorTimer};
 
 /// Maximum time that one poll blocks if no timer is due earlier.
--- a/src/reactor/net.rs
+++ b/src/reactor/net.rs
@@ -129,11 +129,36 @@
     Ok(io)
 }
 
+/// What a socket has carried so far.
+#[derive(Debug, Default)]
+pub(crate) struct Traffic {
+    sent_bytes: Cell<u64>,
+    received_bytes: Cell<u64>,
+}
+
+impl Traffic {
+    /// Number of bytes written to the socket.
+    pub(crate) fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.get()
+    }
+
+    /// Number of bytes read from the socket.
+    pub(crate) fn received_bytes(&self) -> u64 {
+        self.received_bytes.get()
+    }
+}
+
+fn add_transferred(counter: &Cell<u64>, result: &Poll<io::Result<usize>>) {
+    if let Poll::Ready(Ok(count)) = result {
+        counter.set(counter.get() + *count as u64);
+    }
+}
+
 /// Connected TCP socket.
 pub(crate) struct TcpIo {
     source: MioSource<TcpStream>,
     wakers: Rc<SocketWakers>,
-    sent_bytes: Rc<Cell<u64>>,
+    traffic: Rc<Traffic>,
 }
 
 impl TcpIo {
@@ -141,7 +166,7 @@
         // Fails only on a socket that has already failed; the first read returns that error.
         let _ = stream.set_nodelay(true);
         let (source, wakers) = register(stream, Interest::READABLE | Interest::WRITABLE)?;
-        Ok(TcpIo { source, wakers, sent_bytes: Rc::default() })
+        Ok(TcpIo { source, wakers, traffic: Rc::default() })
     }
 
     /// Makes closing the socket reset the connection, which discards data that has not been delivered yet.
@@ -149,9 +174,9 @@
         Ok(rustix::net::sockopt::set_socket_linger(&*self.source, Some(Duration::ZERO))?)
     }
 
-    /// Shared counter of the bytes written to the socket.
-    pub(crate) fn sent_bytes(&self) -> Rc<Cell<u64>> {
-        self.sent_bytes.clone()
+    /// Shared counters of what the socket carries.
+    pub(crate) fn traffic(&self) -> Rc<Traffic> {
+        self.traffic.clone()
     }
 
     fn read_into(&self, cx: &TaskContext<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
@@ -167,14 +192,13 @@
             Poll::Ready(Err(_)) => false,
         };
         wakers.may_read.set(!is_emptied);
+        add_transferred(&self.traffic.received_bytes, &result);
         result
     }
 
     fn write_from(&self, cx: &TaskContext<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let result = poll_io(cx, &self.wakers.write, || (&*self.source).write(bytes));
-        if let Poll::Ready(Ok(count)) = &result {
-            self.sent_bytes.set(self.sent_bytes.get() + *count as u64);
-        }
+        add_transferred(&self.traffic.sent_bytes, &result);
         result
     }
 
--- a/src/row_store/repeated_call.rs
+++ b/src/row_store/repeated_call.rs
@@ -44,6 +44,11 @@
         self.failing_since_us.get_or_insert(now_us);
     }
 
+    /// For how long calls have been failing without any answer.
+    pub(crate) fn failing_ms(&self, now_us: u64) -> u64 {
+        self.failing_since_us.map_or(0, |since_us| now_us.saturating_sub(since_us) / US_PER_MS)
+    }
+
     /// Whether a call has failed since the latest answer.
     pub(crate) fn is_failing(&self) -> bool {
         self.failing_since_us.is_some()
