Report waits by pool instead of by queue

Callers whose jobs could only end too late were accepted, since no report reached the daemons, and what was stored with the report was held up: the batch was halved until it held one record.

Cause: the report listed the wait of each queue, though what is waited for is a pool. 207,941 bytes with 7,000 queues; a row holds 65,536.

Change: the report has an entry for each full pool and each priority of jobs that wait there, whatever the number of queues; daemons look it up by the pool and the priority of the job's queue, with a binary search. A report that is still too long for a row leaves out the shortest waits; nobody is refused for what is left out, and admission_report_shortened tells. The row has a new key, so that no version reads the other's format: while versions differ, daemons refuse nothing for waits.

A refused report was never stored, since each batch with it was refused; a report that is not empty is made anew twice a second, so it needs no second attempt. A report that is empty and lost leaves the former one in force until it is 2 s old.

Test, red before (never refused with 429, batches refused by the stand-in): overloaded_organisation_is_refused_however_many_queues_there_are.

--- a/src/control.rs
+++ b/src/control.rs
@@ -11,7 +11,7 @@
 //! | `record` | `sched` | job ID | progress of the job's tasks |
 //! | `phase` | `sched` | sequence version before the transaction | jobs whose phase changed in one transaction, with their origins |
 //! | `phase` | `sched` | `/pending` | number of queued jobs of each queue |
-//! | `phase` | `sched` | `/admission` | how long new jobs would wait; only if there are organisations |
+//! | `phase` | `sched` | `/pool-waits` | how long new jobs would wait in each pool; only if there are organisations. Earlier versions had `/admission`, by queue |
 //! | `wave` | `sched` | wave number | hosts whose maintenance has begun |
 //! | `host` | `sched` | `ordered` | hosts for which an order was sent recently |
 //! | `lead` | `sched` | `owner` | current leader; the row's version is the fencing token |
@@ -81,7 +81,7 @@
 const ORDERED_HOSTS_KEY: &str = "ordered";
 const LEADER_TABLE: &str = "lead";
 const PENDING_COUNTS_KEY: &str = "/pending";
-const ADMISSION_KEY: &str = "/admission";
+const ADMISSION_KEY: &str = "/pool-waits";
 /// Appended to a job's ID in the key of its cancellation request.
 const CANCEL_SUFFIX: &str = "/x";
 /// Number of partitions over which jobs are spread. The store commits about 200 transactions per second in each.
--- a/src/control/admission.rs
+++ b/src/control/admission.rs
@@ -68,7 +68,7 @@
     if report_age_ms > MAX_REPORT_AGE_MS || !has_time_budget(spec) {
         return Ok(());
     }
-    let wait_ms = received.report.wait_ms(&spec.queue.name, spec.organisation.as_ref());
+    let wait_ms = received.report.wait_ms(&spec.queue.pool, spec.queue.priority, spec.organisation.as_ref());
     if wait_ms == 0 {
         return Ok(());
     }
--- a/src/platform/users_platform_standin.rs
+++ b/src/platform/users_platform_standin.rs
@@ -202,6 +202,20 @@
     })
 }
 
+/// The same with `count` further queues.
+fn configuration_with_queues(version: u64, count: usize) -> Value {
+    let mut config = configuration(version);
+    let first = config["routes"][0].clone();
+    let further = (0..count).map(|number| {
+        let mut queue = first.clone();
+        queue["name"] = json!(format!("more-{number}"));
+        queue["pathPrefix"] = json!(format!("/more/{number}/"));
+        queue
+    });
+    config["routes"].as_array_mut().expect("a list").extend(further);
+    config
+}
+
 impl UsersPlatformStandIn {
     /// Starts the services and `worker_count` workers, with one queue `print.example/jobs/`. Each run takes
     /// `run_time_ms`.
@@ -246,9 +260,14 @@
     /// Replaces the configuration by one with a higher `version`, in which `organisations`, given by name and key, share
     /// the fleet. The queue `print.example/open/` needs no key.
     pub fn share_fleet(&self, version: u64, organisations: &[(&str, &str)]) {
+        self.share_fleet_with_queues(version, organisations, 0);
+    }
+
+    /// The same with `queues` further queues, see [`UsersPlatformStandIn::add_queues`].
+    pub fn share_fleet_with_queues(&self, version: u64, organisations: &[(&str, &str)], queues: usize) {
         let tenants: Vec<Value> =
             organisations.iter().map(|(name, key)| json!({ "name": name, "apiKeys": [key], "weight": 4 })).collect();
-        let mut config = configuration(version);
+        let mut config = configuration_with_queues(version, queues);
         let mut open = config["routes"][0].clone();
         open["name"] = json!("open");
         open["pathPrefix"] = json!("/open/");
@@ -261,16 +280,7 @@
     /// Replaces the configuration by one with a higher `version` and `count` further queues, which are
     /// `print.example/more/0/`, `print.example/more/1/` and so on.
     pub fn add_queues(&self, version: u64, count: usize) {
-        let mut config = configuration(version);
-        let first = config["routes"][0].clone();
-        let further = (0..count).map(|number| {
-            let mut queue = first.clone();
-            queue["name"] = json!(format!("more-{number}"));
-            queue["pathPrefix"] = json!(format!("/more/{number}/"));
-            queue
-        });
-        config["routes"].as_array_mut().expect("a list").extend(further);
-        self.put("op", "config", &config);
+        self.put("op", "config", &configuration_with_queues(version, count));
     }
 
     /// Writes a row of another writer, in the partition that workers and operators use.
--- a/src/row_store.rs
+++ b/src/row_store.rs
@@ -14,6 +14,9 @@
 /// third more; the rest is for keys and conditions.
 pub(crate) const MAX_TRANSACTION_BYTES: usize = 500_000;
 
+/// Limit on the values of our rows, in bytes. The store takes somewhat more.
+pub(crate) const MAX_ROW_BYTES: usize = 60_000;
+
 /// Identifies a row in the row store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct RowId {
--- a/src/sched/admission.rs
+++ b/src/sched/admission.rs
@@ -6,7 +6,7 @@
 #[cfg(test)]
 mod admission_tests;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -19,6 +19,9 @@
 /// find no room although some is free on each worker.
 pub(super) const FULL_SHARE: f64 = 0.75;
 
+/// Most bytes that the length of a name and the numbers beside it take in a stored report.
+const MAX_NUMBERS_BYTES: usize = 40;
+
 /// Work of one organisation's jobs that waits in a pool.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Backlog {
@@ -47,18 +50,13 @@
     pub(crate) reserved_share: f64,
 }
 
-/// A queue whose jobs run in a pool.
-#[derive(Debug, Clone, PartialEq)]
-pub(crate) struct QueueInPool {
-    pub(crate) name: Arc<str>,
+/// How long a job that arrives now would wait in a pool, in a queue of this priority or a less urgent one, up to the
+/// priority of the pool's next entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PoolWait {
     pub(crate) pool: Arc<str>,
+    /// Lower values are scheduled first.
     pub(crate) priority: u32,
-}
-
-/// How long a job that arrives now would wait in a queue.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct QueueWait {
-    pub(crate) queue: Arc<str>,
     /// Time until all work within the rate that waits now has started.
     pub(crate) within_rate_ms: u64,
     /// Wait of a job beyond its organisation's rate.
@@ -71,8 +69,8 @@
 /// What daemons need to know to refuse jobs that would wait for too long.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct AdmissionReport {
-    /// Queues in which a job would wait, by name.
-    pub(crate) waits: Vec<QueueWait>,
+    /// Pools in which a job would wait, by name and priority.
+    pub(crate) waits: Vec<PoolWait>,
     /// Organisations that submit beyond their rate, by name.
     pub(crate) beyond_rate: Vec<Arc<str>>,
 }
@@ -82,35 +80,72 @@
         self.waits.is_empty() && self.beyond_rate.is_empty()
     }
 
-    /// How long a job of an organisation would wait in a queue; 0 if the report does not say.
-    pub(crate) fn wait_ms(&self, queue: &str, organisation: Option<&Arc<str>>) -> u64 {
-        let Some(wait) = self.waits.iter().find(|wait| *wait.queue == *queue) else { return 0 };
+    /// How long a job of an organisation would wait in a queue of a pool; 0 if the report does not say.
+    pub(crate) fn wait_ms(&self, pool: &str, priority: u32, organisation: Option<&Arc<str>>) -> u64 {
+        let following = self.waits.partition_point(|wait| (&*wait.pool, wait.priority) <= (pool, priority));
+        let Some(wait) = self.waits[..following].last().filter(|wait| *wait.pool == *pool) else { return 0 };
         let Some(organisation) = organisation else { return wait.within_rate_ms };
-        if self.beyond_rate.contains(organisation) {
+        if self.beyond_rate.binary_search(organisation).is_ok() {
             return wait.beyond_rate_ms;
         }
-        let own = wait.by_organisation.iter().find(|(name, _)| name == organisation);
-        own.map_or(0, |(_, wait_ms)| *wait_ms)
+        let own = wait.by_organisation.binary_search_by(|(name, _)| name.cmp(organisation));
+        own.map_or(0, |position| wait.by_organisation[position].1)
     }
-}
 
-/// Estimates the wait in each queue. Leaves out queues in which a job would not wait, or whose pool is not known.
-pub(crate) fn queue_waits(queues: &[QueueInPool], pools: &BTreeMap<Arc<str>, PoolLoad>) -> Vec<QueueWait> {
-    let mut waits = Vec::new();
-    for queue in queues {
-        let Some(load) = pools.get(&queue.pool) else { continue };
-        let within_rate_ms = wait_ms(load, ShareClass::WithinRate, queue.priority);
-        let wait = QueueWait {
-            queue: queue.name.clone(),
-            within_rate_ms,
-            beyond_rate_ms: wait_ms(load, ShareClass::BeyondRate, queue.priority),
-            by_organisation: waits_by_organisation(load, queue.priority, within_rate_ms),
+    /// Leaves out the shortest waits, and then organisations, until the report takes no more than `max_bytes` in a row. Nobody
+    /// is refused for what is left out. Returns the number of waits that are left out.
+    pub(crate) fn limit_to(&mut self, max_bytes: usize) -> usize {
+        let mut bytes = 0;
+        let mut fits = |name: &str| {
+            bytes += name.len() + MAX_NUMBERS_BYTES;
+            bytes <= max_bytes
         };
-        if wait.within_rate_ms > 0 || wait.beyond_rate_ms > 0 {
-            waits.push(wait);
+        self.beyond_rate.retain(|name| fits(name));
+        let mut by_length: Vec<usize> = (0..self.waits.len()).collect();
+        by_length.sort_by_key(|index| std::cmp::Reverse(self.waits[*index].longest_ms()));
+        let mut left_out = BTreeSet::new();
+        for index in by_length {
+            let wait = &mut self.waits[index];
+            if !fits(&wait.pool) {
+                left_out.insert(index);
+                continue;
+            }
+            wait.by_organisation.retain(|(name, _)| fits(name));
+        }
+        let mut index = 0..;
+        self.waits.retain(|_| index.next().is_some_and(|index| !left_out.contains(&index)));
+        left_out.len()
+    }
+}
+
+impl PoolWait {
+    fn longest_ms(&self) -> u64 {
+        self.within_rate_ms.max(self.beyond_rate_ms)
+    }
+}
+
+/// Estimates the wait in each pool. Leaves out pools in which a job would not wait.
+pub(crate) fn pool_waits(pools: &BTreeMap<Arc<str>, PoolLoad>) -> Vec<PoolWait> {
+    let mut waits: Vec<PoolWait> = Vec::new();
+    for (pool, load) in pools {
+        // Between two priorities of waiting jobs, the wait is the same.
+        let mut priorities: BTreeSet<u32> = load.backlog.iter().map(|backlog| backlog.priority).collect();
+        priorities.insert(0);
+        for priority in priorities {
+            let within_rate_ms = wait_ms(load, ShareClass::WithinRate, priority);
+            let wait = PoolWait {
+                pool: pool.clone(),
+                priority,
+                within_rate_ms,
+                beyond_rate_ms: wait_ms(load, ShareClass::BeyondRate, priority),
+                by_organisation: waits_by_organisation(load, priority, within_rate_ms),
+            };
+            let follows_another = waits.last().is_some_and(|last| last.pool == *pool);
+            if wait.longest_ms() > 0 || follows_another {
+                waits.push(wait);
+            }
         }
     }
-    waits.sort_by(|left, right| left.queue.cmp(&right.queue));
     waits
 }
 
--- a/src/sched/admission_load.rs
+++ b/src/sched/admission_load.rs
@@ -5,11 +5,12 @@
 
 use foldhash::HashMap;
 
-use super::admission::{queue_waits, AdmissionReport, Backlog, PoolLoad, QueueInPool, FULL_SHARE};
+use super::admission::{pool_waits, AdmissionReport, Backlog, PoolLoad, FULL_SHARE};
 use super::job::{DeadlineForecast, Job, ShareClass};
 use super::model::{HostPhase, Queue, Resources};
 use super::scheduler::Scheduler;
 use crate::clock::US_PER_MS;
+use crate::row_store::MAX_ROW_BYTES;
 
 /// Minimum time between two reports.
 const REPORT_INTERVAL_MS: u64 = 500;
@@ -22,6 +23,8 @@
     /// Whether or not the report had changed.
     checked_us: u64,
     reported: AdmissionReport,
+    /// Whether the latest report was too long for a row.
+    is_shortened: bool,
 }
 
 /// Key of a backlog: organisation, class and priority.
@@ -44,7 +47,12 @@
             return None;
         }
         self.admission_reports.checked_us = now_us;
-        let report = self.admission_report(now_us);
+        let mut report = self.admission_report(now_us);
+        let left_out = report.limit_to(MAX_ROW_BYTES);
+        if left_out > 0 && !self.admission_reports.is_shortened {
+            log::warn!("left_out={left_out} waits={} outcome=admission_report_shortened", report.waits.len());
+        }
+        self.admission_reports.is_shortened = left_out > 0;
         if report.is_empty() && self.admission_reports.reported.is_empty() {
             return None;
         }
@@ -68,8 +76,7 @@
                 load.backlog.push(Backlog { organisation, class, priority, work, weight, cap_milli });
             }
         }
-        let queues: Vec<QueueInPool> = self.catalog.queues.iter().map(queue_in_pool).collect();
-        AdmissionReport { waits: queue_waits(&queues, &pools), beyond_rate: self.organisations_beyond_rate(now_us) }
+        AdmissionReport { waits: pool_waits(&pools), beyond_rate: self.organisations_beyond_rate(now_us) }
     }
 
     /// Work that waits in each pool.
@@ -154,10 +161,6 @@
     }
 }
 
-fn queue_in_pool(queue: &Arc<Queue>) -> QueueInPool {
-    QueueInPool { name: queue.name.clone(), pool: queue.pool.clone(), priority: queue.priority }
-}
-
 /// Whether a job's waiting tasks keep others waiting. Jobs whose result has lost its value come after all others.
 fn counts_as_backlog(now_us: u64, job: &Job) -> bool {
     match job.deadline_forecast(now_us) {
--- a/tests/key_tests.rs
+++ b/tests/key_tests.rs
@@ -260,6 +260,25 @@
     assert_eq!(submit(&daemons[0], 100_002, TAMO_KEY).status, 200, "an organisation without waiting jobs");
 }
 
+#[test]
+fn overloaded_organisation_is_refused_however_many_queues_there_are() {
+    // Guards against a report of the overload that outgrows a row: nobody is refused, and other rows are not stored.
+    const QUEUES: usize = 3_000;
+    const LONG: &[u8] = br#"{"spec":"print","steps":[{"count":1,"cpu":8000,"memMb":100,"estimateMs":2000}]}"#;
+    let platform = UsersPlatformStandIn::start(2, 2_000);
+    platform.share_fleet_with_queues(2, &[("kora", KORA_KEY)], QUEUES);
+    let daemon = start_daemon("many-queues", &platform);
+    let headers = [("host", "print.example"), ("authorization", &*format!("Bearer {KORA_KEY}"))];
+
+    let mut number = 0;
+    eventually("the organisation is refused", || {
+        number += 1;
+        http("POST", &daemon.url(&format!("jobs/{number:016x}")), &headers, LONG).status == 429
+    });
+
+    assert_eq!(platform.refused_call_count(), 0);
+}
+
 #[test]
 fn command_line_sends_the_key_from_its_environment_and_explains_a_refusal() {
     let platform = UsersPlatformStandIn::start(2, 100);
