Begin a page of rows after the last key that was read

A daemon that starts, or whose history is gone, never got a configuration again if it has more than 1 MB and there is a wave: it reported that it is not ready for good.

Cause: the configuration fills a page alone. The next page was requested from its key, so it held nothing else either, which counts as an error: "the page from key Some("config") has no further row, but more follow".

Change: the next page begins at the least key after the last one, with a NUL appended. Only after a key of the greatest length, which the store would refuse to see extended, the row is read again as before. That also saves the second transfer of the configuration.

Test, red before (60 s without the queue): daemon_that_starts_beside_a_configuration_larger_than_a_page_and_a_wave_is_configured.

--- a/src/platform/platform_tests.rs
+++ b/src/platform/platform_tests.rs
@@ -6,7 +6,7 @@
 
 use super::http_client::path_with_query;
 use super::job_api::{decode_job, is_job_id, InvalidJob};
-use super::row_store::{append_page, wave_status_transaction};
+use super::row_store::{append_page, following_key, wave_status_transaction};
 use super::settings::parse;
 use super::workers::{decode_hold_response, decode_worker_entry};
 use super::{operator, task_names};
@@ -415,3 +415,12 @@
     assert_eq!(wave_status_transaction(7, false, Some(&completed)), None, "completed is final");
     assert_eq!(wave_status_transaction(7, true, Some(&completed)), None);
 }
+
+#[test]
+fn page_begins_at_the_least_key_after_the_last_one_unless_that_would_be_too_long() {
+    // Guards against a page that holds nothing but the row that ended the page before.
+    let longest = "k".repeat(200);
+
+    assert_eq!(following_key("config"), "config\0");
+    assert_eq!(following_key(&longest), longest);
+}
--- a/src/platform/row_store.rs
+++ b/src/platform/row_store.rs
@@ -21,6 +21,7 @@
     RowId, RowPage, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction, StoredRow, ABSENT_ROW_VERSION,
 };
 
+const MAX_KEY_BYTES: usize = 200;
 /// The only partition of the tables that operators and workers use.
 const SHARED_PARTITION: &str = "";
 /// Configuration and maintenance waves, written by operators.
@@ -166,8 +167,7 @@
         const PAGE_ROWS: u32 = 500;
         let mut page = self.read_page(table, partition, "", PAGE_ROWS).await?;
         while page.has_more {
-            // The last row is read again: a longer key than the last one may exceed the store's limit.
-            let from = page.rows.last().map_or_else(|| "".into(), |row| row.id.key.clone());
+            let from = page.rows.last().map_or_else(String::new, |row| following_key(&row.id.key));
             let more = self.read_page(table, partition, &from, PAGE_ROWS).await?;
             append_page(&mut page, more)?;
         }
@@ -410,6 +410,16 @@
     Some(RowStoreTransaction { expected: vec![(id.clone(), version)], writes: vec![(id, value)], removals: Vec::new() })
 }
 
+/// The least key after this one. A key of the greatest length is returned as it is, since a longer one exceeds the store's
+/// limit: its row is read again.
+pub(super) fn following_key(key: &str) -> String {
+    let mut following = key.to_owned();
+    if key.len() < MAX_KEY_BYTES {
+        following.push('\0');
+    }
+    following
+}
+
 /// Appends the page that follows, whose first row may be the last one read before.
 ///
 /// # Errors
--- a/tests/narrow_link_tests.rs
+++ b/tests/narrow_link_tests.rs
@@ -43,6 +43,19 @@
     daemon.wait_for_state("00000000000000e2", "completed");
 }
 
+#[test]
+fn daemon_that_starts_beside_a_configuration_larger_than_a_page_and_a_wave_is_configured() {
+    // Guards against a page that holds nothing but the row that ended the page before.
+    const MANY_QUEUES: usize = 8_000;
+    let platform = UsersPlatformStandIn::start(1, RUN_MS);
+    platform.add_queues(2, MANY_QUEUES);
+    platform.put_row("op", "wave/1", br#"{"wave":1,"machines":["m0"],"durationS":20,"cap":1}"#);
+
+    let daemon = start_daemon("large-page", 1, &platform, 0);
+
+    eventually("the last queue is there", || has_queue(&daemon, MANY_QUEUES - 1));
+}
+
 #[test]
 fn each_configuration_comes_into_force_although_the_next_one_is_written_while_it_arrives() {
     // Guards against a daemon that never catches up because it begins anew with each version.
