Repeat a large transaction as often as a small one to a store that is silent

The first 64 KB of a request are taken by the socket whatever the store does, and counted as progress: after an outage, a transaction of 4 KB or more was sent again after 300, 900 and 2,100 ms instead of every 300 ms, so that a store that was back was reached later.

The pauses now double only after progress that an attempt has made some time after it was sent. Test, red before ([0, 301, 901] ms): large_request_that_only_fills_the_socket_is_repeated_as_often_as_a_small_one.

--- a/src/row_store/repeated_call.rs
+++ b/src/row_store/repeated_call.rs
@@ -89,8 +89,9 @@
     deadline_us: u64,
     next_attempt_us: u64,
     repeat_delay_us: u64,
-    /// Whether an attempt has made progress.
-    has_progress: bool,
+    latest_attempt_us: u64,
+    /// Whether an attempt has made progress some time after it was sent.
+    is_transferring: bool,
     in_flight: u32,
     /// Whether an attempt may have taken effect without an answer.
     is_unknown: bool,
@@ -104,7 +105,8 @@
             deadline_us: now_us + wait_us + CALL_TIMEOUT_US,
             next_attempt_us: now_us + wait_us + repeat_delay_us,
             repeat_delay_us,
-            has_progress: false,
+            latest_attempt_us: now_us,
+            is_transferring: false,
             in_flight: 1,
             is_unknown: false,
         }
@@ -114,9 +116,10 @@
     /// last made progress, if any has.
     pub(crate) fn on_overdue(&mut self, now_us: u64, progressed_us: Option<u64>) -> Overdue {
         if let Some(progressed_us) = progressed_us {
-            self.has_progress = true;
             self.deadline_us = self.deadline_us.max(progressed_us + CALL_TIMEOUT_US);
             let overdue_us = progressed_us + self.repeat_delay_us;
+            // The first bytes of a request are taken by the socket, also if nothing answers.
+            self.is_transferring |= progressed_us > self.latest_attempt_us + self.repeat_delay_us / 2;
             if overdue_us > now_us {
                 self.next_attempt_us = overdue_us;
                 return Overdue::InProgress;
@@ -141,10 +144,11 @@
             self.next_attempt_us = now_us + self.repeat_delay_us;
             return None;
         }
-        if self.has_progress {
+        if self.is_transferring {
             // Attempts whose answers arrive share the link. The pauses grow, so that attempts stay few.
             self.repeat_delay_us *= 2;
         }
+        self.latest_attempt_us = now_us;
         self.next_attempt_us = now_us + self.repeat_delay_us;
         self.in_flight += 1;
         Some(left_us)
--- a/src/row_store/repeated_call_tests.rs
+++ b/src/row_store/repeated_call_tests.rs
@@ -93,15 +93,16 @@
     assert!(health.is_reachable(1_250 * MS_US));
 }
 
-/// Plays a call whose attempts make progress at the times that `progressed_us` tells for a moment. Returns when its
-/// attempts are sent, and at which of the times when its answer was overdue the store counted as unreachable.
-fn play_call(end_us: u64, progressed_us: impl Fn(u64) -> Option<u64>) -> (Vec<u64>, Vec<u64>) {
+/// Plays a call. `progressed_us` tells for a moment, and for when the latest attempt was sent, when an attempt last made
+/// progress. Returns when the attempts are sent, and at which of the times when the answer was overdue the store counted as
+/// unreachable.
+fn play_call(end_us: u64, progressed_us: impl Fn(u64, u64) -> u64) -> (Vec<u64>, Vec<u64>) {
     let mut health = healthy_store(4);
     let mut call = RepeatedCall::new(0, 0, health.repeat_delay_us());
     let (mut sent_us, mut unreachable_us) = (vec![0], Vec::new());
     while call.next_attempt_us() < end_us {
         let now_us = call.next_attempt_us();
-        let overdue = call.on_overdue(now_us, progressed_us(now_us));
+        let overdue = call.on_overdue(now_us, Some(progressed_us(now_us, sent_us[sent_us.len() - 1])));
         match overdue {
             Overdue::InProgress => health.record_answer(),
             Overdue::Repeat { .. } | Overdue::TooLate => health.record_failure(now_us),
@@ -120,7 +121,7 @@
 fn call_is_not_repeated_while_its_answer_arrives() {
     // Guards against attempts that share a narrow link until none of them can end, and against a store that counts as
     // unreachable while it answers.
-    let arriving = |now_us: u64| Some(now_us - 40 * MS_US);
+    let arriving = |now_us: u64, _| now_us - 40 * MS_US;
 
     let (sent_us, unreachable_us) = play_call(8_000 * MS_US, arriving);
 
@@ -131,7 +132,7 @@
 fn answer_that_stops_arriving_is_noticed_after_the_repeat_delay() {
     // Guards against a silent connection that is trusted for longer because it has carried a part of the answer.
     let last_byte_us = 3_950 * MS_US;
-    let stops = |now_us: u64| Some(last_byte_us.min(now_us - 40 * MS_US));
+    let stops = |now_us: u64, _| last_byte_us.min(now_us - 40 * MS_US);
 
     let (sent_us, unreachable_us) = play_call(8_000 * MS_US, stops);
 
@@ -143,9 +144,20 @@
 #[test]
 fn attempts_stay_few_while_an_answer_arrives_in_bursts() {
     // Guards against attempts that slow each other down on a link that loses packets.
-    let bursts = |now_us: u64| Some(now_us - now_us % (500 * MS_US));
+    let bursts = |now_us: u64, _| now_us - now_us % (500 * MS_US);
 
     let (sent_us, _) = play_call(20_000 * MS_US, bursts);
 
     assert!(sent_us.len() <= 3, "{sent_us:?}");
 }
+
+#[test]
+fn large_request_that_only_fills_the_socket_is_repeated_as_often_as_a_small_one() {
+    // Guards against a store that is back after an outage and is reached later by large transactions.
+    let fills_the_socket = |_, attempt_us: u64| attempt_us + MS_US;
+
+    let (sent_us, _) = play_call(CALL_TIMEOUT_US, fills_the_socket);
+
+    assert!(sent_us.windows(2).all(|pair| pair[1] - pair[0] <= REPEAT_DELAY_US + 2 * MS_US), "{sent_us:?}");
+    assert!(sent_us.len() >= 4, "{sent_us:?}");
+}
