--- a/src/platform/row_store.rs
+++ b/src/platform/row_store.rs
@@ -1,15 +1,16 @@
 //! Client of the row store of the users' platform. [`crate::row_store`] defines the types of its interface.
 
+mod messages;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use base64::engine::general_purpose::STANDARD;
-use base64::Engine;
 use bytes::Bytes;
 use futures::stream::{FuturesUnordered, StreamExt};
-use serde::{Deserialize, Serialize};
+
+use messages::{decode, decode_page, decode_row, encode_transaction, PartsBody, RowsBody};
 
 use super::http_client::{path_with_query, HttpCall, HttpClient, HttpResponse};
 use crate::boot_clock::BootClock;
@@ -33,71 +34,6 @@
 const CONFIG_KEY: &str = "config";
 const WAVE_PREFIX: &str = "wave/";
 
-#[derive(Serialize)]
-struct ExpectedRow<'a> {
-    table: &'a str,
-    part: &'a str,
-    key: &'a str,
-    ver: u64,
-}
-
-#[derive(Serialize)]
-struct NewRow<'a> {
-    table: &'a str,
-    part: &'a str,
-    key: &'a str,
-    value: String,
-}
-
-#[derive(Serialize)]
-struct RemovedRow<'a> {
-    table: &'a str,
-    part: &'a str,
-    key: &'a str,
-}
-
-#[derive(Serialize)]
-#[serde(rename_all = "camelCase")]
-struct TransactionBody<'a> {
-    expected_rev: Vec<ExpectedRow<'a>>,
-    upserts: Vec<NewRow<'a>>,
-    remove: Vec<RemovedRow<'a>>,
-}
-
-#[derive(Deserialize)]
-struct WireRow {
-    table: String,
-    #[serde(default)]
-    part: String,
-    key: String,
-    #[serde(default)]
-    value: Option<String>,
-    #[serde(default)]
-    ver: u64,
-    #[serde(default)]
-    tombstone: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct RowsBody {
-    #[serde(default)]
-    rows: Vec<WireRow>,
-    #[serde(default)]
-    more_pages: bool,
-    #[serde(default)]
-    ver: u64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct PartsBody {
-    #[serde(default)]
-    parts: Vec<String>,
-    #[serde(default)]
-    more_pages: bool,
-}
-
 /// Kind of a row in the operators' table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum OperatorRowKind {
@@ -458,37 +394,3 @@
     }
     OperatorRowKind::Other
 }
-
-fn encode_transaction(transaction: &RowStoreTransaction) -> Bytes {
-    let mut body = TransactionBody { expected_rev: Vec::new(), upserts: Vec::new(), remove: Vec::new() };
-    for (id, version) in &transaction.expected {
-        body.expected_rev.push(ExpectedRow { table: &id.table, part: &id.partition, key: &id.key, ver: *version });
-    }
-    for (id, value) in &transaction.writes {
-        let value = STANDARD.encode(value);
-        body.upserts.push(NewRow { table: &id.table, part: &id.partition, key: &id.key, value });
-    }
-    for id in &transaction.removals {
-        body.remove.push(RemovedRow { table: &id.table, part: &id.partition, key: &id.key });
-    }
-    // Serializing a struct of strings and numbers cannot fail.
-    serde_json::to_vec(&body).unwrap_or_default().into()
-}
-
-fn decode<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, RowStoreError> {
-    serde_json::from_slice(body).map_err(|error| RowStoreError::Protocol(error.to_string()))
-}
-
-fn decode_page(response: &HttpResponse) -> Result<RowPage, RowStoreError> {
-    let body: RowsBody = decode(&response.body)?;
-    let rows = body.rows.into_iter().map(decode_row).collect();
-    Ok(RowPage { rows, has_more: body.more_pages, version: body.ver })
-}
-
-fn decode_row(row: WireRow) -> StoredRow {
-    let value = match row.value {
-        Some(text) if !row.tombstone => STANDARD.decode(text).ok(),
-        _ => None,
-    };
-    StoredRow { id: RowId::new(&row.table, &row.part, &row.key), version: row.ver, value }
-}
--- a/src/platform/users_platform_standin.rs
+++ b/src/platform/users_platform_standin.rs
@@ -4,6 +4,7 @@
 //! It serves the row store, the workers and an empty host provider over HTTP on loopback. Its workers check the
 //! orders that they receive and record violations, such as a task that runs twice at the same time.
 
+mod http;
 mod store;
 #[cfg(test)]
 mod store_tests;
@@ -13,20 +14,19 @@
 mod worker_tests;
 
 use std::collections::{HashMap, HashSet};
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use jiff::Timestamp;
-use percent_encoding::percent_decode_str;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
 
+use http::{serve_connection, Delivery, Request};
 use store::RowStore;
-use worker::{Response, Worker, MAX_LEASE_MS, STOP_GRACE_MS};
+use worker::{Worker, MAX_LEASE_MS, STOP_GRACE_MS};
 
 pub use worker_faults::WorkerRestart;
 
@@ -110,21 +110,6 @@
     Stalled,
 }
 
-/// How an answer is delivered.
-enum Delivery {
-    Whole(u16, Value),
-    /// One half of it. The connection stays open until the client closes it.
-    Stalled(u16, Value),
-    /// Not at all: the connection is closed.
-    None,
-}
-
-impl From<Response> for Delivery {
-    fn from(response: Response) -> Delivery {
-        response.map_or(Delivery::None, |(status, body)| Delivery::Whole(status, body))
-    }
-}
-
 impl State {
     /// Counts a call to the row store, and returns the fault that it meets and the time that its answer takes.
     fn admit_store_call(&mut self, path: &str) -> (Option<StoreFault>, u64) {
@@ -169,24 +154,6 @@
     }
 }
 
-#[derive(Clone)]
-struct Request {
-    /// ID of the worker that the request is for.
-    expected_instance: Option<String>,
-    method: String,
-    path: String,
-    query: HashMap<String, String>,
-    body: Value,
-    body_bytes: usize,
-}
-
-impl Request {
-    /// A number in the query; 0 if there is none.
-    fn number(&self, name: &str) -> u64 {
-        self.query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0)
-    }
-}
-
 /// Time of day in UTC, as in the daemons' logs.
 fn time_of_day() -> String {
     Timestamp::now().strftime("%H:%M:%S%.3f").to_string()
@@ -450,61 +417,3 @@
         }
     }
 }
-
-/// Serves requests until one gets no whole response.
-fn serve_connection(stream: &TcpStream, handler: impl Fn(&Request) -> Delivery) {
-    let mut stream = stream;
-    let _ = stream.set_nodelay(true);
-    while let Some(request) = read_request(&mut stream) {
-        match handler(&request) {
-            Delivery::None => return,
-            Delivery::Stalled(status, body) => {
-                let response = encode_response(status, &body);
-                let _ = stream.write_all(&response[..response.len() / 2]);
-                // Returns once the client has closed the connection.
-                let _ = stream.read(&mut [0]);
-                return;
-            }
-            Delivery::Whole(status, body) => {
-                if stream.write_all(&encode_response(status, &body)).is_err() {
-                    return;
-                }
-            }
-        }
-    }
-}
-
-fn encode_response(status: u16, body: &Value) -> Vec<u8> {
-    let body = body.to_string();
-    let length = body.len();
-    format!("HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}")
-        .into_bytes()
-}
-
-fn read_request(stream: &mut impl Read) -> Option<Request> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte).ok()?;
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&head).into_owned();
-    let header = |name: &str| {
-        let mut fields = head.lines().filter_map(|line| line.split_once(':'));
-        fields.find(|(field, _)| field.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim().to_owned())
-    };
-    let length = header("content-length").and_then(|length| length.parse().ok());
-    let expected_instance = header("x-expect-instance");
-    let mut body = vec![0; length.unwrap_or(0)];
-    stream.read_exact(&mut body).ok()?;
-    let mut words = head.split(' ');
-    let method = words.next()?.to_owned();
-    let target = words.next()?;
-    let (path, query) = target.split_once('?').unwrap_or((target, ""));
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let decode = |text: &str| percent_decode_str(text).decode_utf8_lossy().into_owned();
-    let query = pairs.map(|(name, value)| (decode(name), decode(value))).collect();
-    let body_bytes = body.len();
-    let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
-    Some(Request { expected_instance, method, path: path.to_owned(), query, body, body_bytes })
-}
