Store the numbers of queued jobs in several rows if they outgrow one

The leader stores how many jobs of each queue are queued, in one row. Some 4,000 queues with queued jobs at the same time fill it; the store would refuse every transaction that holds it, as with the report about waits.

The numbers are split by size. The first row tells how many rows count, so that rows that are left over from a time with more queues do not. A single row is the same as before, and earlier versions read further rows as empty lists of phases.

--- a/src/control.rs
+++ b/src/control.rs
@@ -10,7 +10,8 @@
 //! | `over` | `j0` to `j7`, by job ID | job ID | final phase of a job whose submission was removed, or that was cancelled before it was submitted, with its origin |
 //! | `record` | `sched` | job ID | progress of the job's tasks |
 //! | `phase` | `sched` | sequence version before the transaction | jobs whose phase changed in one transaction, with their origins |
-//! | `phase` | `sched` | `/pending` | number of queued jobs of each queue |
+//! | `phase` | `sched` | `/pending` | number of queued jobs of each queue, and the number of rows if there are several |
+//! | `phase` | `sched` | `/pending/1` and so on | the same for further queues |
 //! | `phase` | `sched` | `/pool-waits` | how long new jobs would wait in each pool; only if there are organisations. Earlier versions had `/admission`, by queue |
 //! | `wave` | `sched` | wave number | hosts whose maintenance has begun |
 //! | `host` | `sched` | `ordered` | hosts for which an order was sent recently |
@@ -220,6 +221,23 @@
     format!("j{}", digit % JOB_PARTITIONS)
 }
 
+/// Key of a part of the numbers of queued jobs, which are counted from 0.
+fn pending_counts_key(part: usize) -> String {
+    match part {
+        0 => PENDING_COUNTS_KEY.to_owned(),
+        _ => format!("{PENDING_COUNTS_KEY}/{part}"),
+    }
+}
+
+/// Part of the numbers of queued jobs that a row holds, if it does.
+fn pending_counts_part(key: &str) -> Option<usize> {
+    let suffix = key.strip_prefix(PENDING_COUNTS_KEY)?;
+    if suffix.is_empty() {
+        return Some(0);
+    }
+    suffix.strip_prefix('/')?.parse().ok()
+}
+
 /// Runs the daemon until SIGTERM or SIGINT, then finishes requests in progress within the shutdown grace period.
 ///
 /// # Errors
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -10,10 +10,12 @@
 
 use super::admission::ReceivedReport;
 use super::feed_health::FeedHealth;
-use super::{ControlDaemon, ADMISSION_KEY, LEADER_PARTITION, PENDING_COUNTS_KEY, PHASE_TABLE};
+use super::{pending_counts_part, ControlDaemon, ADMISSION_KEY, LEADER_PARTITION, PHASE_TABLE};
 use crate::row_store::{RowStoreError, StoredRow};
 use crate::sched::model::{JobId, JobOrigin, JobPhase, ReportedPhase};
-use crate::sched::record::{decode_admission, decode_pending_counts, decode_published_phases};
+use crate::sched::record::{
+    decode_admission, decode_further_pending_counts, decode_pending_counts, decode_published_phases, RecordError,
+};
 
 /// Time for which the store holds a request for changes while there are none.
 const LONG_POLL_MS: u64 = 1_000;
@@ -29,6 +31,34 @@
     pub(super) origin: Option<Arc<JobOrigin>>,
 }
 
+/// Number of queued jobs of each queue, in as many parts as there are rows.
+#[derive(Debug, Default)]
+struct PendingCounts {
+    /// Parts that are in use. Rows of further ones may be left over.
+    count: usize,
+    parts: HashMap<usize, HashMap<Arc<str>, u64>>,
+}
+
+impl PendingCounts {
+    /// Reads the row of a part. The first one tells how many there are.
+    fn read(&mut self, part: usize, row: &[u8]) -> Result<(), RecordError> {
+        let counts = if part == 0 {
+            let (counts, count) = decode_pending_counts(row)?;
+            self.count = count;
+            counts
+        } else {
+            decode_further_pending_counts(row)?
+        };
+        self.parts.insert(part, counts.into_iter().collect());
+        Ok(())
+    }
+
+    fn get(&self, queue: &str) -> u64 {
+        let in_use = self.parts.iter().filter(|(part, _)| **part < self.count);
+        in_use.filter_map(|(_, counts)| counts.get(queue)).next().copied().unwrap_or(0)
+    }
+}
+
 /// Phases of jobs and numbers of queued jobs, as the leader has stored them.
 #[derive(Debug, Default)]
 pub(super) struct StatusView {
@@ -36,8 +66,7 @@
     jobs: HashMap<JobId, KnownJob>,
     /// The origins of all jobs, each held once.
     origins: HashSet<Arc<JobOrigin>>,
-    /// Number of queued jobs of each queue.
-    pending_counts: HashMap<Arc<str>, u64>,
+    pending_counts: PendingCounts,
     /// How long new jobs would wait, if the leader has reported it.
     admission: Option<ReceivedReport>,
 }
@@ -66,7 +95,7 @@
 
     /// Number of queued jobs of a queue.
     pub(super) fn pending_count(&self, queue: &str) -> u64 {
-        self.pending_counts.get(queue).copied().unwrap_or(0)
+        self.pending_counts.get(queue)
     }
 
     pub(super) fn admission(&self) -> Option<&ReceivedReport> {
@@ -89,10 +118,9 @@
             }
             return;
         }
-        if &*row.id.key == PENDING_COUNTS_KEY {
-            match decode_pending_counts(value) {
-                Ok(pending_counts) => self.pending_counts = pending_counts.into_iter().collect(),
-                Err(error) => log::warn!("error={error} outcome=pending_counts_unreadable"),
+        if let Some(part) = pending_counts_part(&row.id.key) {
+            if let Err(error) = self.pending_counts.read(part, value) {
+                log::warn!("key={} error={error} outcome=pending_counts_unreadable", row.id.key);
             }
             return;
         }
--- a/src/control/status/status_tests.rs
+++ b/src/control/status/status_tests.rs
@@ -1,11 +1,16 @@
 //! Tests of what a daemon learns of jobs from the rows that the leader writes.
 
+use std::sync::Arc;
+
 use super::StatusView;
-use crate::control::{ADMISSION_KEY, LEADER_PARTITION, PHASE_TABLE};
-use crate::row_store::{RowId, StoredRow};
+use crate::control::{pending_counts_key, ADMISSION_KEY, LEADER_PARTITION, PHASE_TABLE};
+use crate::row_store::{RowId, StoredRow, MAX_ROW_BYTES};
 use crate::sched::admission::{AdmissionReport, PoolWait};
 use crate::sched::model::{JobOrigin, JobPhase, ReportedPhase};
-use crate::sched::record::{encode_admission, encode_published_phases};
+use crate::sched::record::{
+    encode_admission, encode_further_pending_counts, encode_pending_counts, encode_published_phases,
+    split_pending_counts,
+};
 
 const JOB: &str = "00000000000000a1";
 
@@ -75,3 +80,47 @@
     let received = status.admission().expect("a report");
     assert_eq!((received.report.wait_ms("press", 0, None), received.written_after_us), (700, 2_000));
 }
+
+/// Rows with the numbers of queued jobs, `1 + number` in each queue.
+fn pending_rows(queues: u64) -> Vec<StoredRow> {
+    let counts: Vec<(Arc<str>, u64)> =
+        (0..queues).map(|number| (format!("queue-with-a-long-name-{number:06}").into(), 1 + number)).collect();
+    let parts = split_pending_counts(&counts);
+    let row = |(index, part): (usize, &&[(Arc<str>, u64)])| {
+        let value = match index {
+            0 => encode_pending_counts(part, parts.len()),
+            _ => encode_further_pending_counts(part),
+        };
+        let id = RowId::new(PHASE_TABLE, LEADER_PARTITION, &pending_counts_key(index));
+        StoredRow { id, version: 1, value: Some(value) }
+    };
+    parts.iter().enumerate().map(row).collect()
+}
+
+#[test]
+fn numbers_of_queued_jobs_are_known_however_many_queues_have_some() {
+    // Guards against counts that outgrow a row: the store would refuse every transaction that holds them.
+    let mut status = StatusView::default();
+    let rows = pending_rows(10_000);
+
+    status.apply_rows(&rows, 0);
+
+    assert!(rows.len() > 1);
+    assert!(rows.iter().all(|row| row.value.as_ref().is_some_and(|value| value.len() <= MAX_ROW_BYTES)));
+    for number in [0, 1, 4_000, 9_999] {
+        assert_eq!(status.pending_count(&format!("queue-with-a-long-name-{number:06}")), 1 + number);
+    }
+}
+
+#[test]
+fn rows_that_are_left_over_from_more_queues_do_not_count() {
+    let mut status = StatusView::default();
+    status.apply_rows(&pending_rows(10_000), 0);
+
+    status.apply_rows(&pending_rows(2), 0);
+    assert_eq!(status.pending_count("queue-with-a-long-name-000001"), 2);
+    assert_eq!(status.pending_count("queue-with-a-long-name-009999"), 0);
+
+    status.apply_rows(&pending_rows(0), 0);
+    assert_eq!(status.pending_count("queue-with-a-long-name-000001"), 0);
+}
--- a/src/control/writer.rs
+++ b/src/control/writer.rs
@@ -6,13 +6,16 @@
 use super::leader::Leader;
 use super::term::{conflict_cause, renewal_transaction, ConflictCause, TransactionId};
 use super::{
-    ADMISSION_KEY, HOST_TABLE, LEADER_PARTITION, ORDERED_HOSTS_KEY, PENDING_COUNTS_KEY, PHASE_TABLE, RECORD_TABLE,
+    pending_counts_key, ADMISSION_KEY, HOST_TABLE, LEADER_PARTITION, ORDERED_HOSTS_KEY, PHASE_TABLE, RECORD_TABLE,
     WAVE_TABLE,
 };
 use crate::clock::{US_PER_MS, US_PER_S};
 use crate::row_store::{RowId, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction};
 use crate::sched::action::Batch;
-use crate::sched::record::{encode_admission, encode_hosts, encode_pending_counts, encode_published_phases};
+use crate::sched::record::{
+    encode_admission, encode_further_pending_counts, encode_hosts, encode_pending_counts, encode_published_phases,
+    split_pending_counts,
+};
 
 /// Minimum time between the starts of two transactions, so that several changes share one.
 const MIN_COMMIT_INTERVAL_MS: u64 = 12;
@@ -163,8 +166,15 @@
         transaction.writes.push((row_id, encode_hosts(hosts)));
     }
     if let Some(pending_counts) = &batch.pending_counts {
-        let row_id = RowId::new(PHASE_TABLE, LEADER_PARTITION, PENDING_COUNTS_KEY);
-        transaction.writes.push((row_id, encode_pending_counts(pending_counts)));
+        let parts = split_pending_counts(pending_counts);
+        for (index, part) in parts.iter().enumerate() {
+            let row_id = RowId::new(PHASE_TABLE, LEADER_PARTITION, &pending_counts_key(index));
+            let row = match index {
+                0 => encode_pending_counts(part, parts.len()),
+                _ => encode_further_pending_counts(part),
+            };
+            transaction.writes.push((row_id, row));
+        }
     }
     if let Some(report) = &batch.admission {
         let row_id = RowId::new(PHASE_TABLE, LEADER_PARTITION, ADMISSION_KEY);
--- a/src/sched/batches.rs
+++ b/src/sched/batches.rs
@@ -9,7 +9,7 @@
 use super::action::Batch;
 use super::dirty_jobs::Waiting;
 use super::model::{JobId, JobPhase, ReportedPhase, TaskRef};
-use super::record::encode_job;
+use super::record::{encode_job, split_pending_counts};
 use super::refused_batches::MAX_BATCH_RECORDS;
 use super::scheduler::Scheduler;
 use super::work_counts::Work;
@@ -119,23 +119,32 @@
         let free_slots = MAX_BATCH_RECORDS - batch.records.len();
         let removable_count = self.records_to_remove.len().min(free_slots);
         batch.removed_records = self.records_to_remove.drain(..removable_count).collect();
+        // Entries that neither records nor the rows that every transaction may have are going to use.
+        let free_entries = MAX_BATCH_RECORDS - batch.records.len() - batch.removed_records.len();
+        let mut further_rows = 0;
         if self.is_pending_report_due(now_us) {
-            self.is_pending_report_stale = false;
-            self.pending_counts_checked_us = now_us;
             let pending_counts = self.pending_counts();
-            if pending_counts != self.reported_pending_counts {
-                self.reported_pending_counts.clone_from(&pending_counts);
-                batch.pending_counts = Some(pending_counts);
+            self.pending_counts_checked_us = now_us;
+            further_rows = split_pending_counts(&pending_counts).len() - 1;
+            if further_rows <= free_entries {
+                self.take_pending_counts(pending_counts, batch);
             }
         }
-        // A full transaction has no entry left for it.
-        if batch.records.len() + batch.removed_records.len() < MAX_BATCH_RECORDS {
+        if further_rows < free_entries {
             batch.admission = self.take_admission_report(now_us);
         }
         batch.waves = self.waves.take_changed();
         (batch.ordered_hosts, batch.host_orders) = self.host_orders.take(now_us);
     }
 
+    fn take_pending_counts(&mut self, pending_counts: Vec<(Arc<str>, u64)>, batch: &mut Batch) {
+        self.is_pending_report_stale = false;
+        if pending_counts != self.reported_pending_counts {
+            self.reported_pending_counts.clone_from(&pending_counts);
+            batch.pending_counts = Some(pending_counts);
+        }
+    }
+
     /// Forgets the ended runs of a worker up to its stored cursor.
     fn ends_stored(&mut self, id: &Arc<str>) {
         let Some(worker) = self.workers.get_mut(id) else {
--- a/src/sched/record.rs
+++ b/src/sched/record.rs
@@ -11,6 +11,7 @@
 use super::packed_row::{pack, unpack};
 use super::task_runs::PlacedRun;
 use super::worker_loss::{Blame, WorkerLoss};
+use crate::row_store::MAX_ROW_BYTES;
 
 /// A stored row that cannot be decoded.
 #[derive(Debug, thiserror::Error)]
@@ -202,27 +203,76 @@
     Ok(phases)
 }
 
-/// Encodes the number of queued jobs of each queue.
-pub(crate) fn encode_pending_counts(counts: &[(Arc<str>, u64)]) -> Vec<u8> {
-    encode(&counts)
+/// Queues and their numbers of queued jobs.
+type QueueCounts = Vec<(Arc<str>, u64)>;
+
+/// Most bytes of a queue with its number of queued jobs, in addition to its name.
+const MAX_COUNT_BYTES: usize = 20;
+
+/// Splits the numbers of queued jobs into parts that each fit into a row; at least one part.
+pub(crate) fn split_pending_counts(counts: &[(Arc<str>, u64)]) -> Vec<&[(Arc<str>, u64)]> {
+    let mut parts = Vec::new();
+    let (mut start, mut bytes) = (0, 0);
+    for (index, (queue, _)) in counts.iter().enumerate() {
+        bytes += queue.len() + MAX_COUNT_BYTES;
+        if bytes > MAX_ROW_BYTES && index > start {
+            parts.push(&counts[start..index]);
+            (start, bytes) = (index, queue.len() + MAX_COUNT_BYTES);
+        }
+    }
+    parts.push(&counts[start..]);
+    parts
 }
 
-/// Decodes the number of queued jobs of each queue.
-pub(crate) fn decode_pending_counts(bytes: &[u8]) -> Result<Vec<(Arc<str>, u64)>, RecordError> {
-    decode(bytes)
+/// Encodes the first part of the numbers of queued jobs. The number of parts follows only if there are several, see
+/// [`encode_spec`].
+pub(crate) fn encode_pending_counts(first: &[(Arc<str>, u64)], parts: usize) -> Vec<u8> {
+    let mut row = encode(&first);
+    if parts > 1 {
+        row.extend(encode(&parts));
+    }
+    row
+}
+
+/// Decodes the first part of the numbers of queued jobs, and the number of parts.
+pub(crate) fn decode_pending_counts(bytes: &[u8]) -> Result<(QueueCounts, usize), RecordError> {
+    let (counts, read) = decode_prefix(bytes)?;
+    if read == bytes.len() {
+        return Ok((counts, 1));
+    }
+    Ok((counts, decode(&bytes[read..])?))
+}
+
+/// Encodes a further part of the numbers of queued jobs.
+pub(crate) fn encode_further_pending_counts(counts: &[(Arc<str>, u64)]) -> Vec<u8> {
+    encode_beside_phases(&counts)
 }
 
-/// Encodes a report about waits. An empty list of phases comes first, because daemons of earlier versions read each row
-/// of its table as phases.
+/// Decodes a further part of the numbers of queued jobs.
+pub(crate) fn decode_further_pending_counts(bytes: &[u8]) -> Result<QueueCounts, RecordError> {
+    decode_beside_phases(bytes)
+}
+
+/// Encodes a report about waits.
 pub(crate) fn encode_admission(report: &AdmissionReport) -> Vec<u8> {
+    encode_beside_phases(report)
+}
+
+/// Decodes a report about waits.
+pub(crate) fn decode_admission(bytes: &[u8]) -> Result<AdmissionReport, RecordError> {
+    decode_beside_phases(bytes)
+}
+
+/// Encodes a row of the table of phases that is of another kind. An empty list of phases comes first, because daemons of
+/// earlier versions read each row of the table as phases.
+fn encode_beside_phases<T: Serialize>(value: &T) -> Vec<u8> {
     let no_phases: [(JobId, JobPhase); 0] = [];
     let mut row = encode(&no_phases.as_slice());
-    row.extend(encode(report));
+    row.extend(encode(value));
     row
 }
 
-/// Decodes a report about waits.
-pub(crate) fn decode_admission(bytes: &[u8]) -> Result<AdmissionReport, RecordError> {
+fn decode_beside_phases<T: for<'de> Deserialize<'de>>(bytes: &[u8]) -> Result<T, RecordError> {
     let (_, read): (Vec<(JobId, JobPhase)>, usize) = decode_prefix(bytes)?;
     decode(&bytes[read..])
 }
--- a/src/sched/refused_batches_tests.rs
+++ b/src/sched/refused_batches_tests.rs
@@ -1,14 +1,15 @@
 //! Tests of batches that exceed what the store takes in one call or in one row.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use super::action::{Action, Batch};
 use super::leader_fixtures::{answer_holds, leader_with_workers, SECOND_US};
-use super::model::{JobId, JobPhase, TaskRef};
-use super::record::restore_job;
+use super::model::{JobId, JobPhase, Queue, TaskRef};
+use super::record::{restore_job, split_pending_counts};
 use super::refused_batches::MAX_BATCH_RECORDS;
 use super::scheduler::Scheduler;
 use super::sim::{spec, step};
@@ -235,3 +236,27 @@
     }
     assert_eq!(waves, 20, "the others follow");
 }
+
+#[test]
+fn numbers_of_queued_jobs_that_take_several_rows_wait_for_a_transaction_with_room() {
+    // Guards against a transaction with more entries than the store takes.
+    let mut leader = leader_with_workers(2);
+    for number in 0..4_000 {
+        let mut job = spec(vec![step(16, &[])]);
+        let name: Arc<str> = format!("queue-with-a-long-name-{number:06}").into();
+        job.queue = Arc::new(Queue { name, ..(*job.queue).clone() });
+        leader.submit(START_US, START_US / 1_000, format!("{number:016x}").into(), job);
+    }
+    let ids: Vec<JobId> = leader.jobs.keys().cloned().collect();
+    ids.iter().for_each(|id| leader.mark_dirty(id));
+    let now_us = START_US + SECOND_US;
+
+    let full = leader.take_batch(now_us);
+    leader.batch_committed(now_us, now_us, &full);
+    let last = (2..60)
+        .map(|second| leader.take_batch(START_US + second * SECOND_US))
+        .find(|batch| batch.records.len() < MAX_BATCH_RECORDS);
+
+    assert_eq!((full.records.len(), full.pending_counts.is_some()), (MAX_BATCH_RECORDS, false));
+    assert!(last.and_then(|batch| batch.pending_counts).is_some_and(|counts| split_pending_counts(&counts).len() > 1));
+}
