End a call whose answers all stop in the middle

Since such a call never ended: each attempt receives a part of its answer, and any progress moved the time until which attempts are started, so that another one followed every 300 ms. A feed would have asked for the same rows without end, and logged nothing.

Only progress that an attempt makes some time after it was sent moves that time now, as it alone doubles the pauses. The test in virtual time checks that attempts end, too.

--- a/src/row_store/repeated_call.rs
+++ b/src/row_store/repeated_call.rs
@@ -116,10 +116,13 @@
     /// last made progress, if any has.
     pub(crate) fn on_overdue(&mut self, now_us: u64, progressed_us: Option<u64>) -> Overdue {
         if let Some(progressed_us) = progressed_us {
-            self.deadline_us = self.deadline_us.max(progressed_us + CALL_TIMEOUT_US);
+            // Soon after an attempt, progress proves little: the socket has taken the first bytes of a request, or the
+            // answer has begun and may stop.
+            if progressed_us > self.latest_attempt_us + self.repeat_delay_us / 2 {
+                self.is_transferring = true;
+                self.deadline_us = self.deadline_us.max(progressed_us + CALL_TIMEOUT_US);
+            }
             let overdue_us = progressed_us + self.repeat_delay_us;
-            // The first bytes of a request are taken by the socket, also if nothing answers.
-            self.is_transferring |= progressed_us > self.latest_attempt_us + self.repeat_delay_us / 2;
             if overdue_us > now_us {
                 self.next_attempt_us = overdue_us;
                 return Overdue::InProgress;
--- a/src/row_store/repeated_call_tests.rs
+++ b/src/row_store/repeated_call_tests.rs
@@ -156,8 +156,8 @@
     // Guards against a store that is back after an outage and is reached later by large transactions.
     let fills_the_socket = |_, attempt_us: u64| attempt_us + MS_US;
 
-    let (sent_us, _) = play_call(CALL_TIMEOUT_US, fills_the_socket);
+    let (sent_us, _) = play_call(20_000 * MS_US, fills_the_socket);
 
     assert!(sent_us.windows(2).all(|pair| pair[1] - pair[0] <= REPEAT_DELAY_US + 2 * MS_US), "{sent_us:?}");
-    assert!(sent_us.len() >= 4, "{sent_us:?}");
+    assert!((4..=5).contains(&sent_us.len()), "attempts without end: {sent_us:?}");
 }
