--- a/src/platform/row_store.rs
+++ b/src/platform/row_store.rs
@@ -224,7 +224,10 @@
                         attempts_progress.iter().filter_map(|progress| self.progressed_us(progress)).max();
                     let overdue = call.on_overdue(now_us, progressed_us);
                     if overdue == Overdue::InProgress {
-                        self.record_answer();
+                        // A request that is still being sent says nothing about the store.
+                        if attempts_progress.iter().any(|progress| progress.received_bytes() > 0) {
+                            self.record_answer();
+                        }
                         continue;
                     }
                     self.health.borrow_mut().record_failure(now_us);
--- a/src/platform/slow_answer_tests.rs
+++ b/src/platform/slow_answer_tests.rs
@@ -106,9 +106,20 @@
     assert_eq!(requests.load(Ordering::SeqCst), 2);
 }
 
-/// Starts a store that reads requests slowly and applies each transaction. Returns its address and the number of
-/// connections that it has accepted.
-fn serve_slow_reader() -> (SocketAddr, Arc<AtomicUsize>) {
+fn transaction(bytes: usize) -> RowStoreTransaction {
+    let writes = vec![(RowId::new("record", "sched", "j"), vec![b'x'; bytes])];
+    RowStoreTransaction { writes, ..RowStoreTransaction::default() }
+}
+
+/// What a store does after it has read a transaction.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Reader {
+    Applies,
+    NeverAnswers,
+}
+
+/// Starts a store that reads requests slowly. Returns its address and the number of connections that it has accepted.
+fn serve_slow_reader(reader: Reader) -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     // Accepted sockets have the same limit. What waits in them has passed the link.
     set_socket_recv_buffer_size(&listener, PART_BYTES).expect("a limit");
@@ -118,13 +129,13 @@
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             counter.fetch_add(1, Ordering::SeqCst);
-            thread::spawn(move || read_slowly(stream));
+            thread::spawn(move || read_slowly(stream, reader));
         }
     });
     (address, connections)
 }
 
-fn read_slowly(mut stream: TcpStream) {
+fn read_slowly(mut stream: TcpStream, reader: Reader) {
     let mut request = Vec::new();
     let mut part = vec![0; PART_BYTES];
     while !request.ends_with(b"\"remove\":[]}") {
@@ -132,20 +143,20 @@
         request.extend_from_slice(&part[..count]);
         thread::sleep(PART_INTERVAL);
     }
-    let body = r#"{"ver":9,"nowMs":1}"#;
-    let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    if reader == Reader::Applies {
+        let body = r#"{"ver":9,"nowMs":1}"#;
+        let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    }
     let _ = stream.read(&mut part);
 }
 
 #[test]
 fn transaction_that_takes_longer_to_send_than_the_timeout_is_committed() {
     // Guards against a leader on a narrow link whose large transactions are sent again and again and never arrive whole.
-    let (address, connections) = serve_slow_reader();
+    let (address, connections) = serve_slow_reader(Reader::Applies);
 
     let outcome = run(move |http_client| async move {
-        let writes = vec![(RowId::new("record", "sched", "j"), vec![b'x'; MAX_TRANSACTION_BYTES])];
-        let transaction = RowStoreTransaction { writes, ..RowStoreTransaction::default() };
-        store_client(http_client, address).commit(&transaction).await
+        store_client(http_client, address).commit(&transaction(MAX_TRANSACTION_BYTES)).await
     });
 
     assert_eq!(outcome, Ok(RowStoreCommitOutcome::Applied { version: 9 }));
@@ -153,6 +164,21 @@
     assert!(connections.load(Ordering::SeqCst) <= 2);
 }
 
+#[test]
+fn request_that_is_taken_is_no_answer_of_the_store() {
+    // Guards against a silent store that counts as reachable because large transactions are sent to it.
+    let (address, _) = serve_slow_reader(Reader::NeverAnswers);
+
+    let (outcome, answered_us, is_reachable) = run(move |http_client| async move {
+        let client = store_client(http_client, address);
+        let outcome = client.commit(&transaction(LARGE_BYTES / 4)).await;
+        (outcome, client.answered_us(), client.is_reachable())
+    });
+
+    assert!(matches!(outcome, Err(RowStoreError::ResponseLost(_))), "{outcome:?}");
+    assert_eq!((answered_us, is_reachable), (0, false));
+}
+
 #[test]
 fn list_of_hosts_that_arrives_for_longer_than_the_timeout_is_taken() {
     // Guards against a provider whose list is never read on a narrow link.
