--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -34,7 +34,7 @@
 /// Number of queued jobs of each queue, in as many parts as there are rows.
 #[derive(Debug, Default)]
 struct PendingCounts {
-    /// Parts that are in use. Rows of further ones may be left over.
+    /// Number of parts in use. Rows of further ones may be left over from a time with more queues.
     count: usize,
     parts: HashMap<usize, HashMap<Arc<str>, u64>>,
 }
--- a/src/platform/http_client.rs
+++ b/src/platform/http_client.rs
@@ -25,7 +25,7 @@
     pub(super) body: Bytes,
 }
 
-/// A request, and until when it may take.
+/// A request, and when it ends if there is no complete response.
 #[derive(Debug)]
 pub(super) struct HttpCall<'a> {
     pub(super) address: SocketAddr,
--- a/src/sched/batches.rs
+++ b/src/sched/batches.rs
@@ -119,7 +119,7 @@
         let free_slots = MAX_BATCH_RECORDS - batch.records.len();
         let removable_count = self.records_to_remove.len().min(free_slots);
         batch.removed_records = self.records_to_remove.drain(..removable_count).collect();
-        // Entries that neither records nor the rows that every transaction may have are going to use.
+        // Entries that are left beside records, removals and the rows that any transaction may have.
         let free_entries = MAX_BATCH_RECORDS - batch.records.len() - batch.removed_records.len();
         let mut further_rows = 0;
         if self.is_pending_report_due(now_us) {
