--- a/src/call_progress.rs
+++ b/src/call_progress.rs
@@ -45,7 +45,7 @@
     connection: RefCell<Option<CallConnection>>,
     mark: Cell<ProgressMark>,
     /// Time from the end of the request to the head of the response.
-    response_time: Cell<Option<Duration>>,
+    response_us: Cell<Option<u64>>,
 }
 
 /// Progress of one call. Clones share it.
@@ -63,12 +63,12 @@
     /// Notes that the head of the response to a request, which was sent at `sent_at`, has arrived.
     pub(crate) fn head_received(&self, sent_at: Instant) {
         let sent_until = self.latest().unwrap_or(sent_at);
-        self.0.response_time.set(Some(sent_until.elapsed()));
+        self.0.response_us.set(Some(sent_until.elapsed().as_micros() as u64));
     }
 
     /// How long the response took to begin after the request had been sent.
-    pub(crate) fn response_time(&self) -> Option<Duration> {
-        self.0.response_time.get()
+    pub(crate) fn response_us(&self) -> Option<u64> {
+        self.0.response_us.get()
     }
 
     /// Number of bytes of the request that were written.
--- a/src/platform/row_store.rs
+++ b/src/platform/row_store.rs
@@ -270,9 +270,8 @@
         match &result {
             Ok(_) | Err(RowStoreError::HistoryGone | RowStoreError::Refused(_) | RowStoreError::Protocol(_)) => {
                 self.record_answer();
-                let response_time = progress.response_time().filter(|_| wait_ms == 0);
-                if let Some(response_time) = response_time {
-                    self.health.borrow_mut().record_latency(response_time.as_micros() as u64);
+                if let Some(response_us) = progress.response_us().filter(|_| wait_ms == 0) {
+                    self.health.borrow_mut().record_latency(response_us);
                 }
             }
             Err(RowStoreError::Unavailable(_) | RowStoreError::ResponseLost(_)) => {
