Rows of the table of phases have a module of their own

The limit of a row, which stood in job_api.rs a second time under another name, is used from row_store.rs.

--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -13,9 +13,10 @@
 use super::{pending_counts_part, ControlDaemon, ADMISSION_KEY, LEADER_PARTITION, PHASE_TABLE};
 use crate::row_store::{RowStoreError, StoredRow};
 use crate::sched::model::{JobId, JobOrigin, JobPhase, ReportedPhase};
-use crate::sched::record::{
-    decode_admission, decode_further_pending_counts, decode_pending_counts, decode_published_phases, RecordError,
+use crate::sched::phase_rows::{
+    decode_admission, decode_further_pending_counts, decode_pending_counts, decode_published_phases,
 };
+use crate::sched::record::RecordError;
 
 /// Time for which the store holds a request for changes while there are none.
 const LONG_POLL_MS: u64 = 1_000;
--- a/src/control/status/status_tests.rs
+++ b/src/control/status/status_tests.rs
@@ -7,7 +7,7 @@
 use crate::row_store::{RowId, StoredRow, MAX_ROW_BYTES};
 use crate::sched::admission::{AdmissionReport, PoolWait};
 use crate::sched::model::{JobOrigin, JobPhase, ReportedPhase};
-use crate::sched::record::{
+use crate::sched::phase_rows::{
     encode_admission, encode_further_pending_counts, encode_pending_counts, encode_published_phases,
     split_pending_counts,
 };
--- a/src/control/writer.rs
+++ b/src/control/writer.rs
@@ -12,10 +12,11 @@
 use crate::clock::{US_PER_MS, US_PER_S};
 use crate::row_store::{RowId, RowStoreCommitOutcome, RowStoreError, RowStoreTransaction};
 use crate::sched::action::Batch;
-use crate::sched::record::{
-    encode_admission, encode_further_pending_counts, encode_hosts, encode_pending_counts, encode_published_phases,
+use crate::sched::phase_rows::{
+    encode_admission, encode_further_pending_counts, encode_pending_counts, encode_published_phases,
     split_pending_counts,
 };
+use crate::sched::record::encode_hosts;
 
 /// Minimum time between the starts of two transactions, so that several changes share one.
 const MIN_COMMIT_INTERVAL_MS: u64 = 12;
--- a/src/platform/job_api.rs
+++ b/src/platform/job_api.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 
 use super::limits::{bounded_ms, needed_resources};
+use crate::row_store::MAX_ROW_BYTES;
 use crate::sched::job::MAX_JOB_TASKS;
 use crate::sched::model::{JobPhase, JobSpec, Queue, Step};
 use crate::sched::record::encode_spec;
@@ -12,8 +13,6 @@
 /// Length of a job ID, in hexadecimal digits.
 const JOB_ID_DIGITS: usize = 16;
 const MAX_SPEC_BYTES: usize = 4_000;
-/// Limit on the stored form of a job. The store holds 64 KiB in one row; the rest is for the organisation.
-const MAX_JOB_BYTES: usize = 60_000;
 /// Header with the time that the caller waits for a response, in milliseconds.
 pub(crate) const DEADLINE_HEADER: &str = "x-deadline-ms";
 
@@ -83,7 +82,7 @@
     #[error("steps, times: at most {MAX_JOB_TASKS} work items in all occurrences together")]
     TooManyTasks,
     #[error(
-        "steps: the stored form of the job has {0} bytes, and may have {MAX_JOB_BYTES}; shorten names and `after`"
+        "steps: the stored form of the job has {0} bytes, and may have {MAX_ROW_BYTES}; shorten names and `after`"
     )]
     TooLarge(usize),
     #[error("steps[{0}].after: names a step that is not before it")]
@@ -124,7 +123,7 @@
         organisation: None,
     };
     let bytes = encode_spec(&spec).len();
-    if bytes > MAX_JOB_BYTES {
+    if bytes > MAX_ROW_BYTES {
         return Err(InvalidJob::TooLarge(bytes));
     }
     Ok(spec)
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -37,6 +37,7 @@
 pub(crate) mod overload;
 mod pace;
 mod packed_row;
+pub(crate) mod phase_rows;
 mod placement;
 mod placement_round;
 pub(crate) mod policies;
--- a/src/sched/admission/admission_tests.rs
+++ b/src/sched/admission/admission_tests.rs
@@ -8,7 +8,7 @@
 use super::{pool_waits, AdmissionReport, Backlog, PoolLoad, PoolWait};
 use crate::row_store::MAX_ROW_BYTES;
 use crate::sched::job::ShareClass;
-use crate::sched::record::encode_admission;
+use crate::sched::phase_rows::encode_admission;
 
 const CAPACITY_MILLI: u64 = 10_000;
 
--- a/src/sched/admission_load_tests.rs
+++ b/src/sched/admission_load_tests.rs
@@ -7,7 +7,7 @@
 use super::leader_fixtures::{leader_with_workers, run_with, SECOND_US};
 use super::model::{Catalog, Queue, Resources};
 use super::organisation::Organisation;
-use super::record::encode_admission;
+use super::phase_rows::encode_admission;
 use super::scheduler::Scheduler;
 use super::sim::{spec, step};
 use crate::row_store::MAX_ROW_BYTES;
