A refused repetition does not show that a host of a wave is up

Operators saw one host more down than their wave allows (LIMIT): the provider carried out an order to maintain a host and did not answer, refused its repetition with 503 or `busy`, and the leader took the next host of the wave down.

Cause: on_maintenance_outcome returned the host to "waiting" at a refusal, whatever had become of the order before it. A waiting host counts as down only once the provider's list shows it so, which may be a second later.

Change: the stage "ordered" keeps whether an earlier order got no answer. As long as it is so, a refusal leads to a further repetition and the host counts as down, until the provider answers 200 (also if the maintenance has begun already), says that the host is not of the wave, or no longer lists it.

Not changed: an unanswered order to move a host, whose repetition is refused, is forgotten in the same way (on_move_outcome). No rule limits the hosts that move at once; tasks may be placed on a host that is being moved.

--- a/src/sched/wave_tests.rs
+++ b/src/sched/wave_tests.rs
@@ -134,3 +134,32 @@
     assert_eq!((outcome.maintained, outcome.reports), (vec!["h5".to_owned()], vec![false]));
     assert_eq!(&*leader.hosts["h0"].pool, "spare", "what the list shows counts");
 }
+
+/// Guards against a host that counts as up because the repetition of an unanswered order is refused, while it is down by the
+/// first one: one more would be taken down than the wave allows.
+#[test]
+fn refusal_of_a_repeated_order_does_not_show_that_the_host_is_up() {
+    for refusal in [HostOrderOutcome::Busy, HostOrderOutcome::Throttled, HostOrderOutcome::NotDone] {
+        let mut leader = leader_with_workers(2);
+        leader.add_wave(10 * SECOND_US, wave(&["h0", "h1"]));
+        let hosts = leader.hosts.values().cloned().collect();
+        leader.hosts_listed(10 * SECOND_US, 10 * SECOND_US, hosts);
+
+        let mut ordered = Vec::new();
+        for step in 0..50 {
+            let now_us = 10 * SECOND_US + step * SECOND_US / 10;
+            for action in step_with_commit(&mut leader, now_us) {
+                let Action::MaintainHost { host, wave } = action else { continue };
+                let outcome = if ordered.is_empty() { HostOrderOutcome::Unanswered } else { refusal };
+                ordered.push(host.to_string());
+                leader.on_maintenance_outcome(now_us, &host, wave, outcome);
+            }
+        }
+        let first = ordered[0].clone();
+
+        assert!(ordered.len() > 2, "{refusal:?}: the order is repeated");
+        assert!(ordered.iter().all(|host| *host == first), "{refusal:?}: {ordered:?}");
+        let after = run_for_a_second(&mut leader, 15 * SECOND_US);
+        assert_eq!(after.maintained, [first], "{refusal:?}: an answer settles it");
+    }
+}
--- a/src/sched/waves.rs
+++ b/src/sched/waves.rs
@@ -42,7 +42,10 @@
         since_us: u64,
     },
     /// The order to maintain the host has been queued or sent.
-    Ordered,
+    Ordered {
+        /// Whether an earlier order got no answer, so that the host may be down whatever the answer to this one says.
+        may_be_down: bool,
+    },
     /// The order got no answer: the host may be down.
     Unanswered {
         retry_us: u64,
@@ -109,7 +112,7 @@
     pub(super) fn is_taking_down(&self, host: &str) -> bool {
         let mut stages = self.states.values().filter_map(|wave| wave.stages.get(host));
         stages.any(|stage| {
-            matches!(stage, HostStage::Draining { .. } | HostStage::Ordered | HostStage::Unanswered { .. })
+            matches!(stage, HostStage::Draining { .. } | HostStage::Ordered { .. } | HostStage::Unanswered { .. })
         })
     }
 
@@ -149,6 +152,12 @@
         }
     }
 
+    /// Whether an order to maintain the host got no answer, and one that repeats it has been requested.
+    fn may_be_down(&self, number: u64, host: &str) -> bool {
+        let stage = self.states.get(&number).and_then(|wave| wave.stages.get(host));
+        matches!(stage, Some(HostStage::Ordered { may_be_down: true }))
+    }
+
     fn record_start(&mut self, number: u64, host: &Arc<str>) {
         if self.started.entry(number).or_default().insert(host.clone()) {
             self.changed_waves.insert(number);
@@ -163,7 +172,7 @@
         let mut count = 0;
         for (host, stage) in &self.stages {
             let is_down = match stage {
-                HostStage::Ordered | HostStage::Unanswered { .. } | HostStage::Down { .. } => true,
+                HostStage::Ordered { .. } | HostStage::Unanswered { .. } | HostStage::Down { .. } => true,
                 HostStage::Waiting { .. } | HostStage::Draining { .. } => {
                     hosts.get(host).is_some_and(|record| record.phase == HostPhase::Maintenance)
                 }
@@ -242,7 +251,7 @@
                 log::info!("host={host} wave={number} outcome=host_listed_again");
                 *stage = initial_stage(started, host);
             }
-            if !is_listed && !stage.is_over() && *stage != HostStage::Ordered {
+            if !is_listed && !stage.is_over() && !matches!(stage, HostStage::Ordered { .. }) {
                 log::warn!("host={host} wave={number} outcome=host_gone");
                 *stage = HostStage::Unlisted;
             }
@@ -312,7 +321,7 @@
         for (host, stage) in &wave.stages {
             match *stage {
                 HostStage::Draining { since_us } => draining.push((host.clone(), since_us)),
-                HostStage::Unanswered { retry_us } if now_us >= retry_us => to_order.push(host.clone()),
+                HostStage::Unanswered { retry_us } if now_us >= retry_us => to_order.push((host.clone(), true)),
                 _ => {}
             }
         }
@@ -320,13 +329,13 @@
             let waited_ms = now_us.saturating_sub(since_us) / US_PER_MS;
             if self.drain_host(now_us, &host, waited_ms) && free_slots > 0 {
                 free_slots -= 1;
-                to_order.push(host);
+                to_order.push((host, false));
             }
         }
-        for host in to_order {
+        for (host, may_be_down) in to_order {
             let workers: Vec<Arc<str>> = self.possible_workers_on(&host).into_iter().collect();
             log::info!("host={host} wave={number} workers={} outcome=maintenance_ordered", workers.join(","));
-            self.set_stage(number, &host, HostStage::Ordered);
+            self.set_stage(number, &host, HostStage::Ordered { may_be_down });
             self.host_orders.push(now_us, HostOrder::Maintain { host, wave: number });
         }
     }
@@ -392,8 +401,12 @@
             | HostOrderOutcome::Throttled
             | HostOrderOutcome::NotDone
             | HostOrderOutcome::Fenced => {
-                self.set_cordoned(host, false);
-                HostStage::Waiting { not_before_us: retry_us }
+                if self.waves.may_be_down(number, host) {
+                    HostStage::Unanswered { retry_us }
+                } else {
+                    self.set_cordoned(host, false);
+                    HostStage::Waiting { not_before_us: retry_us }
+                }
             }
         };
         self.set_stage(number, host, stage);
