--- a/src/sched.rs
+++ b/src/sched.rs
@@ -58,6 +58,7 @@
 mod sharing;
 pub(crate) mod stages;
 pub(crate) mod start_orders;
+mod start_outcomes;
 mod start_rate;
 mod task_runs;
 mod tickets;
@@ -105,6 +106,8 @@
 #[cfg(test)]
 mod host_drain_tests;
 #[cfg(test)]
+mod host_successor_tests;
+#[cfg(test)]
 mod host_tests;
 #[cfg(test)]
 mod incarnation_fixtures;
--- a/src/sched/worker_loss_tests.rs
+++ b/src/sched/worker_loss_tests.rs
@@ -124,7 +124,7 @@
 }
 
 /// A leader with workers, the first of which runs the only task of a job.
-fn leader_with_task(step: Step) -> (Scheduler, Arc<str>) {
+pub(super) fn leader_with_task(step: Step) -> (Scheduler, Arc<str>) {
     let mut leader = leader_with_workers(4);
     leader.submit(10 * SECOND_US, 10_000, JOB.into(), spec(vec![step]));
     run(&mut leader, 10 * SECOND_US, 1_000);
@@ -133,20 +133,20 @@
 }
 
 /// The entry of the worker that follows another one on its host.
-fn successor(leader: &Scheduler, id: &str) -> WorkerEntry {
+pub(super) fn successor(leader: &Scheduler, id: &str) -> WorkerEntry {
     let entry = leader.workers[id].entry.clone();
     WorkerEntry { id: format!("{id}-next").into(), started_unix_ms: entry.started_unix_ms + 1, ..entry }
 }
 
 /// Lets a worker without runs answer a hold request.
-fn answer_without_runs(leader: &mut Scheduler, now_us: u64, id: &Arc<str>) {
+pub(super) fn answer_without_runs(leader: &mut Scheduler, now_us: u64, id: &Arc<str>) {
     let answer =
         HoldAnswer { clock_ms: 1, started_unix_ms: None, is_complete: true, running: Vec::new(), ended: Vec::new() };
     leader.on_hold_answer(now_us, now_us, id, &answer);
 }
 
 /// Lets a worker register and answer, and the provider name it on its host.
-fn take_over_host(leader: &mut Scheduler, now_us: u64, entry: WorkerEntry) {
+pub(super) fn take_over_host(leader: &mut Scheduler, now_us: u64, entry: WorkerEntry) {
     let id = entry.id.clone();
     let mut hosts: Vec<HostRecord> = leader.hosts.values().cloned().collect();
     for host in hosts.iter_mut().filter(|host| Some(&host.name) == entry.host.as_ref()) {
@@ -157,80 +157,10 @@
     answer_without_runs(leader, now_us, &id);
 }
 
-fn fail_hold(leader: &mut Scheduler, now_us: u64, id: &Arc<str>) {
+pub(super) fn fail_hold(leader: &mut Scheduler, now_us: u64, id: &Arc<str>) {
     leader.on_hold_failure(now_us, id, &OrderOutcome::Unanswered);
 }
 
-#[test]
-fn task_of_a_worker_whose_host_has_a_new_one_does_not_wait_for_the_lease() {
-    let (mut leader, id) = leader_with_task(step(1, &[]));
-    let entry = successor(&leader, &id);
-
-    fail_hold(&mut leader, 11 * SECOND_US, &id);
-    take_over_host(&mut leader, 11 * SECOND_US, entry);
-    leader.tick(11 * SECOND_US + 150_000, 11_150);
-
-    assert!(leader.workers[&id].tasks.is_empty());
-    assert_eq!(task(&leader, JOB).crash_count(), 1);
-}
-
-#[test]
-fn entry_that_no_worker_stands_behind_does_not_end_the_wait_for_a_lease() {
-    let (mut leader, id) = leader_with_task(step(1, &[]));
-    let entry = successor(&leader, &id);
-
-    fail_hold(&mut leader, 11 * SECOND_US, &id);
-    leader.worker_listed(11 * SECOND_US, entry.clone());
-    fail_hold(&mut leader, 11 * SECOND_US + 50_000, &entry.id);
-    leader.tick(11 * SECOND_US + 150_000, 11_150);
-
-    assert_eq!(leader.workers[&id].tasks.len(), 1);
-    assert!(task(&leader, JOB).losses.is_empty());
-}
-
-#[test]
-fn worker_that_the_provider_names_on_its_host_keeps_its_lease_although_another_one_answers() {
-    let (mut leader, id) = leader_with_task(step(1, &[]));
-    let entry = successor(&leader, &id);
-
-    fail_hold(&mut leader, 11 * SECOND_US, &id);
-    leader.worker_listed(11 * SECOND_US, entry.clone());
-    answer_without_runs(&mut leader, 11 * SECOND_US + 50_000, &entry.id);
-    leader.tick(11 * SECOND_US + 150_000, 11_150);
-
-    assert_eq!(leader.workers[&id].tasks.len(), 1);
-    assert!(task(&leader, JOB).losses.is_empty());
-}
-
-#[test]
-fn entry_that_no_worker_stands_behind_does_not_hide_the_successor_that_takes_over_the_host() {
-    let (mut leader, id) = leader_with_task(step(1, &[]));
-    let odd = successor(&leader, &id);
-    let entry = WorkerEntry { id: "successor".into(), started_unix_ms: odd.started_unix_ms + 1, ..odd.clone() };
-
-    fail_hold(&mut leader, 11 * SECOND_US, &id);
-    leader.worker_listed(11 * SECOND_US, odd);
-    take_over_host(&mut leader, 11 * SECOND_US + 50_000, entry);
-    leader.tick(11 * SECOND_US + 150_000, 11_150);
-
-    assert!(leader.workers[&id].tasks.is_empty());
-    assert_eq!(task(&leader, JOB).crash_count(), 1);
-}
-
-#[test]
-fn worker_that_answers_keeps_its_tasks_although_another_one_registers_on_its_host() {
-    let (mut leader, id) = leader_with_task(step(1, &[]));
-    let entry = successor(&leader, &id);
-
-    leader.worker_listed(11 * SECOND_US, entry);
-    run(&mut leader, 11 * SECOND_US, 1_000);
-    fail_hold(&mut leader, 12 * SECOND_US, &id);
-    leader.tick(12 * SECOND_US + 150_000, 12_150);
-
-    assert_eq!(leader.workers[&id].tasks.len(), 1);
-    assert!(task(&leader, JOB).losses.is_empty());
-}
-
 #[test]
 fn loss_with_a_worker_that_comes_back_with_its_process_does_not_count() {
     let mut sim = Sim::new(1, 2, Faults::default());
